--- a/Libraries/LibBase/Base.h
+++ b/Libraries/LibBase/Base.h
@@ -13,6 +13,7 @@
 #include <LibBase/MessageReader.h>
 #include <LibBase/MessageWriter.h>
 #include <LibBase/Metrics.h>
+#include <LibBase/ProvenAge.h>
 #include <LibBase/RefusalReason.h>
 #include <LibBase/Result.h>
 #include <LibBase/Time.h>
--- a/Libraries/LibMembership/Members.h
+++ b/Libraries/LibMembership/Members.h
@@ -8,3 +8,4 @@
 #include <LibMembership/Membership.h>
 #include <LibMembership/MembershipMessage.h>
 #include <LibMembership/UpdateQueue.h>
+#include <LibMembership/UpstreamDirectory.h>
--- a/Libraries/LibProxy/Detail/Exchange.cpp
+++ b/Libraries/LibProxy/Detail/Exchange.cpp
@@ -10,9 +10,9 @@
 
 Net::awaitable<SessionExchange::Choice> SessionExchange::nextChoice()
 {
-    while (std::holds_alternative<std::monostate>(m_choice) && !m_callerGone)
+    while (std::holds_alternative<std::monostate>(m_choice) && !m_callerGone && !m_isAbandoned)
         co_await m_chosen.async_wait(useTuple);
-    if (m_callerGone)
+    if (m_callerGone || m_isAbandoned)
         co_return Choice {};
     co_return std::exchange(m_choice, Choice {});
 }
--- a/Libraries/LibProxy/Detail/Exchange.h
+++ b/Libraries/LibProxy/Detail/Exchange.h
@@ -24,11 +24,16 @@
     HttpCall const& call() const override { return m_call; }
     void respond(HttpReply reply) override { choose(std::move(reply)); }
     void forward(ForwardPlan plan, Finished finished) override { choose(ForwardChoice { std::move(plan), std::move(finished) }); }
+    void abandon() override
+    {
+        m_isAbandoned = true;
+        m_chosen.cancel();
+    }
     void onCallerGone(std::function<void()> callback) override { m_callerGoneHook = std::move(callback); }
     bool isCallerGone() const override { return m_callerGone; }
 
     // Waits until the handler has chosen or the caller has gone; the choice is
-    // empty when the caller has gone.
+    // empty when the caller has gone or the answer is abandoned.
     Net::awaitable<Choice> nextChoice();
 
     void callerHasGone();
@@ -45,6 +50,7 @@
     std::function<void()> m_callerGoneHook;
     TcpStream* m_upstream { nullptr };
     bool m_callerGone { false };
+    bool m_isAbandoned { false };
 };
 
 }
--- a/Libraries/LibProxy/Detail/IdleWatchdog.h
+++ b/Libraries/LibProxy/Detail/IdleWatchdog.h
@@ -3,18 +3,21 @@
 #include <LibProxy/Detail/Native.h>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace Stagepost {
 
-// Calls back when nothing has happened for a while. Saying that something has
-// happened only notes the time, which is far cheaper than a timer for each read
-// and each write of a stream.
+// Calls back when nothing has happened for a while, or when a fixed end has come.
+// Saying that something has happened only notes the time, which is far cheaper
+// than a timer for each read and each write of a stream.
 class IdleWatchdog {
 public:
-    IdleWatchdog(Net::io_context& context, Milliseconds limit, std::function<void()> expired)
-        : m_state(std::make_shared<State>(context, limit, std::move(expired)))
+    using Clock = std::chrono::steady_clock;
+
+    IdleWatchdog(Net::io_context& context, Milliseconds limit, std::optional<Clock::time_point> end, std::function<void()> expired)
+        : m_state(std::make_shared<State>(context, limit, end, std::move(expired)))
     {
-        m_state->arm(limit);
+        m_state->arm(m_state->dueAt());
     }
 
     ~IdleWatchdog()
@@ -25,22 +28,41 @@
     IdleWatchdog(IdleWatchdog const&) = delete;
     IdleWatchdog& operator=(IdleWatchdog const&) = delete;
 
-    void touch() { m_state->lastActivity = std::chrono::steady_clock::now(); }
+    void touch() { m_state->lastActivity = Clock::now(); }
+
+    // Begins a phase in which nothing may happen for that long.
+    void allow(Milliseconds limit)
+    {
+        touch();
+        m_state->limit = limit;
+        if (m_state->dueAt() < m_state->armedUntil)
+            m_state->arm(m_state->dueAt());
+    }
+
     bool hasExpired() const { return m_state->hasExpired; }
+    bool hasReachedEnd() const { return m_state->hasExpired && m_state->end && Clock::now() >= *m_state->end; }
 
 private:
     struct State : std::enable_shared_from_this<State> {
-        State(Net::io_context& context, Milliseconds idleLimit, std::function<void()> callback)
+        State(Net::io_context& context, Milliseconds idleLimit, std::optional<Clock::time_point> fixedEnd, std::function<void()> callback)
             : timer(context)
             , limit(idleLimit)
+            , end(fixedEnd)
             , expired(std::move(callback))
-            , lastActivity(std::chrono::steady_clock::now())
+            , lastActivity(Clock::now())
+        {
+        }
+
+        Clock::time_point dueAt() const
         {
+            auto const idleEnd = lastActivity + limit;
+            return end ? std::min(idleEnd, *end) : idleEnd;
         }
 
-        void arm(std::chrono::steady_clock::duration delay)
+        void arm(Clock::time_point due)
         {
-            timer.expires_after(delay);
+            armedUntil = due;
+            timer.expires_at(due);
             timer.async_wait([self = shared_from_this()](NetError failure) {
                 if (!failure && self->expired)
                     self->check();
@@ -49,9 +71,8 @@
 
         void check()
         {
-            auto const idle = std::chrono::steady_clock::now() - lastActivity;
-            if (idle < limit) {
-                arm(limit - idle);
+            if (Clock::now() < dueAt()) {
+                arm(dueAt());
                 return;
             }
             hasExpired = true;
@@ -60,8 +81,10 @@
 
         Net::steady_timer timer;
         Milliseconds limit;
+        std::optional<Clock::time_point> end;
         std::function<void()> expired;
-        std::chrono::steady_clock::time_point lastActivity;
+        Clock::time_point lastActivity;
+        Clock::time_point armedUntil;
         bool hasExpired { false };
     };
 
--- a/Libraries/LibProxy/Detail/Session.cpp
+++ b/Libraries/LibProxy/Detail/Session.cpp
@@ -46,7 +46,7 @@
     auto const self = shared_from_this();
     m_server->sessions.insert(this);
     while (co_await serveOne()) {
-        if (m_server->closing)
+        if (m_server->stopped)
             break;
     }
     m_server->sessions.erase(this);
@@ -131,10 +131,11 @@
         auto* forward = std::get_if<SessionExchange::ForwardChoice>(&choice);
         if (!forward)
             co_return false;
-        Forwarder forwarder(m_server->context, m_server->upstreams, *exchange, { m_stream, version >= 11, keepAlive, isHead });
-        auto const result = co_await forwarder.run(forward->plan);
+        Forwarder forwarder(m_server->context, m_server->upstreams, *exchange, { m_stream, version >= 11, keepAlive, isHead }, forward->plan);
+        auto const result = co_await forwarder.run();
         forward->finished(result);
-        if (result.answerStarted)
+        bool const mayContinue = result.failure && forward->plan.progress;
+        if (result.answerStarted && !mayContinue)
             co_return forwarder.callerKeptAlive() && !result.failure;
     }
 }
--- a/Libraries/LibProxy/Detail/Session.h
+++ b/Libraries/LibProxy/Detail/Session.h
@@ -30,6 +30,7 @@
     std::set<Session*> sessions;
     size_t openExchanges { 0 };
     bool closing { false };
+    bool stopped { false };
 };
 
 // One caller's connection: reads a request, has it answered, and so on.
--- a/Libraries/LibProxy/Detail/UpstreamConnections.cpp
+++ b/Libraries/LibProxy/Detail/UpstreamConnections.cpp
@@ -14,15 +14,26 @@
         return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
 
+    bool isSafelyOpen(UpstreamConnection const& connection, std::chrono::steady_clock::duration rested)
+    {
+        return rested <= connection.keepAlive / UpstreamConnections::usableKeepAliveShare;
+    }
+
 }
 
-std::unique_ptr<UpstreamConnection> UpstreamConnections::take(Endpoint const& endpoint)
+// The newest connection is taken first, so that those not needed are left to
+// grow old and are dropped.
+std::shared_ptr<UpstreamConnection> UpstreamConnections::take(Endpoint const& endpoint, Milliseconds longestRest)
 {
     auto const found = m_idle.find(endpoint);
     if (found == m_idle.end())
         return nullptr;
     auto& idle = found->second;
+    auto const now = std::chrono::steady_clock::now();
+    std::erase_if(idle, [&](auto const& connection) { return !isSafelyOpen(*connection, now - connection->restsSince); });
     while (!idle.empty()) {
+        if (now - idle.back()->restsSince > longestRest)
+            return nullptr;
         auto connection = std::move(idle.back());
         idle.pop_back();
         if (isQuiet(*connection))
@@ -32,9 +43,10 @@
     return nullptr;
 }
 
-void UpstreamConnections::give(Endpoint const& endpoint, std::unique_ptr<UpstreamConnection> connection)
+void UpstreamConnections::give(Endpoint const& endpoint, std::shared_ptr<UpstreamConnection> connection)
 {
     auto& idle = m_idle[endpoint];
+    connection->restsSince = std::chrono::steady_clock::now();
     if (idle.size() < mostIdlePerUpstream)
         idle.push_back(std::move(connection));
 }
--- a/Libraries/LibProxy/Detail/UpstreamConnections.h
+++ b/Libraries/LibProxy/Detail/UpstreamConnections.h
@@ -15,21 +15,30 @@
     }
     TcpStream stream;
     Beast::flat_buffer buffer;
+    std::chrono::steady_clock::time_point restsSince;
+    // How long the upstream has said that it keeps an idle connection open.
+    std::chrono::steady_clock::duration keepAlive { std::chrono::steady_clock::duration::max() };
+    // The last request has been written to its end.
+    bool isWritten { true };
+    NetError writeFailure;
 };
 
 // Connections whose last answer was complete and provably the right one.
 class UpstreamConnections {
 public:
     static constexpr size_t mostIdlePerUpstream = 64;
+    // A connection is not used in the last part of the time that its upstream
+    // keeps it open: the close may be on its way already.
+    static constexpr int usableKeepAliveShare = 2;
 
-    // A connection that is idle and on which nothing has arrived since its last
-    // answer, or none.
-    std::unique_ptr<UpstreamConnection> take(Endpoint const&);
-    void give(Endpoint const&, std::unique_ptr<UpstreamConnection>);
+    // A connection that has rested for no longer than that and on which nothing
+    // has arrived since its last answer, or none.
+    std::shared_ptr<UpstreamConnection> take(Endpoint const&, Milliseconds longestRest);
+    void give(Endpoint const&, std::shared_ptr<UpstreamConnection>);
     void clear() { m_idle.clear(); }
 
 private:
-    std::map<Endpoint, std::vector<std::unique_ptr<UpstreamConnection>>> m_idle;
+    std::map<Endpoint, std::vector<std::shared_ptr<UpstreamConnection>>> m_idle;
 };
 
 }
--- /dev/null
+++ b/Libraries/LibProxy/Detail/UpstreamRequest.cpp
@@ -0,0 +1,67 @@
+#include <LibProxy/Detail/UpstreamRequest.h>
+
+#include <array>
+#include <charconv>
+#include <random>
+
+namespace Stagepost {
+
+namespace {
+
+    using Request = Http::request<Http::string_body>;
+
+    Request requestOf(ForwardPlan const& plan, std::string const& requestId)
+    {
+        Request request;
+        request.method_string(plan.call.method);
+        request.target(plan.call.target);
+        request.version(11);
+        HttpFields headers = plan.call.headers;
+        headers.removeHopByHop();
+        headers.remove("Content-Length");
+        headers.remove("Expect");
+        for (auto const& field : headers)
+            request.insert(field.name, field.value);
+        if (!plan.keepsHost)
+            request.set(Http::field::host, plan.upstream.toString());
+        request.set(plan.idField, requestId);
+        request.body() = plan.call.body;
+        if (!plan.call.body.empty() || plan.call.method == "POST" || plan.call.method == "PUT")
+            request.content_length(plan.call.body.size());
+        return request;
+    }
+
+}
+
+std::string makeRequestId()
+{
+    static uint64_t const process = (uint64_t { std::random_device {}() } << 32) | std::random_device {}();
+    static uint64_t counter = 0;
+    std::array<char, 40> text {};
+    auto const size = std::snprintf(text.data(), text.size(), "%016llx-%llx", static_cast<unsigned long long>(process), static_cast<unsigned long long>(++counter));
+    return std::string(text.data(), static_cast<size_t>(size));
+}
+
+void startRequest(std::shared_ptr<UpstreamConnection> const& connection, ForwardPlan const& plan, std::string const& requestId)
+{
+    auto const request = std::make_shared<Request const>(requestOf(plan, requestId));
+    connection->isWritten = false;
+    Http::async_write(connection->stream, *request, [connection, request](NetError failure, size_t) {
+        connection->isWritten = !failure;
+        connection->writeFailure = failure;
+    });
+}
+
+std::optional<Seconds> keepAliveOf(std::string_view keepAliveField)
+{
+    constexpr std::string_view key = "timeout=";
+    auto const at = keepAliveField.find(key);
+    if (at == std::string_view::npos)
+        return {};
+    auto const digits = keepAliveField.substr(at + key.size());
+    int64_t seconds = 0;
+    auto const [end, failure] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return failure == std::errc() ? std::optional(Seconds(seconds)) : std::nullopt;
+}
+
+}
--- a/Libraries/LibProxy/Endpoint.cpp
+++ b/Libraries/LibProxy/Endpoint.cpp
@@ -7,7 +7,11 @@
 
 Result<Endpoint> Endpoint::parse(std::string_view text)
 {
-    auto const wrong = Error(ErrorCode::BadInput, "'" + std::string(text) + "' is not IP:PORT, for example 127.0.0.1:8080");
+    // Appended, since GCC 12 at -O3 takes the concatenation for an overflow.
+    std::string detail = "'";
+    detail.append(text);
+    detail += "' is not IP:PORT, for example 127.0.0.1:8080";
+    auto const wrong = Error(ErrorCode::BadInput, detail);
     auto const colon = text.rfind(':');
     if (colon == std::string_view::npos)
         return wrong;
--- a/Libraries/LibProxy/Exchange.h
+++ b/Libraries/LibProxy/Exchange.h
@@ -22,6 +22,11 @@
     virtual HttpCall const& call() const = 0;
     virtual void respond(HttpReply) = 0;
     virtual void forward(ForwardPlan, Finished) = 0;
+    // Breaks the answer off where it is, by closing the caller's connection. A
+    // stream of events that failed on the way is either forwarded again or
+    // abandoned; every other answer that fails after its start is broken off
+    // without asking.
+    virtual void abandon() = 0;
 
     // Called at most once, when the caller leaves before its answer is complete.
     virtual void onCallerGone(std::function<void()>) = 0;
--- a/Libraries/LibProxy/ForwardPlan.h
+++ b/Libraries/LibProxy/ForwardPlan.h
@@ -1,11 +1,26 @@
 #pragma once
 
+#include <LibBase/RefusalReason.h>
 #include <LibBase/Time.h>
 #include <LibProxy/Endpoint.h>
+#include <LibProxy/EventProgress.h>
 #include <LibProxy/HttpMessage.h>
+#include <functional>
+#include <memory>
+#include <optional>
 
 namespace Stagepost {
 
+// An upstream's answer that is not passed on, and what it says of the request.
+struct HeadRejection {
+    RefusalReason reason { RefusalReason::UpstreamRefused };
+    Verdict verdict { Verdict::MayHaveRun };
+    std::string detail;
+};
+
+// Looks at the head of an answer before any of it is passed on.
+using HeadJudge = std::function<std::optional<HeadRejection>(unsigned status, HttpFields const&)>;
+
 // How one request goes to one upstream.
 struct ForwardPlan {
     Endpoint upstream;
@@ -20,8 +35,29 @@
     // A connection used before may have been closed by its other end, which
     // leaves a doubt about the request; a call that may not be repeated avoids it.
     bool freshConnection { false };
+    // How long a connection may have rested and still be used for this request.
+    Milliseconds longestRest { 60000 };
     // How much of the answer to keep for a resend; 0 keeps none.
     size_t keepBytes { 0 };
+    // An answer of up to this size is passed on only once it is whole, so that
+    // one that breaks off can be asked for again. Event streams are not held.
+    size_t holdBytes { 0 };
+    // The field in which the request carries its id and the answer repeats it.
+    std::string idField { "X-Request-Id" };
+    // The id itself, which every answer must then repeat. Where it is empty, one
+    // is made, and only answers on connections used before must repeat it.
+    std::string id;
+    // Whether the request keeps the caller's Host field.
+    bool keepsHost { false };
+    // None passes every answer on.
+    HeadJudge judge;
+    // Set for a stream of events that is passed on event by event, and shared by
+    // all forwards that continue one answer.
+    std::shared_ptr<EventProgress> progress;
+    // Whether a stream that breaks tells the caller so in a last event.
+    bool endsWithErrorEvent { true };
+    // When the forward is given up, whatever it has come to.
+    std::optional<Instant> limit;
 };
 
 }
--- a/Libraries/LibProxy/ForwardResult.h
+++ b/Libraries/LibProxy/ForwardResult.h
@@ -24,6 +24,8 @@
     HttpReply kept;
     bool keptWhole { false };
     bool reusedConnection { false };
+    // The forward was given up at its plan's limit.
+    bool reachedLimit { false };
 };
 
 }
--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -62,15 +62,21 @@
     }
 }
 
-void HttpServer::startClosing()
+void HttpServer::setOptions(HttpServerOptions const& options)
 {
-    m_state->closing = true;
+    m_state->options = options;
+}
+
+void HttpServer::setClosing(bool closing)
+{
+    m_state->closing = closing || m_state->stopped;
 }
 
 void HttpServer::stopListening()
 {
     NetError ignored;
     m_state->acceptor.close(ignored);
+    m_state->stopped = true;
     m_state->closing = true;
     auto const sessions = m_state->sessions;
     for (auto* session : sessions)
--- a/Libraries/LibProxy/HttpServer.h
+++ b/Libraries/LibProxy/HttpServer.h
@@ -32,8 +32,11 @@
     // Port 0 takes a free one. Returns what was bound.
     Result<Endpoint> listen(Endpoint const&);
 
-    // From here on every answer closes its connection, so that callers move on.
-    void startClosing();
+    // What the next request of every connection is held to.
+    void setOptions(HttpServerOptions const&);
+
+    // While set, every answer closes its connection, so that callers move on.
+    void setClosing(bool);
     // Takes no further connection and closes those that carry no request.
     void stopListening();
 
--- a/Libraries/LibProxy/Proxy.h
+++ b/Libraries/LibProxy/Proxy.h
@@ -7,6 +7,8 @@
 #include <LibProxy/DatagramSocket.h>
 #include <LibProxy/Endpoint.h>
 #include <LibProxy/EventLoop.h>
+#include <LibProxy/EventProgress.h>
+#include <LibProxy/EventSplitter.h>
 #include <LibProxy/Exchange.h>
 #include <LibProxy/ForwardPlan.h>
 #include <LibProxy/ForwardResult.h>
--- /dev/null
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -0,0 +1,30 @@
+#include <LibRouting/RetryBudget.h>
+
+namespace Stagepost {
+
+RetryBudget::Slot& RetryBudget::slotAt(Instant now)
+{
+    auto const number = numberAt(now);
+    auto& slot = m_slots.at(static_cast<size_t>(number) % slotCount);
+    if (slot.number != number)
+        slot = { number, 0, 0 };
+    return slot;
+}
+
+bool RetryBudget::mayRetry(Instant now) const
+{
+    auto const newest = numberAt(now);
+    double requests = 0;
+    double retries = 0;
+    for (auto const& slot : m_slots) {
+        if (slot.number < 0 || slot.number + static_cast<int64_t>(slotCount) <= newest)
+            continue;
+        retries += slot.retries;
+        // The oldest step may lie outside of the window already.
+        if (slot.number + static_cast<int64_t>(slotCount) - 1 > newest)
+            requests += slot.requests;
+    }
+    return retries + 1 <= usableShare * (m_bounds.ratio * requests + m_bounds.slack * m_share);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -0,0 +1,173 @@
+#include <LibRouting/ServicePlacement.h>
+
+#include <LibRouting/Rendezvous.h>
+#include <algorithm>
+#include <cmath>
+
+namespace Stagepost {
+
+namespace {
+
+    // An upstream is passed over when it fails by this much more often than the
+    // soundest of its service: some services fail a share of requests on any day.
+    constexpr double tolerableExcess = 0.25;
+    // The weight of the newest answer in the mean of how long answers take.
+    constexpr double newestWeight = 0.2;
+    // The time after which a slow answer of an idle upstream counts a third.
+    constexpr double tookMemorySeconds = 5;
+    // What another hall costs, as a share of the usual time of an answer: enough
+    // to stay in the own hall among equals, not to queue there.
+    constexpr double otherHallCost = 0.4;
+
+}
+
+void ServicePlacement::setUpstreams(std::vector<ServiceUpstream> const& list)
+{
+    std::map<UpstreamId, Upstream> next;
+    for (auto const& facts : list) {
+        auto const known = m_upstreams.find(facts.id);
+        auto& upstream = next[facts.id];
+        if (known != m_upstreams.end())
+            upstream = known->second;
+        upstream.facts = facts;
+    }
+    m_upstreams = std::move(next);
+}
+
+void ServicePlacement::started(UpstreamId id)
+{
+    if (auto const found = m_upstreams.find(id); found != m_upstreams.end())
+        found->second.load.started();
+}
+
+void ServicePlacement::reported(UpstreamId id, UpstreamLoadReport const& report, Instant now)
+{
+    if (auto const found = m_upstreams.find(id); found != m_upstreams.end())
+        found->second.load.reported(report, now);
+}
+
+void ServicePlacement::leaving(UpstreamId id)
+{
+    if (auto const found = m_upstreams.find(id); found != m_upstreams.end())
+        found->second.facts.isLeaving = true;
+}
+
+void ServicePlacement::finished(UpstreamId id, SendOutcome outcome, Microseconds took, Instant now)
+{
+    auto const found = m_upstreams.find(id);
+    if (found == m_upstreams.end())
+        return;
+    auto& upstream = found->second;
+    upstream.load.finished();
+    switch (outcome) {
+    case SendOutcome::Succeeded:
+        upstream.health.succeeded(now);
+        break;
+    case SendOutcome::Failed:
+        upstream.health.answeredWithFailure(now);
+        break;
+    case SendOutcome::Refused:
+        upstream.health.answeredWithFailure(now);
+        return;
+    case SendOutcome::Broke:
+        upstream.health.broke(now);
+        return;
+    case SendOutcome::Unknown:
+        upstream.health.trialReturned();
+        return;
+    }
+    upstream.tookSeconds = upstream.tookSeconds == 0 ? asSeconds(took) : std::lerp(upstream.tookSeconds, asSeconds(took), newestWeight);
+    upstream.tookAt = now;
+}
+
+std::vector<ServicePlacement::Upstream*> ServicePlacement::candidates(Wish const& wish, Instant now)
+{
+    std::vector<Upstream*> staying;
+    for (auto& [id, upstream] : m_upstreams) {
+        bool const isExcluded = std::find(wish.excluded.begin(), wish.excluded.end(), id) != wish.excluded.end();
+        if (!isExcluded && !upstream.facts.isLeaving)
+            staying.push_back(&upstream);
+    }
+    std::vector<Upstream*> answering;
+    std::copy_if(staying.begin(), staying.end(), std::back_inserter(answering), [](auto const* upstream) { return upstream->health.isClosed(); });
+    // Upstreams that stopped answering get one request each once their pause is
+    // over. When all of them have, the fault may be the network's: try any.
+    for (auto* upstream : staying) {
+        if (!upstream->health.isClosed() && upstream->health.allows(now, wish.isRepeatable))
+            return { upstream };
+    }
+    return sound(answering.empty() ? staying : answering, now);
+}
+
+// Never leaves fewer than half: where most of a service fails, it is the service
+// that is at fault, and the rest would only be overrun.
+std::vector<ServicePlacement::Upstream*> ServicePlacement::sound(std::vector<Upstream*> const& all, Instant now) const
+{
+    double best = 1;
+    for (auto const* upstream : all)
+        best = std::min(best, upstream->health.failureShare(now));
+    std::vector<Upstream*> result;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(result), [&](auto const* upstream) {
+        return upstream->health.failureShare(now) <= best + tolerableExcess;
+    });
+    return result.size() * 2 < all.size() ? all : result;
+}
+
+std::optional<UpstreamId> ServicePlacement::choose(Wish const& wish, Instant now)
+{
+    auto const usable = candidates(wish, now);
+    if (usable.empty())
+        return {};
+    auto const* chosen = wish.context ? chooseByContext(usable, *wish.context, now) : chooseByWait(usable, now);
+    return chosen->facts.id;
+}
+
+ServicePlacement::Upstream* ServicePlacement::chooseByContext(std::vector<Upstream*> const& usable, uint64_t context, Instant now) const
+{
+    double sum = 0;
+    for (auto const* upstream : usable)
+        sum += upstream->load.total(now);
+    auto const bound = m_bounds.loadMultiple * sum / static_cast<double>(usable.size()) + m_bounds.loadSlack;
+    auto order = usable;
+    std::sort(order.begin(), order.end(), [&](auto const* first, auto const* second) {
+        return rendezvousRank(context, first->facts.id.value()) > rendezvousRank(context, second->facts.id.value());
+    });
+    auto const found = std::find_if(order.begin(), order.end(), [&](auto const* upstream) { return upstream->load.total(now) <= bound; });
+    return found == order.end() ? order.front() : *found;
+}
+
+double ServicePlacement::expectedWait(Upstream const& upstream, double usual, Instant now) const
+{
+    auto const trust = std::exp(-asSeconds(now - upstream.tookAt) / tookMemorySeconds);
+    auto const took = upstream.tookSeconds == 0 ? usual : std::lerp(usual, upstream.tookSeconds, trust);
+    auto const ahead = upstream.load.total(now) / static_cast<double>(std::max<size_t>(1, upstream.facts.slots));
+    return took * (1 + ahead) + (upstream.facts.isInOwnHall ? 0 : otherHallCost * usual);
+}
+
+ServicePlacement::Upstream* ServicePlacement::chooseByWait(std::vector<Upstream*> const& usable, Instant now) const
+{
+    // The quickest upstream tells what is usual; a mean would be drawn up by the
+    // very ones that are to be passed over.
+    double usual = 0;
+    for (auto const* upstream : usable) {
+        if (upstream->tookSeconds > 0)
+            usual = usual == 0 ? upstream->tookSeconds : std::min(usual, upstream->tookSeconds);
+    }
+    constexpr double anyTime = 0.01;
+    usual = usual == 0 ? anyTime : usual;
+    // Equals are told apart by chance, or all daemons would choose the same one.
+    auto const first = randomBelow(m_random, usable.size());
+    Upstream* best = nullptr;
+    double leastWait = 0;
+    for (size_t step = 0; step < usable.size(); ++step) {
+        auto* upstream = usable[(first + step) % usable.size()];
+        auto const wait = expectedWait(*upstream, usual, now);
+        if (!best || wait < leastWait) {
+            best = upstream;
+            leastWait = wait;
+        }
+    }
+    return best;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <LibBase/Hooks.h>
+#include <LibBase/Ids.h>
+#include <LibRouting/LoadEstimate.h>
+#include <LibRouting/PromptChain.h>
+#include <LibRouting/UpstreamHealth.h>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Stagepost {
+
+// One upstream of a service, as placement needs it.
+struct ServiceUpstream {
+    UpstreamId id;
+    bool isInOwnHall { false };
+    size_t slots { 1 };
+    bool isLeaving { false };
+};
+
+// How a request that was sent to an upstream ended.
+enum class SendOutcome : uint8_t {
+    Succeeded,
+    // The upstream answered that it failed.
+    Failed,
+    // The upstream refused without running the request.
+    Refused,
+    // No answer, or none that can be used.
+    Broke,
+    // Nothing is known of the upstream: the caller left, or it was never asked.
+    Unknown,
+};
+
+// Chooses the upstream of one service for each request, by what this daemon
+// knows alone: its own requests, the reports in the upstreams' answers and how
+// those answers turned out. Requests with a context go to the first upstream of
+// the context's rendezvous order that is not too full, which all daemons agree
+// on without asking; others go where they are expected to be answered soonest.
+class ServicePlacement {
+public:
+    struct Bounds {
+        // An upstream is too full for another context above this multiple of
+        // the service's mean load, and some requests more: with loads of a few,
+        // whole requests are coarse.
+        double loadMultiple { 1.25 };
+        double loadSlack { 2 };
+    };
+
+    explicit ServicePlacement(Bounds bounds, RandomHook random)
+        : m_bounds(bounds)
+        , m_random(std::move(random))
+    {
+    }
+
+    // Upstreams that stay keep what is known of them.
+    void setUpstreams(std::vector<ServiceUpstream> const&);
+
+    struct Wish {
+        // The context that decides where the request is best sent, if any.
+        std::optional<uint64_t> context;
+        // Upstreams that have failed this request already.
+        std::vector<UpstreamId> excluded;
+        // Whether it may be sent again if it fails.
+        bool isRepeatable { false };
+    };
+    std::optional<UpstreamId> choose(Wish const&, Instant now);
+
+    void started(UpstreamId);
+    void finished(UpstreamId, SendOutcome, Microseconds took, Instant now);
+    void reported(UpstreamId, UpstreamLoadReport const&, Instant now);
+    // The upstream has said that it is leaving.
+    void leaving(UpstreamId);
+
+    size_t size() const { return m_upstreams.size(); }
+
+private:
+    struct Upstream {
+        ServiceUpstream facts;
+        LoadEstimate load;
+        UpstreamHealth health;
+        // How long answers take there, a moving mean; 0 until the first.
+        double tookSeconds { 0 };
+        Instant tookAt;
+    };
+
+    std::vector<Upstream*> candidates(Wish const&, Instant now);
+    std::vector<Upstream*> sound(std::vector<Upstream*> const&, Instant now) const;
+    Upstream* chooseByContext(std::vector<Upstream*> const&, uint64_t context, Instant now) const;
+    Upstream* chooseByWait(std::vector<Upstream*> const&, Instant now) const;
+    double expectedWait(Upstream const&, double usual, Instant now) const;
+
+    Bounds m_bounds;
+    RandomHook m_random;
+    std::map<UpstreamId, Upstream> m_upstreams;
+};
+
+}
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -6,5 +6,6 @@
 #include <LibSettings/FleetSettings.h>
 #include <LibSettings/Publication.h>
 #include <LibSettings/PublicationReader.h>
+#include <LibSettings/RouteTable.h>
 #include <LibSettings/Schema.h>
 #include <LibSettings/SettingsTree.h>
--- a/Meta/CMake/StagepostPackages.cmake
+++ b/Meta/CMake/StagepostPackages.cmake
@@ -10,7 +10,7 @@
 pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
 
 # GCC 12 takes the frame allocator of Boost.Asio's coroutines for a mismatched one.
-set(STAGEPOST_WARNINGS -Wall -Wextra -Werror -Wno-missing-field-initializers -Wno-mismatched-new-delete)
+set(STAGEPOST_WARNINGS -Wall -Wextra $<$<BOOL:${STAGEPOST_DEVELOPER}>:-Werror> -Wno-missing-field-initializers -Wno-mismatched-new-delete)
 
 # Boost.Asio and Beast cost ten seconds a file, so the files that use them share
 # one precompiled header; no public header includes them.
--- a/Services/stagepostd/Daemon.cpp
+++ b/Services/stagepostd/Daemon.cpp
@@ -371,7 +371,7 @@
         return;
     setDraining(true);
     m_isStopping = true;
-    m_server.startClosing();
+    m_server.setClosing(true);
     auto const limit = m_loop.now() + m_options.drainGrace + m_options.drainLimit;
     m_drainTimer.once(m_options.drainGrace, [this, limit, drained = std::move(drained)] {
         m_server.stopListening();
--- /dev/null
+++ b/Services/stagepostd/Gateway.cpp
@@ -0,0 +1,227 @@
+#include <stagepostd/Gateway.h>
+
+#include <LibBase/Log.h>
+#include <stagepostd/GatewayReply.h>
+
+namespace Stagepost {
+
+namespace {
+
+    constexpr Milliseconds drainPoll { 20 };
+    // Left of the drain limit to break off what does not end and to stop in order.
+    constexpr Milliseconds drainReserve { 300 };
+    // Fine enough for lapsed records and readiness, whose bounds are seconds.
+    constexpr Milliseconds tickInterval { 100 };
+    // What a caller is told to wait where only the platform can change things.
+    constexpr Milliseconds platformPause { 250 };
+    constexpr unsigned statusUnready = 503;
+
+    HttpServerOptions serverOptions(CallerLimits const& limits)
+    {
+        HttpServerOptions options;
+        options.largestBody = limits.bodyBytes;
+        options.largestHeaders = limits.headerBytes;
+        options.requestTimeout = limits.headerTimeout;
+        options.keepAliveTimeout = limits.idleTimeout;
+        return options;
+    }
+
+}
+
+Gateway::Gateway(EventLoop& loop, GatewayOptions options, GatewayDialect dialect, RandomHook random)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_dialect(std::move(dialect))
+    , m_random(std::move(random))
+    , m_board({ m_options.hall, m_options.placement, m_options.retries }, m_random)
+    , m_directory(m_options.directory, [this] { m_board.update(m_directory.records()); })
+    , m_services { loop, m_metrics, m_board, m_dialect, [this] { return areKeysFresh(); }, [this] { return settingsAge(); } }
+    , m_server(
+          loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handle(exchange); }, [this](Refusal const& refusal) { return refuse(refusal); })
+    , m_readyServer(
+          loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handleReady(*exchange); }, [this](Refusal const& refusal) { return refuse(refusal); })
+    , m_ticker(loop)
+    , m_drainTimer(loop)
+{
+}
+
+Result<void> Gateway::start()
+{
+    m_callerEndpoint = TRY(m_server.listen(m_options.listen));
+    m_readyEndpoint = TRY(m_readyServer.listen(m_options.readyListen));
+    logEvent(LogLevel::Info, "started", { { "name", m_options.name }, { "hall", m_options.hall }, { "listen", m_callerEndpoint.toString() }, { "ready_listen", m_readyEndpoint.toString() } });
+    m_server.setClosing(true);
+    m_ticker.every(tickInterval, [this] { tick(); });
+    return {};
+}
+
+bool Gateway::areKeysFresh() const
+{
+    return !m_options.keyFreshness || m_tableAge.isWithin(*m_options.keyFreshness, m_loop.now());
+}
+
+Microseconds Gateway::settingsAge() const
+{
+    return m_tableAge.age(m_loop.now()).value_or(Microseconds::max());
+}
+
+bool Gateway::isReady() const
+{
+    return !m_isDraining && m_table && m_directory.hasList() && areKeysFresh();
+}
+
+void Gateway::applyRoutes(std::shared_ptr<RouteTable const> table)
+{
+    if (m_table && table->version() <= m_table->version())
+        return;
+    m_table = std::move(table);
+    m_server.setOptions(serverOptions(m_table->limits()));
+    m_metrics.setGauge("stagepost_settings_version", static_cast<double>(m_table->version()));
+    logEvent(LogLevel::Info, "settings-in-force", { { "version", m_table->version() }, { "routes", m_table->routeCount() } });
+    noteReadiness();
+}
+
+void Gateway::confirmRoutes(Instant readSentAt)
+{
+    m_tableAge.confirm(readSentAt);
+    noteReadiness();
+}
+
+void Gateway::tick()
+{
+    m_directory.tick(m_loop.now());
+    noteReadiness();
+}
+
+// While it is not ready, its answers close their connections: callers that keep
+// one open would otherwise stay with a daemon that cannot serve them.
+void Gateway::noteReadiness()
+{
+    bool const isReadyNow = isReady();
+    if (isReadyNow == m_wasReady)
+        return;
+    m_wasReady = isReadyNow;
+    m_server.setClosing(!isReadyNow);
+    logEvent(isReadyNow ? LogLevel::Info : LogLevel::Warning, isReadyNow ? "ready" : "unready",
+        { { "draining", m_isDraining ? 1 : 0 }, { "has_settings", m_table ? 1 : 0 }, { "has_upstreams", m_directory.hasList() ? 1 : 0 }, { "settings_age_ms", settingsAge().count() / 1000 } });
+}
+
+HttpReply Gateway::refuse(Refusal const& refusal)
+{
+    m_metrics.countRefusal(refusal);
+    return gatewayReply(refusal);
+}
+
+HttpReply Gateway::renderMetrics()
+{
+    m_metrics.setGauge("stagepost_open_requests", static_cast<double>(m_server.openExchanges()));
+    m_metrics.setGauge("stagepost_upstreams", static_cast<double>(m_board.upstreamCount()));
+    m_metrics.setGauge("stagepost_settings_age_seconds", m_tableAge.isKnown() ? asSeconds(settingsAge()) : -1);
+    m_metrics.setGauge("stagepost_ready", isReady() ? 1 : 0);
+    return textReply(200, m_metrics.render());
+}
+
+void Gateway::handleReady(Exchange& exchange)
+{
+    auto const path = exchange.call().path();
+    if (path == "/readyz")
+        exchange.respond(isReady() ? textReply(200, "ready\n") : textReply(statusUnready, "unready\n"));
+    else if (path == "/metrics")
+        exchange.respond(renderMetrics());
+    else
+        exchange.respond(textReply(404, "only /readyz and /metrics are here\n"));
+}
+
+void Gateway::handle(std::shared_ptr<Exchange> const& exchange)
+{
+    auto routed = route(exchange->call());
+    if (auto const* refusal = std::get_if<Refusal>(&routed)) {
+        logEvent(LogLevel::Info, "request",
+            { { "id", m_dialect.readCall(exchange->call()).id }, { "outcome", "refused" }, { "reason", nameOf(refusal->reason) },
+                { "settings", m_table ? m_table->version() : 0 }, { "settings_age_ms", settingsAge().count() / 1000 } });
+        exchange->respond(refuse(*refusal));
+        return;
+    }
+    std::make_shared<GatewayFlow>(m_services, exchange, std::move(std::get<RoutedRequest>(routed)))->start();
+}
+
+std::variant<RoutedRequest, Refusal> Gateway::route(HttpCall const& call) const
+{
+    if (!m_table)
+        return Refusal { RefusalReason::NoSettings, Verdict::NotRun, "this daemon has no configuration yet", platformPause };
+    RoutedRequest request;
+    request.table = m_table;
+    request.receivedAt = m_loop.now();
+    request.route = m_table->find(call.headers.find("Host"), call.path());
+    if (!request.route)
+        return Refusal { RefusalReason::NoSuchRoute, Verdict::NotRun, "no route serves this host and path", {} };
+    request.call = m_dialect.readCall(call);
+    if (request.call.id.empty())
+        return Refusal { RefusalReason::BadRequest, Verdict::NotRun, "the request has no id", {} };
+    request.priority = request.route->priority;
+    request.needsKey = m_table->needsKeys() && !request.route->isPublic;
+    if (request.needsKey) {
+        if (auto refusal = authorise(request))
+            return std::move(*refusal);
+    }
+    request.service = serviceOf(*request.route, request.call.prompt);
+    return request;
+}
+
+std::optional<Refusal> Gateway::authorise(RoutedRequest& request) const
+{
+    auto const* organisation = m_table->organisationOf(request.call.key);
+    if (!areKeysFresh())
+        return Refusal { RefusalReason::SettingsTooOld, Verdict::NotRun, "the configuration is too old to tell whether the key is good", platformPause };
+    if (!organisation)
+        return Refusal { RefusalReason::UnknownKey, Verdict::NotRun, "no organisation has this key", {} };
+    request.organisation = organisation->name;
+    request.priority = organisation->priority.value_or(request.priority);
+    return {};
+}
+
+// Requests with the same context go to the same service, so that a split keeps
+// contexts where they are.
+std::string Gateway::serviceOf(Route const& route, PromptChain const& prompt) const
+{
+    uint64_t sum = 0;
+    for (auto const& share : route.shares)
+        sum += share.weight;
+    if (!sum)
+        return route.shares.empty() ? std::string() : route.shares.front().service;
+    auto const context = prompt.sharedKey();
+    auto point = (context ? mixHashes(*context, hashOf(route.name)) : m_random()) % sum;
+    for (auto const& share : route.shares) {
+        if (point < share.weight)
+            return share.service;
+        point -= share.weight;
+    }
+    return route.shares.back().service;
+}
+
+void Gateway::drain(std::function<void()> drained)
+{
+    if (m_isDraining)
+        return;
+    m_isDraining = true;
+    noteReadiness();
+    logEvent(LogLevel::Info, "draining", { { "open", m_server.openExchanges() } });
+    auto const limit = m_loop.now() + m_options.drainLimit - drainReserve;
+    m_drainTimer.once(m_options.drainAccept, [this, limit, drained = std::move(drained)] {
+        m_server.stopListening();
+        finishDraining(limit, drained);
+    });
+}
+
+void Gateway::finishDraining(Instant limit, std::function<void()> const& drained)
+{
+    bool const isOver = m_server.openExchanges() == 0 || m_loop.now() >= limit;
+    if (!isOver) {
+        m_drainTimer.once(drainPoll, [this, limit, drained] { finishDraining(limit, drained); });
+        return;
+    }
+    logEvent(LogLevel::Info, "drained", { { "cut_off", m_server.openExchanges() } });
+    drained();
+}
+
+}
--- /dev/null
+++ b/Services/stagepostd/GatewayDialect.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <LibProxy/HttpMessage.h>
+#include <LibRouting/LoadEstimate.h>
+#include <LibRouting/PromptChain.h>
+#include <functional>
+#include <optional>
+
+namespace Stagepost {
+
+// What a caller's request says of itself, whatever fields it said it in.
+struct GatewayCall {
+    // Names this one attempt of the caller; upstreams repeat it in their answers.
+    std::string id;
+    std::string key;
+    // How long the caller still waits; none where it does not say.
+    std::optional<Milliseconds> timeLeft;
+    PromptChain prompt;
+    // The last event of an earlier stream that the caller has.
+    std::optional<uint64_t> lastEvent;
+};
+
+// What an upstream is told besides the caller's own request.
+struct GatewaySend {
+    // The one start of the upstream's process that may run the request.
+    std::string instance;
+    // Empty where the route is public.
+    std::string organisation;
+    unsigned priority { 5 };
+    Milliseconds timeLeft { 0 };
+    // The last event that the caller has, where a stream is taken up.
+    std::optional<uint64_t> lastEvent;
+};
+
+// What the head of an upstream's answer says.
+struct GatewayAnswerHead {
+    // The upstream says that it has not run the request.
+    bool isNotRun { false };
+    // The answer carries the upstream's signature, without which callers do not
+    // count it as one.
+    bool isSigned { false };
+    std::optional<UpstreamLoadReport> load;
+};
+
+// How callers and upstreams spell what the gateway needs.
+struct GatewayDialect {
+    // The field in which requests carry their ids and answers repeat them.
+    std::string idField;
+    std::function<GatewayCall(HttpCall const&)> readCall;
+    std::function<HttpCall(HttpCall const&, GatewaySend const&)> writeCall;
+    std::function<GatewayAnswerHead(unsigned status, HttpFields const&)> readAnswerHead;
+};
+
+}
--- /dev/null
+++ b/Services/stagepostd/ServiceBoard.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <LibMembership/UpstreamDirectory.h>
+#include <LibProxy/Endpoint.h>
+#include <LibRouting/RetryBudget.h>
+#include <LibRouting/ServicePlacement.h>
+#include <map>
+#include <memory>
+
+namespace Stagepost {
+
+// The services of a gateway: for each, who its upstreams are, how they do, and
+// what may be spent on retries.
+class ServiceBoard {
+public:
+    struct Bounds {
+        std::string hall;
+        ServicePlacement::Bounds placement;
+        RetryBudget::Bounds retries;
+    };
+
+    struct Entry {
+        ServicePlacement placement;
+        RetryBudget retries;
+    };
+
+    struct Target {
+        std::string instance;
+        Endpoint endpoint;
+    };
+
+    ServiceBoard(Bounds bounds, RandomHook random)
+        : m_bounds(std::move(bounds))
+        , m_random(std::move(random))
+    {
+    }
+
+    // Takes over who is there now.
+    void update(std::map<std::string, UpstreamRecord> const&);
+
+    // Services are made when they are first asked for and then stay.
+    Entry& service(std::string const& name);
+    Target const* target(UpstreamId) const;
+    size_t upstreamCount() const { return m_targets.size(); }
+
+private:
+    Bounds m_bounds;
+    RandomHook m_random;
+    std::map<std::string, std::unique_ptr<Entry>> m_services;
+    std::map<UpstreamId, Target> m_targets;
+};
+
+}
