LibRouting: Take contexts from the upstream that most likely holds them

Parts are read again where a hot context spills to a second upstream, and where an upstream that joins becomes the first choice of contexts that another one holds. Either way the holder is the best other one in the context's own order, so no message between daemons is needed to name it.

--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -46,7 +46,7 @@
         uint32_t retries { 0 };
     };
 
-    int64_t numberAt(Instant now) const { return now.time_since_epoch() / (m_bounds.window / (slotCount - 1)); }
+    int64_t numberAt(Instant now) const { return now.time_since_epoch() / (m_bounds.window / int64_t { slotCount - 1 }); }
     Slot& slotAt(Instant now);
 
     Bounds m_bounds;
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -113,13 +113,36 @@
     return result.size() * 2 < all.size() ? all : result;
 }
 
-std::optional<UpstreamId> ServicePlacement::choose(Wish const& wish, Instant now)
+std::optional<ServicePlacement::Choice> ServicePlacement::choose(Wish const& wish, Instant now)
 {
     auto const usable = candidates(wish, now);
     if (usable.empty())
         return {};
     auto const* chosen = wish.context ? chooseByContext(usable, *wish.context, now) : chooseByWait(usable, now);
-    return chosen->facts.id;
+    Choice choice { chosen->facts.id, {} };
+    if (wish.context)
+        choice.contextSource = contextSource(*wish.context, choice.upstream);
+    return choice;
+}
+
+// Every daemon sends a context to the first upstream of its order, so where the
+// chosen one is another, the first one holds it; and where the chosen one is the
+// first but new, the one after it was the first before. Leaving upstreams take
+// no requests and still give what they hold.
+std::optional<UpstreamId> ServicePlacement::contextSource(uint64_t context, UpstreamId chosen) const
+{
+    std::optional<UpstreamId> best;
+    double bestRank = 0;
+    for (auto const& [id, upstream] : m_upstreams) {
+        if (id == chosen || !upstream.health.isClosed())
+            continue;
+        auto const rank = rendezvousRank(context, id.value());
+        if (!best || rank > bestRank) {
+            best = id;
+            bestRank = rank;
+        }
+    }
+    return best;
 }
 
 ServicePlacement::Upstream* ServicePlacement::chooseByContext(std::vector<Upstream*> const& usable, uint64_t context, Instant now) const
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -64,7 +64,13 @@
         // Whether it may be sent again if it fails.
         bool isRepeatable { false };
     };
-    std::optional<UpstreamId> choose(Wish const&, Instant now);
+    struct Choice {
+        UpstreamId upstream;
+        // The other upstream that is most likely to hold the context: taking it
+        // from there costs a fraction of reading it again.
+        std::optional<UpstreamId> contextSource;
+    };
+    std::optional<Choice> choose(Wish const&, Instant now);
 
     void started(UpstreamId);
     void finished(UpstreamId, SendOutcome, Microseconds took, Instant now);
@@ -87,6 +93,7 @@
     std::vector<Upstream*> candidates(Wish const&, Instant now);
     std::vector<Upstream*> sound(std::vector<Upstream*> const&, Instant now) const;
     Upstream* chooseByContext(std::vector<Upstream*> const&, uint64_t context, Instant now) const;
+    std::optional<UpstreamId> contextSource(uint64_t context, UpstreamId chosen) const;
     Upstream* chooseByWait(std::vector<Upstream*> const&, Instant now) const;
     double expectedWait(Upstream const&, double usual, Instant now) const;
 
--- a/Libraries/LibSettings/RouteTable.cpp
+++ b/Libraries/LibSettings/RouteTable.cpp
@@ -28,6 +28,12 @@
     return nullptr;
 }
 
+Service const* RouteTable::service(std::string_view name) const
+{
+    auto const found = std::find_if(m_parts.services.begin(), m_parts.services.end(), [&](auto const& service) { return service.name == name; });
+    return found == m_parts.services.end() ? nullptr : &*found;
+}
+
 RoutedOrganisation const* RouteTable::organisationOf(std::string const& key) const
 {
     auto const found = m_parts.organisationByKey.find(key);
--- a/Libraries/LibSettings/RouteTable.h
+++ b/Libraries/LibSettings/RouteTable.h
@@ -62,6 +62,8 @@
     size_t mostConnections { 0 };
     // How many tokens of contexts each upstream keeps; 0 where it keeps none.
     uint64_t contextTokens { 0 };
+    // Whether its upstreams take contexts from one another.
+    bool movesContexts { false };
 };
 
 struct RoutedOrganisation {
@@ -105,6 +107,7 @@
     // The route of that host with the longest prefix of the path, or none. A port
     // behind the host is passed over.
     Route const* find(std::string_view host, std::string_view path) const;
+    Service const* service(std::string_view name) const;
     RoutedOrganisation const* organisationOf(std::string const& key) const;
 
 private:
--- a/Services/stagepostd/GatewayDialect.h
+++ b/Services/stagepostd/GatewayDialect.h
@@ -30,6 +30,8 @@
     Milliseconds timeLeft { 0 };
     // The last event that the caller has, where a stream is taken up.
     std::optional<uint64_t> lastEvent;
+    // IP:PORT of another upstream that may hold what this one lacks of the prompt.
+    std::optional<std::string> contextSource;
 };
 
 // What the head of an upstream's answer says.
--- a/Services/stagepostd/GatewayFlow.cpp
+++ b/Services/stagepostd/GatewayFlow.cpp
@@ -77,7 +77,7 @@
     wish.excluded = m_failed;
     wish.isRepeatable = m_request.route->isRepeatable();
     auto const chosen = m_service.placement.choose(wish, now);
-    auto const* target = chosen ? m_services.board.target(*chosen) : nullptr;
+    auto const* target = chosen ? m_services.board.target(chosen->upstream) : nullptr;
     if (target)
         forward(*chosen, *target);
     else
@@ -100,8 +100,9 @@
     return std::min(left, m_request.route->latencyObjective / objectiveShareForFirstTry);
 }
 
-void GatewayFlow::forward(UpstreamId upstream, ServiceBoard::Target const& target)
+void GatewayFlow::forward(ServicePlacement::Choice const& choice, ServiceBoard::Target const& target)
 {
+    auto const upstream = choice.upstream;
     auto const now = m_services.loop.now();
     auto const& route = *m_request.route;
     ++m_sends;
@@ -115,6 +116,10 @@
     send.priority = m_request.priority;
     send.timeLeft = std::chrono::duration_cast<Milliseconds>(m_limit - now);
     send.lastEvent = m_progress && m_progress->lastId ? m_progress->lastId : m_request.call.lastEvent;
+    auto const* service = m_request.table->service(m_request.service);
+    auto const* source = choice.contextSource ? m_services.board.target(*choice.contextSource) : nullptr;
+    if (service && service->movesContexts && source)
+        send.contextSource = source->endpoint.toString();
 
     ForwardPlan plan;
     plan.upstream = target.endpoint;
--- a/Services/stagepostd/GatewayFlow.h
+++ b/Services/stagepostd/GatewayFlow.h
@@ -46,7 +46,7 @@
 
 private:
     void place();
-    void forward(UpstreamId, ServiceBoard::Target const&);
+    void forward(ServicePlacement::Choice const&, ServiceBoard::Target const&);
     std::optional<HeadRejection> judge(UpstreamId, unsigned status, HttpFields const&);
     void forwarded(UpstreamId, ForwardResult const&);
     void noteOutcome(UpstreamId, ForwardResult const&);
