--- a/Services/stagepostd/GatewayFlow.cpp
+++ b/Services/stagepostd/GatewayFlow.cpp
@@ -1,5 +1,6 @@
 #include <stagepostd/GatewayFlow.h>
 
+#include <LibBase/Hex.h>
 #include <LibBase/Log.h>
 #include <algorithm>
 #include <stagepostd/GatewayReply.h>
@@ -120,6 +121,7 @@
     auto const* source = choice.contextSource ? m_services.board.target(*choice.contextSource) : nullptr;
     if (service && service->movesContexts && source)
         send.contextSource = source->endpoint.toString();
+    m_contextSource = send.contextSource ? source->instance : std::string();
 
     ForwardPlan plan;
     plan.upstream = target.endpoint;
@@ -267,7 +269,8 @@
     logEvent(LogLevel::Info, "request",
         { { "id", m_request.call.id }, { "outcome", outcome }, { "reason", reason }, { "verdict", nameOf(m_verdict) },
             { "status", result.status }, { "route", m_request.route->name }, { "service", m_request.service },
-            { "organisation", m_request.organisation }, { "upstream", m_instance }, { "sends", m_sends },
+            { "organisation", m_request.organisation }, { "context", hexOf(m_request.call.prompt.sharedKey().value_or(0)) },
+            { "upstream", m_instance }, { "context_source", m_contextSource }, { "sends", m_sends },
             { "unconnected", m_unconnected }, { "reused_connection", result.reusedConnection ? 1 : 0 },
             { "events", m_progress ? m_progress->events : 0 }, { "bytes", result.answerBytes },
             { "settings", m_request.table->version() }, { "settings_age_ms", m_services.settingsAge().count() / 1000 },
--- a/Services/stagepostd/GatewayFlow.h
+++ b/Services/stagepostd/GatewayFlow.h
@@ -67,6 +67,8 @@
     std::shared_ptr<EventProgress> m_progress;
     std::vector<UpstreamId> m_failed;
     std::string m_instance;
+    // Where the upstream may take the context from; empty for none.
+    std::string m_contextSource;
     // How often the request has reached an upstream, or may have.
     size_t m_sends { 0 };
     // How often no connection to an upstream came up.
