--- a/Libraries/LibBase/Base.h
+++ b/Libraries/LibBase/Base.h
@@ -10,6 +10,7 @@
 #include <LibBase/Hooks.h>
 #include <LibBase/Ids.h>
 #include <LibBase/Log.h>
+#include <LibBase/LogBudget.h>
 #include <LibBase/MessageReader.h>
 #include <LibBase/MessageWriter.h>
 #include <LibBase/Metrics.h>
--- a/Libraries/LibBase/Log.cpp
+++ b/Libraries/LibBase/Log.cpp
@@ -1,17 +1,63 @@
 #include <LibBase/Log.h>
 
+#include <LibBase/LogBudget.h>
 #include <algorithm>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <poll.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace Stagepost {
 
 namespace {
 
+    // Writes to the standard output and never waits for whoever reads it: a pipe
+    // that poll() calls writable takes PIPE_BUF bytes at once, and a line is cut to
+    // fit. What does not fit in or goes over the budget is left out and counted.
+    class StandardOutputSink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+    public:
+        static constexpr size_t longestLine = 4096;
+
+    private:
+        void sink_it_(spdlog::details::log_msg const& message) override
+        {
+            auto const since = std::chrono::steady_clock::now().time_since_epoch();
+            if (!m_budget.allows(Instant(std::chrono::duration_cast<Microseconds>(since))))
+                return;
+            if (!canWrite()) {
+                m_budget.leaveOut();
+                return;
+            }
+            if (m_budget.hasLeftOut())
+                write("level=warning event=log-left-out lines=" + std::to_string(m_budget.takeLeftOut()) + '\n');
+            spdlog::memory_buf_t line;
+            formatter_->format(message, line);
+            if (line.size() > longestLine) {
+                line.resize(longestLine);
+                line[longestLine - 1] = '\n';
+            }
+            if (!canWrite() || !write({ line.data(), line.size() }))
+                m_budget.leaveOut();
+        }
+
+        void flush_() override { }
+
+        static bool canWrite()
+        {
+            pollfd output { STDOUT_FILENO, POLLOUT, 0 };
+            return ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT);
+        }
+
+        static bool write(std::string_view text) { return ::write(STDOUT_FILENO, text.data(), text.size()) == static_cast<ssize_t>(text.size()); }
+
+        LogBudget m_budget;
+    };
+
     spdlog::logger& logger()
     {
         static auto const instance = [] {
-            auto created = spdlog::stderr_logger_st("stagepost");
+            auto created = std::make_shared<spdlog::logger>("stagepost", std::make_shared<StandardOutputSink>());
             created->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
             return created;
         }();
--- a/Libraries/LibBase/Log.h
+++ b/Libraries/LibBase/Log.h
@@ -39,8 +39,10 @@
     }
 };
 
-// Writes one line of key=value pairs to the standard error stream; a value with
-// spaces, quotes or control characters is quoted and escaped.
+// Writes one line of key=value pairs to the standard output; a value with spaces,
+// quotes or control characters is quoted and escaped. Never waits for a reader:
+// lines that the output does not take, or that go over the budget of LogBudget,
+// are left out, and the next line that is written tells how many.
 void logEvent(LogLevel, std::string_view event, std::initializer_list<LogField> fields = {});
 
 // Sets the least level that is written; "debug", "info", "warning" or "error".
--- a/Libraries/LibBase/ProvenAge.h
+++ b/Libraries/LibBase/ProvenAge.h
@@ -18,6 +18,7 @@
             m_provenAt = readSentAt;
     }
 
+    std::optional<Instant> provenAt() const { return m_provenAt; }
     bool isKnown() const { return m_provenAt.has_value(); }
     std::optional<Microseconds> age(Instant now) const { return m_provenAt ? std::optional(now - *m_provenAt) : std::nullopt; }
     bool isWithin(Microseconds bound, Instant now) const { return m_provenAt && now - *m_provenAt <= bound; }
--- a/Libraries/LibMembership/Members.h
+++ b/Libraries/LibMembership/Members.h
@@ -7,5 +7,7 @@
 #include <LibMembership/MemberState.h>
 #include <LibMembership/Membership.h>
 #include <LibMembership/MembershipMessage.h>
+#include <LibMembership/StateExchange.h>
+#include <LibMembership/StateMessage.h>
 #include <LibMembership/UpdateQueue.h>
 #include <LibMembership/UpstreamDirectory.h>
--- /dev/null
+++ b/Libraries/LibMembership/StateExchange.cpp
@@ -0,0 +1,254 @@
+#include <LibMembership/StateExchange.h>
+
+#include <LibBase/Hash.h>
+#include <algorithm>
+
+namespace Stagepost {
+
+namespace {
+
+    // What is older says nothing of now any more.
+    constexpr Microseconds inFlightMemory { 3000000 };
+    // An ask that has waited this long is not answered: its asker has asked again.
+    constexpr Microseconds longestWait { 3000000 };
+    // The bytes of one entry of a sum on the wire, and of the message around it.
+    constexpr double entryBytes = 12;
+    constexpr double messageBytes = 60;
+    constexpr uint64_t relayKey = 0x72656c61795f6b65;
+
+    Microseconds stampOf(Instant instant)
+    {
+        return instant.time_since_epoch();
+    }
+
+    // Sorts by a rank that all daemons agree on and that differs by the key.
+    void sortByAffinity(std::vector<VMId>& ids, uint64_t key)
+    {
+        std::sort(ids.begin(), ids.end(), [key](VMId first, VMId second) {
+            return mixHashes(key, first.value()) > mixHashes(key, second.value());
+        });
+    }
+
+}
+
+void StateExchange::setPeers(std::vector<Peer> peers)
+{
+    m_peers = std::move(peers);
+    std::erase_if(m_peers, [this](auto const& peer) { return peer.id == m_self.id; });
+    orderPeers();
+}
+
+std::vector<VMId> StateExchange::relaysOf(HallId hall) const
+{
+    std::vector<VMId> members;
+    if (hall == m_self.hall)
+        members.push_back(m_self.id);
+    for (auto const& peer : m_peers) {
+        if (peer.hall == hall)
+            members.push_back(peer.id);
+    }
+    sortByAffinity(members, relayKey);
+    auto const relays = (members.size() + m_bounds.groupSize - 1) / m_bounds.groupSize;
+    members.resize(relays);
+    return members;
+}
+
+// The relays of the own hall first, then those of other halls, then anybody: a
+// daemon that is cut off may reach only a few.
+void StateExchange::orderPeers()
+{
+    auto const own = relaysOf(m_self.hall);
+    m_isRelay = std::find(own.begin(), own.end(), m_self.id) != own.end();
+    std::vector<VMId> others;
+    std::vector<HallId> halls;
+    for (auto const& peer : m_peers) {
+        if (peer.hall != m_self.hall && std::find(halls.begin(), halls.end(), peer.hall) == halls.end())
+            halls.push_back(peer.hall);
+    }
+    for (auto const hall : halls) {
+        auto const relays = relaysOf(hall);
+        others.insert(others.end(), relays.begin(), relays.end());
+    }
+    std::vector<VMId> anybody;
+    for (auto const& peer : m_peers)
+        anybody.push_back(peer.id);
+    m_order.clear();
+    auto const append = [this](std::vector<VMId> ids) {
+        sortByAffinity(ids, m_self.id.value());
+        for (auto const id : ids) {
+            if (id != m_self.id && std::find(m_order.begin(), m_order.end(), id) == m_order.end())
+                m_order.push_back(id);
+        }
+    };
+    append(own);
+    append(others);
+    m_otherRelays = m_order;
+    append(anybody);
+}
+
+bool StateExchange::isStale(Instant now) const
+{
+    auto const provenAt = m_hooks.provenAt();
+    return !provenAt || now - *provenAt > m_bounds.fallbackAge;
+}
+
+bool StateExchange::needsStore(Instant now) const
+{
+    return m_isRelay || isStale(now);
+}
+
+std::optional<VMId> StateExchange::whomToAsk(Instant now)
+{
+    if (m_asked && m_unansweredSince && now - *m_unansweredSince > m_bounds.answerPatience) {
+        m_suspectedUntil[*m_asked] = now + m_bounds.suspicion;
+        m_unansweredSince.reset();
+    }
+    for (auto const id : m_order) {
+        auto const suspected = m_suspectedUntil.find(id);
+        if (suspected == m_suspectedUntil.end() || now >= suspected->second)
+            return id;
+    }
+    return {};
+}
+
+void StateExchange::ask(Instant now)
+{
+    m_askedAt = now;
+    auto const whom = whomToAsk(now);
+    if (!whom)
+        return;
+    if (m_asked != whom)
+        m_unansweredSince.reset();
+    m_asked = whom;
+    if (!m_unansweredSince)
+        m_unansweredSince = now;
+    StateMessage const message { StateMessage::Kind::Ask, static_cast<uint64_t>(stampOf(now).count()), m_process, m_hooks.summary(), m_hooks.ownInFlight() };
+    m_hooks.send(*whom, message.encode());
+}
+
+void StateExchange::tick(Instant now)
+{
+    bool const mustAsk = !m_isRelay || isStale(now);
+    if (mustAsk && now - m_askedAt >= m_bounds.askInterval)
+        ask(now);
+    std::erase_if(m_waiting, [now](auto const& waiting) { return now - waiting.arrivedAt > longestWait; });
+    std::erase_if(m_group, [now](auto const& entry) { return now - entry.second.at > inFlightMemory; });
+    std::erase_if(m_relays, [now](auto const& entry) { return now - entry.second.at > inFlightMemory; });
+    if (m_isRelay)
+        sendLoads(now);
+}
+
+void StateExchange::sendLoads(Instant now)
+{
+    auto sums = sum({}, false, now);
+    auto const bytes = (messageBytes + entryBytes * static_cast<double>(sums.size())) * static_cast<double>(m_otherRelays.size());
+    Microseconds const affordable { static_cast<int64_t>(1e6 * bytes / m_bounds.loadsBytesPerSecond) };
+    if (now - m_loadsSentAt < std::max(m_bounds.loadsInterval, affordable))
+        return;
+    m_loadsSentAt = now;
+    m_hooks.othersInFlight(sum(m_self.id, true, now));
+    StateMessage const message { StateMessage::Kind::Loads, 0, 0, m_hooks.summary(), std::move(sums) };
+    auto const encoded = message.encode();
+    for (auto const relay : m_otherRelays)
+        m_hooks.send(relay, encoded);
+}
+
+// Of this daemon, of those that ask it and, if wanted, of all other relays.
+std::vector<UpstreamInFlight> StateExchange::sum(std::optional<VMId> without, bool ofOtherRelays, Instant now) const
+{
+    std::map<UpstreamId, uint64_t> counts;
+    auto const add = [&counts](std::vector<UpstreamInFlight> const& list) {
+        for (auto const& [upstream, count] : list)
+            counts[upstream] += count;
+    };
+    if (without != m_self.id)
+        add(m_hooks.ownInFlight());
+    for (auto const& [id, sums] : m_group) {
+        if (id != without && now - sums.at <= inFlightMemory)
+            add(sums.inFlight);
+    }
+    if (ofOtherRelays) {
+        for (auto const& [id, sums] : m_relays)
+            add(sums.inFlight);
+    }
+    std::vector<UpstreamInFlight> result;
+    for (auto const& [upstream, count] : counts)
+        result.push_back({ upstream, count });
+    return result;
+}
+
+Result<void> StateExchange::receive(VMId from, std::string_view bytes, Instant now)
+{
+    auto message = TRY(StateMessage::decode(bytes));
+    switch (message.kind) {
+    case StateMessage::Kind::Ask:
+        m_waiting.push_back({ from, message.stamp, message.askingProcess, now });
+        m_group[from] = { std::move(message.inFlight), now };
+        break;
+    case StateMessage::Kind::Answer:
+        takeAnswer(from, message, now);
+        break;
+    case StateMessage::Kind::News:
+        takeNews(from, message);
+        break;
+    case StateMessage::Kind::Loads:
+        m_relays[from] = { std::move(message.inFlight), now };
+        break;
+    }
+    return {};
+}
+
+void StateExchange::takeAnswer(VMId from, StateMessage const& message, Instant now)
+{
+    if (m_asked == from)
+        m_unansweredSince.reset();
+    m_suspectedUntil.erase(from);
+    if (!m_isRelay)
+        m_hooks.othersInFlight(message.inFlight);
+    Instant const stamp { Microseconds(static_cast<int64_t>(message.stamp)) };
+    auto const provenAt = m_hooks.provenAt();
+    if (message.askingProcess != m_process || stamp > now || (provenAt && stamp <= *provenAt))
+        return;
+    auto const own = m_hooks.summary();
+    bool const isUpToDate = message.summary.settingsVersion <= own.settingsVersion && message.summary.upstreamsHash == own.upstreamsHash;
+    if (isUpToDate)
+        m_hooks.confirmed(stamp);
+    else
+        m_hooks.fetch(from, stamp);
+}
+
+void StateExchange::takeNews(VMId from, StateMessage const& message)
+{
+    if (message.summary.settingsVersion > m_hooks.summary().settingsVersion)
+        m_hooks.fetch(from, {});
+}
+
+void StateExchange::proven(Instant now)
+{
+    auto const provenAt = m_hooks.provenAt();
+    if (!provenAt)
+        return;
+    // Of a daemon's asks only the newest that can be answered is.
+    std::map<VMId, WaitingAsk> answers;
+    std::erase_if(m_waiting, [&](auto const& waiting) {
+        if (waiting.arrivedAt > *provenAt)
+            return false;
+        answers[waiting.from] = waiting;
+        return true;
+    });
+    auto const summary = m_hooks.summary();
+    for (auto const& [to, ask] : answers) {
+        StateMessage const message { StateMessage::Kind::Answer, ask.stamp, ask.askingProcess, summary, sum(to, true, now) };
+        m_hooks.send(to, message.encode());
+    }
+}
+
+void StateExchange::changed(Instant)
+{
+    StateMessage const message { StateMessage::Kind::News, 0, 0, m_hooks.summary(), {} };
+    auto const encoded = message.encode();
+    for (auto const& [id, sums] : m_group)
+        m_hooks.send(id, encoded);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibMembership/StateExchange.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <LibMembership/StateMessage.h>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Stagepost {
+
+// Keeps the beliefs of a fleet fresh with few reads of the store. In each hall
+// some daemons, the relays, read the store; the others ask one of them. An ask
+// carries the asker's own time, and it is answered only after a read that was
+// sent after the ask arrived, so the asker's belief is proven as of the moment
+// at which it asked, however long any message took. A daemon that gets no proof
+// in time reads the store itself, and one that cannot do that either asks others,
+// so what a single daemon can read keeps all fresh that reach it.
+//
+// The same messages carry how many requests each daemon has in flight at each
+// upstream: up to the relay, between relays, and as sums down again.
+class StateExchange {
+public:
+    struct Bounds {
+        // From one ask to the next.
+        Microseconds askInterval { 400000 };
+        // With a belief older than this a daemon reads the store itself.
+        Microseconds fallbackAge { 1200000 };
+        // How many daemons of a hall share one relay: so many asks and answers a
+        // relay can send within a daemon's few kilobytes a second.
+        size_t groupSize { 8 };
+        // Without an answer for this long another daemon is asked, and this one
+        // not again for the time of suspicion.
+        Microseconds answerPatience { 1200000 };
+        Microseconds suspicion { 5000000 };
+        // The least interval of the sums between relays, which grows with the
+        // number of relays so that each sends no more than these bytes a second.
+        Microseconds loadsInterval { 400000 };
+        double loadsBytesPerSecond { 3000 };
+    };
+
+    struct Peer {
+        VMId id;
+        HallId hall;
+    };
+
+    struct Hooks {
+        std::function<void(VMId to, std::string bytes)> send;
+        // Get the whole state from that daemon. With a time, it is proven as of
+        // then; without one, only a configuration of a higher version counts.
+        std::function<void(VMId from, std::optional<Instant> provenAt)> fetch;
+        std::function<StateSummary()> summary;
+        // As of when all of the own beliefs are proven.
+        std::function<std::optional<Instant>()> provenAt;
+        // The own beliefs are right as of then.
+        std::function<void(Instant)> confirmed;
+        std::function<std::vector<UpstreamInFlight>()> ownInFlight;
+        // What all other daemons have in flight.
+        std::function<void(std::vector<UpstreamInFlight> const&)> othersInFlight;
+    };
+
+    // The process number is drawn at random at each start.
+    StateExchange(Peer self, uint64_t process, Bounds bounds, Hooks hooks)
+        : m_self(self)
+        , m_process(process)
+        , m_bounds(bounds)
+        , m_hooks(std::move(hooks))
+    {
+    }
+
+    // All other daemons that are registered.
+    void setPeers(std::vector<Peer>);
+
+    // Error: Malformed.
+    Result<void> receive(VMId from, std::string_view bytes, Instant now);
+    void tick(Instant now);
+    // The own beliefs were proven anew: asks may be answered now.
+    void proven(Instant now);
+    // The own beliefs have changed.
+    void changed(Instant now);
+
+    bool isRelay() const { return m_isRelay; }
+    // Whether this daemon is to read the store now.
+    bool needsStore(Instant now) const;
+    size_t peerCount() const { return m_peers.size(); }
+
+private:
+    struct WaitingAsk {
+        VMId from;
+        uint64_t stamp { 0 };
+        uint64_t askingProcess { 0 };
+        Instant arrivedAt;
+    };
+    struct Sums {
+        std::vector<UpstreamInFlight> inFlight;
+        Instant at;
+    };
+
+    bool isStale(Instant now) const;
+    std::vector<VMId> relaysOf(HallId) const;
+    void orderPeers();
+    std::optional<VMId> whomToAsk(Instant now);
+    void ask(Instant now);
+    void takeAnswer(VMId from, StateMessage const&, Instant now);
+    void takeNews(VMId from, StateMessage const&);
+    void sendLoads(Instant now);
+    std::vector<UpstreamInFlight> sum(std::optional<VMId> without, bool ofOtherRelays, Instant now) const;
+
+    Peer m_self;
+    uint64_t m_process;
+    Bounds m_bounds;
+    Hooks m_hooks;
+    std::vector<Peer> m_peers;
+    bool m_isRelay { true };
+    // Whom to ask, the best first.
+    std::vector<VMId> m_order;
+    std::vector<VMId> m_otherRelays;
+    std::map<VMId, Instant> m_suspectedUntil;
+    std::optional<VMId> m_asked;
+    Instant m_askedAt;
+    std::optional<Instant> m_unansweredSince;
+    std::vector<WaitingAsk> m_waiting;
+    // By the daemons that ask this one, and by the other relays.
+    std::map<VMId, Sums> m_group;
+    std::map<VMId, Sums> m_relays;
+    Instant m_loadsSentAt;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibMembership/StateMessage.cpp
@@ -0,0 +1,44 @@
+#include <LibMembership/StateMessage.h>
+
+#include <LibBase/MessageReader.h>
+#include <LibBase/MessageWriter.h>
+
+namespace Stagepost {
+
+std::string StateMessage::encode() const
+{
+    MessageWriter writer;
+    writer.number(static_cast<uint64_t>(kind));
+    writer.number(stamp);
+    writer.number(askingProcess);
+    writer.number(summary.settingsVersion);
+    writer.number(summary.upstreamsHash);
+    writer.number(inFlight.size());
+    for (auto const& [upstream, count] : inFlight) {
+        writer.id(upstream);
+        writer.number(count);
+    }
+    return writer.release();
+}
+
+Result<StateMessage> StateMessage::decode(std::string_view bytes)
+{
+    MessageReader reader(bytes);
+    StateMessage message;
+    auto const kind = reader.number();
+    message.kind = static_cast<Kind>(kind);
+    message.stamp = reader.number();
+    message.askingProcess = reader.number();
+    message.summary.settingsVersion = reader.number();
+    message.summary.upstreamsHash = reader.number();
+    auto const count = reader.count();
+    for (size_t index = 0; index < count && !reader.failed(); ++index) {
+        auto const upstream = reader.id<UpstreamId>();
+        message.inFlight.push_back({ upstream, reader.number() });
+    }
+    if (!reader.finished() || kind > static_cast<uint64_t>(Kind::Loads))
+        return Error(ErrorCode::Malformed, "a state message is not understood");
+    return message;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibMembership/StateMessage.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <LibBase/Ids.h>
+#include <LibBase/Result.h>
+#include <LibBase/Time.h>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Stagepost {
+
+// What a daemon believes, short enough to be compared in every message.
+struct StateSummary {
+    // Of the configuration; 0 for none.
+    uint64_t settingsVersion { 0 };
+    // A hash over the records of all upstreams.
+    uint64_t upstreamsHash { 0 };
+
+    bool operator==(StateSummary const&) const = default;
+};
+
+// How many requests some daemons have in flight at an upstream.
+struct UpstreamInFlight {
+    UpstreamId upstream;
+    uint64_t count { 0 };
+};
+
+// A message by which daemons prove to one another how old their beliefs are.
+struct StateMessage {
+    enum class Kind : uint8_t {
+        // Asks for a proof. Carries the sender's own requests in flight.
+        Ask,
+        // Whoever sends it has read the store after the ask arrived and believes
+        // what the summary says. Carries all other daemons' requests in flight.
+        Answer,
+        // Something has changed; proves nothing.
+        News,
+        // The requests in flight of the daemons that ask the sender, and its own.
+        Loads,
+    };
+
+    Kind kind { Kind::Ask };
+    // The asker's own clock when it asked, in microseconds; an answer repeats it.
+    uint64_t stamp { 0 };
+    // Drawn anew by each process: stamps of an earlier one, which may have run on
+    // another VM's clock, mean nothing to this one.
+    uint64_t askingProcess { 0 };
+    StateSummary summary;
+    std::vector<UpstreamInFlight> inFlight;
+
+    std::string encode() const;
+    // Error: Malformed.
+    static Result<StateMessage> decode(std::string_view bytes);
+};
+
+}
--- a/Libraries/LibMembership/UpstreamDirectory.cpp
+++ b/Libraries/LibMembership/UpstreamDirectory.cpp
@@ -1,5 +1,6 @@
 #include <LibMembership/UpstreamDirectory.h>
 
+#include <LibBase/Hash.h>
 #include <set>
 
 namespace Stagepost {
@@ -63,4 +64,15 @@
         remove(instance, now);
 }
 
+uint64_t UpstreamDirectory::hash() const
+{
+    uint64_t result = 0;
+    for (auto const& [instance, record] : m_records) {
+        for (auto const& text : { instance, record.service, record.address, record.hall })
+            result = mixHashes(result, hashOf(text));
+        result = mixHashes(result, record.slots * 2 + (record.isLeaving ? 1 : 0));
+    }
+    return result;
+}
+
 }
--- a/Libraries/LibMembership/UpstreamDirectory.h
+++ b/Libraries/LibMembership/UpstreamDirectory.h
@@ -61,6 +61,9 @@
     // Every upstream that is recorded or may still come back.
     std::map<std::string, UpstreamRecord> const& records() const { return m_records; }
     ProvenAge const& age() const { return m_age; }
+    // The same for all daemons that know the same records; what changes by itself
+    // with time is left out.
+    uint64_t hash() const;
 
 private:
     bool isGracious(Instant now) const { return now < m_graceUntil; }
--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -166,6 +166,12 @@
     m_result.failure = failure;
 }
 
+std::optional<uint64_t> Forwarder::upstreamLength() const
+{
+    auto const length = m_parser.content_length();
+    return length ? std::optional<uint64_t>(*length) : std::nullopt;
+}
+
 HttpFields Forwarder::answerHeaders() const
 {
     HttpFields headers;
@@ -186,8 +192,10 @@
         m_splitter.emplace(*m_plan.progress);
     m_watchdog->allow(m_plan.idleTimeout);
     bool isGoing = true;
-    if (!m_splitter && !m_plan.holdBytes)
-        isGoing = co_await writeHead(m_parser.content_length() ? std::optional<uint64_t>(*m_parser.content_length()) : std::nullopt);
+    if (!m_splitter && !m_plan.holdBytes) {
+        auto const length = upstreamLength();
+        isGoing = co_await writeHead(length);
+    }
     while (isGoing && !m_parser.is_done()) {
         std::string_view bytes;
         isGoing = co_await readPart(bytes);
@@ -236,8 +244,8 @@
     if (bytes.empty())
         co_return true;
     if (!m_isHeadWritten) {
-        auto const length = m_parser.content_length();
-        bool const isGoing = co_await writeHead(length && !m_splitter ? std::optional<uint64_t>(*length) : std::nullopt);
+        auto const length = m_splitter ? std::nullopt : upstreamLength();
+        bool const isGoing = co_await writeHead(length);
         if (!isGoing)
             co_return false;
     }
@@ -312,8 +320,10 @@
     if (m_plan.progress && m_plan.progress->isHeadSent && m_isChunked)
         m_callerKeptAlive = m_caller.keepAlive;
     if (!m_isHeadWritten) {
-        auto const length = m_caller.isHead && m_parser.content_length() ? uint64_t { *m_parser.content_length() } : uint64_t { m_held.size() };
-        bool isGoing = co_await writeHead(m_splitter ? std::nullopt : std::optional(length));
+        std::optional<uint64_t> length;
+        if (!m_splitter)
+            length = m_caller.isHead ? upstreamLength() : std::optional<uint64_t>(m_held.size());
+        bool isGoing = co_await writeHead(length);
         if (isGoing && !m_held.empty())
             isGoing = co_await writePart(m_held);
         if (!isGoing)
--- a/Libraries/LibProxy/Detail/Forwarder.h
+++ b/Libraries/LibProxy/Detail/Forwarder.h
@@ -55,6 +55,7 @@
     Net::awaitable<void> endWithErrorEvent();
     bool writeFailed(NetError);
     HttpFields answerHeaders() const;
+    std::optional<uint64_t> upstreamLength() const;
     void expired();
     void fail(RefusalReason, std::string const& detail);
     void failRead(NetError);
--- a/Libraries/LibRouting/LoadEstimate.cpp
+++ b/Libraries/LibRouting/LoadEstimate.cpp
@@ -20,6 +20,12 @@
     m_reportedAt = now;
 }
 
+void LoadEstimate::othersCounted(size_t count, Instant now)
+{
+    m_others = static_cast<double>(count);
+    m_reportedAt = now;
+}
+
 double LoadEstimate::others(Instant now) const
 {
     return m_others * std::exp(-asSeconds(now - m_reportedAt) / trustSeconds);
--- a/Libraries/LibRouting/LoadEstimate.h
+++ b/Libraries/LibRouting/LoadEstimate.h
@@ -22,6 +22,9 @@
     void finished() { m_own -= m_own ? 1 : 0; }
     void reported(UpstreamLoadReport const&, Instant now);
 
+    // What all other daemons have in flight there, as they say themselves.
+    void othersCounted(size_t count, Instant now);
+
     size_t own() const { return m_own; }
     double total(Instant now) const { return static_cast<double>(m_own) + others(now); }
 
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -46,6 +46,24 @@
         found->second.load.reported(report, now);
 }
 
+void ServicePlacement::othersCounted(std::map<UpstreamId, size_t> const& counts, Instant now)
+{
+    for (auto& [id, upstream] : m_upstreams) {
+        auto const found = counts.find(id);
+        upstream.load.othersCounted(found == counts.end() ? 0 : found->second, now);
+    }
+}
+
+std::vector<std::pair<UpstreamId, size_t>> ServicePlacement::ownInFlight() const
+{
+    std::vector<std::pair<UpstreamId, size_t>> result;
+    for (auto const& [id, upstream] : m_upstreams) {
+        if (upstream.load.own())
+            result.emplace_back(id, upstream.load.own());
+    }
+    return result;
+}
+
 void ServicePlacement::leaving(UpstreamId id)
 {
     if (auto const found = m_upstreams.find(id); found != m_upstreams.end())
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -75,6 +75,10 @@
     void started(UpstreamId);
     void finished(UpstreamId, SendOutcome, Microseconds took, Instant now);
     void reported(UpstreamId, UpstreamLoadReport const&, Instant now);
+    // What all other daemons have in flight; nothing at upstreams that are not in it.
+    void othersCounted(std::map<UpstreamId, size_t> const&, Instant now);
+    // What this daemon has in flight; upstreams with nothing are left out.
+    std::vector<std::pair<UpstreamId, size_t>> ownInFlight() const;
     // The upstream has said that it is leaving.
     void leaving(UpstreamId);
 
--- a/Meta/stagepost.sh
+++ b/Meta/stagepost.sh
@@ -151,7 +151,7 @@
     vms+="{\"name\":\"book\",\"hall\":\"north\",\"role\":\"upstream\",\"state\":\"live\",\"endpoint\":\"$address\",\"serves\":\"services.book\"}]"
     curl -sf "http://$STAGEPOST_VM_LIST/v1/vms" -d "$vms" >/dev/null
     output=$(mktemp)
-    "$build/Services/stagepostd/stagepostd" --name entry-1 --hall north --listen 127.0.0.1:0 --peer-listen 127.0.0.1:0 2>"$output" &
+    "$build/Services/stagepostd/stagepostd" --name entry-1 --hall north --listen 127.0.0.1:0 --peer-listen 127.0.0.1:0 >"$output" &
     pid=$!
     started+=("$pid")
     wait_for "the daemon" grep -q event=started "$output"
@@ -178,7 +178,7 @@
 start_listed_daemon() {
     local name=$1 hall=$2 log=$3 output peer
     output=$(mktemp)
-    "$build/Services/stagepostd/stagepostd" --name "$name" --hall "$hall" --listen 127.0.0.1:0 --peer-listen 127.0.0.1:0 --log "$log" 2>"$output" &
+    "$build/Services/stagepostd/stagepostd" --name "$name" --hall "$hall" --listen 127.0.0.1:0 --peer-listen 127.0.0.1:0 --log "$log" >"$output" &
     started+=($!)
     wait_for "$name" grep -q event=started "$output"
     address=$(sed -n 's/.*event=started.* listen=\([^ ]*\).*/\1/p' "$output")
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -35,6 +35,16 @@
     , m_random(std::move(random))
     , m_board({ m_options.hall, m_options.placement, m_options.retries }, m_random)
     , m_directory(m_options.directory, [this] { m_board.update(m_directory.records()); })
+    , m_peers(loop, m_metrics, m_options.exchange, m_random,
+          {
+              [this] { return summary(); },
+              [this] { return provenAt(); },
+              [this](Instant provenAt) { confirmed(provenAt); },
+              [this] { return ownInFlight(); },
+              [this](auto const& others) { takeOthersInFlight(others); },
+              [this] { return state(); },
+              [this](GatewayState const& state, std::optional<Instant> provenAt) { takeState(state, provenAt); },
+          })
     , m_services { loop, m_metrics, m_board, m_dialect, [this] { return areKeysFresh(); }, [this] { return settingsAge(); } }
     , m_server(
           loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handle(exchange); }, [this](Refusal const& refusal) { return refuse(refusal); })
@@ -49,7 +59,8 @@
 {
     m_callerEndpoint = TRY(m_server.listen(m_options.listen));
     m_readyEndpoint = TRY(m_readyServer.listen(m_options.readyListen));
-    logEvent(LogLevel::Info, "started", { { "name", m_options.name }, { "hall", m_options.hall }, { "listen", m_callerEndpoint.toString() }, { "ready_listen", m_readyEndpoint.toString() } });
+    m_peerEndpoint = TRY(m_peers.listen(m_options.peerListen));
+    logEvent(LogLevel::Info, "started", { { "name", m_options.name }, { "hall", m_options.hall }, { "listen", m_callerEndpoint.toString() }, { "ready_listen", m_readyEndpoint.toString() }, { "peer_listen", m_peerEndpoint.toString() } });
     m_server.setClosing(true);
     m_ticker.every(tickInterval, [this] { tick(); });
     return {};
@@ -70,26 +81,122 @@
     return !m_isDraining && m_table && m_directory.hasList() && areKeysFresh();
 }
 
-void Gateway::applyRoutes(std::shared_ptr<RouteTable const> table)
+void Gateway::takeSettings(std::optional<std::string> const& text, Instant readSentAt)
 {
-    if (m_table && table->version() <= m_table->version())
+    if (text && !applySettings(*text))
         return;
-    m_table = std::move(table);
+    m_tableAge.confirm(readSentAt);
+    noteReadiness();
+    m_peers.proven(m_loop.now());
+}
+
+// False where the text cannot be read.
+bool Gateway::applySettings(std::string const& text)
+{
+    auto parts = m_dialect.readSettings(text);
+    if (!parts) {
+        m_metrics.count("stagepost_settings_rejected_total");
+        logEvent(LogLevel::Error, "settings-rejected", { { "reason", parts.error().message() }, { "in_force", m_table ? m_table->version() : 0 } });
+        return false;
+    }
+    if (m_table && parts->version <= m_table->version())
+        return true;
+    m_table = std::make_shared<RouteTable const>(std::move(*parts));
+    m_tableText = text;
     m_server.setOptions(serverOptions(m_table->limits()));
     m_metrics.setGauge("stagepost_settings_version", static_cast<double>(m_table->version()));
     logEvent(LogLevel::Info, "settings-in-force", { { "version", m_table->version() }, { "routes", m_table->routeCount() } });
+    m_peers.changed(m_loop.now());
+    return true;
+}
+
+void Gateway::takeUpstreams(std::vector<UpstreamChange> const& changes, bool isWhole, Instant readSentAt)
+{
+    auto const now = m_loop.now();
+    m_directory.confirm(readSentAt, now);
+    std::vector<UpstreamRecord> whole;
+    for (auto const& change : changes) {
+        if (isWhole && change.record)
+            whole.push_back(*change.record);
+        else if (change.record)
+            m_directory.put(*change.record, now);
+        else
+            m_directory.remove(change.instance, now);
+    }
+    if (isWhole)
+        m_directory.replace(whole, now);
     noteReadiness();
+    m_peers.proven(now);
 }
 
-void Gateway::confirmRoutes(Instant readSentAt)
+StateSummary Gateway::summary() const
 {
-    m_tableAge.confirm(readSentAt);
+    return { m_table ? m_table->version() : 0, m_directory.hash() };
+}
+
+std::optional<Instant> Gateway::provenAt() const
+{
+    auto const settings = m_tableAge.provenAt();
+    auto const upstreams = m_directory.age().provenAt();
+    if (!settings || !upstreams)
+        return {};
+    return std::min(*settings, *upstreams);
+}
+
+void Gateway::confirmed(Instant provenAt)
+{
+    m_directory.confirm(provenAt, m_loop.now());
+    m_tableAge.confirm(provenAt);
     noteReadiness();
+    m_peers.proven(m_loop.now());
+}
+
+GatewayState Gateway::state() const
+{
+    GatewayState state { m_table ? m_table->version() : 0, m_tableText, {} };
+    for (auto const& [instance, record] : m_directory.records())
+        state.upstreams.push_back(record);
+    return state;
+}
+
+// The list of upstreams is taken only where it is proven to be newer than what
+// is known here; a configuration orders itself by its version.
+void Gateway::takeState(GatewayState const& state, std::optional<Instant> provenAt)
+{
+    if (state.settingsVersion > (m_table ? m_table->version() : 0) && !applySettings(state.settingsText))
+        return;
+    auto const known = m_directory.age().provenAt();
+    if (!provenAt || (known && *provenAt <= *known))
+        return;
+    auto const now = m_loop.now();
+    m_directory.confirm(*provenAt, now);
+    m_directory.replace(state.upstreams, now);
+    confirmed(*provenAt);
+}
+
+std::vector<UpstreamInFlight> Gateway::ownInFlight() const
+{
+    std::vector<UpstreamInFlight> result;
+    for (auto const& [name, service] : m_board.services()) {
+        for (auto const& [upstream, count] : service->placement.ownInFlight())
+            result.push_back({ upstream, count });
+    }
+    return result;
+}
+
+void Gateway::takeOthersInFlight(std::vector<UpstreamInFlight> const& list)
+{
+    std::map<UpstreamId, size_t> counts;
+    for (auto const& [upstream, count] : list)
+        counts[upstream] = count;
+    for (auto const& [name, service] : m_board.services())
+        service->placement.othersCounted(counts, m_loop.now());
 }
 
 void Gateway::tick()
 {
     m_directory.tick(m_loop.now());
+    m_board.setRetryShare(m_peers.share());
     noteReadiness();
 }
 
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -5,6 +5,7 @@
 #include <LibProxy/Timer.h>
 #include <stagepostd/GatewayFlow.h>
 #include <stagepostd/GatewayOptions.h>
+#include <stagepostd/GatewayPeers.h>
 #include <variant>
 
 namespace Stagepost {
@@ -20,12 +21,23 @@
     // Binds its sockets. Error: Unreachable.
     Result<void> start();
 
-    // The configuration, which counts only if its version is higher than the one
-    // in force: within one life of the process it never goes back.
-    void applyRoutes(std::shared_ptr<RouteTable const>);
-    // A read that was sent then has shown that no newer configuration existed.
-    void confirmRoutes(Instant readSentAt);
-    UpstreamDirectory& upstreams() { return m_directory; }
+    // What a read of the store gave, with the moment at which it was sent. A
+    // configuration counts only if its version is higher than the one in force:
+    // within one life of the process it never goes back. One that cannot be read
+    // leaves the one before in force, and proves nothing.
+    void takeSettings(std::optional<std::string> const& text, Instant readSentAt);
+
+    struct UpstreamChange {
+        std::string instance;
+        // None where the upstream is gone.
+        std::optional<UpstreamRecord> record;
+    };
+    // The changes since the last read, or all upstreams that there are.
+    void takeUpstreams(std::vector<UpstreamChange> const&, bool isWhole, Instant readSentAt);
+
+    // Whether this daemon is to read the store now, or others do it for it.
+    bool needsStore() const { return m_peers.needsStore(m_loop.now()); }
+    GatewayPeers& peers() { return m_peers; }
 
     // Turns unready at once, takes requests until the balancer has noticed, then
     // finishes what runs and calls back.
@@ -34,6 +46,7 @@
     bool isReady() const;
     Endpoint const& callerEndpoint() const { return m_callerEndpoint; }
     Endpoint const& readyEndpoint() const { return m_readyEndpoint; }
+    Endpoint const& peerEndpoint() const { return m_peerEndpoint; }
     Metrics& metrics() { return m_metrics; }
 
 private:
@@ -46,6 +59,14 @@
     HttpReply renderMetrics();
     bool areKeysFresh() const;
     Microseconds settingsAge() const;
+    bool applySettings(std::string const& text);
+    StateSummary summary() const;
+    std::optional<Instant> provenAt() const;
+    void confirmed(Instant);
+    GatewayState state() const;
+    void takeState(GatewayState const&, std::optional<Instant> provenAt);
+    std::vector<UpstreamInFlight> ownInFlight() const;
+    void takeOthersInFlight(std::vector<UpstreamInFlight> const&);
     void tick();
     void noteReadiness();
     void finishDraining(Instant limit, std::function<void()> const& drained);
@@ -56,14 +77,18 @@
     RandomHook m_random;
     Metrics m_metrics;
     std::shared_ptr<RouteTable const> m_table;
+    // As the platform wrote it, for other daemons.
+    std::string m_tableText;
     ProvenAge m_tableAge;
     ServiceBoard m_board;
     UpstreamDirectory m_directory;
+    GatewayPeers m_peers;
     GatewayServices m_services;
     HttpServer m_server;
     HttpServer m_readyServer;
     Endpoint m_callerEndpoint;
     Endpoint m_readyEndpoint;
+    Endpoint m_peerEndpoint;
     Timer m_ticker;
     Timer m_drainTimer;
     bool m_wasReady { false };
--- a/Services/stagepostd/GatewayDialect.h
+++ b/Services/stagepostd/GatewayDialect.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <LibBase/Result.h>
 #include <LibProxy/HttpMessage.h>
 #include <LibRouting/LoadEstimate.h>
 #include <LibRouting/PromptChain.h>
+#include <LibSettings/RouteTable.h>
 #include <functional>
 #include <optional>
 
@@ -44,8 +46,10 @@
     std::optional<UpstreamLoadReport> load;
 };
 
-// How callers and upstreams spell what the gateway needs.
+// How the platform, its callers and its upstreams spell what the gateway needs.
 struct GatewayDialect {
+    // Error: BadInput that names the field.
+    std::function<Result<RouteTable::Parts>(std::string_view)> readSettings;
     // The field in which requests carry their ids and answers repeat them.
     std::string idField;
     std::function<GatewayCall(HttpCall const&)> readCall;
--- a/Services/stagepostd/GatewayOptions.h
+++ b/Services/stagepostd/GatewayOptions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibMembership/StateExchange.h>
 #include <LibMembership/UpstreamDirectory.h>
 #include <LibProxy/Endpoint.h>
 #include <LibRouting/RetryBudget.h>
@@ -16,6 +17,8 @@
     Endpoint listen;
     // For the balancer's checks and the metrics.
     Endpoint readyListen;
+    // For other gateways.
+    Endpoint peerListen;
     // The greatest proven age of the configuration with which keys are still
     // taken for good; none takes them at any age.
     std::optional<Milliseconds> keyFreshness;
@@ -26,6 +29,7 @@
     RetryBudget::Bounds retries;
     ServicePlacement::Bounds placement;
     UpstreamDirectory::Bounds directory;
+    StateExchange::Bounds exchange;
 };
 
 }
--- /dev/null
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -0,0 +1,147 @@
+#include <stagepostd/GatewayPeers.h>
+
+#include <LibBase/Hex.h>
+#include <LibBase/Log.h>
+
+namespace Stagepost {
+
+namespace {
+
+    constexpr char const* peerField = "Stagepost-Peer";
+    constexpr char const* requestWord = "state";
+    constexpr Milliseconds fetchTimeout { 1000 };
+    // Fine against the interval of asks.
+    constexpr Milliseconds tickInterval { 50 };
+    constexpr unsigned statusForbidden = 403;
+
+    HttpReply plainRefusal(Refusal const& refusal)
+    {
+        return textReply(httpStatusOf(refusal.reason), refusal.detail + '\n');
+    }
+
+}
+
+GatewayPeers::GatewayPeers(EventLoop& loop, Metrics& metrics, StateExchange::Bounds bounds, RandomHook random, Hooks hooks)
+    : m_loop(loop)
+    , m_metrics(metrics)
+    , m_bounds(bounds)
+    , m_random(std::move(random))
+    , m_hooks(std::move(hooks))
+    , m_client(loop)
+    , m_server(
+          loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { exchange->respond(answerState(exchange->call())); }, plainRefusal)
+    , m_ticker(loop)
+{
+}
+
+Result<Endpoint> GatewayPeers::listen(Endpoint const& endpoint)
+{
+    m_endpoint = TRY(m_server.listen(endpoint));
+    return m_endpoint;
+}
+
+Result<void> GatewayPeers::join(GatewayPeer const& self, std::string const& key, Incarnation incarnation)
+{
+    m_datagramSeal.emplace(key, self.id(), incarnation);
+    // Sequence numbers of the two kinds run apart, so their keys differ.
+    m_stateSeal.emplace(key + "/state", self.id(), incarnation);
+    m_channel = std::make_unique<PeerChannel>(m_loop, *m_datagramSeal, m_metrics, [this](PeerMessageKind kind, VMId from, std::string_view body) { receive(kind, from, body); });
+    TRY(m_channel->bind(m_endpoint));
+    m_exchange = std::make_unique<StateExchange>(StateExchange::Peer { self.id(), HallId::fromName(self.hall) }, m_random(), m_bounds, StateExchange::Hooks {
+                                                                                                                                          [this](VMId to, std::string const& body) { send(to, body); },
+                                                                                                                                          [this](VMId from, std::optional<Instant> provenAt) { fetch(from, provenAt); },
+                                                                                                                                          m_hooks.summary,
+                                                                                                                                          m_hooks.provenAt,
+                                                                                                                                          m_hooks.confirmed,
+                                                                                                                                          m_hooks.ownInFlight,
+                                                                                                                                          m_hooks.othersInFlight,
+                                                                                                                                      });
+    m_ticker.every(tickInterval, [this] { m_exchange->tick(m_loop.now()); });
+    logEvent(LogLevel::Info, "joined", { { "name", self.name }, { "hall", self.hall }, { "peer_listen", m_endpoint.toString() }, { "incarnation", incarnation.value() } });
+    return {};
+}
+
+void GatewayPeers::setPeers(std::vector<GatewayPeer> const& peers)
+{
+    m_peers.clear();
+    std::vector<StateExchange::Peer> list;
+    for (auto const& peer : peers) {
+        m_peers[peer.id()] = peer;
+        list.push_back({ peer.id(), HallId::fromName(peer.hall) });
+    }
+    if (!m_exchange)
+        return;
+    m_exchange->setPeers(std::move(list));
+    m_metrics.setGauge("stagepost_daemons", static_cast<double>(m_exchange->peerCount() + 1));
+    logEvent(LogLevel::Info, "peers", { { "others", m_exchange->peerCount() }, { "relay", m_exchange->isRelay() ? 1 : 0 } });
+}
+
+void GatewayPeers::proven(Instant now)
+{
+    if (m_exchange)
+        m_exchange->proven(now);
+}
+
+void GatewayPeers::changed(Instant now)
+{
+    if (m_exchange)
+        m_exchange->changed(now);
+}
+
+void GatewayPeers::send(VMId to, std::string const& body)
+{
+    if (auto const found = m_peers.find(to); found != m_peers.end())
+        m_channel->send(found->second.endpoint, PeerMessageKind::State, body);
+}
+
+void GatewayPeers::receive(PeerMessageKind kind, VMId from, std::string_view body)
+{
+    bool const isTaken = kind == PeerMessageKind::State && m_exchange && m_exchange->receive(from, body, m_loop.now());
+    if (!isTaken)
+        m_metrics.count("stagepost_peer_dropped_total", "reason=\"malformed\"");
+}
+
+void GatewayPeers::fetch(VMId from, std::optional<Instant> provenAt)
+{
+    auto const found = m_peers.find(from);
+    if (m_isFetching || found == m_peers.end())
+        return;
+    m_isFetching = true;
+    HttpCall call { "GET", statePath, { { peerField, hexOfBytes(m_stateSeal->seal(requestWord)) } }, {} };
+    m_client.fetch(found->second.endpoint, std::move(call), fetchTimeout, [this, from, provenAt](Result<HttpReply> const& reply) {
+        m_isFetching = false;
+        takeFetched(from, reply, provenAt);
+    });
+}
+
+void GatewayPeers::takeFetched(VMId from, Result<HttpReply> const& reply, std::optional<Instant> provenAt)
+{
+    auto const refuse = [&](std::string const& reason) {
+        m_metrics.count("stagepost_peer_states_total", "outcome=\"refused\"");
+        logEvent(LogLevel::Warning, "peer-state-refused", { { "peer", m_peers.contains(from) ? m_peers.at(from).name : "" }, { "reason", reason } });
+    };
+    if (!reply)
+        return refuse(reply.error().message());
+    if (reply->status != 200)
+        return refuse("status " + std::to_string(reply->status));
+    auto const opened = m_stateSeal->open(reply->body);
+    if (!opened || opened->sender != from)
+        return refuse("it is not sealed by that daemon");
+    auto const state = GatewayState::decode(opened->body);
+    if (!state)
+        return refuse(state.error().message());
+    m_metrics.count("stagepost_peer_states_total", "outcome=\"taken\"");
+    m_hooks.takeState(*state, provenAt);
+}
+
+HttpReply GatewayPeers::answerState(HttpCall const& call)
+{
+    if (!m_stateSeal || call.path() != statePath)
+        return textReply(statusForbidden, "for daemons of this fleet only\n");
+    auto const opened = m_stateSeal->open(bytesOfHex(call.headers.find(peerField)));
+    if (!opened || opened->body != requestWord)
+        return textReply(statusForbidden, "for daemons of this fleet only\n");
+    return { 200, { { "Content-Type", "application/octet-stream" } }, m_stateSeal->seal(m_hooks.state().encode()) };
+}
+
+}
--- /dev/null
+++ b/Services/stagepostd/GatewayPeers.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <LibBase/Hooks.h>
+#include <LibMembership/StateExchange.h>
+#include <LibProxy/HttpClient.h>
+#include <LibProxy/HttpServer.h>
+#include <LibProxy/Timer.h>
+#include <memory>
+#include <stagepostd/GatewayState.h>
+#include <stagepostd/PeerChannel.h>
+
+namespace Stagepost {
+
+// A gateway that is registered with the others.
+struct GatewayPeer {
+    std::string name;
+    std::string hall;
+    // UDP for messages, TCP for what is too large for one.
+    Endpoint endpoint;
+
+    VMId id() const { return VMId::fromName(name); }
+};
+
+// What a gateway has to do with the other gateways of its fleet: the exchange of
+// proofs and loads by datagrams, and the whole state by HTTP. All of it is sealed
+// with the fleet's key.
+class GatewayPeers {
+public:
+    static constexpr char const* statePath = "/internal/state";
+
+    struct Hooks {
+        std::function<StateSummary()> summary;
+        std::function<std::optional<Instant>()> provenAt;
+        std::function<void(Instant)> confirmed;
+        std::function<std::vector<UpstreamInFlight>()> ownInFlight;
+        std::function<void(std::vector<UpstreamInFlight> const&)> othersInFlight;
+        std::function<GatewayState()> state;
+        // Another daemon's state, proven as of a time or not at all.
+        std::function<void(GatewayState const&, std::optional<Instant> provenAt)> takeState;
+    };
+
+    GatewayPeers(EventLoop&, Metrics&, StateExchange::Bounds, RandomHook, Hooks);
+    GatewayPeers(GatewayPeers const&) = delete;
+    GatewayPeers& operator=(GatewayPeers const&) = delete;
+
+    // Takes the address for others. Error: Unreachable.
+    Result<Endpoint> listen(Endpoint const&);
+
+    // Begins to speak with others. The incarnation must be higher than that of
+    // any earlier start under the same name. Error: Unreachable.
+    Result<void> join(GatewayPeer const& self, std::string const& key, Incarnation);
+    void setPeers(std::vector<GatewayPeer> const&);
+
+    // Without others every daemon reads the store.
+    bool needsStore(Instant now) const { return !m_exchange || m_exchange->needsStore(now); }
+    // This daemon's part of the fleet, from 0 to 1.
+    double share() const { return m_exchange ? 1.0 / static_cast<double>(m_exchange->peerCount() + 1) : 0; }
+    void proven(Instant now);
+    void changed(Instant now);
+
+private:
+    void receive(PeerMessageKind, VMId from, std::string_view body);
+    void send(VMId to, std::string const& body);
+    void fetch(VMId from, std::optional<Instant> provenAt);
+    void takeFetched(VMId from, Result<HttpReply> const&, std::optional<Instant> provenAt);
+    HttpReply answerState(HttpCall const&);
+
+    EventLoop& m_loop;
+    Metrics& m_metrics;
+    StateExchange::Bounds m_bounds;
+    RandomHook m_random;
+    Hooks m_hooks;
+    HttpClient m_client;
+    HttpServer m_server;
+    Endpoint m_endpoint;
+    std::map<VMId, GatewayPeer> m_peers;
+    std::optional<Authenticator> m_datagramSeal;
+    std::optional<Authenticator> m_stateSeal;
+    std::unique_ptr<PeerChannel> m_channel;
+    std::unique_ptr<StateExchange> m_exchange;
+    Timer m_ticker;
+    bool m_isFetching { false };
+};
+
+}
--- a/Services/stagepostd/PeerChannel.h
+++ b/Services/stagepostd/PeerChannel.h
@@ -12,6 +12,7 @@
 enum class PeerMessageKind : unsigned char {
     Membership = 'm',
     Routing = 'r',
+    State = 's',
 };
 
 // Sends and receives sealed datagrams; forged, damaged and replayed ones are
--- a/Services/stagepostd/ServiceBoard.cpp
+++ b/Services/stagepostd/ServiceBoard.cpp
@@ -7,11 +7,20 @@
 ServiceBoard::Entry& ServiceBoard::service(std::string const& name)
 {
     auto& entry = m_services[name];
-    if (!entry)
+    if (!entry) {
         entry = std::make_unique<Entry>(Entry { ServicePlacement(m_bounds.placement, m_random), RetryBudget(m_bounds.retries) });
+        entry->retries.setShare(m_retryShare);
+    }
     return *entry;
 }
 
+void ServiceBoard::setRetryShare(double share)
+{
+    m_retryShare = share;
+    for (auto const& [name, entry] : m_services)
+        entry->retries.setShare(share);
+}
+
 void ServiceBoard::update(std::map<std::string, UpstreamRecord> const& records)
 {
     std::map<std::string, std::vector<ServiceUpstream>> byService;
--- a/Services/stagepostd/ServiceBoard.h
+++ b/Services/stagepostd/ServiceBoard.h
@@ -38,14 +38,19 @@
     // Takes over who is there now.
     void update(std::map<std::string, UpstreamRecord> const&);
 
+    // This daemon's part of what the fleet may spend on retries, from 0 to 1.
+    void setRetryShare(double);
+
     // Services are made when they are first asked for and then stay.
     Entry& service(std::string const& name);
     Target const* target(UpstreamId) const;
+    std::map<std::string, std::unique_ptr<Entry>> const& services() const { return m_services; }
     size_t upstreamCount() const { return m_targets.size(); }
 
 private:
     Bounds m_bounds;
     RandomHook m_random;
+    double m_retryShare { 0 };
     std::map<std::string, std::unique_ptr<Entry>> m_services;
     std::map<UpstreamId, Target> m_targets;
 };
--- a/Tests/Processes/fleet.py
+++ b/Tests/Processes/fleet.py
@@ -75,7 +75,7 @@
         environment = dict(os.environ, STAGEPOST_KEY=KEY, STAGEPOST_OPERATOR_TOKEN=OPERATOR_TOKEN)
         arguments = ["--name", name, "--hall", hall, "--listen", listen, "--peer-listen", peer,
                      "--log", fleet.log.endpoint, "--vm-list", fleet.vms.endpoint, "--drain-grace-ms", "300", *extra]
-        self.process = subprocess.Popen([DAEMON, *arguments], stderr=subprocess.PIPE, text=True, env=environment)
+        self.process = subprocess.Popen([DAEMON, *arguments], stdout=subprocess.PIPE, text=True, env=environment)
         self.lines = []
         self.started = threading.Event()
         self.reader = threading.Thread(target=self._read, daemon=True)
@@ -83,7 +83,7 @@
         assert self.started.wait(PATIENCE), "the daemon did not start"
 
     def _read(self):
-        for line in self.process.stderr:
+        for line in self.process.stdout:
             self.lines.append(line)
             found = re.search(r"event=started .*listen=(\S+) peer_listen=(\S+)", line)
             if found:
@@ -128,7 +128,7 @@
             self.process.send_signal(signal.SIGCONT)
             self.kill()
         self.reader.join()
-        self.process.stderr.close()
+        self.process.stdout.close()
 
 
 class Reply:
--- /dev/null
+++ b/Tests/Processes/platform_stand_ins.py
@@ -0,0 +1,291 @@
+"""Stand-ins for the users' platform on loopback: its store and its upstreams.
+
+They run in the test's own process, so that a test changes how they behave between
+two requests, and they note all that they were sent.
+"""
+
+import base64
+import http.server
+import json
+import socket
+import struct
+import threading
+import time
+from urllib.parse import parse_qs, urlsplit
+
+
+class Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    allow_reuse_address = True
+
+    def __init__(self, handler):
+        super().__init__(("127.0.0.1", 0), handler)
+        self.endpoint = "127.0.0.1:%d" % self.server_address[1]
+        self.thread = threading.Thread(target=self.serve_forever, kwargs={"poll_interval": 0.02}, daemon=True)
+        self.thread.start()
+
+    def handle_error(self, request, client_address):
+        pass  # a daemon that closes its connection is no failure of the test
+
+    def stop(self):
+        self.shutdown()
+        self.server_close()
+
+
+class Store:
+    """The keyed topics of the platform's store.
+
+    mode: "up", "silent" (no answer), "busy" (503) or "reset".
+    """
+
+    def __init__(self):
+        self.changed = threading.Condition()
+        self.topics = {}
+        self.first = {}
+        self.mode = "up"
+        self.calls = []
+        store = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_GET(self):
+                store.answer(self)
+
+            def do_POST(self):
+                store.answer(self)
+
+            def log_message(self, *arguments):
+                pass
+
+        self.server = Server(Handler)
+        self.endpoint = self.server.endpoint
+
+    def stop(self):
+        with self.changed:
+            self.mode = "reset"
+            self.changed.notify_all()
+        self.server.stop()
+
+    def put(self, topic, key, value):
+        """Adds a record; a value of None takes its key away."""
+        text = b"" if value is None else json.dumps(value).encode()
+        with self.changed:
+            self.topics.setdefault(topic, []).append((key, text))
+            self.changed.notify_all()
+
+    def forget_history(self):
+        with self.changed:
+            for topic, records in self.topics.items():
+                self.first[topic] = len(records)
+            self.changed.notify_all()
+
+    def newest(self, topic):
+        newest = {}
+        for key, text in self.topics.get(topic, []):
+            newest[key] = text
+        return {key: text for key, text in newest.items() if text}
+
+    def answer(self, handler):
+        url = urlsplit(handler.path)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        body = handler.rfile.read(int(handler.headers.get("Content-Length", 0)))
+        with self.changed:
+            self.calls.append((url.path, query))
+            if self.mode == "silent":
+                self.changed.wait_for(lambda: self.mode != "silent")
+            if self.mode == "reset":
+                handler.close_connection = True
+                return
+            if self.mode == "busy":
+                return self.reply(handler, 503, b"")
+            if url.path == "/log-newest":
+                return self.answer_newest(handler, query)
+            if url.path == "/log-read":
+                return self.answer_read(handler, query)
+            if url.path == "/log-append":
+                return self.answer_append(handler, query, body)
+        return self.reply(handler, 404, b"")
+
+    def answer_newest(self, handler, query):
+        topic = query["topic"]
+        items = [{"key": key, "value": base64.b64encode(text).decode(), "offset": 0} for key, text in self.newest(topic).items()]
+        answer = {"items": items, "hasMore": False, "end": len(self.topics.get(topic, []))}
+        self.reply(handler, 200, json.dumps(answer).encode())
+
+    def answer_read(self, handler, query):
+        topic, start = query["topic"], int(query["from"])
+        records = self.topics.setdefault(topic, [])
+        self.changed.wait_for(lambda: len(records) > start or self.mode != "up" or self.first.get(topic, 0) > start, int(query.get("waitMs", 0)) / 1000)
+        if self.mode != "up":
+            handler.close_connection = True
+            return
+        first = self.first.get(topic, 0)
+        if start < first:
+            self.reply(handler, 410, json.dumps({"first": first}).encode())
+            return
+        body = struct.pack(">QQ", len(records), first)
+        for key, text in records[start:]:
+            record = bytes([len(key)]) + key.encode() + text
+            body += struct.pack(">I", len(record)) + record
+        self.reply(handler, 200, body)
+
+    def answer_append(self, handler, query, body):
+        records = self.topics.setdefault(query["topic"], [])
+        if "storeRevision" in query and int(query["storeRevision"]) != len(records):
+            self.reply(handler, 412, json.dumps({"end": len(records)}).encode())
+            return
+        offset = len(records)
+        while body:
+            size = struct.unpack(">I", body[:4])[0]
+            record, body = body[4:4 + size], body[4 + size:]
+            key_size = record[0]
+            records.append((record[1:1 + key_size].decode(), record[1 + key_size:]))
+        self.changed.notify_all()
+        self.reply(handler, 200, json.dumps({"offset": offset, "end": len(records)}).encode())
+
+    @staticmethod
+    def reply(handler, status, body):
+        handler.send_response(status)
+        handler.send_header("Content-Length", str(len(body)))
+        handler.end_headers()
+        handler.wfile.write(body)
+
+
+class Upstream:
+    """One worker of the platform: plain answers, or a stream on /stream/ paths.
+
+    fault: None, "refuse" (503, not run), "other-instance" (421), "fail" (500),
+    "mute" (no answer), "cut" (breaks off midway), "unsigned", "foreign" (another
+    request's id), "extra" (bytes after a whole answer), "early" (answers before
+    the body), "unframed" (no length), "unframed-reset".
+    """
+
+    def __init__(self, instance, service, hall="north", slots=8):
+        self.instance, self.service, self.hall, self.slots = instance, service, hall, slots
+        self.fault = None
+        # Faults of the next requests, one each; they go before the lasting one.
+        self.next_faults = []
+        self.requests = []
+        self.lock = threading.Lock()
+        self.events = 6
+        self.event_pause = 0.0
+        self.stop_after = None
+        self.cancelled = 0
+        self.released = threading.Event()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.endpoint = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def record(self, **fields):
+        return {"service": self.service, "address": self.endpoint, "zone": self.hall, "version": "v1", "slots": self.slots,
+                "state": "ready", "coldLeftMs": 0, "seq": 1, **fields}
+
+    def stop(self):
+        self.released.set()
+        self.listener.close()
+
+    def runs(self):
+        with self.lock:
+            return [request for request in self.requests if request["ran"]]
+
+    def accept(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        with connection, connection.makefile("rb") as reader:
+            try:
+                while self.serve_one(connection, reader):
+                    pass
+            except OSError:
+                pass
+
+    def read_head(self, reader):
+        line = reader.readline().decode()
+        if not line:
+            return None
+        method, target, _ = line.split(" ", 2)
+        headers = {}
+        while (line := reader.readline().decode().strip()):
+            name, _, value = line.partition(":")
+            headers[name.strip().lower()] = value.strip()
+        return {"method": method, "target": target, "headers": headers, "ran": False}
+
+    def serve_one(self, connection, reader):
+        request = self.read_head(reader)
+        if not request:
+            return False
+        with self.lock:
+            self.requests.append(request)
+            fault = self.next_faults.pop(0) if self.next_faults else self.fault
+        if fault == "early":
+            connection.sendall(self.head(request, 503, 0, "X-Not-Executed: 1\r\n"))
+            self.released.wait(0.2)
+        request["body"] = reader.read(int(request["headers"].get("content-length", 0)))
+        if fault == "early":
+            return True
+        expected = request["headers"].get("x-expect-instance")
+        if fault == "other-instance" or (expected and expected != self.instance):
+            connection.sendall(self.head(request, 421, 0))
+            return True
+        if fault == "refuse":
+            connection.sendall(self.head(request, 503, 0, "X-Not-Executed: 1\r\n"))
+            return True
+        request["ran"] = True
+        if fault == "mute":
+            self.released.wait()
+            return False
+        if fault == "fail":
+            connection.sendall(self.head(request, 500, 4) + b"oops")
+            return True
+        if request["target"].startswith("/stream/"):
+            return self.stream(connection, request, fault)
+        return self.plain(connection, request, fault)
+
+    def head(self, request, status, length, extra=""):
+        identifier = request["headers"].get("x-attempt-id", "")
+        framing = "" if length is None else f"Content-Length: {length}\r\n"
+        return (f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {identifier}\r\nX-Response-Signature: by-{self.instance}\r\n"
+                f"X-Server-Load: 1,0,{self.slots}\r\n{framing}{extra}\r\n").encode()
+
+    def plain(self, connection, request, fault):
+        body = f"{self.instance} {request['target']} {request['body'].decode()}".encode()
+        answer = self.head(request, 200, None if fault in ("unframed", "unframed-reset") else len(body)) + body
+        if fault == "unsigned":
+            answer = answer.replace(f"X-Response-Signature: by-{self.instance}\r\n".encode(), b"")
+        if fault == "foreign":
+            answer = answer.replace(request["headers"]["x-attempt-id"].encode(), b"another-id")
+        if fault == "cut":
+            connection.sendall(answer[:-3])
+            return False
+        connection.sendall(answer + (answer if fault == "extra" else b""))
+        if fault == "unframed-reset":
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            time.sleep(0.05)
+        return fault not in ("unframed", "unframed-reset")
+
+    def stream(self, connection, request, fault):
+        start = int(request["headers"].get("last-event-id", 0))
+        connection.sendall(self.head(request, 200, None, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
+        for number in range(start + 1, self.events + 1):
+            event = f"id: {number}\ndata: word{number}\n\n".encode()
+            if fault == "cut" and number == self.stop_after:
+                connection.sendall(b"%x\r\n%s\r\n" % (len(event) // 2, event[:len(event) // 2]))
+                return False
+            if fault == "stall" and number == self.stop_after:
+                self.released.wait()
+                return False
+            try:
+                connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+            except OSError:
+                self.cancelled += 1
+                return False
+            if self.event_pause:
+                self.released.wait(self.event_pause)
+        connection.sendall(b"0\r\n\r\n")
+        return True
--- /dev/null
+++ b/Tests/Processes/test_platform.py
@@ -0,0 +1,474 @@
+"""The daemon on the users' platform, as its callers, upstreams and store see it."""
+
+import http.client
+import json
+import os
+import re
+import signal
+import socket
+import struct
+import subprocess
+import threading
+import time
+import unittest
+
+from fleet import BUILD, PATIENCE, Reply, eventually, raw, read_all
+from platform_stand_ins import Store, Upstream
+
+PROGRAM = f"{BUILD}/platform/stagepostd-platform"
+KEY = "a-key-of-the-club"
+HOST = "logbook.example"
+
+
+def route(name, prefix, kind, service, **fields):
+    return {"name": name, "host": HOST, "pathPrefix": prefix, "kind": kind, "service": service, "timeoutMs": 2000,
+            "targetLatencyMs": 400, "priority": 1, "maxAttempts": 2, "public": False, "sticky": False, "resumable": False, **fields}
+
+
+def manifest(version, **changes):
+    return {"version": version,
+            "routes": [route("lookup", "/lookup/", "safe", "book"),
+                       route("confirm", "/confirm/", "unsafe", "book", maxAttempts=1),
+                       route("digest", "/stream/again/", "streaming", "chat", sticky=True, resumable=True, targetGapMs=200),
+                       route("draft", "/stream/once/", "streaming", "chat", sticky=True, targetGapMs=200),
+                       route("open", "/open/", "safe", "book", public=True)],
+            "services": [{"name": "book", "healthPath": "/healthz", "maxConns": 100},
+                         {"name": "chat", "healthPath": "/healthz", "maxConns": 300, "engine": {"kvCapacityTokens": 400000, "moves": True}}],
+            "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 100000, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
+            "tenants": [{"name": "club", "apiKeys": [KEY], "priority": 3}], **changes}
+
+
+class Entry:
+    """One daemon, started on free ports."""
+
+    def __init__(self, store, *extra):
+        self.lines = []
+        self.started = threading.Event()
+        self.process = subprocess.Popen(
+            [PROGRAM, "--name", "entry-1", "--hall", "north", "--listen", "127.0.0.1:0", "--ready-listen", "127.0.0.1:0",
+             "--peer-listen", "127.0.0.1:0", "--store", store.endpoint, "--key-bound-ms", "2000", "--leave-bound-ms", "300", "--drain-s", "4", "--retry-slack", "20", *extra],
+            stdout=subprocess.PIPE, text=True)
+        self.reader = threading.Thread(target=self.read, daemon=True)
+        self.reader.start()
+        assert self.started.wait(PATIENCE), "the daemon did not start"
+
+    def read(self):
+        for line in self.process.stdout:
+            self.lines.append(line)
+            found = re.search(r"event=started .*listen=(\S+) ready_listen=(\S+)", line)
+            if found:
+                self.endpoint, self.ready_endpoint = found.groups()
+                self.started.set()
+
+    def is_ready(self):
+        return self.get_ready("/readyz").status == 200
+
+    def get_ready(self, path):
+        return request(self.ready_endpoint, "GET", path)
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        self.process.wait()
+        self.reader.join()
+        self.process.stdout.close()
+
+
+def request(endpoint, method, path, body=None, headers=None):
+    host, port = endpoint.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=PATIENCE)
+    try:
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        try:
+            content = answer.read()
+        except http.client.IncompleteRead as broken:
+            content = broken.partial
+            answer.headers["X-Test-Broken"] = "1"
+        return Reply(answer.status, answer.headers, content.decode())
+    finally:
+        connection.close()
+
+
+class OnThePlatform(unittest.TestCase):
+    def setUp(self):
+        self.store = Store()
+        self.addCleanup(self.store.stop)
+        self.attempts = 0
+        self.books = [self.upstream(f"book-{number}", "book") for number in (1, 2)]
+        self.chats = [self.upstream(f"chat-{number}", "chat") for number in (1, 2)]
+        self.store.put("keyed.op", "config", manifest(3))
+        self.entry = self.start()
+
+    def start(self, *extra):
+        entry = Entry(self.store, *extra)
+        self.addCleanup(entry.stop)
+        eventually(entry.is_ready, "ready")
+        eventually(lambda: any("event=peers" in line for line in entry.lines), "registered")
+        return entry
+
+    def upstream(self, instance, service):
+        upstream = Upstream(instance, service)
+        self.addCleanup(upstream.stop)
+        self.store.put("keyed.servers", instance, upstream.record())
+        return upstream
+
+    def call(self, path, method="GET", body=None, key=KEY, **headers):
+        self.attempts += 1
+        fields = {"Host": HOST, "X-Attempt-Id": f"attempt-{self.attempts}", "X-Deadline-Ms": "1500"}
+        if key:
+            fields["X-Api-Key"] = key
+        fields.update({name.replace("_", "-"): value for name, value in headers.items()})
+        return request(self.entry.endpoint, method, path, body, fields)
+
+    def runs(self, upstreams):
+        return sum(len(upstream.runs()) for upstream in upstreams)
+
+    def set_fault(self, upstreams, fault):
+        for upstream in upstreams:
+            upstream.fault = fault
+
+    # What upstreams are told, and callers get.
+
+    def test_a_request_reaches_its_upstream_unaltered(self):
+        reply = self.call("/confirm/a?b=c", "POST", "contact", X_Tenant="forged", X_Expect_Instance="forged", Kv_Fetch="forged")
+        self.assertEqual(reply.status, 200)
+        self.assertIn("/confirm/a?b=c contact", reply.body)
+        self.assertTrue(reply.headers["X-Response-Signature"].startswith("by-book-"))
+        ran = (self.books[0].runs() + self.books[1].runs())[0]
+        headers = ran["headers"]
+        self.assertEqual((headers["host"], headers["x-tenant"], headers["x-attempt-id"], headers["x-request-priority"]), (HOST, "club", "attempt-1", "3"))
+        self.assertNotIn("x-api-key", headers)
+        self.assertNotIn("kv-fetch", headers)
+        self.assertIn(headers["x-expect-instance"], ("book-1", "book-2"))
+        self.assertLessEqual(int(headers["x-deadline-ms"]), 1500)
+
+    def test_routes_and_keys_decide(self):
+        self.assertEqual(self.call("/elsewhere/").status, 404)
+        self.assertEqual(self.call("/lookup/x", key="wrong").status, 401)
+        self.assertEqual(self.call("/lookup/x", key=None).status, 401)
+        self.assertEqual(self.call("/open/x", key=None).status, 200)
+        self.assertEqual(self.call("/lookup/x", X_Attempt_Id="").status, 400)
+        self.assertEqual(self.call("/lookup/x", "POST", "x" * 200000).status, 413)
+        self.assertEqual(self.call("/lookup/x", X_Long="x" * 9000).status, 431)
+
+    def test_each_refusal_is_one_line_with_its_id(self):
+        self.call("/lookup/x", key="wrong")
+        line = eventually(lambda: next((line for line in self.entry.lines if "id=attempt-1 " in line), None), "the line")
+        self.assertIn("outcome=refused reason=unknown-key", line)
+
+    # What may run twice, and what may not.
+
+    def test_a_refused_request_goes_to_another_upstream(self):
+        self.books[0].fault = "refuse"
+        for _ in range(8):
+            self.assertEqual(self.call("/lookup/x").status, 200)
+
+    def test_a_call_that_may_not_be_repeated_runs_once_whatever_goes_wrong(self):
+        for fault, status in (("cut", 502), ("mute", 504), ("foreign", 502), ("unsigned", 502), ("unframed-reset", 502)):
+            with self.subTest(fault=fault):
+                before = self.runs(self.books)
+                self.set_fault(self.books, fault)
+                reply = self.call("/confirm/x", "POST", "contact", X_Deadline_Ms="400")
+                self.assertEqual((reply.status, reply.headers["Retry-After"]), (status, None))
+                self.assertEqual(reply.error()["verdict"], "may-have-run")
+                self.assertEqual(self.runs(self.books), before + 1)
+                self.set_fault(self.books, None)
+
+    def test_a_call_that_has_not_run_is_told_when_to_come_back(self):
+        self.set_fault(self.books, "refuse")
+        reply = self.call("/confirm/x", "POST", "contact")
+        self.assertEqual((reply.status, reply.error()["verdict"]), (503, "not-run"))
+        self.assertLess(float(reply.headers["Retry-After"]), 0.5)
+        self.assertEqual(self.runs(self.books), 0)
+
+    def test_a_repeatable_call_is_asked_for_again(self):
+        for fault in ("cut", "mute", "foreign", "unsigned", "fail", "unframed-reset"):
+            with self.subTest(fault=fault):
+                for book in self.books:
+                    book.next_faults = []
+                self.books[0].next_faults = [fault]
+                self.books[1].next_faults = []
+                # Until the faulty one is chosen.
+                while self.books[0].next_faults:
+                    reply = self.call("/lookup/x")
+                    self.assertEqual(reply.status, 200)
+                    self.assertIn("/lookup/x", reply.body)
+
+    def test_failures_of_the_upstream_come_back_unchanged(self):
+        self.set_fault(self.books, "fail")
+        reply = self.call("/confirm/x", "POST", "contact")
+        self.assertEqual((reply.status, reply.body), (500, "oops"))
+        self.assertTrue(reply.headers["X-Response-Signature"].startswith("by-"))
+
+    def test_an_answer_without_length_is_whole_when_its_connection_ends_in_order(self):
+        self.set_fault(self.books, "unframed")
+        reply = self.call("/confirm/x", "POST", "contact")
+        self.assertEqual(reply.status, 200)
+        self.assertTrue(reply.body.endswith("contact"))
+
+    def test_surplus_bytes_reach_nobody(self):
+        self.set_fault(self.books, "extra")
+        for number in range(12):
+            self.assertEqual(self.call(f"/lookup/{number}").body.split(" ")[1], f"/lookup/{number}")
+
+    def test_an_answer_before_the_whole_body_ends_the_connection(self):
+        self.set_fault(self.books, "early")
+        reply = self.call("/confirm/x", "POST", "c" * 90000)
+        self.assertEqual(reply.status, 503)
+        self.set_fault(self.books, None)
+        reply = self.call("/confirm/x", "POST", "again")
+        self.assertTrue(reply.body.endswith("again"))
+
+    def test_an_upstream_that_takes_no_connection_costs_nobody_a_call(self):
+        self.books[0].listener.close()
+        for _ in range(10):
+            self.assertEqual(self.call("/confirm/x", "POST", "contact").status, 200)
+
+    def test_the_final_answer_comes_by_the_routes_timeout(self):
+        self.set_fault(self.books, "mute")
+        begin = time.monotonic()
+        self.assertEqual(self.call("/confirm/x", "POST", "contact", X_Deadline_Ms="60000").status, 504)
+        self.assertLess(time.monotonic() - begin, PATIENCE)
+        self.assertEqual(self.runs(self.books), 1)
+
+    # Streams.
+
+    def stream(self, path, **headers):
+        return self.call(path, "POST", "prompt", X_Prompt_Prefix="aa:500,bb:9000,cc:30", **headers)
+
+    def words(self, reply):
+        return [int(number) for number in re.findall(r"word(\d+)", reply.body)]
+
+    def test_a_stream_comes_whole_and_in_order(self):
+        reply = self.stream("/stream/once/x")
+        self.assertEqual(self.words(reply), [1, 2, 3, 4, 5, 6])
+        self.assertIsNone(reply.headers["X-Test-Broken"])
+
+    def test_a_context_stays_with_its_upstream(self):
+        for _ in range(6):
+            self.stream("/stream/once/x")
+        self.assertIn(6, [len(chat.runs()) for chat in self.chats])
+
+    def test_the_other_upstream_is_named_as_the_contexts_source(self):
+        self.stream("/stream/once/x")
+        chosen, other = (self.chats if self.chats[0].runs() else self.chats[::-1])
+        self.assertEqual(chosen.runs()[0]["headers"]["kv-fetch"], other.endpoint)
+
+    def test_a_broken_stream_is_taken_up_after_its_last_whole_event(self):
+        for chat in self.chats:
+            chat.stop_after = 4
+        chosen = self.chosen_for_streams()
+        chosen.next_faults = ["cut"]
+        reply = self.stream("/stream/again/x")
+        self.assertEqual(self.words(reply), [1, 2, 3, 4, 5, 6])
+        self.assertEqual(reply.headers["X-Response-Signature"], f"by-{chosen.instance}")
+        other = self.chats[1 - self.chats.index(chosen)]
+        self.assertEqual(other.runs()[-1]["headers"]["last-event-id"], "3")
+
+    def chosen_for_streams(self):
+        self.stream("/stream/again/x")
+        return max(self.chats, key=lambda chat: len(chat.runs()))
+
+    def test_a_stalled_stream_is_taken_up_elsewhere(self):
+        for chat in self.chats:
+            chat.stop_after = 3
+        chosen = self.chosen_for_streams()
+        chosen.next_faults = ["stall"]
+        self.assertEqual(self.words(self.stream("/stream/again/x")), [1, 2, 3, 4, 5, 6])
+
+    def test_a_stream_that_may_not_be_resumed_breaks_off(self):
+        for chat in self.chats:
+            chat.stop_after = 4
+            chat.fault = "cut"
+        reply = self.stream("/stream/once/x")
+        self.assertEqual((self.words(reply), reply.headers["X-Test-Broken"]), ([1, 2, 3], "1"))
+        self.assertEqual(self.runs(self.chats), 1)
+
+    def test_a_caller_that_leaves_cancels_its_stream(self):
+        for chat in self.chats:
+            chat.events, chat.event_pause = 100000, 0.01
+        connection = raw(self.entry.endpoint)
+        connection.sendall((f"POST /stream/once/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: leaving\r\nX-Api-Key: {KEY}\r\n"
+                            "Content-Length: 0\r\n\r\n").encode())
+        connection.recv(1000)
+        connection.close()
+        eventually(lambda: sum(chat.cancelled for chat in self.chats) == 1, "the upstream sees the caller's leaving")
+
+    # Configuration.
+
+    def test_a_new_configuration_is_in_force_at_once(self):
+        self.store.put("keyed.op", "config", manifest(9, tenants=[{"name": "club", "apiKeys": ["another-key"]}]))
+        eventually(lambda: self.call("/lookup/x").status == 401, "the key is gone")
+        self.assertEqual(self.call("/lookup/x", key="another-key").status, 200)
+
+    def test_an_older_configuration_never_comes_back(self):
+        self.store.put("keyed.op", "config", manifest(2, routes=[]))
+        self.store.put("keyed.op", "config", manifest(4))
+        eventually(lambda: any("settings-in-force version=4" in line for line in self.entry.lines), "version 4")
+        self.assertFalse(any("settings-in-force version=2" in line for line in self.entry.lines))
+
+    def test_a_configuration_that_cannot_be_read_changes_nothing_and_is_named(self):
+        broken = manifest(12)
+        broken["routes"][1]["timeoutMs"] = "soon"
+        self.store.put("keyed.op", "config", broken)
+        eventually(lambda: any("settings-rejected" in line and "routes[1].timeoutMs" in line for line in self.entry.lines), "the line")
+        self.assertEqual(self.call("/lookup/x").status, 200)
+
+    def test_forgotten_history_is_read_anew(self):
+        self.store.forget_history()
+        self.store.put("keyed.op", "config", manifest(7, routes=[]))
+        eventually(lambda: self.call("/lookup/x").status == 404, "version 7")
+
+    def test_keys_are_refused_when_the_configuration_is_too_old_and_taken_again(self):
+        self.store.mode = "busy"
+        refused = eventually(lambda: next((reply for reply in [self.call("/lookup/x")] if reply.status == 503), None), "refused")
+        self.assertEqual((refused.error()["reason"], refused.error()["verdict"]), ("settings-too-old", "not-run"))
+        self.assertEqual(refused.headers["Connection"], "close")
+        self.assertFalse(self.entry.is_ready())
+        self.assertEqual(self.call("/open/x", key=None).status, 200)
+        self.store.mode = "up"
+        eventually(self.entry.is_ready, "ready again")
+        self.assertEqual(self.call("/lookup/x").status, 200)
+        self.assertTrue(any("event=store-lost" in line for line in self.entry.lines))
+        eventually(lambda: any("event=store-regained" in line for line in self.entry.lines), "regained")
+
+    def test_a_process_that_was_paused_wakes_up_with_an_old_belief(self):
+        self.entry.process.send_signal(signal.SIGSTOP)
+        self.store.mode = "busy"
+        time.sleep(2.2)
+        self.entry.process.send_signal(signal.SIGCONT)
+        self.assertEqual(self.call("/lookup/x").status, 503)
+        self.assertEqual(self.runs(self.books), 0)
+
+    def test_a_daemon_without_a_configuration_refuses_as_not_run(self):
+        empty = Store()
+        self.addCleanup(empty.stop)
+        entry = Entry(empty)
+        self.addCleanup(entry.stop)
+        reply = request(entry.endpoint, "GET", "/lookup/x", headers={"Host": HOST, "X-Attempt-Id": "a", "X-Api-Key": KEY})
+        self.assertEqual((reply.status, reply.error()["reason"]), (503, "no-settings"))
+        self.assertEqual(entry.get_ready("/readyz").status, 503)
+
+    # Upstreams come and go.
+
+    def test_a_leaving_upstream_gets_no_new_requests(self):
+        self.store.put("keyed.servers", "book-1", self.books[0].record(state="draining"))
+        self.store.put("keyed.servers", "book-9", self.books[0].record(state="draining"))
+        marker = self.upstream("book-3", "book")
+        eventually(lambda: self.call("/lookup/x") and marker.runs(), "the list was read")
+        before = len(self.books[0].runs())
+        for _ in range(10):
+            self.call("/lookup/x")
+        self.assertEqual(len(self.books[0].runs()), before)
+
+    def test_what_lapses_while_the_store_is_away_stays_until_it_had_time_to_return(self):
+        self.store.mode = "busy"
+        eventually(lambda: any("event=store-lost" in line and "keyed.servers" in line for line in self.entry.lines), "lost")
+        time.sleep(0.5)
+        for book in self.books:
+            self.store.put("keyed.servers", book.instance, None)
+        self.store.mode = "up"
+        eventually(lambda: any("event=store-regained" in line and "keyed.servers" in line for line in self.entry.lines), "regained")
+        self.assertEqual(self.call("/open/x", key=None).status, 200)
+        eventually(lambda: self.call("/open/x", key=None).status == 503, "gone in the end")
+
+    def test_another_instance_at_the_address_runs_nothing(self):
+        self.books[0].instance = "of-another-service"
+        for _ in range(8):
+            self.assertEqual(self.call("/confirm/x", "POST", "contact").status in (200, 503), True)
+        self.assertEqual(self.books[0].runs(), [])
+
+    # Stopping.
+
+    def test_a_planned_stop_cuts_nothing_off(self):
+        for chat in self.chats:
+            chat.events, chat.event_pause = 40, 0.01
+        replies = []
+        caller = threading.Thread(target=lambda: replies.append(self.stream("/stream/once/x")))
+        caller.start()
+        eventually(lambda: self.runs(self.chats) == 1, "the stream runs")
+        self.entry.process.terminate()
+        eventually(lambda: not self.entry.is_ready(), "unready")
+        # The balancer has not noticed yet: requests still come and are served.
+        reply = self.call("/lookup/x")
+        self.assertEqual((reply.status, reply.headers["Connection"]), (200, "close"))
+        caller.join()
+        self.assertEqual(len(self.words(replies[0])), 40)
+        self.assertEqual(self.entry.process.wait(PATIENCE), 0)
+
+    def test_a_reload_cuts_nothing_off(self):
+        for chat in self.chats:
+            chat.events, chat.event_pause = 20, 0.01
+        replies = []
+        caller = threading.Thread(target=lambda: replies.append(self.stream("/stream/once/x")))
+        caller.start()
+        eventually(lambda: self.runs(self.chats) == 1, "the stream runs")
+        self.entry.process.send_signal(signal.SIGHUP)
+        caller.join()
+        self.assertEqual(len(self.words(replies[0])), 20)
+        self.assertTrue(any("event=reload" in line for line in self.entry.lines))
+
+    def test_metrics_are_served_beside_the_checks(self):
+        self.call("/lookup/x")
+        text = self.entry.get_ready("/metrics").body
+        self.assertIn("stagepost_answers_total 1", text)
+        self.assertIn("stagepost_settings_version 3", text)
+
+
+class WithoutAReader(unittest.TestCase):
+    def test_a_log_that_nobody_reads_blocks_nothing(self):
+        store = Store()
+        self.addCleanup(store.stop)
+        book = Upstream("book-1", "book")
+        self.addCleanup(book.stop)
+        store.put("keyed.servers", "book-1", book.record())
+        store.put("keyed.op", "config", manifest(3))
+        reader, writer = os.pipe()
+        ports = [free_port() for _ in range(2)]
+        process = subprocess.Popen(
+            [PROGRAM, "--name", "e", "--hall", "north", "--listen", f"127.0.0.1:{ports[0]}", "--ready-listen", f"127.0.0.1:{ports[1]}",
+             "--peer-listen", "127.0.0.1:0", "--store", store.endpoint],
+            stdout=writer)
+        os.close(writer)
+        self.addCleanup(os.close, reader)
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        endpoint = f"127.0.0.1:{ports[0]}"
+
+        def answers():
+            try:
+                return request(endpoint, "GET", "/open/x", headers={"Host": HOST, "X-Attempt-Id": "a"}).status == 200
+            except OSError:
+                return False
+
+        eventually(answers, "served")
+        # A line is some 500 bytes and a pipe holds 64 KiB.
+        for _ in range(300):
+            self.assertTrue(answers())
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return listener.getsockname()[1]
+
+
+class Settings(unittest.TestCase):
+    def refused(self, *arguments):
+        result = subprocess.run([PROGRAM, *arguments], capture_output=True, text=True, timeout=PATIENCE)
+        self.assertEqual(result.returncode, 2)
+        return result.stderr
+
+    def test_wrong_settings_name_flag_and_value(self):
+        self.assertIn("--name (or STAGEPOST_NAME) is missing", self.refused())
+        right = ["--name", "e", "--hall", "h", "--listen", "127.0.0.1:0", "--ready-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"]
+        self.assertIn("--store: 'nowhere' is not IP:PORT", self.refused(*right, "--store", "nowhere"))
+        right += ["--store", "127.0.0.1:1"]
+        self.assertIn("--retry-ratio = 'much'", self.refused(*right, "--retry-ratio", "much"))
+        self.assertIn("--key-bound-ms = '500'", self.refused(*right, "--key-bound-ms", "500"))
+        self.assertIn("--drain-s = '0'", self.refused(*right, "--drain-s", "0"))
+
+
+if __name__ == "__main__":
+    unittest.main()
