--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -193,10 +193,15 @@
         service->placement.othersCounted(counts, m_loop.now());
 }
 
+void Gateway::setPeers(std::vector<GatewayPeer> const& peers)
+{
+    m_peers.setPeers(peers);
+    m_board.setRetryShare(m_peers.share());
+}
+
 void Gateway::tick()
 {
     m_directory.tick(m_loop.now());
-    m_board.setRetryShare(m_peers.share());
     noteReadiness();
 }
 
@@ -241,6 +246,8 @@
 
 void Gateway::handle(std::shared_ptr<Exchange> const& exchange)
 {
+    // A belief grows too old by itself, between two ticks as well.
+    noteReadiness();
     auto routed = route(exchange->call());
     if (auto const* refusal = std::get_if<Refusal>(&routed)) {
         logEvent(LogLevel::Info, "request",
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -37,7 +37,9 @@
 
     // Whether this daemon is to read the store now, or others do it for it.
     bool needsStore() const { return m_peers.needsStore(m_loop.now()); }
-    GatewayPeers& peers() { return m_peers; }
+    // Begins to speak with other daemons, and takes who they are.
+    Result<void> join(GatewayPeer const& self, std::string const& key, Incarnation incarnation) { return m_peers.join(self, key, incarnation); }
+    void setPeers(std::vector<GatewayPeer> const&);
 
     // Turns unready at once, takes requests until the balancer has noticed, then
     // finishes what runs and calls back.
--- /dev/null
+++ b/Tests/LibMembership/TestStateExchange.cpp
@@ -0,0 +1,341 @@
+#include <LibBase/ProvenAge.h>
+#include <LibMembership/StateExchange.h>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <random>
+#include <rapidcheck.h>
+
+using namespace Stagepost;
+
+namespace {
+
+constexpr Microseconds step { 10000 };
+
+// A fleet of daemons on a network that delays, loses and cuts, before a store whose
+// state is one number that rises. Each daemon's belief is that number. Whatever
+// happens, a daemon must never take its belief for newer than it is.
+class Fleet {
+public:
+    struct Daemon {
+        VMId id;
+        HallId hall;
+        std::unique_ptr<StateExchange> exchange;
+        uint64_t belief { 0 };
+        ProvenAge age;
+        bool reachesStore { true };
+        bool isPaused { false };
+        size_t reads { 0 };
+        Instant readAt;
+        std::vector<UpstreamInFlight> own;
+        std::vector<UpstreamInFlight> others;
+    };
+
+    Fleet(size_t halls, size_t perHall, uint64_t seed)
+        : m_random(seed)
+    {
+        std::vector<StateExchange::Peer> peers;
+        for (size_t number = 0; number < halls * perHall; ++number) {
+            auto daemon = std::make_unique<Daemon>();
+            daemon->id = VMId(number + 1);
+            daemon->hall = HallId(number % halls + 1);
+            peers.push_back({ daemon->id, daemon->hall });
+            daemons.push_back(std::move(daemon));
+        }
+        for (auto& daemon : daemons) {
+            daemon->exchange = std::make_unique<StateExchange>(StateExchange::Peer { daemon->id, daemon->hall }, m_random(), StateExchange::Bounds {}, hooksOf(*daemon));
+            daemon->exchange->setPeers(peers);
+        }
+    }
+
+    // The state of the store changes.
+    void change()
+    {
+        m_versions.push_back({ m_now, ++store });
+    }
+
+    void run(Microseconds duration)
+    {
+        for (auto const end = m_now + duration; m_now < end; m_now += step) {
+            deliver();
+            for (auto& daemon : daemons)
+                turn(*daemon);
+            check();
+        }
+    }
+
+    Instant now() const { return m_now; }
+
+    std::vector<std::unique_ptr<Daemon>> daemons;
+    uint64_t store { 1 };
+    // Of a hundred messages.
+    unsigned lossShare { 0 };
+    Microseconds mostDelay { 5000 };
+    // Messages between these halls are lost.
+    std::optional<HallId> cutHall;
+    size_t violations { 0 };
+
+private:
+    struct InTransit {
+        Instant at;
+        size_t to;
+        VMId from;
+        std::string bytes;
+    };
+    struct Read {
+        Instant at;
+        size_t by;
+        Instant sentAt;
+        uint64_t value;
+    };
+    struct Fetch {
+        Instant at;
+        size_t by;
+        VMId from;
+        std::optional<Instant> provenAt;
+    };
+
+    StateExchange::Hooks hooksOf(Daemon& daemon)
+    {
+        return {
+            [this, &daemon](VMId to, std::string const& bytes) { send(daemon, to, bytes); },
+            [this, &daemon](VMId from, std::optional<Instant> provenAt) { m_fetches.push_back({ m_now + delay(), daemon.id.value() - 1, from, provenAt }); },
+            [&daemon] { return StateSummary { daemon.belief, daemon.belief }; },
+            [&daemon] { return daemon.age.provenAt(); },
+            [this, &daemon](Instant provenAt) { confirm(daemon, provenAt); },
+            [&daemon] { return daemon.own; },
+            [&daemon](auto const& others) { daemon.others = others; },
+        };
+    }
+
+    Microseconds delay() { return Microseconds(static_cast<int64_t>(m_random() % static_cast<uint64_t>(mostDelay.count()))); }
+
+    void send(Daemon const& from, VMId to, std::string const& bytes)
+    {
+        auto const index = to.value() - 1;
+        bool const isCut = cutHall && (from.hall == *cutHall) != (daemons[index]->hall == *cutHall);
+        if (isCut || m_random() % 100 < lossShare)
+            return;
+        m_transit.push_back({ m_now + delay(), index, from.id, bytes });
+    }
+
+    void confirm(Daemon& daemon, Instant provenAt)
+    {
+        daemon.age.confirm(provenAt);
+        daemon.exchange->proven(m_now);
+    }
+
+    // A paused daemon gets what has arrived when it wakes up, late.
+    template <typename Item, typename Apply>
+    void due(std::vector<Item>& items, Apply apply)
+    {
+        std::vector<Item> ready;
+        std::erase_if(items, [&](Item& item) {
+            if (item.at > m_now || daemons[target(item)]->isPaused)
+                return false;
+            ready.push_back(item);
+            return true;
+        });
+        for (auto const& item : ready)
+            apply(item);
+    }
+    static size_t target(InTransit const& item) { return item.to; }
+    static size_t target(Read const& item) { return item.by; }
+    static size_t target(Fetch const& item) { return item.by; }
+
+    void deliver()
+    {
+        due(m_transit, [this](InTransit const& item) { (void)daemons[item.to]->exchange->receive(item.from, item.bytes, m_now); });
+        due(m_reads, [this](Read const& read) {
+            auto& daemon = *daemons[read.by];
+            daemon.belief = std::max(daemon.belief, read.value);
+            confirm(daemon, read.sentAt);
+        });
+        due(m_fetches, [this](Fetch const& fetch) {
+            auto& daemon = *daemons[fetch.by];
+            daemon.belief = std::max(daemon.belief, daemons[fetch.from.value() - 1]->belief);
+            if (fetch.provenAt)
+                confirm(daemon, *fetch.provenAt);
+        });
+    }
+
+    void turn(Daemon& daemon)
+    {
+        if (daemon.isPaused)
+            return;
+        daemon.exchange->tick(m_now);
+        constexpr Microseconds readInterval { 500000 };
+        if (!daemon.reachesStore || !daemon.exchange->needsStore(m_now) || m_now - daemon.readAt < readInterval)
+            return;
+        daemon.readAt = m_now;
+        ++daemon.reads;
+        m_reads.push_back({ m_now + delay(), daemon.id.value() - 1, m_now, store });
+    }
+
+    // Whoever believes an older state takes it for proven only as of a time at
+    // which the next one was not there yet.
+    void check()
+    {
+        for (auto const& daemon : daemons) {
+            auto const provenAt = daemon->age.provenAt();
+            for (auto const& [at, version] : m_versions) {
+                if (provenAt && version > daemon->belief && at < *provenAt)
+                    ++violations;
+            }
+        }
+    }
+
+    std::mt19937_64 m_random;
+    Instant m_now { Microseconds(1000000) };
+    std::vector<InTransit> m_transit;
+    std::vector<Read> m_reads;
+    std::vector<Fetch> m_fetches;
+    std::vector<std::pair<Instant, uint64_t>> m_versions;
+};
+
+Microseconds oldest(Fleet const& fleet)
+{
+    Microseconds result { 0 };
+    for (auto const& daemon : fleet.daemons)
+        result = std::max(result, daemon->age.age(fleet.now()).value_or(Microseconds::max()));
+    return result;
+}
+
+size_t relays(Fleet const& fleet)
+{
+    size_t result = 0;
+    for (auto const& daemon : fleet.daemons)
+        result += daemon->exchange->isRelay() ? 1 : 0;
+    return result;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(StateExchangeTests)
+
+BOOST_AUTO_TEST_CASE(AFewReadsKeepAFleetFresh)
+{
+    Fleet fleet(3, 20, 1);
+    BOOST_TEST(relays(fleet) == 9u);
+    fleet.run(Seconds(5));
+    size_t before = 0;
+    for (auto const& daemon : fleet.daemons)
+        before += daemon->reads;
+    fleet.run(Seconds(20));
+    size_t reads = 0;
+    for (auto const& daemon : fleet.daemons)
+        reads += daemon->reads;
+    BOOST_TEST((oldest(fleet) < Milliseconds(1300)));
+    // Nine relays, twice a second.
+    BOOST_TEST(reads - before <= 9u * 2 * 20 + 9);
+    BOOST_TEST(fleet.violations == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(AChangeReachesAllWithinItsBound)
+{
+    Fleet fleet(3, 20, 2);
+    fleet.run(Seconds(5));
+    fleet.change();
+    fleet.run(Milliseconds(1500));
+    for (auto const& daemon : fleet.daemons)
+        BOOST_TEST(daemon->belief == fleet.store);
+}
+
+BOOST_AUTO_TEST_CASE(ADaemonThatCannotReadTheStoreIsKeptFreshByOthers)
+{
+    Fleet fleet(2, 4, 3);
+    for (size_t index = 0; index < 7; ++index)
+        fleet.daemons[index]->reachesStore = false;
+    fleet.run(Seconds(20));
+    fleet.change();
+    fleet.run(Seconds(4));
+    for (auto const& daemon : fleet.daemons)
+        BOOST_TEST(daemon->belief == fleet.store);
+    BOOST_TEST((oldest(fleet) < Seconds(3)));
+    BOOST_TEST(fleet.violations == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(APausedRelayIsReplacedWithinTheBound)
+{
+    Fleet fleet(1, 7, 4);
+    fleet.run(Seconds(5));
+    for (auto& daemon : fleet.daemons)
+        daemon->isPaused = daemon->exchange->isRelay();
+    for (int round = 0; round < 200; ++round) {
+        fleet.run(Milliseconds(50));
+        for (auto const& daemon : fleet.daemons) {
+            if (!daemon->isPaused)
+                BOOST_TEST((*daemon->age.age(fleet.now()) < Seconds(2)));
+        }
+    }
+    BOOST_TEST(fleet.violations == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(LoadsReachEveryDaemonAsSums)
+{
+    Fleet fleet(3, 20, 5);
+    for (auto& daemon : fleet.daemons)
+        daemon->own = { { UpstreamId(77), 2 } };
+    fleet.run(Seconds(6));
+    for (auto const& daemon : fleet.daemons) {
+        BOOST_REQUIRE(daemon->others.size() == 1u);
+        BOOST_TEST(daemon->others.front().count == 59u * 2);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(StampsOfAnEarlierProcessProveNothing)
+{
+    std::vector<std::string> sent;
+    std::optional<Instant> provenAt;
+    auto const hooks = StateExchange::Hooks {
+        [&](VMId, std::string const& bytes) { sent.push_back(bytes); }, [](VMId, auto) {}, [] { return StateSummary { 1, 1 }; }, [&] { return provenAt; },
+        [&](Instant at) { provenAt = at; }, [] { return std::vector<UpstreamInFlight> {}; }, [](auto const&) {}
+    };
+    StateExchange exchange({ VMId(1), HallId(1) }, 42, {}, hooks);
+    exchange.setPeers({ { VMId(2), HallId(1) } });
+    Instant const now { Seconds(100) };
+    StateMessage answer { StateMessage::Kind::Answer, 99000000, 41, { 1, 1 }, {} };
+    BOOST_TEST(exchange.receive(VMId(2), answer.encode(), now).has_value());
+    BOOST_TEST(!provenAt.has_value());
+    answer.askingProcess = 42;
+    BOOST_TEST(exchange.receive(VMId(2), answer.encode(), now).has_value());
+    BOOST_TEST((*provenAt == Instant(Seconds(99))));
+}
+
+// Delays, losses, pauses, cuts and changes in any order: no belief is ever taken
+// for newer than it is.
+BOOST_AUTO_TEST_CASE(NoBeliefIsTakenForNewerThanItIs)
+{
+    BOOST_TEST(rc::check("under any faults", [](uint64_t seed) {
+        std::mt19937_64 random(seed);
+        Fleet fleet(2, 5, seed);
+        for (int round = 0; round < 25; ++round) {
+            fleet.mostDelay = Milliseconds(1 + random() % 900);
+            fleet.lossShare = static_cast<unsigned>(random() % 40);
+            fleet.cutHall = random() % 4 ? std::nullopt : std::optional(HallId(1));
+            for (auto& daemon : fleet.daemons) {
+                daemon->isPaused = random() % 5 == 0;
+                daemon->reachesStore = random() % 3 != 0;
+            }
+            if (random() % 2)
+                fleet.change();
+            fleet.run(Milliseconds(50 + random() % 700));
+        }
+        RC_ASSERT(fleet.violations == 0u);
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(DamagedMessagesAreRefused)
+{
+    StateMessage message { StateMessage::Kind::Answer, 5, 6, { 7, 8 }, { { UpstreamId(9), 10 } } };
+    auto const bytes = message.encode();
+    BOOST_TEST(StateMessage::decode(bytes).has_value());
+    for (size_t length = 0; length < bytes.size(); ++length)
+        BOOST_TEST(!StateMessage::decode(std::string_view(bytes).substr(0, length)).has_value());
+    BOOST_TEST(rc::check("any bytes", [](std::string const& junk) {
+        auto const decoded = StateMessage::decode(junk);
+        bool const isBounded = !decoded || decoded->inFlight.size() < 10000;
+        RC_ASSERT(isBounded);
+    }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibMembership/TestUpstreamDirectory.cpp
@@ -0,0 +1,101 @@
+#include <LibMembership/UpstreamDirectory.h>
+#include <boost/test/unit_test.hpp>
+
+using namespace Stagepost;
+
+namespace {
+
+Instant at(double seconds)
+{
+    return Instant(Microseconds(static_cast<int64_t>(seconds * 1e6)));
+}
+
+UpstreamRecord record(std::string instance, bool isLeaving = false)
+{
+    return { std::move(instance), "chat", "10.0.0.1:80", "north", 4, isLeaving, Milliseconds(0) };
+}
+
+struct Directory {
+    size_t changes { 0 };
+    UpstreamDirectory directory { {}, [this] { ++changes; } };
+
+    // A read that was answered at once.
+    void confirm(double seconds) { directory.confirm(at(seconds), at(seconds)); }
+    bool has(std::string const& instance) const { return directory.records().contains(instance); }
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(UpstreamDirectoryTests)
+
+BOOST_AUTO_TEST_CASE(WhatIsTakenAwayIsGoneAtOnce)
+{
+    Directory world;
+    world.confirm(1);
+    world.directory.replace({ record("a"), record("b") }, at(1));
+    world.confirm(1.5);
+    world.directory.remove("a", at(1.5));
+    BOOST_TEST(!world.has("a"));
+    BOOST_TEST(world.has("b"));
+}
+
+BOOST_AUTO_TEST_CASE(ARecordThatSaysTheSameChangesNothing)
+{
+    Directory world;
+    world.confirm(1);
+    world.directory.put(record("a"), at(1));
+    auto const changes = world.changes;
+    world.directory.put(record("a"), at(1));
+    BOOST_TEST(world.changes == changes);
+    world.directory.put(record("a", true), at(1));
+    BOOST_TEST(world.changes == changes + 1);
+}
+
+BOOST_AUTO_TEST_CASE(WhatLapsedDuringAnOutageHasTimeToComeBack)
+{
+    Directory world;
+    world.confirm(1);
+    world.directory.replace({ record("a"), record("b"), record("c") }, at(1));
+    world.confirm(9);
+    world.directory.remove("a", at(9));
+    world.directory.remove("b", at(9));
+    BOOST_TEST(world.has("a"));
+    world.confirm(9.5);
+    world.directory.put(record("a"), at(9.5));
+    world.confirm(10.9);
+    world.directory.tick(at(10.9));
+    BOOST_TEST(world.has("b"));
+    world.confirm(11.1);
+    world.directory.tick(at(11.1));
+    BOOST_TEST(world.has("a"));
+    BOOST_TEST(!world.has("b"));
+    BOOST_TEST(world.has("c"));
+}
+
+BOOST_AUTO_TEST_CASE(AListReadAfterAnOutageHasTheSameGrace)
+{
+    Directory world;
+    world.confirm(1);
+    world.directory.replace({ record("a"), record("b") }, at(1));
+    world.confirm(9);
+    world.directory.replace({ record("b") }, at(9));
+    BOOST_TEST(world.has("a"));
+    world.confirm(11.5);
+    world.directory.tick(at(11.5));
+    BOOST_TEST(!world.has("a"));
+}
+
+BOOST_AUTO_TEST_CASE(TheHashTellsRecordsApartAndNotTimes)
+{
+    Directory first;
+    Directory second;
+    first.directory.replace({ record("a"), record("b") }, at(1));
+    auto cold = record("b");
+    cold.coldLeft = Milliseconds(500);
+    second.directory.replace({ cold, record("a") }, at(2));
+    BOOST_TEST(first.directory.hash() == second.directory.hash());
+    second.directory.put(record("b", true), at(2));
+    BOOST_TEST(first.directory.hash() != second.directory.hash());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibRouting/TestServicePlacement.cpp
@@ -0,0 +1,228 @@
+#include <LibRouting/Routing.h>
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <rapidcheck.h>
+
+using namespace Stagepost;
+
+namespace {
+
+Instant at(double seconds)
+{
+    return Instant(Microseconds(static_cast<int64_t>(seconds * 1e6)));
+}
+
+RandomHook seeded(uint64_t seed)
+{
+    return [engine = std::make_shared<std::mt19937_64>(seed)] { return (*engine)(); };
+}
+
+ServicePlacement placementOf(size_t upstreams, size_t ownHall = 0, uint64_t seed = 1)
+{
+    ServicePlacement placement({}, seeded(seed));
+    std::vector<ServiceUpstream> list;
+    for (size_t number = 1; number <= upstreams; ++number)
+        list.push_back({ UpstreamId(number), number <= ownHall, 4, false });
+    placement.setUpstreams(list);
+    return placement;
+}
+
+ServicePlacement::Wish wishFor(uint64_t context, bool isRepeatable = true)
+{
+    ServicePlacement::Wish wish;
+    wish.context = context;
+    wish.isRepeatable = isRepeatable;
+    return wish;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(ServicePlacementTests)
+
+BOOST_AUTO_TEST_CASE(AChainNamesAPartWithAllBeforeIt)
+{
+    PromptChain first;
+    first.add("a", 100);
+    first.add("b", 50);
+    first.add("own", 7);
+    PromptChain second;
+    second.add("x", 100);
+    second.add("b", 50);
+    second.add("own", 7);
+    BOOST_TEST(first.tokens() == 157u);
+    BOOST_TEST(*first.sharedKey() == first.parts()[1].key);
+    BOOST_TEST(*first.sharedKey() != *second.sharedKey());
+    BOOST_TEST(!PromptChain().sharedKey().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(DaemonsAgreeOnAContextsUpstreamWithoutAsking)
+{
+    auto one = placementOf(9, 0, 1);
+    auto other = placementOf(9, 0, 2);
+    for (uint64_t context = 1; context < 200; ++context)
+        BOOST_TEST((one.choose(wishFor(context), at(1))->upstream == other.choose(wishFor(context), at(1))->upstream));
+}
+
+BOOST_AUTO_TEST_CASE(AHotContextSpillsAndNamesItsHolder)
+{
+    auto placement = placementOf(9);
+    auto const first = placement.choose(wishFor(5), at(1))->upstream;
+    for (int request = 0; request < 5; ++request)
+        placement.started(first);
+    auto const spilled = placement.choose(wishFor(5), at(1));
+    BOOST_TEST((spilled->upstream != first));
+    BOOST_TEST((*spilled->contextSource == first));
+}
+
+BOOST_AUTO_TEST_CASE(AnUpstreamThatJoinsTakesItsContextsFromWhoHadThem)
+{
+    auto before = placementOf(9);
+    auto after = placementOf(10);
+    size_t moved = 0;
+    for (uint64_t context = 1; context < 500; ++context) {
+        auto const old = before.choose(wishFor(context), at(1))->upstream;
+        auto const now = after.choose(wishFor(context), at(1));
+        if (now->upstream == old)
+            continue;
+        ++moved;
+        BOOST_TEST((now->upstream == UpstreamId(10)));
+        BOOST_TEST((*now->contextSource == old));
+    }
+    BOOST_TEST(moved > 20u);
+    BOOST_TEST(moved < 90u);
+}
+
+BOOST_AUTO_TEST_CASE(ALeavingUpstreamGetsNothingAndStillGivesItsContexts)
+{
+    auto placement = placementOf(4);
+    auto const holder = placement.choose(wishFor(5), at(1))->upstream;
+    placement.leaving(holder);
+    auto const choice = placement.choose(wishFor(5), at(1));
+    BOOST_TEST((choice->upstream != holder));
+    BOOST_TEST((*choice->contextSource == holder));
+}
+
+BOOST_AUTO_TEST_CASE(WhatOthersHaveInFlightCountsAndFades)
+{
+    auto placement = placementOf(3);
+    auto const first = placement.choose(wishFor(5), at(1))->upstream;
+    placement.othersCounted({ { first, 30 } }, at(1));
+    BOOST_TEST((placement.choose(wishFor(5), at(1))->upstream != first));
+    BOOST_TEST((placement.choose(wishFor(5), at(60))->upstream == first));
+    placement.reported(first, { 30, 0, 64 }, at(60));
+    BOOST_TEST((placement.choose(wishFor(5), at(60))->upstream != first));
+}
+
+BOOST_AUTO_TEST_CASE(TheOwnHallIsTakenAmongEqualsAndLeftWhenItIsSlow)
+{
+    auto placement = placementOf(3, 1);
+    for (int request = 0; request < 10; ++request) {
+        BOOST_TEST((placement.choose({}, at(1))->upstream == UpstreamId(1)));
+        placement.started(UpstreamId(1));
+        placement.finished(UpstreamId(1), SendOutcome::Succeeded, Milliseconds(15), at(1));
+    }
+    for (uint64_t other : { 2, 3 }) {
+        placement.started(UpstreamId(other));
+        placement.finished(UpstreamId(other), SendOutcome::Succeeded, Milliseconds(15), at(1));
+    }
+    for (int request = 0; request < 10; ++request) {
+        placement.started(UpstreamId(1));
+        placement.finished(UpstreamId(1), SendOutcome::Succeeded, Milliseconds(75), at(1));
+    }
+    BOOST_TEST((placement.choose({}, at(1))->upstream != UpstreamId(1)));
+}
+
+BOOST_AUTO_TEST_CASE(AnUpstreamThatDoesNotAnswerIsTriedAgainByWhatMayBeRepeated)
+{
+    auto placement = placementOf(2);
+    for (int failure = 0; failure < 2; ++failure) {
+        placement.started(UpstreamId(1));
+        placement.finished(UpstreamId(1), SendOutcome::Broke, {}, at(10));
+    }
+    ServicePlacement::Wish once;
+    ServicePlacement::Wish repeatable;
+    repeatable.isRepeatable = true;
+    BOOST_TEST((placement.choose(repeatable, at(10.1))->upstream == UpstreamId(2)));
+    BOOST_TEST((placement.choose(once, at(11))->upstream == UpstreamId(2)));
+    BOOST_TEST((placement.choose(repeatable, at(11))->upstream == UpstreamId(1)));
+    // The one trial is out.
+    BOOST_TEST((placement.choose(repeatable, at(11))->upstream == UpstreamId(2)));
+    placement.started(UpstreamId(1));
+    placement.finished(UpstreamId(1), SendOutcome::Succeeded, Milliseconds(10), at(11));
+    BOOST_TEST((placement.choose(once, at(11)).has_value()));
+}
+
+BOOST_AUTO_TEST_CASE(AFailingMinorityIsPassedOverAndAFailingServiceIsNot)
+{
+    auto placement = placementOf(4);
+    auto const fail = [&](uint64_t upstream) {
+        for (int request = 0; request < 6; ++request) {
+            placement.started(UpstreamId(upstream));
+            placement.finished(UpstreamId(upstream), SendOutcome::Failed, Milliseconds(10), at(1));
+        }
+    };
+    auto const chosen = [&] {
+        std::set<UpstreamId> result;
+        for (uint64_t context = 1; context < 100; ++context)
+            result.insert(placement.choose(wishFor(context), at(1))->upstream);
+        return result;
+    };
+    fail(1);
+    BOOST_TEST(!chosen().contains(UpstreamId(1)));
+    fail(2);
+    fail(3);
+    BOOST_TEST(chosen().size() == 4u);
+}
+
+BOOST_AUTO_TEST_CASE(AServiceWithoutUpstreamsHasNone)
+{
+    auto placement = placementOf(1);
+    ServicePlacement::Wish wish;
+    wish.excluded = { UpstreamId(1) };
+    BOOST_TEST(!placement.choose(wish, at(1)).has_value());
+}
+
+// However the requests of a fleet fall, and whatever its daemons' shares of them
+// are, no window of the fleet has more retries than the budget.
+BOOST_AUTO_TEST_CASE(TheFleetsRetriesStayWithinTheBudget)
+{
+    BOOST_TEST(rc::check("any window of ten seconds", [](uint64_t seed, uint8_t daemons, uint8_t skew) {
+        std::mt19937_64 random(seed);
+        auto const count = size_t { 1 } + daemons % 8;
+        RetryBudget::Bounds const bounds { 0.2, 50, Seconds(10) };
+        std::vector<RetryBudget> budgets(count, RetryBudget(bounds));
+        for (auto& budget : budgets)
+            budget.setShare(1.0 / static_cast<double>(count));
+        std::vector<double> requests;
+        std::vector<double> retries;
+        for (int step = 0; step < 600; ++step) {
+            auto const now = at(100 + step * 0.1);
+            requests.push_back(0);
+            retries.push_back(0);
+            auto const rate = 1 + (step / 100) % 3 * skew % 20;
+            for (int request = 0; request < rate; ++request) {
+                auto& budget = budgets[random() % count * (random() % 3 ? 1 : 0)];
+                budget.requested(now);
+                ++requests.back();
+                // Everything fails, and is sent again as often as may be.
+                while (budget.mayRetry(now)) {
+                    budget.retried(now);
+                    ++retries.back();
+                }
+            }
+        }
+        constexpr size_t window = 100;
+        auto const sumOf = [](std::vector<double> const& list, size_t end, size_t length) {
+            double sum = 0;
+            for (size_t index = end > length ? end - length : 0; index < end; ++index)
+                sum += list[index];
+            return sum;
+        };
+        for (size_t end = 1; end <= retries.size(); ++end) {
+            auto const asked = std::max({ sumOf(requests, end, window), sumOf(requests, end > window / 2 ? end - window / 2 : 0, window), sumOf(requests, end > window ? end - window : 0, window) });
+            RC_ASSERT(sumOf(retries, end, window) <= bounds.ratio * asked + bounds.slack);
+        }
+    }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibSettings/TestRouteTable.cpp
@@ -0,0 +1,67 @@
+#include <LibSettings/RouteTable.h>
+#include <boost/test/unit_test.hpp>
+
+using namespace Stagepost;
+
+namespace {
+
+Route route(std::string name, std::string host, std::string prefix)
+{
+    Route result;
+    result.name = std::move(name);
+    result.host = std::move(host);
+    result.pathPrefix = std::move(prefix);
+    return result;
+}
+
+RouteTable table()
+{
+    RouteTable::Parts parts;
+    parts.version = 7;
+    parts.routes = { route("short", "a.example", "/a/"), route("long", "a.example", "/a/b/"), route("other", "b.example", "/a/") };
+    parts.organisations = { { "club", 3 }, { "dealer", {} } };
+    parts.organisationByKey = { { "k1", 0 }, { "k2", 1 } };
+    parts.services = { { "chat", 10, 1000, true } };
+    return RouteTable(std::move(parts));
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(RouteTableTests)
+
+BOOST_AUTO_TEST_CASE(TheLongestPrefixOfTheHostWins)
+{
+    auto const routes = table();
+    BOOST_TEST(routes.find("a.example", "/a/b/c")->name == "long");
+    BOOST_TEST(routes.find("a.example", "/a/bc")->name == "short");
+    BOOST_TEST(routes.find("b.example:8080", "/a/b/c")->name == "other");
+    BOOST_TEST(!routes.find("a.example", "/a"));
+    BOOST_TEST(!routes.find("c.example", "/a/"));
+}
+
+BOOST_AUTO_TEST_CASE(KeysNameTheirOrganisation)
+{
+    auto const routes = table();
+    BOOST_TEST(routes.organisationOf("k1")->name == "club");
+    BOOST_TEST(*routes.organisationOf("k1")->priority == 3u);
+    BOOST_TEST(routes.organisationOf("k2")->name == "dealer");
+    BOOST_TEST(!routes.organisationOf("k3"));
+    BOOST_TEST(routes.service("chat")->movesContexts);
+    BOOST_TEST(!routes.service("none"));
+}
+
+BOOST_AUTO_TEST_CASE(OnlyResumableStreamsAndRepeatableRequestsMayRunAgain)
+{
+    Route once;
+    BOOST_TEST(!once.isRepeatable());
+    once.kind = RequestKind::Stream;
+    BOOST_TEST(!once.isRepeatable());
+    once.isResumable = true;
+    BOOST_TEST(once.isRepeatable());
+    once.kind = RequestKind::Once;
+    BOOST_TEST(!once.isRepeatable());
+    once.kind = RequestKind::Repeatable;
+    BOOST_TEST(once.isRepeatable());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/platform/TestPlatformReaders.cpp
@@ -0,0 +1,219 @@
+#include <LibBase/Hash.h>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <platform/ManifestReader.h>
+#include <platform/PlatformDialect.h>
+#include <platform/StoreClient.h>
+#include <platform/UpstreamRecordReader.h>
+#include <rapidcheck.h>
+#include <stagepostd/GatewayReply.h>
+#include <stagepostd/GatewayState.h>
+
+using namespace Stagepost;
+using Json = nlohmann::json;
+
+namespace {
+
+Json manifest()
+{
+    return Json::parse(R"({"version":7,
+      "routes":[
+        {"name":"digest","host":"a.example","pathPrefix":"/d/","kind":"streaming","timeoutMs":12000,"targetLatencyMs":1200,"priority":1,
+         "split":[{"service":"chat","weight":90},{"service":"new","weight":10}],"maxAttempts":2,"public":false,"sticky":true,"resumable":true,"targetGapMs":400},
+        {"name":"confirm","host":"a.example","pathPrefix":"/c/","kind":"unsafe","timeoutMs":600,"targetLatencyMs":100,"priority":2,"service":"book","maxAttempts":1}],
+      "services":[{"name":"chat","healthPath":"/healthz","maxConns":360,"engine":{"kvCapacityTokens":423882,"moves":true}},{"name":"book","maxConns":100}],
+      "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+      "tenants":[{"name":"club","apiKeys":["k1","k2"],"priority":1}],"fieldOfLater":{}})");
+}
+
+// What is said of a configuration that differs in one place.
+std::string errorWith(char const* pointer, Json const& value)
+{
+    auto changed = manifest();
+    changed[Json::json_pointer(pointer)] = value;
+    auto const parts = readManifest(changed.dump());
+    return parts ? std::string() : parts.error().detail;
+}
+
+bool mentions(std::string const& text, std::string const& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+std::string recordBytes(std::string const& key, std::string const& value)
+{
+    auto const size = 1 + key.size() + value.size();
+    std::string bytes { 0, 0, static_cast<char>(size >> 8), static_cast<char>(size) };
+    bytes += static_cast<char>(key.size());
+    return bytes + key + value;
+}
+
+HttpCall call(std::initializer_list<HttpField> fields)
+{
+    return { "POST", "/d/x", HttpFields(fields), "body" };
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(PlatformReaderTests)
+
+BOOST_AUTO_TEST_CASE(AConfigurationIsDecodedWhole)
+{
+    auto const parts = readManifest(manifest().dump());
+    BOOST_REQUIRE(parts.has_value());
+    BOOST_TEST(parts->version == 7u);
+    auto const& digest = parts->routes.at(0);
+    BOOST_TEST((digest.kind == RequestKind::Stream && digest.isResumable && digest.keepsContext && !digest.isPublic));
+    BOOST_TEST((digest.timeout == Milliseconds(12000) && digest.latencyObjective == Milliseconds(1200) && digest.gapObjective == Milliseconds(400)));
+    BOOST_TEST(digest.shares.at(1).weight == 10u);
+    auto const& confirm = parts->routes.at(1);
+    BOOST_TEST((confirm.kind == RequestKind::Once && confirm.mostAttempts == 1u && confirm.shares.at(0).service == "book"));
+    BOOST_TEST(parts->services.at(0).contextTokens == 423882u);
+    BOOST_TEST(parts->services.at(0).movesContexts);
+    BOOST_TEST(!parts->services.at(1).movesContexts);
+    BOOST_TEST(parts->organisationByKey.at("k2") == 0u);
+    BOOST_TEST(parts->hasOrganisations);
+    BOOST_TEST(parts->limits.bodyBytes == 4194304u);
+}
+
+BOOST_AUTO_TEST_CASE(WrongFieldsAreNamed)
+{
+    BOOST_TEST(mentions(errorWith("/version", "seven"), "configuration.version must be a number"));
+    BOOST_TEST(mentions(errorWith("/routes/1/timeoutMs", -5), "routes[1].timeoutMs"));
+    BOOST_TEST(mentions(errorWith("/routes/0/host", nullptr), "routes[0].host must be a text and is nothing"));
+    BOOST_TEST(mentions(errorWith("/routes/0/split/0/weight", "x"), "split.weight"));
+    BOOST_TEST(mentions(errorWith("/services/0/name", 3), "services[0].name"));
+    BOOST_TEST(mentions(errorWith("/tenants/0/apiKeys/0", 3), "tenants[0].apiKeys"));
+    BOOST_TEST(mentions(errorWith("/limits/maxBodyBytes", "much"), "limits.maxBodyBytes"));
+    BOOST_TEST(!readManifest("[]").has_value());
+    BOOST_TEST(!readManifest("{").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AnUnknownKindIsRunAtMostOnce)
+{
+    auto changed = manifest();
+    changed["routes"][0]["kind"] = "of-a-later-release";
+    auto const parts = readManifest(changed.dump());
+    BOOST_TEST((parts->routes.at(0).kind == RequestKind::Once));
+}
+
+BOOST_AUTO_TEST_CASE(WithoutAListOfOrganisationsNobodyNeedsAKey)
+{
+    auto changed = manifest();
+    changed.erase("tenants");
+    BOOST_TEST(!readManifest(changed.dump())->hasOrganisations);
+    changed["tenants"] = Json::array();
+    BOOST_TEST(readManifest(changed.dump())->hasOrganisations);
+}
+
+BOOST_AUTO_TEST_CASE(AnUpstreamsRecordIsDecoded)
+{
+    auto const record = readUpstreamRecord("i-1", R"({"service":"chat","address":"10.1.1.1:80","zone":"north","slots":64,"state":"draining","coldLeftMs":20,"seq":4})");
+    BOOST_REQUIRE(record.has_value());
+    BOOST_TEST((*record == UpstreamRecord { "i-1", "chat", "10.1.1.1:80", "north", 64, true, Milliseconds(20) }));
+    BOOST_TEST(mentions(readUpstreamRecord("i-1", R"({"service":"chat"})").error().detail, "i-1.address"));
+    BOOST_TEST(!readUpstreamRecord("i-1", "x").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(RecordsOfTheStoreAreDecoded)
+{
+    auto const bytes = std::string(16, '\0') + recordBytes("config", "{}") + recordBytes("gone", "");
+    auto const records = parseKeyedRecords(bytes, Offset(40));
+    BOOST_REQUIRE(records.has_value());
+    BOOST_TEST(records->next.value() == 42u);
+    BOOST_TEST(records->records.at(0).key == "config");
+    BOOST_TEST(*records->records.at(0).value == "{}");
+    BOOST_TEST(!records->records.at(1).value.has_value());
+    for (size_t length = 0; length < bytes.size(); ++length) {
+        auto const cut = parseKeyedRecords(std::string_view(bytes).substr(0, length), Offset(40));
+        BOOST_TEST((!cut || cut->records.size() < 2));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(CallersRequestsAreDecoded)
+{
+    auto const dialect = platformDialect();
+    auto const read = dialect.readCall(call({ { "X-Attempt-Id", "9c" }, { "X-Api-Key", "k" }, { "X-Deadline-Ms", "1200" }, { "X-Prompt-Prefix", "5c:800,91:410,e4:250" }, { "Last-Event-Id", "12" } }));
+    BOOST_TEST(read.id == "9c");
+    BOOST_TEST(read.key == "k");
+    BOOST_TEST((read.timeLeft == Milliseconds(1200)));
+    BOOST_TEST(read.prompt.parts().size() == 3u);
+    BOOST_TEST(read.prompt.tokens() == 1460u);
+    BOOST_TEST(*read.lastEvent == 12u);
+    BOOST_TEST(!dialect.readCall(call({ { "X-Deadline-Ms", "soon" } })).timeLeft.has_value());
+    BOOST_TEST(readPromptParts("5c:800,broken,e4:250").parts().size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(UpstreamsAreToldWhatCallersCannotForge)
+{
+    auto const dialect = platformDialect();
+    auto const original = call({ { "X-Api-Key", "k" }, { "x-tenant", "forged" }, { "X-Expect-Instance", "forged" }, { "X-Hold", "h" }, { "Kv-From", "x" }, { "X-Other", "kept" }, { "X-Deadline-Ms", "9999" } });
+    GatewaySend send { "i-1", "club", 12, Milliseconds(300), 4, "10.0.0.1:80" };
+    auto const written = dialect.writeCall(original, send);
+    auto const has = [&](char const* name, char const* value) { return written.headers.find(name) == value; };
+    BOOST_TEST((has("X-Tenant", "club") && has("X-Expect-Instance", "i-1") && has("X-Request-Priority", "9")));
+    BOOST_TEST((has("X-Deadline-Ms", "300") && has("Last-Event-Id", "4") && has("Kv-Fetch", "10.0.0.1:80") && has("X-Other", "kept")));
+    BOOST_TEST((!written.headers.contains("X-Api-Key") && !written.headers.contains("X-Hold") && !written.headers.contains("Kv-From")));
+    BOOST_TEST((written.body == "body" && written.target == "/d/x"));
+    send.organisation.clear();
+    BOOST_TEST(!dialect.writeCall(original, send).headers.contains("X-Tenant"));
+}
+
+BOOST_AUTO_TEST_CASE(AnswersSayWhetherTheRequestHasRun)
+{
+    auto const dialect = platformDialect();
+    BOOST_TEST(dialect.readAnswerHead(503, { { "X-Not-Executed", "1" } }).isNotRun);
+    BOOST_TEST(dialect.readAnswerHead(421, {}).isNotRun);
+    BOOST_TEST(!dialect.readAnswerHead(503, {}).isNotRun);
+    auto const head = dialect.readAnswerHead(200, { { "X-Response-Signature", "s" }, { "X-Server-Load", "3,1,8" } });
+    BOOST_TEST(head.isSigned);
+    BOOST_TEST((head.load->running == 3u && head.load->waiting == 1u && head.load->slots == 8u));
+    BOOST_TEST(!dialect.readAnswerHead(200, { { "X-Server-Load", "3,1" } }).load.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(OnlyWhatHasNotRunIsRefusedAsSuch)
+{
+    for (size_t index = 0; index < static_cast<size_t>(RefusalReason::Count); ++index) {
+        auto const reason = static_cast<RefusalReason>(index);
+        for (auto const verdict : { Verdict::MayHaveRun, Verdict::Ran }) {
+            auto const reply = gatewayReply({ reason, verdict, "", Milliseconds(100) });
+            BOOST_TEST((reply.status != 503 && !reply.headers.contains("Retry-After")));
+        }
+    }
+    auto const reply = gatewayReply({ RefusalReason::UpstreamBroken, Verdict::NotRun, "", Milliseconds(50) });
+    BOOST_TEST(reply.status == 503u);
+    BOOST_TEST(reply.headers.find("Retry-After") == "0.050");
+    BOOST_TEST(gatewayStatusOf({ RefusalReason::UnknownKey, Verdict::NotRun, "", {} }) == 401u);
+}
+
+BOOST_AUTO_TEST_CASE(AStateIsReadAsItWasWritten)
+{
+    GatewayState state { 9, "{text}", { { "i-1", "chat", "10.1.1.1:80", "north", 64, true, Milliseconds(20) } } };
+    auto const bytes = state.encode();
+    auto const decoded = GatewayState::decode(bytes);
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST((decoded->settingsVersion == 9u && decoded->settingsText == "{text}" && decoded->upstreams == state.upstreams));
+    for (size_t length = 0; length < bytes.size(); ++length)
+        BOOST_TEST(!GatewayState::decode(std::string_view(bytes).substr(0, length)).has_value());
+}
+
+// Whatever bytes come from outside, a reader answers with a value or an error.
+BOOST_AUTO_TEST_CASE(NoBytesBreakAReader)
+{
+    auto const dialect = platformDialect();
+    BOOST_TEST(rc::check("any bytes", [&](std::string const& junk, uint16_t position, uint8_t replacement) {
+        auto damaged = manifest().dump();
+        damaged[position % damaged.size()] = static_cast<char>(replacement);
+        (void)readManifest(damaged);
+        (void)readManifest(junk);
+        (void)readUpstreamRecord("i", junk);
+        (void)parseKeyedRecords(junk, Offset(0));
+        (void)GatewayState::decode(junk);
+        (void)readPromptParts(junk);
+        (void)dialect.readCall({ "GET", junk, { { "X-Prompt-Prefix", junk }, { "X-Deadline-Ms", junk }, { "Last-Event-Id", junk } }, junk });
+        (void)dialect.readAnswerHead(200, { { "X-Server-Load", junk } });
+        RC_SUCCEED();
+    }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
