stagepostd: Read a newer configuration from the store, and send changes as changes

Daemons with links of 10 Mbit/s served the whole state, some 100 KB, to eight others at once, on which streams stood. Ruled out: shared loads (a trial without them was the same); pauses of the process (none over 50 ms; a line 'stalled' tells from now on).

Small changes of the list ride on the answers; the list goes without the settings; a newer configuration is read from the store and taken from a daemon only if that fails.

--- a/Libraries/LibMembership/Members.h
+++ b/Libraries/LibMembership/Members.h
@@ -11,3 +11,4 @@
 #include <LibMembership/StateMessage.h>
 #include <LibMembership/UpdateQueue.h>
 #include <LibMembership/UpstreamDirectory.h>
+#include <LibMembership/UpstreamRecord.h>
--- a/Libraries/LibMembership/StateExchange.cpp
+++ b/Libraries/LibMembership/StateExchange.cpp
@@ -122,7 +122,8 @@
     m_asked = whom;
     if (!m_unansweredSince)
         m_unansweredSince = now;
-    StateMessage const message { StateMessage::Kind::Ask, static_cast<uint64_t>(stampOf(now).count()), m_process, m_hooks.summary(), m_hooks.ownInFlight() };
+    m_askedWith = m_hooks.summary();
+    StateMessage const message { StateMessage::Kind::Ask, static_cast<uint64_t>(stampOf(now).count()), m_process, m_askedWith, m_hooks.ownInFlight(), {} };
     m_hooks.send(*whom, message.encode());
 }
 
@@ -140,14 +141,14 @@
 
 void StateExchange::sendLoads(Instant now)
 {
+    if (now < m_nextLoadsAt)
+        return;
     auto sums = sum({}, false, now);
     auto const bytes = (messageBytes + entryBytes * static_cast<double>(sums.size())) * static_cast<double>(m_otherRelays.size());
     Microseconds const affordable { static_cast<int64_t>(1e6 * bytes / m_bounds.loadsBytesPerSecond) };
-    if (now - m_loadsSentAt < std::max(m_bounds.loadsInterval, affordable))
-        return;
-    m_loadsSentAt = now;
+    m_nextLoadsAt = now + std::max(m_bounds.loadsInterval, affordable);
     m_hooks.othersInFlight(sum(m_self.id, true, now));
-    StateMessage const message { StateMessage::Kind::Loads, 0, 0, m_hooks.summary(), std::move(sums) };
+    StateMessage const message { StateMessage::Kind::Loads, 0, 0, m_hooks.summary(), std::move(sums), {} };
     auto const encoded = message.encode();
     for (auto const relay : m_otherRelays)
         m_hooks.send(relay, encoded);
@@ -182,7 +183,7 @@
     auto message = TRY(StateMessage::decode(bytes));
     switch (message.kind) {
     case StateMessage::Kind::Ask:
-        m_waiting.push_back({ from, message.stamp, message.askingProcess, now });
+        m_waiting.push_back({ from, message.stamp, message.askingProcess, message.summary.upstreamsHash, now });
         m_group[from] = { std::move(message.inFlight), now };
         break;
     case StateMessage::Kind::Answer:
@@ -209,18 +210,21 @@
     auto const provenAt = m_hooks.provenAt();
     if (message.askingProcess != m_process || stamp > now || (provenAt && stamp <= *provenAt))
         return;
+    // Changes lead on from the list that was asked with, and from no other.
+    if (!message.changes.empty() && m_hooks.summary().upstreamsHash == m_askedWith.upstreamsHash)
+        m_hooks.applyChanges(message.changes, stamp);
     auto const own = m_hooks.summary();
     bool const isUpToDate = message.summary.settingsVersion <= own.settingsVersion && message.summary.upstreamsHash == own.upstreamsHash;
     if (isUpToDate)
         m_hooks.confirmed(stamp);
     else
-        m_hooks.fetch(from, stamp);
+        m_hooks.differs(from, message.summary, stamp);
 }
 
 void StateExchange::takeNews(VMId from, StateMessage const& message)
 {
     if (message.summary.settingsVersion > m_hooks.summary().settingsVersion)
-        m_hooks.fetch(from, {});
+        m_hooks.differs(from, message.summary, {});
 }
 
 void StateExchange::proven(Instant now)
@@ -238,14 +242,14 @@
     });
     auto const summary = m_hooks.summary();
     for (auto const& [to, ask] : answers) {
-        StateMessage const message { StateMessage::Kind::Answer, ask.stamp, ask.askingProcess, summary, sum(to, true, now) };
+        StateMessage const message { StateMessage::Kind::Answer, ask.stamp, ask.askingProcess, summary, sum(to, true, now), m_hooks.changesSince(ask.upstreamsHash) };
         m_hooks.send(to, message.encode());
     }
 }
 
 void StateExchange::changed(Instant)
 {
-    StateMessage const message { StateMessage::Kind::News, 0, 0, m_hooks.summary(), {} };
+    StateMessage const message { StateMessage::Kind::News, 0, 0, m_hooks.summary(), {}, {} };
     auto const encoded = message.encode();
     for (auto const& [id, sums] : m_group)
         m_hooks.send(id, encoded);
--- a/Libraries/LibMembership/StateExchange.h
+++ b/Libraries/LibMembership/StateExchange.h
@@ -45,14 +45,17 @@
 
     struct Hooks {
         std::function<void(VMId to, std::string bytes)> send;
-        // Get the whole state from that daemon. With a time, it is proven as of
-        // then; without one, only a configuration of a higher version counts.
-        std::function<void(VMId from, std::optional<Instant> provenAt)> fetch;
+        // That daemon believes something else, proven as of the time or not at all.
+        std::function<void(VMId from, StateSummary const&, std::optional<Instant> provenAt)> differs;
         std::function<StateSummary()> summary;
         // As of when all of the own beliefs are proven.
         std::function<std::optional<Instant>()> provenAt;
         // The own beliefs are right as of then.
         std::function<void(Instant)> confirmed;
+        // What has changed since a list of that hash, if that is known and little.
+        std::function<std::vector<UpstreamChange>(uint64_t upstreamsHash)> changesSince;
+        // Changes the own list of upstreams, which is older than the time.
+        std::function<void(std::vector<UpstreamChange> const&, Instant provenAt)> applyChanges;
         std::function<std::vector<UpstreamInFlight>()> ownInFlight;
         // What all other daemons have in flight.
         std::function<void(std::vector<UpstreamInFlight> const&)> othersInFlight;
@@ -88,6 +91,7 @@
         VMId from;
         uint64_t stamp { 0 };
         uint64_t askingProcess { 0 };
+        uint64_t upstreamsHash { 0 };
         Instant arrivedAt;
     };
     struct Sums {
@@ -117,12 +121,13 @@
     std::map<VMId, Instant> m_suspectedUntil;
     std::optional<VMId> m_asked;
     Instant m_askedAt;
+    StateSummary m_askedWith;
     std::optional<Instant> m_unansweredSince;
     std::vector<WaitingAsk> m_waiting;
     // By the daemons that ask this one, and by the other relays.
     std::map<VMId, Sums> m_group;
     std::map<VMId, Sums> m_relays;
-    Instant m_loadsSentAt;
+    Instant m_nextLoadsAt;
 };
 
 }
--- a/Libraries/LibMembership/StateMessage.cpp
+++ b/Libraries/LibMembership/StateMessage.cpp
@@ -18,6 +18,13 @@
         writer.id(upstream);
         writer.number(count);
     }
+    writer.number(changes.size());
+    for (auto const& change : changes) {
+        writer.text(change.instance);
+        writer.number(change.record ? 1 : 0);
+        if (change.record)
+            write(writer, *change.record);
+    }
     return writer.release();
 }
 
@@ -36,6 +43,13 @@
         auto const upstream = reader.id<UpstreamId>();
         message.inFlight.push_back({ upstream, reader.number() });
     }
+    auto const changeCount = reader.count();
+    for (size_t index = 0; index < changeCount && !reader.failed(); ++index) {
+        auto& change = message.changes.emplace_back();
+        change.instance = reader.text();
+        if (reader.number())
+            change.record = readUpstreamRecord(reader);
+    }
     if (!reader.finished() || kind > static_cast<uint64_t>(Kind::Loads))
         return Error(ErrorCode::Malformed, "a state message is not understood");
     return message;
--- a/Libraries/LibMembership/StateMessage.h
+++ b/Libraries/LibMembership/StateMessage.h
@@ -3,6 +3,7 @@
 #include <LibBase/Ids.h>
 #include <LibBase/Result.h>
 #include <LibBase/Time.h>
+#include <LibMembership/UpstreamRecord.h>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,6 +48,9 @@
     uint64_t askingProcess { 0 };
     StateSummary summary;
     std::vector<UpstreamInFlight> inFlight;
+    // In an answer: what leads from the asker's list of upstreams to the summary's,
+    // where that is little. An asker that comes to another list takes the whole.
+    std::vector<UpstreamChange> changes;
 
     std::string encode() const;
     // Error: Malformed.
--- a/Libraries/LibMembership/UpstreamDirectory.cpp
+++ b/Libraries/LibMembership/UpstreamDirectory.cpp
@@ -1,6 +1,6 @@
 #include <LibMembership/UpstreamDirectory.h>
 
-#include <LibBase/Hash.h>
+#include <algorithm>
 #include <set>
 
 namespace Stagepost {
@@ -16,26 +16,60 @@
 void UpstreamDirectory::put(UpstreamRecord record, Instant)
 {
     m_lapsed.erase(record.instance);
-    auto& known = m_records[record.instance];
-    if (known == record)
+    auto const instance = record.instance;
+    auto const known = m_records.find(instance);
+    if (known != m_records.end() && known->second == record)
         return;
-    known = std::move(record);
+    bool const isNews = known == m_records.end() || known->second.hash() != record.hash();
+    auto const before = known == m_records.end() ? 0 : known->second.hash();
+    auto const after = record.hash();
+    m_records[instance] = std::move(record);
+    if (isNews)
+        noteChange(instance, before ^ after);
     m_changed();
 }
 
 void UpstreamDirectory::remove(std::string const& instance, Instant now)
 {
-    if (!m_records.contains(instance))
+    auto const known = m_records.find(instance);
+    if (known == m_records.end())
         return;
     if (isGracious(now)) {
         m_lapsed.emplace(instance, m_graceUntil);
         return;
     }
+    auto const before = known->second.hash();
     m_lapsed.erase(instance);
-    m_records.erase(instance);
+    m_records.erase(known);
+    noteChange(instance, before);
     m_changed();
 }
 
+// The hash of all is the sum of each without regard to order, so that a change
+// of one costs nothing but its own.
+void UpstreamDirectory::noteChange(std::string const& instance, uint64_t difference)
+{
+    auto const found = m_records.find(instance);
+    UpstreamChange change { instance, found == m_records.end() ? std::nullopt : std::optional(found->second) };
+    m_history.push_back({ m_hash, std::move(change) });
+    if (m_history.size() > longestHistory)
+        m_history.pop_front();
+    m_hash ^= difference;
+}
+
+std::optional<std::vector<UpstreamChange>> UpstreamDirectory::changesSince(uint64_t hash) const
+{
+    std::vector<UpstreamChange> changes;
+    if (hash == m_hash)
+        return changes;
+    auto const found = std::find_if(m_history.rbegin(), m_history.rend(), [hash](auto const& past) { return past.hashBefore == hash; });
+    if (found == m_history.rend())
+        return {};
+    for (auto past = found.base() - 1; past != m_history.end(); ++past)
+        changes.push_back(past->change);
+    return changes;
+}
+
 void UpstreamDirectory::replace(std::vector<UpstreamRecord> const& list, Instant now)
 {
     m_hasList = true;
@@ -64,15 +98,4 @@
         remove(instance, now);
 }
 
-uint64_t UpstreamDirectory::hash() const
-{
-    uint64_t result = 0;
-    for (auto const& [instance, record] : m_records) {
-        for (auto const& text : { instance, record.service, record.address, record.hall })
-            result = mixHashes(result, hashOf(text));
-        result = mixHashes(result, record.slots * 2 + (record.isLeaving ? 1 : 0));
-    }
-    return result;
-}
-
 }
--- a/Libraries/LibMembership/UpstreamDirectory.h
+++ b/Libraries/LibMembership/UpstreamDirectory.h
@@ -2,6 +2,8 @@
 
 #include <LibBase/Ids.h>
 #include <LibBase/ProvenAge.h>
+#include <LibMembership/UpstreamRecord.h>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -10,24 +12,6 @@
 
 namespace Stagepost {
 
-// What an upstream has recorded of itself in the platform's store.
-struct UpstreamRecord {
-    // The name of this start of the upstream's process.
-    std::string instance;
-    std::string service;
-    // IP:PORT.
-    std::string address;
-    std::string hall;
-    // Requests that it works on at once.
-    size_t slots { 1 };
-    bool isLeaving { false };
-    // How much longer it stays slow after its start.
-    Milliseconds coldLeft { 0 };
-
-    UpstreamId id() const { return UpstreamId::fromName(instance); }
-    bool operator==(UpstreamRecord const&) const = default;
-};
-
 // Which upstreams there are, as far as the store has told. A record that is
 // taken away means that its upstream is gone, with one exception: after the
 // store was out of reach, records that lapsed meanwhile come back within a
@@ -63,16 +47,32 @@
     ProvenAge const& age() const { return m_age; }
     // The same for all daemons that know the same records; what changes by itself
     // with time is left out.
-    uint64_t hash() const;
+    uint64_t hash() const { return m_hash; }
+
+    // What has changed since the records had that hash, or none where that is too
+    // long ago or was never so.
+    std::optional<std::vector<UpstreamChange>> changesSince(uint64_t hash) const;
 
 private:
+    // The changes that are kept for changesSince(): a release changes a record or
+    // two a second, and whoever has missed more takes the whole list.
+    static constexpr size_t longestHistory = 64;
+
+    struct PastChange {
+        uint64_t hashBefore { 0 };
+        UpstreamChange change;
+    };
+
     bool isGracious(Instant now) const { return now < m_graceUntil; }
+    void noteChange(std::string const& instance, uint64_t difference);
 
     Bounds m_bounds;
     std::function<void()> m_changed;
     std::map<std::string, UpstreamRecord> m_records;
     // Records that the store no longer has, until when they stay in.
     std::map<std::string, Instant> m_lapsed;
+    std::deque<PastChange> m_history;
+    uint64_t m_hash { 0 };
     ProvenAge m_age;
     Instant m_graceUntil;
     bool m_hasList { false };
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -12,6 +12,8 @@
     constexpr Milliseconds drainReserve { 300 };
     // Fine enough for lapsed records and readiness, whose bounds are seconds.
     constexpr Milliseconds tickInterval { 100 };
+    // A stall that callers of a stream may notice.
+    constexpr Milliseconds longestUnnoticedStall { 50 };
     // What a caller is told to wait where only the platform can change things.
     constexpr Milliseconds platformPause { 250 };
     constexpr unsigned statusUnready = 503;
@@ -40,9 +42,12 @@
               [this] { return summary(); },
               [this] { return provenAt(); },
               [this](Instant provenAt) { confirmed(provenAt); },
+              [this](uint64_t hash) { return m_directory.changesSince(hash).value_or(std::vector<UpstreamChange> {}); },
+              [this](auto const& changes, Instant provenAt) { applyChanges(changes, provenAt); },
               [this] { return ownInFlight(); },
               [this](auto const& others) { takeOthersInFlight(others); },
-              [this] { return state(); },
+              [this](uint64_t known) { return state(known); },
+              [this](StateSummary const& other) { return wantsState(other); },
               [this](GatewayState const& state, std::optional<Instant> provenAt) { takeState(state, provenAt); },
           })
     , m_services { loop, m_metrics, m_board, m_dialect, [this] { return areKeysFresh(); }, [this] { return settingsAge(); } }
@@ -96,7 +101,7 @@
     auto parts = m_dialect.readSettings(text);
     if (!parts) {
         m_metrics.count("stagepost_settings_rejected_total");
-        logEvent(LogLevel::Error, "settings-rejected", { { "reason", parts.error().message() }, { "in_force", m_table ? m_table->version() : 0 } });
+        logEvent(LogLevel::Error, "settings-rejected", { { "reason", parts.error().message() }, { "in_force", settingsVersion() } });
         return false;
     }
     if (m_table && parts->version <= m_table->version())
@@ -131,7 +136,20 @@
 
 StateSummary Gateway::summary() const
 {
-    return { m_table ? m_table->version() : 0, m_directory.hash() };
+    return { settingsVersion(), m_directory.hash() };
+}
+
+// A newer configuration is taken from another daemon only where the store has
+// not given it in the meantime.
+bool Gateway::wantsState(StateSummary const& other)
+{
+    if (other.settingsVersion <= settingsVersion())
+        return true;
+    auto const now = m_loop.now();
+    if (m_wantedSettings <= settingsVersion())
+        m_wantedSince = now;
+    m_wantedSettings = std::max(m_wantedSettings, other.settingsVersion);
+    return now - m_wantedSince > m_options.settingsPatience;
 }
 
 std::optional<Instant> Gateway::provenAt() const
@@ -151,9 +169,22 @@
     m_peers.proven(m_loop.now());
 }
 
-GatewayState Gateway::state() const
+void Gateway::applyChanges(std::vector<UpstreamChange> const& changes, Instant provenAt)
+{
+    auto const now = m_loop.now();
+    m_directory.confirm(provenAt, now);
+    for (auto const& change : changes) {
+        if (change.record)
+            m_directory.put(*change.record, now);
+        else
+            m_directory.remove(change.instance, now);
+    }
+}
+
+GatewayState Gateway::state(uint64_t knownSettings) const
 {
-    GatewayState state { m_table ? m_table->version() : 0, m_tableText, {} };
+    auto const version = settingsVersion();
+    GatewayState state { version, version == knownSettings ? std::string() : m_tableText, {} };
     for (auto const& [instance, record] : m_directory.records())
         state.upstreams.push_back(record);
     return state;
@@ -163,14 +194,15 @@
 // is known here; a configuration orders itself by its version.
 void Gateway::takeState(GatewayState const& state, std::optional<Instant> provenAt)
 {
-    if (state.settingsVersion > (m_table ? m_table->version() : 0) && !applySettings(state.settingsText))
+    if (state.settingsVersion > (settingsVersion()) && !applySettings(state.settingsText))
         return;
-    auto const known = m_directory.age().provenAt();
-    if (!provenAt || (known && *provenAt <= *known))
+    if (!provenAt)
         return;
-    auto const now = m_loop.now();
-    m_directory.confirm(*provenAt, now);
-    m_directory.replace(state.upstreams, now);
+    auto const known = m_directory.age().provenAt();
+    if (!known || *provenAt > *known) {
+        m_directory.confirm(*provenAt, m_loop.now());
+        m_directory.replace(state.upstreams, m_loop.now());
+    }
     confirmed(*provenAt);
 }
 
@@ -199,8 +231,21 @@
     m_board.setRetryShare(m_peers.share());
 }
 
+// A process that was paused, or whose VM was, explains much of what its callers
+// saw; it alone can tell.
+void Gateway::noteStall(Instant now)
+{
+    auto const late = now - m_tickedAt - tickInterval;
+    if (m_tickedAt != Instant {} && late > longestUnnoticedStall) {
+        m_metrics.observe("stagepost_stall_seconds", late);
+        logEvent(LogLevel::Warning, "stalled", { { "late_ms", late.count() / 1000 }, { "open", m_server.openExchanges() } });
+    }
+    m_tickedAt = now;
+}
+
 void Gateway::tick()
 {
+    noteStall(m_loop.now());
     m_directory.tick(m_loop.now());
     noteReadiness();
 }
@@ -252,7 +297,7 @@
     if (auto const* refusal = std::get_if<Refusal>(&routed)) {
         logEvent(LogLevel::Info, "request",
             { { "id", m_dialect.readCall(exchange->call()).id }, { "outcome", "refused" }, { "reason", nameOf(refusal->reason) },
-                { "settings", m_table ? m_table->version() : 0 }, { "settings_age_ms", settingsAge().count() / 1000 } });
+                { "settings", settingsVersion() }, { "settings_age_ms", settingsAge().count() / 1000 } });
         exchange->respond(refuse(*refusal));
         return;
     }
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -27,16 +27,14 @@
     // leaves the one before in force, and proves nothing.
     void takeSettings(std::optional<std::string> const& text, Instant readSentAt);
 
-    struct UpstreamChange {
-        std::string instance;
-        // None where the upstream is gone.
-        std::optional<UpstreamRecord> record;
-    };
     // The changes since the last read, or all upstreams that there are.
     void takeUpstreams(std::vector<UpstreamChange> const&, bool isWhole, Instant readSentAt);
 
     // Whether this daemon is to read the store now, or others do it for it.
     bool needsStore() const { return m_peers.needsStore(m_loop.now()); }
+    // Another daemon has told of a newer configuration, which is read from the
+    // store: it is large, and the links between daemons carry callers' streams.
+    bool needsSettings() const { return needsStore() || m_wantedSettings > settingsVersion(); }
     // Begins to speak with other daemons, and takes who they are.
     Result<void> join(GatewayPeer const& self, std::string const& key, Incarnation incarnation) { return m_peers.join(self, key, incarnation); }
     void setPeers(std::vector<GatewayPeer> const&);
@@ -62,13 +60,17 @@
     bool areKeysFresh() const;
     Microseconds settingsAge() const;
     bool applySettings(std::string const& text);
+    uint64_t settingsVersion() const { return m_table ? m_table->version() : 0; }
+    bool wantsState(StateSummary const&);
     StateSummary summary() const;
     std::optional<Instant> provenAt() const;
     void confirmed(Instant);
-    GatewayState state() const;
+    void applyChanges(std::vector<UpstreamChange> const&, Instant provenAt);
+    GatewayState state(uint64_t knownSettings) const;
     void takeState(GatewayState const&, std::optional<Instant> provenAt);
     std::vector<UpstreamInFlight> ownInFlight() const;
     void takeOthersInFlight(std::vector<UpstreamInFlight> const&);
+    void noteStall(Instant now);
     void tick();
     void noteReadiness();
     void finishDraining(Instant limit, std::function<void()> const& drained);
@@ -82,6 +84,8 @@
     // As the platform wrote it, for other daemons.
     std::string m_tableText;
     ProvenAge m_tableAge;
+    uint64_t m_wantedSettings { 0 };
+    Instant m_wantedSince;
     ServiceBoard m_board;
     UpstreamDirectory m_directory;
     GatewayPeers m_peers;
@@ -92,6 +96,7 @@
     Endpoint m_readyEndpoint;
     Endpoint m_peerEndpoint;
     Timer m_ticker;
+    Instant m_tickedAt;
     Timer m_drainTimer;
     bool m_wasReady { false };
     bool m_isDraining { false };
--- a/Services/stagepostd/GatewayOptions.h
+++ b/Services/stagepostd/GatewayOptions.h
@@ -22,6 +22,9 @@
     // The greatest proven age of the configuration with which keys are still
     // taken for good; none takes them at any age.
     std::optional<Milliseconds> keyFreshness;
+    // How long a newer configuration that another daemon tells of may take to be
+    // read from the store, before it is taken from that daemon.
+    Milliseconds settingsPatience { 300 };
     // How long a stopping gateway takes requests, until the balancer has noticed.
     Milliseconds drainAccept { 3000 };
     // From the signal to stop until the process is ended from outside.
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -2,13 +2,15 @@
 
 #include <LibBase/Hex.h>
 #include <LibBase/Log.h>
+#include <charconv>
 
 namespace Stagepost {
 
 namespace {
 
     constexpr char const* peerField = "Stagepost-Peer";
-    constexpr char const* requestWord = "state";
+    // Followed by the version of the settings that the asking daemon has.
+    std::string const requestWord = "state ";
     constexpr Milliseconds fetchTimeout { 1000 };
     // Fine against the interval of asks.
     constexpr Milliseconds tickInterval { 50 };
@@ -48,14 +50,19 @@
     m_channel = std::make_unique<PeerChannel>(m_loop, *m_datagramSeal, m_metrics, [this](PeerMessageKind kind, VMId from, std::string_view body) { receive(kind, from, body); });
     TRY(m_channel->bind(m_endpoint));
     m_exchange = std::make_unique<StateExchange>(StateExchange::Peer { self.id(), HallId::fromName(self.hall) }, m_random(), m_bounds, StateExchange::Hooks {
-                                                                                                                                          [this](VMId to, std::string const& body) { send(to, body); },
-                                                                                                                                          [this](VMId from, std::optional<Instant> provenAt) { fetch(from, provenAt); },
-                                                                                                                                          m_hooks.summary,
-                                                                                                                                          m_hooks.provenAt,
-                                                                                                                                          m_hooks.confirmed,
-                                                                                                                                          m_hooks.ownInFlight,
-                                                                                                                                          m_hooks.othersInFlight,
-                                                                                                                                      });
+                                                                                                                                           [this](VMId to, std::string const& body) { send(to, body); },
+                                                                                                                                           [this](VMId from, StateSummary const& summary, std::optional<Instant> provenAt) {
+                                                                                                                                               if (m_hooks.wantsState(summary))
+                                                                                                                                                   fetch(from, provenAt);
+                                                                                                                                           },
+                                                                                                                                           m_hooks.summary,
+                                                                                                                                           m_hooks.provenAt,
+                                                                                                                                           m_hooks.confirmed,
+                                                                                                                                           m_hooks.changesSince,
+                                                                                                                                           m_hooks.applyChanges,
+                                                                                                                                           m_hooks.ownInFlight,
+                                                                                                                                           m_hooks.othersInFlight,
+                                                                                                                                       });
     m_ticker.every(tickInterval, [this] { m_exchange->tick(m_loop.now()); });
     logEvent(LogLevel::Info, "joined", { { "name", self.name }, { "hall", self.hall }, { "peer_listen", m_endpoint.toString() }, { "incarnation", incarnation.value() } });
     return {};
@@ -107,7 +114,7 @@
     if (m_isFetching || found == m_peers.end())
         return;
     m_isFetching = true;
-    HttpCall call { "GET", statePath, { { peerField, hexOfBytes(m_stateSeal->seal(requestWord)) } }, {} };
+    HttpCall call { "GET", statePath, { { peerField, hexOfBytes(m_stateSeal->seal(requestWord + std::to_string(m_hooks.summary().settingsVersion))) } }, {} };
     m_client.fetch(found->second.endpoint, std::move(call), fetchTimeout, [this, from, provenAt](Result<HttpReply> const& reply) {
         m_isFetching = false;
         takeFetched(from, reply, provenAt);
@@ -139,9 +146,12 @@
     if (!m_stateSeal || call.path() != statePath)
         return textReply(statusForbidden, "for daemons of this fleet only\n");
     auto const opened = m_stateSeal->open(bytesOfHex(call.headers.find(peerField)));
-    if (!opened || opened->body != requestWord)
+    if (!opened || !opened->body.starts_with(requestWord))
         return textReply(statusForbidden, "for daemons of this fleet only\n");
-    return { 200, { { "Content-Type", "application/octet-stream" } }, m_stateSeal->seal(m_hooks.state().encode()) };
+    auto const digits = std::string_view(opened->body).substr(requestWord.size());
+    uint64_t known = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), known);
+    return { 200, { { "Content-Type", "application/octet-stream" } }, m_stateSeal->seal(m_hooks.state(known).encode()) };
 }
 
 }
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -32,9 +32,15 @@
         std::function<StateSummary()> summary;
         std::function<std::optional<Instant>()> provenAt;
         std::function<void(Instant)> confirmed;
+        std::function<std::vector<UpstreamChange>(uint64_t upstreamsHash)> changesSince;
+        std::function<void(std::vector<UpstreamChange> const&, Instant provenAt)> applyChanges;
         std::function<std::vector<UpstreamInFlight>()> ownInFlight;
         std::function<void(std::vector<UpstreamInFlight> const&)> othersInFlight;
-        std::function<GatewayState()> state;
+        // The text of the settings is left out for a daemon that has that version.
+        std::function<GatewayState(uint64_t knownSettings)> state;
+        // Another daemon believes something else. Whether its state is to be asked
+        // for, or comes by another way.
+        std::function<bool(StateSummary const&)> wantsState;
         // Another daemon's state, proven as of a time or not at all.
         std::function<void(GatewayState const&, std::optional<Instant> provenAt)> takeState;
     };
--- a/Services/stagepostd/GatewayState.cpp
+++ b/Services/stagepostd/GatewayState.cpp
@@ -5,34 +5,6 @@
 
 namespace Stagepost {
 
-namespace {
-
-    void write(MessageWriter& writer, UpstreamRecord const& record)
-    {
-        writer.text(record.instance);
-        writer.text(record.service);
-        writer.text(record.address);
-        writer.text(record.hall);
-        writer.number(record.slots);
-        writer.number(record.isLeaving ? 1 : 0);
-        writer.duration(record.coldLeft);
-    }
-
-    UpstreamRecord read(MessageReader& reader)
-    {
-        UpstreamRecord record;
-        record.instance = reader.text();
-        record.service = reader.text();
-        record.address = reader.text();
-        record.hall = reader.text();
-        record.slots = reader.number();
-        record.isLeaving = reader.number() != 0;
-        record.coldLeft = std::chrono::duration_cast<Milliseconds>(reader.duration());
-        return record;
-    }
-
-}
-
 std::string GatewayState::encode() const
 {
     MessageWriter writer;
@@ -52,7 +24,7 @@
     state.settingsText = reader.text();
     auto const count = reader.count();
     for (size_t index = 0; index < count && !reader.failed(); ++index)
-        state.upstreams.push_back(read(reader));
+        state.upstreams.push_back(readUpstreamRecord(reader));
     if (!reader.finished())
         return Error(ErrorCode::Malformed, "another daemon's state is not understood");
     return state;
--- a/Tests/LibMembership/TestStateExchange.cpp
+++ b/Tests/LibMembership/TestStateExchange.cpp
@@ -98,10 +98,12 @@
     {
         return {
             [this, &daemon](VMId to, std::string const& bytes) { send(daemon, to, bytes); },
-            [this, &daemon](VMId from, std::optional<Instant> provenAt) { m_fetches.push_back({ m_now + delay(), daemon.id.value() - 1, from, provenAt }); },
+            [this, &daemon](VMId from, StateSummary const&, std::optional<Instant> provenAt) { m_fetches.push_back({ m_now + delay(), daemon.id.value() - 1, from, provenAt }); },
             [&daemon] { return StateSummary { daemon.belief, daemon.belief }; },
             [&daemon] { return daemon.age.provenAt(); },
             [this, &daemon](Instant provenAt) { confirm(daemon, provenAt); },
+            [](uint64_t) { return std::vector<UpstreamChange> {}; },
+            [](auto const&, Instant) {},
             [&daemon] { return daemon.own; },
             [&daemon](auto const& others) { daemon.others = others; },
         };
@@ -287,13 +289,13 @@
     std::vector<std::string> sent;
     std::optional<Instant> provenAt;
     auto const hooks = StateExchange::Hooks {
-        [&](VMId, std::string const& bytes) { sent.push_back(bytes); }, [](VMId, auto) {}, [] { return StateSummary { 1, 1 }; }, [&] { return provenAt; },
-        [&](Instant at) { provenAt = at; }, [] { return std::vector<UpstreamInFlight> {}; }, [](auto const&) {}
+        [&](VMId, std::string const& bytes) { sent.push_back(bytes); }, [](VMId, auto const&, auto) {}, [] { return StateSummary { 1, 1 }; }, [&] { return provenAt; },
+        [&](Instant at) { provenAt = at; }, [](uint64_t) { return std::vector<UpstreamChange> {}; }, [](auto const&, Instant) {}, [] { return std::vector<UpstreamInFlight> {}; }, [](auto const&) {}
     };
     StateExchange exchange({ VMId(1), HallId(1) }, 42, {}, hooks);
     exchange.setPeers({ { VMId(2), HallId(1) } });
     Instant const now { Seconds(100) };
-    StateMessage answer { StateMessage::Kind::Answer, 99000000, 41, { 1, 1 }, {} };
+    StateMessage answer { StateMessage::Kind::Answer, 99000000, 41, { 1, 1 }, {}, {} };
     BOOST_TEST(exchange.receive(VMId(2), answer.encode(), now).has_value());
     BOOST_TEST(!provenAt.has_value());
     answer.askingProcess = 42;
@@ -326,7 +328,7 @@
 
 BOOST_AUTO_TEST_CASE(DamagedMessagesAreRefused)
 {
-    StateMessage message { StateMessage::Kind::Answer, 5, 6, { 7, 8 }, { { UpstreamId(9), 10 } } };
+    StateMessage message { StateMessage::Kind::Answer, 5, 6, { 7, 8 }, { { UpstreamId(9), 10 } }, { { "gone", {} }, { "i-1", UpstreamRecord { "i-1", "chat", "10.0.0.1:80", "north", 4, true, Milliseconds(5) } } } };
     auto const bytes = message.encode();
     BOOST_TEST(StateMessage::decode(bytes).has_value());
     for (size_t length = 0; length < bytes.size(); ++length)
--- a/Tests/LibMembership/TestUpstreamDirectory.cpp
+++ b/Tests/LibMembership/TestUpstreamDirectory.cpp
@@ -100,4 +100,30 @@
     BOOST_TEST(first.directory.hash() != second.directory.hash());
 }
 
+// Whoever knows an earlier list comes to the newest by its changes.
+BOOST_AUTO_TEST_CASE(ChangesLeadFromAnEarlierListToThisOne)
+{
+    Directory first;
+    Directory second;
+    for (auto* world : { &first, &second })
+        world->directory.replace({ record("a"), record("b") }, at(1));
+    auto const earlier = second.directory.hash();
+    first.directory.put(record("a", true), at(1));
+    first.directory.put(record("c"), at(1));
+    first.directory.remove("a", at(1));
+    auto const changes = first.directory.changesSince(earlier);
+    BOOST_REQUIRE(changes.has_value());
+    BOOST_TEST(changes->size() == 3u);
+    for (auto const& change : *changes) {
+        if (change.record)
+            second.directory.put(*change.record, at(1));
+        else
+            second.directory.remove(change.instance, at(1));
+    }
+    BOOST_TEST(second.directory.hash() == first.directory.hash());
+    BOOST_TEST((second.directory.records() == first.directory.records()));
+    BOOST_TEST(first.directory.changesSince(first.directory.hash())->empty());
+    BOOST_TEST(!first.directory.changesSince(12345).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
