--- a/Libraries/LibMembership/StateExchange.cpp
+++ b/Libraries/LibMembership/StateExchange.cpp
@@ -70,6 +70,7 @@
         others.insert(others.end(), relays.begin(), relays.end());
     }
     std::vector<VMId> anybody;
+    anybody.reserve(m_peers.size());
     for (auto const& peer : m_peers)
         anybody.push_back(peer.id);
     m_order.clear();
@@ -173,6 +174,7 @@
             add(sums.inFlight);
     }
     std::vector<UpstreamInFlight> result;
+    result.reserve(counts.size());
     for (auto const& [upstream, count] : counts)
         result.push_back({ upstream, count });
     return result;
--- a/Meta/model-check.sh
+++ b/Meta/model-check.sh
@@ -47,6 +47,10 @@
 check publication refuted Publication assertions NO_BASE_CHECK &
 check publication refuted Publication assertions SNAPSHOT_BLIND &
 check publication refuted Publication assertions PEER_ALWAYS &
+check freshness holds Freshness assertions &
+for variant in PROVE_ON_ARRIVAL ANSWER_EARLY READ_ON_ARRIVAL GO_BACK CHECK_ONCE; do
+    check freshness refuted Freshness assertions "$variant" &
+done
 results=0
 for job in $(jobs -p); do
     wait "$job" || results=1
