--- a/Libraries/LibProxy/Detail/Session.cpp
+++ b/Libraries/LibProxy/Detail/Session.cpp
@@ -68,9 +68,11 @@
 Net::awaitable<bool> Session::serveOne()
 {
     RequestParser parser;
-    if (!co_await readRequest(parser))
+    bool const isRead = co_await readRequest(parser);
+    if (!isRead) {
+        m_busy = false;
         co_return false;
-    m_busy = true;
+    }
     auto exchange = std::make_shared<SessionExchange>(m_server->context, callOf(parser.get()));
     ++m_server->openExchanges;
     watchCaller(exchange);
@@ -94,6 +96,9 @@
             co_return false;
         m_buffer.commit(size);
     }
+    // From its first byte on a request is owed an answer: closing the connection
+    // between its reading and its handling would lose it.
+    m_busy = true;
     m_stream.expires_after(m_server->options.requestTimeout);
     std::tie(failure, std::ignore) = co_await Http::async_read_header(m_stream, m_buffer, parser, useTuple);
     if (!failure && equalsIgnoringCase(parser.get()[Http::field::expect], "100-continue")) {
