stagepostctl: Ask for a flag before a publication takes something away

Cause: publishing an empty tree was accepted and at once refused every caller; a token hash that is none passed the check; a publication's author was empty where no variable names the user; a refused request left no line. Each has its test.

--- a/Libraries/LibSettings/FleetSettings.cpp
+++ b/Libraries/LibSettings/FleetSettings.cpp
@@ -73,6 +73,13 @@
         return pool;
     }
 
+    // The text of 16 bytes, as hashOfToken() gives it.
+    bool isTokenHash(std::string_view text)
+    {
+        constexpr size_t digits = 32;
+        return text.size() == digits && text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+    }
+
     OnceSettings onceAt(SettingsTree const& tree)
     {
         NodeReader const node(tree, "fleet");
@@ -95,6 +102,11 @@
         auto const organisation = organisationAt(tree, path);
         settings.organisations.emplace(organisation.id, organisation);
         for (auto const& hash : NodeReader(tree, path).list("token_hashes")) {
+            if (!isTokenHash(hash)) {
+                auto problem = path;
+                problem.append(".token_hashes = ").append(hash).append(": allowed is what 'stagepostctl hash-token' prints, 32 hexadecimal digits");
+                return Error(ErrorCode::BadInput, std::move(problem));
+            }
             if (settings.organisationByTokenHash.emplace(hash, organisation.id).second)
                 continue;
             auto problem = path;
--- a/Tests/LibSettings/TestSettingsTree.cpp
+++ b/Tests/LibSettings/TestSettingsTree.cpp
@@ -13,9 +13,9 @@
 [organisations.clubs]
 requests_per_second = 50
 [organisations.clubs.north]
-token_hashes = ["aa"]
+token_hashes = ["aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"]
 [organisations.clubs.south]
-token_hashes = ["bb"]
+token_hashes = ["bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb"]
 weight = 3.0
 [pools.assistant]
 models = ["small", "large"]
@@ -78,7 +78,11 @@
     auto const create = [](char const* toml) { return FleetSettings::create(SettingsTree::parse(toml).value()); };
     auto const twice = create("[pools.a]\nmodels=[\"m\"]\n[pools.b]\nmodels=[\"m\"]");
     BOOST_TEST(twice.error().detail.find(".models = \"m\"") != std::string::npos);
-    BOOST_TEST(!create("[organisations.a]\ntoken_hashes=[\"x\"]\n[organisations.b]\ntoken_hashes=[\"x\"]").has_value());
+    std::string const hashes = "token_hashes=[\"0123456789abcdef0123456789abcdef\"]\n";
+    auto const shared = create(("[organisations.a]\n" + hashes + "[organisations.b]\n" + hashes).c_str());
+    BOOST_TEST(shared.error().detail.find("no other organisation") != std::string::npos);
+    auto const noHash = create("[organisations.a]\ntoken_hashes=[\"@HARBOUR@\"]");
+    BOOST_TEST(noHash.error().detail.find("organisations.a.token_hashes = @HARBOUR@") != std::string::npos);
     BOOST_TEST(!create("[fleet]\nclaim_window_s = 100\nlog_retention_s = 150").has_value());
 }
 
--- a/Tests/Processes/test_fleet.py
+++ b/Tests/Processes/test_fleet.py
@@ -35,6 +35,25 @@
         for entry in entries:
             self.assertEqual(entry.metric("stagepost_settings_revision"), 2)
 
+    def test_taking_something_away_needs_a_flag(self):
+        entry = self.daemon()
+        self.publish()
+        self.serve(entry, upstreams=0)
+        refused = self.publish("[fleet]\n")
+        self.assertEqual(refused.returncode, 1)
+        self.assertIn("this would take away organisations.club pools.assistant services.book; give --allow-removals", refused.stderr)
+        self.assertEqual(entry.metric("stagepost_settings_revision"), 1)
+        self.assertEqual(self.publish("[fleet]\n", "--allow-removals").returncode, 0)
+        self.assertIn("author=tester", ctl(self, "history").stdout)
+
+    def test_a_refused_request_leaves_a_line(self):
+        entry = self.daemon()
+        self.publish()
+        self.serve(entry, upstreams=0)
+        self.assertEqual(entry.call("GET", "/services/book/x", token="wrong").status, 403)
+        line = eventually(lambda: next((line for line in entry.lines if "event=request" in line), None), "the line")
+        self.assertIn("path=/services/book/x reason=wrong-token verdict=not-run", line)
+
     def test_a_lost_reply_is_settled_by_reading(self):
         entry = self.daemon()
         self.log.faults(lose_replies=True)
--- a/Utilities/stagepostctl/CommandLine.cpp
+++ b/Utilities/stagepostctl/CommandLine.cpp
@@ -2,6 +2,8 @@
 
 #include <cstdlib>
 #include <cxxopts.hpp>
+#include <pwd.h>
+#include <unistd.h>
 
 namespace Stagepost {
 
@@ -28,11 +30,18 @@
     {
         cxxopts::Options options("stagepostctl", "The operator's tool. Flags can be given as environment variables: --vm-list is STAGEPOST_VM_LIST.");
         options.positional_help("COMMAND [ARGUMENT...]");
-        options.add_options()("log", "IP:PORT of the platform's append-only log", cxxopts::value<std::string>())("vm-list", "IP:PORT of the platform's list of VMs", cxxopts::value<std::string>())("operator-token", "the daemons' operator token", cxxopts::value<std::string>())("author", "who publishes (default: $USER)", cxxopts::value<std::string>())("base", "the revision that the published tree was made from (default: the one in force)", cxxopts::value<uint64_t>())("timeout-ms", "how long publish waits until the tree is in force (default: 10000)", cxxopts::value<uint64_t>())("json", "prints JSON")("help", "prints this and exits")("words", "the command and its arguments", cxxopts::value<std::vector<std::string>>());
+        options.add_options()("log", "IP:PORT of the platform's append-only log", cxxopts::value<std::string>())("vm-list", "IP:PORT of the platform's list of VMs", cxxopts::value<std::string>())("operator-token", "the daemons' operator token", cxxopts::value<std::string>())("author", "who publishes (default: $USER)", cxxopts::value<std::string>())("base", "the revision that the published tree was made from (default: the one in force)", cxxopts::value<uint64_t>())("allow-removals", "publishes also what takes organisations, pools or services away")("timeout-ms", "how long publish waits until the tree is in force (default: 10000)", cxxopts::value<uint64_t>())("json", "prints JSON")("help", "prints this and exits")("words", "the command and its arguments", cxxopts::value<std::vector<std::string>>());
         options.parse_positional({ "words" });
         return options;
     }
 
+    // Whom the system takes this process for, where no variable says it.
+    std::string nameOfUser()
+    {
+        auto const* entry = getpwuid(geteuid());
+        return entry ? std::string(entry->pw_name) : std::to_string(geteuid());
+    }
+
     std::string textOrVariable(cxxopts::ParseResult const& parsed, char const* flag, char const* variable)
     {
         if (parsed.count(flag))
@@ -73,6 +82,9 @@
         line.vmList = TRY(endpointOf(parsed, "vm-list", "STAGEPOST_VM_LIST"));
         line.operatorToken = textOrVariable(parsed, "operator-token", "STAGEPOST_OPERATOR_TOKEN");
         line.author = textOrVariable(parsed, "author", "USER");
+        if (line.author.empty())
+            line.author = nameOfUser();
+        line.allowsRemovals = parsed.count("allow-removals") > 0;
         if (parsed.count("base"))
             line.base = parsed["base"].as<uint64_t>();
         if (parsed.count("timeout-ms"))
--- a/Utilities/stagepostctl/CommandLine.h
+++ b/Utilities/stagepostctl/CommandLine.h
@@ -28,6 +28,7 @@
     std::optional<uint64_t> base;
     uint64_t timeoutMs { 10000 };
     bool wantsJson { false };
+    bool allowsRemovals { false };
 
     std::string message;
 
--- a/Utilities/stagepostctl/SettingsCommands.cpp
+++ b/Utilities/stagepostctl/SettingsCommands.cpp
@@ -120,6 +120,37 @@
         return missing.empty() ? ExitCode::Done : ExitCode::NotInForce;
     }
 
+    // What the new tree no longer has: callers of it are refused as soon as the
+    // tree is in force.
+    std::vector<std::string> removalsOf(std::string const& inForce, SettingsTree const& next)
+    {
+        std::vector<std::string> removed;
+        auto const before = SettingsTree::parse(inForce);
+        if (!before)
+            return removed;
+        for (auto const* root : { "organisations", "pools", "services" }) {
+            auto const kept = next.leaves(root);
+            for (auto const& path : before->leaves(root)) {
+                if (std::find(kept.begin(), kept.end(), path) == kept.end())
+                    removed.push_back(path);
+            }
+        }
+        return removed;
+    }
+
+    Result<void> checkRemovals(CommandLine const& line, SettingsLog const& log, SettingsTree const& next)
+    {
+        if (line.allowsRemovals || !log.accepted())
+            return {};
+        auto const removed = removalsOf(log.accepted()->toml, next);
+        if (removed.empty())
+            return {};
+        std::string detail = "this would take away";
+        for (auto const& path : removed)
+            detail.append(" ").append(path);
+        return Error(ErrorCode::Conflict, detail.append("; give --allow-removals to do it"));
+    }
+
 }
 
 ExitCode fail(Error const& error, ExitCode code)
@@ -154,7 +185,8 @@
     auto const text = readFile(line);
     if (!text)
         return fail(text.error());
-    if (auto const tree = parseValidTree(*text); !tree)
+    auto const tree = parseValidTree(*text);
+    if (!tree)
         return fail(tree.error(), ExitCode::Usage);
     auto const endpoint = logOf(line);
     if (!endpoint)
@@ -165,6 +197,8 @@
         return fail(read.error());
     if (!log.accepted() && !line.base)
         return fail(Error(ErrorCode::NotFound, "the log no longer shows what is in force; give --base"));
+    if (auto const allowed = checkRemovals(line, log, *tree); !allowed)
+        return fail(allowed.error());
     Publication publication;
     publication.revision = line.base ? Revision(*line.base) : log.accepted()->revision;
     publication.nonce = newNonce();
