--- a/Meta/stagepost.sh
+++ b/Meta/stagepost.sh
@@ -20,6 +20,8 @@
   test          installs, builds and passes every test
   lint          checks formatting and runs the linter
   model-check   has spin check the specifications
+  day BENCH SITE DAY  plays a day of the users' platform; BENCH is the path of their bench
+  days BENCH SITE     plays all days under Tests/Days, a line each
   measure WHAT  proxy, placement, once, membership, capacity or all; --quick for a short run
 TEXT
 }
@@ -242,8 +244,28 @@
     sources | grep '\.cpp$' | xargs -P "$(nproc)" -n 1 clang-tidy-16 -p "$build/lint" --quiet --extra-arg=-Wno-unknown-warning-option 2> >(grep -v 'warnings generated' >&2)
 }
 
+# Plays every day of our own on a site and prints what became of each. Fails where
+# a rule was broken or the bench could not play one.
+play_days() {
+    local bench=$1 site=$2 day output result=0
+    for day in Tests/Days/*.toml; do
+        output=$("$bench" run "$site" "$day" --why "own day $(basename "$day" .toml)" 2>&1) || result=1
+        echo "$(basename "$day" .toml): $(grep -m1 -A1 '^day ' <<<"$output" | tail -n 1)"
+        grep -q 'BROKEN' <<<"$output" && result=1
+    done
+    return "$result"
+}
+
 case ${1:-} in
 deps) deps ;;
+day)
+    (($# == 4)) || { usage; exit 2; }
+    exec "$2" run "$3" "$4" --why "by hand"
+    ;;
+days)
+    (($# == 3)) || { usage; exit 2; }
+    play_days "$2" "$3"
+    ;;
 build) build ;;
 run) run ;;
 test) run_tests ;;
