LibProxy: Use kept connections up to four fifths of their time

Cause: new connections are dear on the dealers' site, and half of the kept ones were dropped unused at half of the time that the upstream keeps them.

--- a/Libraries/LibProxy/Detail/UpstreamConnections.cpp
+++ b/Libraries/LibProxy/Detail/UpstreamConnections.cpp
@@ -16,7 +16,8 @@
 
     bool isSafelyOpen(UpstreamConnection const& connection, std::chrono::steady_clock::duration rested)
     {
-        return rested <= connection.keepAlive / UpstreamConnections::usableKeepAliveShare;
+        std::chrono::duration<double> const usable = connection.keepAlive * UpstreamConnections::usableKeepAliveShare;
+        return rested <= usable;
     }
 
 }
--- a/Libraries/LibProxy/Detail/UpstreamConnections.h
+++ b/Libraries/LibProxy/Detail/UpstreamConnections.h
@@ -27,9 +27,10 @@
 class UpstreamConnections {
 public:
     static constexpr size_t mostIdlePerUpstream = 64;
-    // A connection is not used in the last part of the time that its upstream
-    // keeps it open: the close may be on its way already.
-    static constexpr int usableKeepAliveShare = 2;
+    // A connection is not used in the last fifth of the time that its upstream
+    // keeps it open: the close may be on its way already. Upstreams say whole
+    // seconds, so a fifth is long against any way between halls.
+    static constexpr double usableKeepAliveShare = 0.8;
 
     // A connection that has rested for no longer than that and on which nothing
     // has arrived since its last answer, or none.
