LibMembership: Keep a relay's sums until its next ones are due

Cause: found on reading: sums between relays are sent the rarer the more relays and upstreams there are (some 3 to 4 s on the grown sites), and were forgotten after 3 s, so loads flapped between the fleet's and a hall's. TestStateExchange's new case with 96 daemons and 120 upstreams failed before and passes after.

--- a/Libraries/LibMembership/StateExchange.cpp
+++ b/Libraries/LibMembership/StateExchange.cpp
@@ -135,7 +135,10 @@
         ask(now);
     std::erase_if(m_waiting, [now](auto const& waiting) { return now - waiting.arrivedAt > longestWait; });
     std::erase_if(m_group, [now](auto const& entry) { return now - entry.second.at > inFlightMemory; });
-    std::erase_if(m_relays, [now](auto const& entry) { return now - entry.second.at > inFlightMemory; });
+    // Other relays send as rarely as this one, so a sum counts until the second
+    // after it is due.
+    auto const relayMemory = std::max(inFlightMemory, 2 * m_loadsPeriod + m_bounds.loadsInterval);
+    std::erase_if(m_relays, [&](auto const& entry) { return now - entry.second.at > relayMemory; });
     if (m_isRelay)
         sendLoads(now);
 }
@@ -147,7 +150,8 @@
     auto sums = sum({}, false, now);
     auto const bytes = (messageBytes + entryBytes * static_cast<double>(sums.size())) * static_cast<double>(m_otherRelays.size());
     Microseconds const affordable { static_cast<int64_t>(1e6 * bytes / m_bounds.loadsBytesPerSecond) };
-    m_nextLoadsAt = now + std::max(m_bounds.loadsInterval, affordable);
+    m_loadsPeriod = std::max(m_bounds.loadsInterval, affordable);
+    m_nextLoadsAt = now + m_loadsPeriod;
     m_hooks.othersInFlight(sum(m_self.id, true, now));
     StateMessage const message { StateMessage::Kind::Loads, 0, 0, m_hooks.summary(), std::move(sums), {} };
     auto const encoded = message.encode();
--- a/Libraries/LibMembership/StateExchange.h
+++ b/Libraries/LibMembership/StateExchange.h
@@ -128,6 +128,7 @@
     std::map<VMId, Sums> m_group;
     std::map<VMId, Sums> m_relays;
     Instant m_nextLoadsAt;
+    Microseconds m_loadsPeriod { 0 };
 };
 
 }
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -64,12 +64,6 @@
     return result;
 }
 
-void ServicePlacement::leaving(UpstreamId id)
-{
-    if (auto const found = m_upstreams.find(id); found != m_upstreams.end())
-        found->second.facts.isLeaving = true;
-}
-
 void ServicePlacement::finished(UpstreamId id, SendOutcome outcome, Microseconds took, Instant now)
 {
     auto const found = m_upstreams.find(id);
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -79,8 +79,6 @@
     void othersCounted(std::map<UpstreamId, size_t> const&, Instant now);
     // What this daemon has in flight; upstreams with nothing are left out.
     std::vector<std::pair<UpstreamId, size_t>> ownInFlight() const;
-    // The upstream has said that it is leaving.
-    void leaving(UpstreamId);
 
     size_t size() const { return m_upstreams.size(); }
 
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -37,19 +37,7 @@
     , m_random(std::move(random))
     , m_board({ m_options.hall, m_options.placement, m_options.retries }, m_random)
     , m_directory(m_options.directory, [this] { m_board.update(m_directory.records()); })
-    , m_peers(loop, m_metrics, m_options.exchange, m_random,
-          {
-              [this] { return summary(); },
-              [this] { return provenAt(); },
-              [this](Instant provenAt) { confirmed(provenAt); },
-              [this](uint64_t hash) { return m_directory.changesSince(hash).value_or(std::vector<UpstreamChange> {}); },
-              [this](auto const& changes, Instant provenAt) { applyChanges(changes, provenAt); },
-              [this] { return ownInFlight(); },
-              [this](auto const& others) { takeOthersInFlight(others); },
-              [this](uint64_t known) { return state(known); },
-              [this](StateSummary const& other) { return wantsState(other); },
-              [this](GatewayState const& state, std::optional<Instant> provenAt) { takeState(state, provenAt); },
-          })
+    , m_peers(loop, m_metrics, m_options.exchange, m_random, peerHooks())
     , m_services { loop, m_metrics, m_board, m_dialect, [this] { return areKeysFresh(); }, [this] { return settingsAge(); } }
     , m_server(
           loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handle(exchange); }, [this](Refusal const& refusal) { return refuse(refusal); })
@@ -60,6 +48,22 @@
 {
 }
 
+GatewayPeers::Hooks Gateway::peerHooks()
+{
+    GatewayPeers::Hooks hooks;
+    hooks.summary = [this] { return summary(); };
+    hooks.provenAt = [this] { return provenAt(); };
+    hooks.confirmed = [this](Instant provenAt) { confirmed(provenAt); };
+    hooks.changesSince = [this](uint64_t hash) { return m_directory.changesSince(hash).value_or(std::vector<UpstreamChange> {}); };
+    hooks.applyChanges = [this](auto const& changes, Instant provenAt) { applyChanges(changes, provenAt); };
+    hooks.ownInFlight = [this] { return ownInFlight(); };
+    hooks.othersInFlight = [this](auto const& others) { takeOthersInFlight(others); };
+    hooks.state = [this](uint64_t known) { return state(known); };
+    hooks.wantsState = [this](StateSummary const& other) { return wantsState(other); };
+    hooks.takeState = [this](GatewayState const& state, std::optional<Instant> provenAt) { takeState(state, provenAt); };
+    return hooks;
+}
+
 Result<void> Gateway::start()
 {
     m_callerEndpoint = TRY(m_server.listen(m_options.listen));
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -50,6 +50,7 @@
     Metrics& metrics() { return m_metrics; }
 
 private:
+    GatewayPeers::Hooks peerHooks();
     void handle(std::shared_ptr<Exchange> const&);
     void handleReady(Exchange&);
     std::variant<RoutedRequest, Refusal> route(HttpCall const&) const;
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -49,25 +49,31 @@
     m_stateSeal.emplace(key + "/state", self.id(), incarnation);
     m_channel = std::make_unique<PeerChannel>(m_loop, *m_datagramSeal, m_metrics, [this](PeerMessageKind kind, VMId from, std::string_view body) { receive(kind, from, body); });
     TRY(m_channel->bind(m_endpoint));
-    m_exchange = std::make_unique<StateExchange>(StateExchange::Peer { self.id(), HallId::fromName(self.hall) }, m_random(), m_bounds, StateExchange::Hooks {
-                                                                                                                                           [this](VMId to, std::string const& body) { send(to, body); },
-                                                                                                                                           [this](VMId from, StateSummary const& summary, std::optional<Instant> provenAt) {
-                                                                                                                                               if (m_hooks.wantsState(summary))
-                                                                                                                                                   fetch(from, provenAt);
-                                                                                                                                           },
-                                                                                                                                           m_hooks.summary,
-                                                                                                                                           m_hooks.provenAt,
-                                                                                                                                           m_hooks.confirmed,
-                                                                                                                                           m_hooks.changesSince,
-                                                                                                                                           m_hooks.applyChanges,
-                                                                                                                                           m_hooks.ownInFlight,
-                                                                                                                                           m_hooks.othersInFlight,
-                                                                                                                                       });
+    StateExchange::Peer const peer { self.id(), HallId::fromName(self.hall) };
+    m_exchange = std::make_unique<StateExchange>(peer, m_random(), m_bounds, exchangeHooks());
     m_ticker.every(tickInterval, [this] { m_exchange->tick(m_loop.now()); });
     logEvent(LogLevel::Info, "joined", { { "name", self.name }, { "hall", self.hall }, { "peer_listen", m_endpoint.toString() }, { "incarnation", incarnation.value() } });
     return {};
 }
 
+StateExchange::Hooks GatewayPeers::exchangeHooks()
+{
+    StateExchange::Hooks hooks;
+    hooks.send = [this](VMId to, std::string const& body) { send(to, body); };
+    hooks.differs = [this](VMId from, StateSummary const& summary, std::optional<Instant> provenAt) {
+        if (m_hooks.wantsState(summary))
+            fetch(from, provenAt);
+    };
+    hooks.summary = m_hooks.summary;
+    hooks.provenAt = m_hooks.provenAt;
+    hooks.confirmed = m_hooks.confirmed;
+    hooks.changesSince = m_hooks.changesSince;
+    hooks.applyChanges = m_hooks.applyChanges;
+    hooks.ownInFlight = m_hooks.ownInFlight;
+    hooks.othersInFlight = m_hooks.othersInFlight;
+    return hooks;
+}
+
 void GatewayPeers::setPeers(std::vector<GatewayPeer> const& peers)
 {
     m_peers.clear();
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -65,6 +65,7 @@
     void changed(Instant now);
 
 private:
+    StateExchange::Hooks exchangeHooks();
     void receive(PeerMessageKind, VMId from, std::string_view body);
     void send(VMId to, std::string const& body);
     void fetch(VMId from, std::optional<Instant> provenAt);
--- a/Tests/LibMembership/TestStateExchange.cpp
+++ b/Tests/LibMembership/TestStateExchange.cpp
@@ -284,6 +284,25 @@
     }
 }
 
+// Many relays and upstreams make the sums rare; they must not be forgotten before
+// the next ones come.
+BOOST_AUTO_TEST_CASE(RareSumsOfOtherRelaysCountUntilTheNext)
+{
+    Fleet fleet(3, 32, 6);
+    for (auto& daemon : fleet.daemons) {
+        for (uint64_t upstream = 1; upstream <= 120; ++upstream)
+            daemon->own.push_back({ UpstreamId(upstream), 1 });
+    }
+    fleet.run(Seconds(20));
+    for (int round = 0; round < 30; ++round) {
+        fleet.run(Milliseconds(300));
+        for (auto const& daemon : fleet.daemons) {
+            BOOST_REQUIRE(daemon->others.size() == 120u);
+            BOOST_TEST(daemon->others.front().count == 95u);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(StampsOfAnEarlierProcessProveNothing)
 {
     std::vector<std::string> sent;
--- a/Tests/LibRouting/TestServicePlacement.cpp
+++ b/Tests/LibRouting/TestServicePlacement.cpp
@@ -96,7 +96,10 @@
 {
     auto placement = placementOf(4);
     auto const holder = placement.choose(wishFor(5), at(1))->upstream;
-    placement.leaving(holder);
+    std::vector<ServiceUpstream> list;
+    for (uint64_t number = 1; number <= 4; ++number)
+        list.push_back({ UpstreamId(number), false, 4, UpstreamId(number) == holder });
+    placement.setUpstreams(list);
     auto const choice = placement.choose(wishFor(5), at(1));
     BOOST_TEST((choice->upstream != holder));
     BOOST_TEST((*choice->contextSource == holder));
