Tests: Give the fault to whichever upstream is asked first

A test repeated its call until chance chose the faulty upstream, and placement rightly keeps away from one that has failed. Test processes share one class that reads their logs, and the exchange's hooks are told apart from the beliefs that the gateway lends it, once for both.

--- a/Libraries/LibMembership/StateExchange.cpp
+++ b/Libraries/LibMembership/StateExchange.cpp
@@ -89,7 +89,7 @@
 
 bool StateExchange::isStale(Instant now) const
 {
-    auto const provenAt = m_hooks.provenAt();
+    auto const provenAt = m_hooks.beliefs.provenAt();
     return !provenAt || now - *provenAt > m_bounds.fallbackAge;
 }
 
@@ -123,8 +123,8 @@
     m_asked = whom;
     if (!m_unansweredSince)
         m_unansweredSince = now;
-    m_askedWith = m_hooks.summary();
-    StateMessage const message { StateMessage::Kind::Ask, static_cast<uint64_t>(stampOf(now).count()), m_process, m_askedWith, m_hooks.ownInFlight(), {} };
+    m_askedWith = m_hooks.beliefs.summary();
+    StateMessage const message { StateMessage::Kind::Ask, static_cast<uint64_t>(stampOf(now).count()), m_process, m_askedWith, m_hooks.beliefs.ownInFlight(), {} };
     m_hooks.send(*whom, message.encode());
 }
 
@@ -152,8 +152,8 @@
     Microseconds const affordable { static_cast<int64_t>(1e6 * bytes / m_bounds.loadsBytesPerSecond) };
     m_loadsPeriod = std::max(m_bounds.loadsInterval, affordable);
     m_nextLoadsAt = now + m_loadsPeriod;
-    m_hooks.othersInFlight(sum(m_self.id, true, now));
-    StateMessage const message { StateMessage::Kind::Loads, 0, 0, m_hooks.summary(), std::move(sums), {} };
+    m_hooks.beliefs.othersInFlight(sum(m_self.id, true, now));
+    StateMessage const message { StateMessage::Kind::Loads, 0, 0, m_hooks.beliefs.summary(), std::move(sums), {} };
     auto const encoded = message.encode();
     for (auto const relay : m_otherRelays)
         m_hooks.send(relay, encoded);
@@ -168,7 +168,7 @@
             counts[upstream] += count;
     };
     if (without != m_self.id)
-        add(m_hooks.ownInFlight());
+        add(m_hooks.beliefs.ownInFlight());
     for (auto const& [id, sums] : m_group) {
         if (id != without && now - sums.at <= inFlightMemory)
             add(sums.inFlight);
@@ -211,31 +211,31 @@
         m_unansweredSince.reset();
     m_suspectedUntil.erase(from);
     if (!m_isRelay)
-        m_hooks.othersInFlight(message.inFlight);
+        m_hooks.beliefs.othersInFlight(message.inFlight);
     Instant const stamp { Microseconds(static_cast<int64_t>(message.stamp)) };
-    auto const provenAt = m_hooks.provenAt();
+    auto const provenAt = m_hooks.beliefs.provenAt();
     if (message.askingProcess != m_process || stamp > now || (provenAt && stamp <= *provenAt))
         return;
     // Changes lead on from the list that was asked with, and from no other.
-    if (!message.changes.empty() && m_hooks.summary().upstreamsHash == m_askedWith.upstreamsHash)
-        m_hooks.applyChanges(message.changes, stamp);
-    auto const own = m_hooks.summary();
+    if (!message.changes.empty() && m_hooks.beliefs.summary().upstreamsHash == m_askedWith.upstreamsHash)
+        m_hooks.beliefs.applyChanges(message.changes, stamp);
+    auto const own = m_hooks.beliefs.summary();
     bool const isUpToDate = message.summary.settingsVersion <= own.settingsVersion && message.summary.upstreamsHash == own.upstreamsHash;
     if (isUpToDate)
-        m_hooks.confirmed(stamp);
+        m_hooks.beliefs.confirmed(stamp);
     else
         m_hooks.differs(from, message.summary, stamp);
 }
 
 void StateExchange::takeNews(VMId from, StateMessage const& message)
 {
-    if (message.summary.settingsVersion > m_hooks.summary().settingsVersion)
+    if (message.summary.settingsVersion > m_hooks.beliefs.summary().settingsVersion)
         m_hooks.differs(from, message.summary, {});
 }
 
 void StateExchange::proven(Instant now)
 {
-    auto const provenAt = m_hooks.provenAt();
+    auto const provenAt = m_hooks.beliefs.provenAt();
     if (!provenAt)
         return;
     // Of a daemon's asks only the newest that can be answered is.
@@ -246,16 +246,16 @@
         answers[waiting.from] = waiting;
         return true;
     });
-    auto const summary = m_hooks.summary();
+    auto const summary = m_hooks.beliefs.summary();
     for (auto const& [to, ask] : answers) {
-        StateMessage const message { StateMessage::Kind::Answer, ask.stamp, ask.askingProcess, summary, sum(to, true, now), m_hooks.changesSince(ask.upstreamsHash) };
+        StateMessage const message { StateMessage::Kind::Answer, ask.stamp, ask.askingProcess, summary, sum(to, true, now), m_hooks.beliefs.changesSince(ask.upstreamsHash) };
         m_hooks.send(to, message.encode());
     }
 }
 
 void StateExchange::changed(Instant)
 {
-    StateMessage const message { StateMessage::Kind::News, 0, 0, m_hooks.summary(), {}, {} };
+    StateMessage const message { StateMessage::Kind::News, 0, 0, m_hooks.beliefs.summary(), {}, {} };
     auto const encoded = message.encode();
     for (auto const& [id, sums] : m_group)
         m_hooks.send(id, encoded);
--- a/Libraries/LibMembership/StateExchange.h
+++ b/Libraries/LibMembership/StateExchange.h
@@ -43,10 +43,8 @@
         HallId hall;
     };
 
-    struct Hooks {
-        std::function<void(VMId to, std::string bytes)> send;
-        // That daemon believes something else, proven as of the time or not at all.
-        std::function<void(VMId from, StateSummary const&, std::optional<Instant> provenAt)> differs;
+    // What this daemon believes, and how that is changed.
+    struct Beliefs {
         std::function<StateSummary()> summary;
         // As of when all of the own beliefs are proven.
         std::function<std::optional<Instant>()> provenAt;
@@ -61,6 +59,13 @@
         std::function<void(std::vector<UpstreamInFlight> const&)> othersInFlight;
     };
 
+    struct Hooks {
+        std::function<void(VMId to, std::string bytes)> send;
+        // That daemon believes something else, proven as of the time or not at all.
+        std::function<void(VMId from, StateSummary const&, std::optional<Instant> provenAt)> differs;
+        Beliefs beliefs;
+    };
+
     // The process number is drawn at random at each start.
     StateExchange(Peer self, uint64_t process, Bounds bounds, Hooks hooks)
         : m_self(self)
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -51,13 +51,13 @@
 GatewayPeers::Hooks Gateway::peerHooks()
 {
     GatewayPeers::Hooks hooks;
-    hooks.summary = [this] { return summary(); };
-    hooks.provenAt = [this] { return provenAt(); };
-    hooks.confirmed = [this](Instant provenAt) { confirmed(provenAt); };
-    hooks.changesSince = [this](uint64_t hash) { return m_directory.changesSince(hash).value_or(std::vector<UpstreamChange> {}); };
-    hooks.applyChanges = [this](auto const& changes, Instant provenAt) { applyChanges(changes, provenAt); };
-    hooks.ownInFlight = [this] { return ownInFlight(); };
-    hooks.othersInFlight = [this](auto const& others) { takeOthersInFlight(others); };
+    hooks.beliefs.summary = [this] { return summary(); };
+    hooks.beliefs.provenAt = [this] { return provenAt(); };
+    hooks.beliefs.confirmed = [this](Instant provenAt) { confirmed(provenAt); };
+    hooks.beliefs.changesSince = [this](uint64_t hash) { return m_directory.changesSince(hash).value_or(std::vector<UpstreamChange> {}); };
+    hooks.beliefs.applyChanges = [this](auto const& changes, Instant provenAt) { applyChanges(changes, provenAt); };
+    hooks.beliefs.ownInFlight = [this] { return ownInFlight(); };
+    hooks.beliefs.othersInFlight = [this](auto const& others) { takeOthersInFlight(others); };
     hooks.state = [this](uint64_t known) { return state(known); };
     hooks.wantsState = [this](StateSummary const& other) { return wantsState(other); };
     hooks.takeState = [this](GatewayState const& state, std::optional<Instant> provenAt) { takeState(state, provenAt); };
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -64,13 +64,7 @@
         if (m_hooks.wantsState(summary))
             fetch(from, provenAt);
     };
-    hooks.summary = m_hooks.summary;
-    hooks.provenAt = m_hooks.provenAt;
-    hooks.confirmed = m_hooks.confirmed;
-    hooks.changesSince = m_hooks.changesSince;
-    hooks.applyChanges = m_hooks.applyChanges;
-    hooks.ownInFlight = m_hooks.ownInFlight;
-    hooks.othersInFlight = m_hooks.othersInFlight;
+    hooks.beliefs = m_hooks.beliefs;
     return hooks;
 }
 
@@ -120,7 +114,7 @@
     if (m_isFetching || found == m_peers.end())
         return;
     m_isFetching = true;
-    HttpCall call { "GET", statePath, { { peerField, hexOfBytes(m_stateSeal->seal(requestWord + std::to_string(m_hooks.summary().settingsVersion))) } }, {} };
+    HttpCall call { "GET", statePath, { { peerField, hexOfBytes(m_stateSeal->seal(requestWord + std::to_string(m_hooks.beliefs.summary().settingsVersion))) } }, {} };
     m_client.fetch(found->second.endpoint, std::move(call), fetchTimeout, [this, from, provenAt](Result<HttpReply> const& reply) {
         m_isFetching = false;
         takeFetched(from, reply, provenAt);
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -29,13 +29,7 @@
     static constexpr char const* statePath = "/internal/state";
 
     struct Hooks {
-        std::function<StateSummary()> summary;
-        std::function<std::optional<Instant>()> provenAt;
-        std::function<void(Instant)> confirmed;
-        std::function<std::vector<UpstreamChange>(uint64_t upstreamsHash)> changesSince;
-        std::function<void(std::vector<UpstreamChange> const&, Instant provenAt)> applyChanges;
-        std::function<std::vector<UpstreamInFlight>()> ownInFlight;
-        std::function<void(std::vector<UpstreamInFlight> const&)> othersInFlight;
+        StateExchange::Beliefs beliefs;
         // The text of the settings is left out for a daemon that has that version.
         std::function<GatewayState(uint64_t knownSettings)> state;
         // Another daemon believes something else. Whether its state is to be asked
--- a/Tests/LibMembership/TestStateExchange.cpp
+++ b/Tests/LibMembership/TestStateExchange.cpp
@@ -96,17 +96,19 @@
 
     StateExchange::Hooks hooksOf(Daemon& daemon)
     {
-        return {
-            [this, &daemon](VMId to, std::string const& bytes) { send(daemon, to, bytes); },
-            [this, &daemon](VMId from, StateSummary const&, std::optional<Instant> provenAt) { m_fetches.push_back({ m_now + delay(), daemon.id.value() - 1, from, provenAt }); },
-            [&daemon] { return StateSummary { daemon.belief, daemon.belief }; },
-            [&daemon] { return daemon.age.provenAt(); },
-            [this, &daemon](Instant provenAt) { confirm(daemon, provenAt); },
-            [](uint64_t) { return std::vector<UpstreamChange> {}; },
-            [](auto const&, Instant) {},
-            [&daemon] { return daemon.own; },
-            [&daemon](auto const& others) { daemon.others = others; },
+        StateExchange::Hooks hooks;
+        hooks.send = [this, &daemon](VMId to, std::string const& bytes) { send(daemon, to, bytes); };
+        hooks.differs = [this, &daemon](VMId from, StateSummary const&, std::optional<Instant> provenAt) {
+            m_fetches.push_back({ m_now + delay(), daemon.id.value() - 1, from, provenAt });
         };
+        hooks.beliefs.summary = [&daemon] { return StateSummary { daemon.belief, daemon.belief }; };
+        hooks.beliefs.provenAt = [&daemon] { return daemon.age.provenAt(); };
+        hooks.beliefs.confirmed = [this, &daemon](Instant provenAt) { confirm(daemon, provenAt); };
+        hooks.beliefs.changesSince = [](uint64_t) { return std::vector<UpstreamChange> {}; };
+        hooks.beliefs.applyChanges = [](auto const&, Instant) {};
+        hooks.beliefs.ownInFlight = [&daemon] { return daemon.own; };
+        hooks.beliefs.othersInFlight = [&daemon](auto const& others) { daemon.others = others; };
+        return hooks;
     }
 
     Microseconds delay() { return Microseconds(static_cast<int64_t>(m_random() % static_cast<uint64_t>(mostDelay.count()))); }
@@ -305,12 +307,17 @@
 
 BOOST_AUTO_TEST_CASE(StampsOfAnEarlierProcessProveNothing)
 {
-    std::vector<std::string> sent;
     std::optional<Instant> provenAt;
-    auto const hooks = StateExchange::Hooks {
-        [&](VMId, std::string const& bytes) { sent.push_back(bytes); }, [](VMId, auto const&, auto) {}, [] { return StateSummary { 1, 1 }; }, [&] { return provenAt; },
-        [&](Instant at) { provenAt = at; }, [](uint64_t) { return std::vector<UpstreamChange> {}; }, [](auto const&, Instant) {}, [] { return std::vector<UpstreamInFlight> {}; }, [](auto const&) {}
-    };
+    StateExchange::Hooks hooks;
+    hooks.send = [](VMId, std::string const&) {};
+    hooks.differs = [](VMId, auto const&, auto) {};
+    hooks.beliefs.summary = [] { return StateSummary { 1, 1 }; };
+    hooks.beliefs.provenAt = [&] { return provenAt; };
+    hooks.beliefs.confirmed = [&](Instant at) { provenAt = at; };
+    hooks.beliefs.changesSince = [](uint64_t) { return std::vector<UpstreamChange> {}; };
+    hooks.beliefs.applyChanges = [](auto const&, Instant) {};
+    hooks.beliefs.ownInFlight = [] { return std::vector<UpstreamInFlight> {}; };
+    hooks.beliefs.othersInFlight = [](auto const&) {};
     StateExchange exchange({ VMId(1), HallId(1) }, 42, {}, hooks);
     exchange.setPeers({ { VMId(2), HallId(1) } });
     Instant const now { Seconds(100) };
--- a/Tests/Processes/fleet.py
+++ b/Tests/Processes/fleet.py
@@ -69,13 +69,12 @@
         self.process.stdout.close()
 
 
-class Daemon:
-    def __init__(self, fleet, name, hall, extra=(), listen="127.0.0.1:0", peer="127.0.0.1:0"):
-        self.name, self.hall = name, hall
-        environment = dict(os.environ, STAGEPOST_KEY=KEY, STAGEPOST_OPERATOR_TOKEN=OPERATOR_TOKEN)
-        arguments = ["--name", name, "--hall", hall, "--listen", listen, "--peer-listen", peer,
-                     "--log", fleet.log.endpoint, "--vm-list", fleet.vms.endpoint, "--drain-grace-ms", "300", *extra]
-        self.process = subprocess.Popen([DAEMON, *arguments], stdout=subprocess.PIPE, text=True, env=environment)
+class LoggedProcess:
+    """A daemon whose log is read while it runs; the line of its start gives its addresses."""
+
+    def __init__(self, arguments, started, environment=None):
+        self.pattern = re.compile(started)
+        self.process = subprocess.Popen(arguments, stdout=subprocess.PIPE, text=True, env=environment)
         self.lines = []
         self.started = threading.Event()
         self.reader = threading.Thread(target=self._read, daemon=True)
@@ -85,11 +84,32 @@
     def _read(self):
         for line in self.process.stdout:
             self.lines.append(line)
-            found = re.search(r"event=started .*listen=(\S+) peer_listen=(\S+)", line)
+            found = self.pattern.search(line)
             if found:
-                self.endpoint, self.peer = found.groups()
+                self.addresses = found.groups()
                 self.started.set()
 
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.kill()
+        self.reader.join()
+        self.process.stdout.close()
+
+
+class Daemon(LoggedProcess):
+    def __init__(self, fleet, name, hall, extra=(), listen="127.0.0.1:0", peer="127.0.0.1:0"):
+        self.name, self.hall = name, hall
+        environment = dict(os.environ, STAGEPOST_KEY=KEY, STAGEPOST_OPERATOR_TOKEN=OPERATOR_TOKEN)
+        arguments = [DAEMON, "--name", name, "--hall", hall, "--listen", listen, "--peer-listen", peer,
+                     "--log", fleet.log.endpoint, "--vm-list", fleet.vms.endpoint, "--drain-grace-ms", "300", *extra]
+        super().__init__(arguments, r"event=started .*listen=(\S+) peer_listen=(\S+)", environment)
+        self.endpoint, self.peer = self.addresses
+
     def call(self, method, path, body=None, headers=None, token=TOKEN):
         headers = dict(headers or {})
         if token:
@@ -116,20 +136,9 @@
     def refusals(self, reason):
         return self.metric(f'stagepost_refusals_total{{reason="{reason}"}}')
 
-    def kill(self):
-        self.process.kill()
-        self.process.wait()
-
     def terminate(self):
         self.process.send_signal(signal.SIGTERM)
 
-    def stop(self):
-        if self.process.poll() is None:
-            self.process.send_signal(signal.SIGCONT)
-            self.kill()
-        self.reader.join()
-        self.process.stdout.close()
-
 
 class Reply:
     def __init__(self, status, headers, body):
--- a/Tests/Processes/test_platform.py
+++ b/Tests/Processes/test_platform.py
@@ -1,18 +1,16 @@
 """The daemon on the users' platform, as its callers, upstreams and store see it."""
 
 import http.client
-import json
 import os
 import re
 import signal
 import socket
-import struct
 import subprocess
 import threading
 import time
 import unittest
 
-from fleet import BUILD, PATIENCE, Reply, eventually, raw, read_all
+from fleet import BUILD, PATIENCE, LoggedProcess, Reply, eventually, raw
 from platform_stand_ins import Store, Upstream
 
 PROGRAM = f"{BUILD}/platform/stagepostd-platform"
@@ -38,27 +36,15 @@
             "tenants": [{"name": "club", "apiKeys": [KEY], "priority": 3}], **changes}
 
 
-class Entry:
+class Entry(LoggedProcess):
     """One daemon, started on free ports."""
 
     def __init__(self, store, *extra):
-        self.lines = []
-        self.started = threading.Event()
-        self.process = subprocess.Popen(
-            [PROGRAM, "--name", "entry-1", "--hall", "north", "--listen", "127.0.0.1:0", "--ready-listen", "127.0.0.1:0",
-             "--peer-listen", "127.0.0.1:0", "--store", store.endpoint, "--key-bound-ms", "2000", "--leave-bound-ms", "300", "--drain-s", "4", "--retry-slack", "20", *extra],
-            stdout=subprocess.PIPE, text=True)
-        self.reader = threading.Thread(target=self.read, daemon=True)
-        self.reader.start()
-        assert self.started.wait(PATIENCE), "the daemon did not start"
-
-    def read(self):
-        for line in self.process.stdout:
-            self.lines.append(line)
-            found = re.search(r"event=started .*listen=(\S+) ready_listen=(\S+)", line)
-            if found:
-                self.endpoint, self.ready_endpoint = found.groups()
-                self.started.set()
+        arguments = [PROGRAM, "--name", "entry-1", "--hall", "north", "--listen", "127.0.0.1:0", "--ready-listen", "127.0.0.1:0",
+                     "--peer-listen", "127.0.0.1:0", "--store", store.endpoint, "--key-bound-ms", "2000", "--leave-bound-ms", "300",
+                     "--drain-s", "4", "--retry-slack", "20", *extra]
+        super().__init__(arguments, r"event=started .*listen=(\S+) ready_listen=(\S+)")
+        self.endpoint, self.ready_endpoint = self.addresses
 
     def is_ready(self):
         return self.get_ready("/readyz").status == 200
@@ -66,14 +52,6 @@
     def get_ready(self, path):
         return request(self.ready_endpoint, "GET", path)
 
-    def stop(self):
-        if self.process.poll() is None:
-            self.process.send_signal(signal.SIGCONT)
-            self.process.kill()
-        self.process.wait()
-        self.reader.join()
-        self.process.stdout.close()
-
 
 def request(endpoint, method, path, body=None, headers=None):
     host, port = endpoint.rsplit(":", 1)
@@ -186,15 +164,15 @@
     def test_a_repeatable_call_is_asked_for_again(self):
         for fault in ("cut", "mute", "foreign", "unsigned", "fail", "unframed-reset"):
             with self.subTest(fault=fault):
+                # Whichever is asked first.
+                faults = [fault]
                 for book in self.books:
-                    book.next_faults = []
-                self.books[0].next_faults = [fault]
-                self.books[1].next_faults = []
-                # Until the faulty one is chosen.
-                while self.books[0].next_faults:
-                    reply = self.call("/lookup/x")
-                    self.assertEqual(reply.status, 200)
-                    self.assertIn("/lookup/x", reply.body)
+                    book.next_faults = faults
+                before = self.runs(self.books)
+                reply = self.call("/lookup/x")
+                self.assertEqual((reply.status, faults), (200, []))
+                self.assertIn("/lookup/x", reply.body)
+                self.assertEqual(self.runs(self.books), before + 2)
 
     def test_failures_of_the_upstream_come_back_unchanged(self):
         self.set_fault(self.books, "fail")
