stagepostd: Say each thing once

Cause: found in the last read of the change. systemRandom() stood in both programs and is one function now; taking changes of upstreams from the store repeated the loop that takes them from another daemon and calls it; giving a request up had two branches alike but for one word; a time of sending was written and never read.

Behaviour is the same, and no test changed.

--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -121,21 +121,24 @@
 
 void Gateway::takeUpstreams(std::vector<UpstreamChange> const& changes, bool isWhole, Instant readSentAt)
 {
-    auto const now = m_loop.now();
-    m_directory.confirm(readSentAt, now);
-    std::vector<UpstreamRecord> whole;
-    for (auto const& change : changes) {
-        if (isWhole && change.record)
-            whole.push_back(*change.record);
-        else if (change.record)
-            m_directory.put(*change.record, now);
-        else
-            m_directory.remove(change.instance, now);
-    }
     if (isWhole)
-        m_directory.replace(whole, now);
+        replaceUpstreams(changes, readSentAt);
+    else
+        applyChanges(changes, readSentAt);
     noteReadiness();
-    m_peers.proven(now);
+    m_peers.proven(m_loop.now());
+}
+
+void Gateway::replaceUpstreams(std::vector<UpstreamChange> const& all, Instant provenAt)
+{
+    std::vector<UpstreamRecord> records;
+    for (auto const& change : all) {
+        if (change.record)
+            records.push_back(*change.record);
+    }
+    auto const now = m_loop.now();
+    m_directory.confirm(provenAt, now);
+    m_directory.replace(records, now);
 }
 
 StateSummary Gateway::summary() const
@@ -198,7 +201,7 @@
 // is known here; a configuration orders itself by its version.
 void Gateway::takeState(GatewayState const& state, std::optional<Instant> provenAt)
 {
-    if (state.settingsVersion > (settingsVersion()) && !applySettings(state.settingsText))
+    if (state.settingsVersion > settingsVersion() && !applySettings(state.settingsText))
         return;
     if (!provenAt)
         return;
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -66,6 +66,7 @@
     StateSummary summary() const;
     std::optional<Instant> provenAt() const;
     void confirmed(Instant);
+    void replaceUpstreams(std::vector<UpstreamChange> const& all, Instant provenAt);
     void applyChanges(std::vector<UpstreamChange> const&, Instant provenAt);
     GatewayState state(uint64_t knownSettings) const;
     void takeState(GatewayState const&, std::optional<Instant> provenAt);
--- a/Services/stagepostd/GatewayFlow.cpp
+++ b/Services/stagepostd/GatewayFlow.cpp
@@ -107,7 +107,6 @@
     auto const now = m_services.loop.now();
     auto const& route = *m_request.route;
     ++m_sends;
-    m_sentAt = now;
     m_instance = target.instance;
     m_service.placement.started(upstream);
 
@@ -228,19 +227,14 @@
 
 void GatewayFlow::giveUp(ForwardResult const& result)
 {
-    if (result.failure == RefusalReason::CallerGone || result.failure == RefusalReason::SlowCaller) {
-        m_services.metrics.countRefusal({ *result.failure, m_verdict, result.detail, {} });
-        log("caller-gone", result, nameOf(*result.failure));
-        m_exchange->abandon();
-        return;
-    }
-    if (result.answerStarted) {
-        m_services.metrics.countRefusal({ *result.failure, m_verdict, result.detail, {} });
-        log("cut", result, nameOf(*result.failure));
-        m_exchange->abandon();
+    bool const isCallerGone = result.failure == RefusalReason::CallerGone || result.failure == RefusalReason::SlowCaller;
+    if (!isCallerGone && !result.answerStarted) {
+        refuse({ *result.failure, m_verdict, result.detail, timeToComeBack() });
         return;
     }
-    refuse({ *result.failure, m_verdict, result.detail, timeToComeBack() });
+    m_services.metrics.countRefusal({ *result.failure, m_verdict, result.detail, {} });
+    log(isCallerGone ? "caller-gone" : "cut", result, nameOf(*result.failure));
+    m_exchange->abandon();
 }
 
 void GatewayFlow::refuse(Refusal const& refusal)
--- a/Services/stagepostd/GatewayFlow.h
+++ b/Services/stagepostd/GatewayFlow.h
@@ -73,7 +73,6 @@
     size_t m_sends { 0 };
     // How often no connection to an upstream came up.
     size_t m_unconnected { 0 };
-    Instant m_sentAt;
     Verdict m_verdict { Verdict::NotRun };
     std::optional<Refusal> m_lastFailure;
 };
--- a/Services/stagepostd/main.cpp
+++ b/Services/stagepostd/main.cpp
@@ -1,20 +1,14 @@
 #include <LibBase/Log.h>
 #include <csignal>
 #include <iostream>
-#include <random>
 #include <stagepostd/Daemon.h>
+#include <stagepostd/SystemRandom.h>
 
 namespace {
 
 // The exit code for a wrong flag or environment variable.
 constexpr int exitUsage = 2;
 
-Stagepost::RandomHook systemRandom()
-{
-    auto engine = std::make_shared<std::mt19937_64>((uint64_t { std::random_device {}() } << 32) | std::random_device {}());
-    return [engine] { return (*engine)(); };
-}
-
 }
 
 int main(int argc, char** argv)
@@ -30,7 +24,7 @@
     }
     Stagepost::setLogLevel(options->logLevel);
     Stagepost::EventLoop loop;
-    Stagepost::Daemon daemon(loop, *options, systemRandom());
+    Stagepost::Daemon daemon(loop, *options, Stagepost::systemRandom());
     if (auto const started = daemon.start(); !started) {
         Stagepost::logEvent(Stagepost::LogLevel::Error, "cannot-start", { { "detail", started.error().message() } });
         return 1;
