--- a/Tests/Processes/platform_stand_ins.py
+++ b/Tests/Processes/platform_stand_ins.py
@@ -62,14 +62,24 @@
             def log_message(self, *arguments):
                 pass
 
+        self.handler = Handler
         self.server = Server(Handler)
         self.endpoint = self.server.endpoint
+        self.doors = []
 
     def stop(self):
         with self.changed:
             self.mode = "reset"
             self.changed.notify_all()
-        self.server.stop()
+        for server in [self.server, *self.doors]:
+            server.stop()
+
+    def door(self):
+        """Another address of the same store, whose `is_busy` turns its callers alone away."""
+        door = Server(self.handler)
+        door.is_busy = False
+        self.doors.append(door)
+        return door
 
     def put(self, topic, key, value):
         """Adds a record; a value of None takes its key away."""
@@ -101,7 +111,7 @@
             if self.mode == "reset":
                 handler.close_connection = True
                 return
-            if self.mode == "busy":
+            if self.mode == "busy" or getattr(handler.server, "is_busy", False):
                 return self.reply(handler, 503, b"")
             if query.get("topic") in self.topics_down:
                 return self.reply(handler, 503, b"")
--- a/Tests/Processes/test_platform.py
+++ b/Tests/Processes/test_platform.py
@@ -75,6 +75,7 @@
         self.store = Store()
         self.addCleanup(self.store.stop)
         self.attempts = 0
+        self.entries = []
         self.books = [self.upstream(f"book-{number}", "book") for number in (1, 2)]
         self.chats = [self.upstream(f"chat-{number}", "chat") for number in (1, 2)]
         self.store.put("keyed.op", "config", manifest(3))
@@ -83,6 +84,7 @@
     def start(self, *extra):
         entry = Entry(self.store, *extra)
         self.addCleanup(entry.stop)
+        self.entries.append(entry)
         eventually(entry.is_ready, "ready")
         eventually(lambda: any("event=peers" in line for line in entry.lines), "registered")
         return entry
@@ -336,6 +338,28 @@
         self.assertEqual(self.call("/lookup/x").status, 503)
         self.assertEqual(self.runs(self.books), 0)
 
+    def test_without_a_bound_keys_are_good_for_as_long_as_the_store_is_away(self):
+        self.entry = self.start("--name", "entry-2", "--key-bound-ms", "0")
+        self.store.mode = "busy"
+        # The daemon beside it has a bound, and is out of it by then.
+        eventually(lambda: any("event=unready" in line for line in self.entries[0].lines), "the bound of the other is over")
+        self.assertTrue(self.entry.is_ready())
+        self.assertEqual(self.call("/lookup/x").status, 200)
+        self.assertEqual(self.call("/lookup/x", key="wrong").status, 401)
+
+    def test_without_a_bound_keys_follow_what_any_other_daemon_knows(self):
+        door = self.store.door()
+        self.entry = self.start("--name", "entry-2", "--key-bound-ms", "0", "--store", door.endpoint)
+        door.is_busy = True
+        self.store.put("keyed.op", "config", manifest(9, tenants=[{"name": "club", "apiKeys": ["another-key"]}]))
+        eventually(lambda: self.call("/lookup/x").status == 401, "the key is gone")
+        self.assertEqual(self.call("/lookup/x", key="another-key").status, 200)
+        self.store.mode = "busy"
+        self.store.put("keyed.op", "config", manifest(4))
+        door.is_busy, self.store.mode = False, "up"
+        eventually(lambda: any("event=store-regained" in line and "keyed.op" in line for line in self.entry.lines), "regained")
+        self.assertEqual(self.call("/lookup/x").status, 401)
+
     def test_a_daemon_without_a_configuration_refuses_as_not_run(self):
         empty = Store()
         self.addCleanup(empty.stop)
