LibRouting: Notice silence while answers are due

Cause: a cut between halls resets no connection. Each daemon learnt of each upstream beyond it by two requests that ran out of their time, or by connections that did not come up within half the objective, three in a row. In the hall that is cut off a request went from one trial of an unreachable upstream to the next until it was refused, and upstreams were told to take contexts from others that they could not reach, which costs them 300 ms.

Change: SilenceWatch judges an answer that is due against what is usual, and several silent upstreams of a hall together; a silent hall gets a trial every 0.4 s. What is in doubt goes on a connection that has just come up, so that nothing that may run once is lost to a dead one. Connections get an eighth of the objective, 40 to 100 ms. A request is a trial once at most. Sources of contexts are upstreams that can be reached. What GatewayFlow decided about waiting, sending again and giving up is RequestAttempts, without I/O.

Ruled out: an earlier final answer for what has been sent, since the caller may not repeat it; TCP_USER_TIMEOUT, which would tell the same later and lose what still comes after a short cut.

--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -26,6 +26,12 @@
     m_result.detail = detail;
 }
 
+void Forwarder::noteSign(UpstreamSign sign)
+{
+    if (m_plan.heard)
+        m_plan.heard(sign);
+}
+
 void Forwarder::failRead(NetError failure)
 {
     m_result.reachedLimit = m_watchdog->hasReachedEnd();
@@ -105,6 +111,7 @@
         fail(RefusalReason::UpstreamRefused, m_plan.upstream.toString() + ": " + failure.message());
         co_return false;
     }
+    noteSign(UpstreamSign::Connected);
     m_connection->stream.socket().set_option(Tcp::no_delay(true), failure);
     co_return true;
 }
@@ -124,6 +131,7 @@
         failRead(failure);
         co_return false;
     }
+    noteSign(UpstreamSign::AnswerBegan);
     m_result.firstByteAfter = std::chrono::duration_cast<Microseconds>(IdleWatchdog::Clock::now() - started);
     co_return true;
 }
@@ -225,6 +233,7 @@
         failRead(failure);
         co_return false;
     }
+    noteSign(UpstreamSign::AnswerWentOn);
     bytes = { m_part.data(), m_part.size() - body.size };
     co_return true;
 }
--- a/Libraries/LibProxy/Detail/Forwarder.h
+++ b/Libraries/LibProxy/Detail/Forwarder.h
@@ -57,6 +57,7 @@
     HttpFields answerHeaders() const;
     std::optional<uint64_t> upstreamLength() const;
     void expired();
+    void noteSign(UpstreamSign);
     void fail(RefusalReason, std::string const& detail);
     void failRead(NetError);
     void giveConnectionBack();
--- a/Libraries/LibProxy/ForwardPlan.h
+++ b/Libraries/LibProxy/ForwardPlan.h
@@ -21,6 +21,14 @@
 // Looks at the head of an answer before any of it is passed on.
 using HeadJudge = std::function<std::optional<HeadRejection>(unsigned status, HttpFields const&)>;
 
+// By what an upstream shows that it can be reached.
+enum class UpstreamSign : uint8_t {
+    // A new connection to it came up.
+    Connected,
+    AnswerBegan,
+    AnswerWentOn,
+};
+
 // How one request goes to one upstream.
 struct ForwardPlan {
     Endpoint upstream;
@@ -59,6 +67,8 @@
     std::shared_ptr<EventProgress> progress;
     // Whether a stream that breaks tells the caller so in a last event.
     bool endsWithErrorEvent { true };
+    // Told of each sign of life of the upstream; none for nobody.
+    std::function<void(UpstreamSign)> heard;
     // When the forward is given up, whatever it has come to.
     std::optional<Instant> limit;
 };
--- a/Libraries/LibRouting/Routing.h
+++ b/Libraries/LibRouting/Routing.h
@@ -18,11 +18,13 @@
 #include <LibRouting/PoolPolicy.h>
 #include <LibRouting/PromptChain.h>
 #include <LibRouting/Rendezvous.h>
+#include <LibRouting/RequestAttempts.h>
 #include <LibRouting/RetryBudget.h>
 #include <LibRouting/RetryPolicy.h>
 #include <LibRouting/RoutingMessage.h>
 #include <LibRouting/RoutingView.h>
 #include <LibRouting/ServicePlacement.h>
 #include <LibRouting/ShareExchange.h>
+#include <LibRouting/SilenceWatch.h>
 #include <LibRouting/UpstreamHealth.h>
 #include <LibRouting/UpstreamOwner.h>
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -19,6 +19,29 @@
     // to stay in the own hall among equals, not to queue there.
     constexpr double otherHallCost = 0.4;
 
+    // What the watch says of halls, asked once for each: some have hundreds of upstreams.
+    class HallReaches {
+    public:
+        HallReaches(SilenceWatch const& silence, Instant now)
+            : m_silence(silence)
+            , m_now(now)
+        {
+        }
+
+        Reach of(HallId hall)
+        {
+            auto const [entry, isNew] = m_reaches.try_emplace(hall, Reach::Heard);
+            if (isNew)
+                entry->second = m_silence.reach(hall, m_now);
+            return entry->second;
+        }
+
+    private:
+        SilenceWatch const& m_silence;
+        Instant m_now;
+        std::map<HallId, Reach> m_reaches;
+    };
+
     // The first in a context's rendezvous order of the upstreams that are offered.
     class FirstInOrder {
     public:
@@ -101,6 +124,13 @@
     case SendOutcome::Broke:
         upstream.health.broke(now);
         return;
+    case SendOutcome::Unreachable:
+        // Where the whole hall is silent, that tells nothing of the upstream.
+        if (m_silence.reach(upstream.facts.hall, now) == Reach::Heard)
+            upstream.health.unreachable(now);
+        else
+            upstream.health.trialReturned();
+        return;
     case SendOutcome::Unknown:
         upstream.health.trialReturned();
         return;
@@ -109,23 +139,42 @@
     upstream.tookAt = now;
 }
 
-std::vector<ServicePlacement::Upstream*> ServicePlacement::candidates(Wish const& wish, Instant now)
+std::vector<ServicePlacement::Upstream*> ServicePlacement::staying(Wish const& wish)
 {
-    std::vector<Upstream*> staying;
+    std::vector<Upstream*> result;
     for (auto& [id, upstream] : m_upstreams) {
         bool const isExcluded = std::find(wish.excluded.begin(), wish.excluded.end(), id) != wish.excluded.end();
         if (!isExcluded && !upstream.facts.isLeaving)
-            staying.push_back(&upstream);
+            result.push_back(&upstream);
     }
+    return result;
+}
+
+// Without those in halls that are silent. Where all are, this daemon may be the
+// one that is cut off, or paused: try any.
+std::vector<ServicePlacement::Upstream*> ServicePlacement::reachable(std::vector<Upstream*> const& all, Instant now) const
+{
+    HallReaches halls(m_silence, now);
+    std::vector<Upstream*> result;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(result), [&](auto const* upstream) { return halls.of(upstream->facts.hall) != Reach::Silent; });
+    return result.empty() ? all : result;
+}
+
+std::vector<ServicePlacement::Upstream*> ServicePlacement::candidates(Wish const& wish, Instant now)
+{
+    auto const usable = reachable(staying(wish), now);
     std::vector<Upstream*> answering;
-    std::copy_if(staying.begin(), staying.end(), std::back_inserter(answering), [](auto const* upstream) { return upstream->health.isClosed(); });
+    std::copy_if(usable.begin(), usable.end(), std::back_inserter(answering), [](auto const* upstream) { return upstream->health.isClosed(); });
     // Upstreams that stopped answering get one request each once their pause is
-    // over. When all of them have, the fault may be the network's: try any.
-    for (auto* upstream : staying) {
-        if (!upstream->health.isClosed() && upstream->health.allows(now, wish.isRepeatable))
+    // over. When all of them have, the fault may be the network's: try any. A
+    // request that has failed already is no trial: where many upstreams are gone,
+    // it would go from one to the next.
+    bool const mayBeTrial = wish.excluded.empty() || answering.empty();
+    for (auto* upstream : usable) {
+        if (mayBeTrial && !upstream->health.isClosed() && upstream->health.allows(now, wish.isRepeatable))
             return { upstream };
     }
-    return sound(answering.empty() ? staying : answering, now);
+    return sound(answering.empty() ? usable : answering, now);
 }
 
 // Never leaves fewer than half: where most of a service fails, it is the service
@@ -147,21 +196,27 @@
     auto const usable = candidates(wish, now);
     if (usable.empty())
         return {};
-    Choice choice { wish.context ? chooseByContext(usable, *wish.context, now) : chooseByWait(usable, now)->facts.id, {} };
+    Choice choice { wish.context ? chooseByContext(usable, *wish.context, now) : chooseByWait(usable, now)->facts.id, {}, false };
     if (wish.context)
-        choice.contextSource = contextSource(*wish.context, choice.upstream);
+        choice.contextSource = contextSource(*wish.context, choice.upstream, now);
+    auto const& upstream = m_upstreams.at(choice.upstream);
+    choice.isInDoubt = !upstream.health.isClosed() || m_silence.isSilent(choice.upstream, now) || m_silence.reach(upstream.facts.hall, now) != Reach::Heard;
     return choice;
 }
 
 // Every daemon sends a context to the first upstream of its order, so where the
 // chosen one is another, the first one holds it; and where the chosen one is the
 // first but new, the one after it was the first before. Leaving upstreams take
-// no requests and still give what they hold.
-std::optional<UpstreamId> ServicePlacement::contextSource(uint64_t context, UpstreamId chosen) const
+// no requests and still give what they hold. One that cannot be reached from here
+// is hardly reached from the chosen one, which would wait for it in vain.
+std::optional<UpstreamId> ServicePlacement::contextSource(uint64_t context, UpstreamId chosen, Instant now) const
 {
+    HallReaches halls(m_silence, now);
     FirstInOrder first(context);
     for (auto const& [id, upstream] : m_upstreams) {
-        if (id != chosen && upstream.health.isClosed())
+        if (id == chosen || !upstream.health.isClosed())
+            continue;
+        if (halls.of(upstream.facts.hall) == Reach::Heard && !m_silence.isSilent(id, now))
             first.offer(id);
     }
     return first.id();
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -4,6 +4,7 @@
 #include <LibBase/Ids.h>
 #include <LibRouting/LoadEstimate.h>
 #include <LibRouting/PromptChain.h>
+#include <LibRouting/SilenceWatch.h>
 #include <LibRouting/UpstreamHealth.h>
 #include <map>
 #include <optional>
@@ -17,6 +18,7 @@
     bool isInOwnHall { false };
     size_t slots { 1 };
     bool isLeaving { false };
+    HallId hall {};
 };
 
 // How a request that was sent to an upstream ended.
@@ -28,6 +30,8 @@
     Refused,
     // No answer, or none that can be used.
     Broke,
+    // No connection came up, so nothing was sent.
+    Unreachable,
     // Nothing is known of the upstream: the caller left, or it was never asked.
     Unknown,
 };
@@ -47,8 +51,10 @@
         double loadSlack { 2 };
     };
 
-    explicit ServicePlacement(Bounds bounds, RandomHook random)
+    // The watch is shared by all services: halls fall silent, not services.
+    ServicePlacement(Bounds bounds, SilenceWatch const& silence, RandomHook random)
         : m_bounds(bounds)
+        , m_silence(silence)
         , m_random(std::move(random))
     {
     }
@@ -70,6 +76,9 @@
         // The other upstream that is most likely to hold the context: taking it
         // from there costs a fraction of reading it again.
         std::optional<UpstreamId> contextSource;
+        // Whether it is in doubt that the upstream can be reached: the request is
+        // sent only on a connection that has just come up.
+        bool isInDoubt { false };
     };
     std::optional<Choice> choose(Wish const&, Instant now);
 
@@ -93,14 +102,17 @@
         Instant tookAt;
     };
 
+    std::vector<Upstream*> staying(Wish const&);
     std::vector<Upstream*> candidates(Wish const&, Instant now);
+    std::vector<Upstream*> reachable(std::vector<Upstream*> const&, Instant now) const;
     std::vector<Upstream*> sound(std::vector<Upstream*> const&, Instant now) const;
     UpstreamId chooseByContext(std::vector<Upstream*> const&, uint64_t context, Instant now) const;
-    std::optional<UpstreamId> contextSource(uint64_t context, UpstreamId chosen) const;
+    std::optional<UpstreamId> contextSource(uint64_t context, UpstreamId chosen, Instant now) const;
     Upstream* chooseByWait(std::vector<Upstream*> const&, Instant now) const;
     double expectedWait(Upstream const&, double usual, Instant now) const;
 
     Bounds m_bounds;
+    SilenceWatch const& m_silence;
     RandomHook m_random;
     std::map<UpstreamId, Upstream> m_upstreams;
 };
--- a/Libraries/LibRouting/UpstreamHealth.cpp
+++ b/Libraries/LibRouting/UpstreamHealth.cpp
@@ -39,7 +39,7 @@
 
 bool UpstreamHealth::allows(Instant now, bool isRepeatable)
 {
-    if (!m_breaker.isClosed() && !isRepeatable && now - m_observedAt < pauseForOthers)
+    if (!m_breaker.isClosed() && !isRepeatable && !m_isTrialSafe && now - m_observedAt < pauseForOthers)
         return false;
     return m_breaker.allows(now);
 }
@@ -59,6 +59,14 @@
 void UpstreamHealth::broke(Instant now)
 {
     m_breaker.failed(now);
+    m_isTrialSafe = false;
+    observe(1, now);
+}
+
+void UpstreamHealth::unreachable(Instant now)
+{
+    m_breaker.failed(now);
+    m_isTrialSafe = true;
     observe(1, now);
 }
 
--- a/Libraries/LibRouting/UpstreamHealth.h
+++ b/Libraries/LibRouting/UpstreamHealth.h
@@ -16,10 +16,12 @@
     void answeredWithFailure(Instant now);
     // It did not answer, or with something that is no answer.
     void broke(Instant now);
+    // No connection to it came up, so no request was harmed.
+    void unreachable(Instant now);
 
     // Whether it answers at all; a true answer may take the one trial. A request
     // that cannot be sent again is a trial only after a longer pause, so that
-    // those that can be go first.
+    // those that can be go first, unless connections alone have failed.
     bool allows(Instant now, bool isRepeatable);
     void trialReturned() { m_breaker.trialReturned(); }
     bool isClosed() const { return m_breaker.isClosed(); }
@@ -32,6 +34,8 @@
     void observe(double failure, Instant now);
 
     CircuitBreaker m_breaker;
+    // The breaker has opened for connections that did not come up.
+    bool m_isTrialSafe { false };
     double m_failures { 0 };
     double m_answers { 0 };
     Instant m_observedAt;
--- a/Services/stagepostd/GatewayFlow.h
+++ b/Services/stagepostd/GatewayFlow.h
@@ -4,6 +4,7 @@
 #include <LibBase/ProvenAge.h>
 #include <LibProxy/EventLoop.h>
 #include <LibProxy/Exchange.h>
+#include <LibRouting/RequestAttempts.h>
 #include <LibSettings/RouteTable.h>
 #include <memory>
 #include <stagepostd/GatewayDialect.h>
@@ -49,34 +50,28 @@
 private:
     void place();
     size_t mostIdleConnections(Service const*) const;
+    GatewaySend sendTo(ServicePlacement::Choice const&, ServiceBoard::Target const&, Instant now);
+    ForwardPlan planFor(ServicePlacement::Choice const&, ServiceBoard::Target const&, Instant now);
     void forward(ServicePlacement::Choice const&, ServiceBoard::Target const&);
+    void noteSign(UpstreamId, UpstreamSign);
     std::optional<HeadRejection> judge(UpstreamId, unsigned status, HttpFields const&);
     void forwarded(UpstreamId, ForwardResult const&);
     void noteOutcome(UpstreamId, ForwardResult const&);
-    bool maySendAgain(ForwardResult const&);
-    bool couldSendAgain(Instant now) const;
-    Milliseconds patience(Instant now) const;
     void giveUp(ForwardResult const&);
     void refuse(Refusal const&);
     void log(std::string_view outcome, ForwardResult const&, std::string_view reason) const;
-    Milliseconds timeToComeBack() const;
 
     GatewayServices const& m_services;
     std::shared_ptr<Exchange> m_exchange;
     RoutedRequest m_request;
     ServiceBoard::Entry& m_service;
-    // By when the caller has its final answer.
-    Instant m_limit;
+    RequestAttempts m_attempts;
     std::shared_ptr<EventProgress> m_progress;
-    std::vector<UpstreamId> m_failed;
     std::string m_instance;
     // Where the upstream may take the context from; empty for none.
     std::string m_contextSource;
-    // How often the request has reached an upstream, or may have.
-    size_t m_sends { 0 };
-    // How often no connection to an upstream came up.
-    size_t m_unconnected { 0 };
-    Verdict m_verdict { Verdict::NotRun };
+    // When the request was sent last, or the upstream last heard since.
+    Instant m_heardAt;
     std::optional<Refusal> m_lastFailure;
 };
 
--- a/Services/stagepostd/ServiceBoard.cpp
+++ b/Services/stagepostd/ServiceBoard.cpp
@@ -8,7 +8,7 @@
 {
     auto& entry = m_services[name];
     if (!entry) {
-        entry = std::make_unique<Entry>(Entry { ServicePlacement(m_bounds.placement, m_random), RetryBudget(m_bounds.retries) });
+        entry = std::make_unique<Entry>(Entry { ServicePlacement(m_bounds.placement, m_silence, m_random), RetryBudget(m_bounds.retries) });
         entry->retries.setShare(m_retryShare);
     }
     return *entry;
@@ -37,8 +37,9 @@
     }
     if (auto const* known = target(id); known && known->service != record.service)
         remove(id);
-    m_targets[id] = { record.instance, std::move(*endpoint), record.service };
-    service(record.service).placement.putUpstream({ id, record.hall == m_bounds.hall, record.slots, record.isLeaving });
+    auto const hall = HallId::fromName(record.hall);
+    m_targets[id] = { record.instance, std::move(*endpoint), record.service, hall };
+    service(record.service).placement.putUpstream({ id, record.hall == m_bounds.hall, record.slots, record.isLeaving, hall });
 }
 
 void ServiceBoard::remove(UpstreamId id)
@@ -47,6 +48,7 @@
     if (known == m_targets.end())
         return;
     service(known->second.service).placement.removeUpstream(id);
+    m_silence.forget(id);
     m_targets.erase(known);
 }
 
--- a/Services/stagepostd/ServiceBoard.h
+++ b/Services/stagepostd/ServiceBoard.h
@@ -28,6 +28,7 @@
         std::string instance;
         Endpoint endpoint;
         std::string service;
+        HallId hall;
     };
 
     ServiceBoard(Bounds bounds, RandomHook random)
@@ -45,6 +46,8 @@
     // Services are made when they are first asked for and then stay.
     Entry& service(std::string const& name);
     Target const* target(UpstreamId) const;
+    // Which upstreams and halls have fallen silent.
+    SilenceWatch& silence() { return m_silence; }
     std::map<std::string, std::unique_ptr<Entry>> const& services() const { return m_services; }
     size_t upstreamCount() const { return m_targets.size(); }
 
@@ -54,6 +57,7 @@
     Bounds m_bounds;
     RandomHook m_random;
     double m_retryShare { 0 };
+    SilenceWatch m_silence;
     std::map<std::string, std::unique_ptr<Entry>> m_services;
     std::map<UpstreamId, Target> m_targets;
 };
--- /dev/null
+++ b/Tests/LibRouting/TestRequestAttempts.cpp
@@ -0,0 +1,136 @@
+#include <LibRouting/Routing.h>
+#include <boost/test/unit_test.hpp>
+
+using namespace Stagepost;
+
+namespace {
+
+Instant at(double seconds)
+{
+    return Instant(Microseconds(static_cast<int64_t>(seconds * 1e6)));
+}
+
+struct World {
+    RetryBudget budget { { 0.2, 50, Seconds(10) } };
+
+    World() { budget.setShare(1); }
+
+    RequestAttempts attempts(bool isRepeatable, size_t mostSends, bool isStream = false)
+    {
+        AttemptTerms terms;
+        terms.isRepeatable = isRepeatable;
+        terms.isStream = isStream;
+        terms.mostSends = mostSends;
+        terms.objective = Milliseconds(400);
+        terms.gapObjective = Milliseconds(300);
+        terms.limit = at(12);
+        return { terms, budget };
+    }
+};
+
+FailedAttempt broken(Verdict verdict)
+{
+    FailedAttempt attempt;
+    attempt.verdict = verdict;
+    return attempt;
+}
+
+FailedAttempt unconnected()
+{
+    FailedAttempt attempt;
+    attempt.verdict = Verdict::NotRun;
+    attempt.isUnconnected = true;
+    return attempt;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(RequestAttemptsTests)
+
+BOOST_AUTO_TEST_CASE(WhatMayHaveRunIsSentAgainOnlyWhereItMayRunTwice)
+{
+    World world;
+    auto once = world.attempts(false, 2);
+    once.sent();
+    BOOST_TEST(!once.failed(UpstreamId(1), broken(Verdict::MayHaveRun), at(10)));
+    BOOST_TEST((once.verdict() == Verdict::MayHaveRun));
+    auto again = world.attempts(true, 2);
+    again.sent();
+    BOOST_TEST(again.failed(UpstreamId(1), broken(Verdict::MayHaveRun), at(10)));
+    again.sent();
+    BOOST_TEST(!again.failed(UpstreamId(2), broken(Verdict::Ran), at(10)));
+}
+
+BOOST_AUTO_TEST_CASE(WhatTheUpstreamHasNotRunIsSentAgainWithinTheRoutesSends)
+{
+    World world;
+    auto once = world.attempts(false, 2);
+    once.sent();
+    BOOST_TEST(once.failed(UpstreamId(1), broken(Verdict::NotRun), at(10)));
+    once.sent();
+    BOOST_TEST(!once.failed(UpstreamId(2), broken(Verdict::NotRun), at(10)));
+    BOOST_TEST((once.verdict() == Verdict::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(AnUpstreamWithoutAConnectionIsNoSend)
+{
+    World world;
+    auto once = world.attempts(false, 1);
+    size_t tried = 0;
+    do {
+        once.sent();
+        ++tried;
+    } while (once.failed(UpstreamId(tried), unconnected(), at(10)));
+    BOOST_TEST(tried == 5u);
+    BOOST_TEST(once.sends() == 0u);
+    BOOST_TEST((once.verdict() == Verdict::NotRun));
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsSentAgainForACallerThatLeftOrAfterTheLimit)
+{
+    World world;
+    for (auto const change : { &FailedAttempt::isCallerLost, &FailedAttempt::reachedLimit }) {
+        auto attempts = world.attempts(true, 2);
+        attempts.sent();
+        auto attempt = broken(Verdict::MayHaveRun);
+        attempt.*change = true;
+        BOOST_TEST(!attempts.failed(UpstreamId(1), attempt, at(10)));
+    }
+    auto late = world.attempts(true, 2);
+    late.sent();
+    BOOST_TEST(!late.failed(UpstreamId(1), broken(Verdict::MayHaveRun), at(11.999)));
+    BOOST_TEST(late.isOver(at(11.999)));
+}
+
+BOOST_AUTO_TEST_CASE(AnUpstreamIsLeftEarlyOnlyWhereAnotherMayBeAsked)
+{
+    World world;
+    auto again = world.attempts(true, 2, true);
+    again.sent();
+    auto const first = again.patience(3, at(10));
+    BOOST_TEST((first.firstByte == Milliseconds(200)));
+    BOOST_TEST((first.betweenParts == Milliseconds(900)));
+    BOOST_TEST((again.patience(1, at(10)).firstByte == Milliseconds(2000)));
+    BOOST_TEST(again.failed(UpstreamId(1), broken(Verdict::MayHaveRun), at(10)));
+    again.sent();
+    BOOST_TEST((again.patience(3, at(10)).firstByte == Milliseconds(2000)));
+    auto once = world.attempts(false, 1, true);
+    once.sent();
+    BOOST_TEST((once.patience(3, at(10)).firstByte == Milliseconds(2000)));
+    BOOST_TEST((once.patience(3, at(10)).betweenParts == Milliseconds(2000)));
+    BOOST_TEST((once.patience(3, at(10)).connect == Milliseconds(50)));
+}
+
+BOOST_AUTO_TEST_CASE(OnlyAConnectionThatHasJustComeUpProvesWhatIsInDoubt)
+{
+    World world;
+    ServicePlacement::Choice sound { UpstreamId(1), {}, false };
+    ServicePlacement::Choice doubtful { UpstreamId(1), {}, true };
+    BOOST_TEST(!world.attempts(true, 2).needsFreshConnection(sound));
+    BOOST_TEST(world.attempts(true, 2).needsFreshConnection(doubtful));
+    BOOST_TEST(!world.attempts(false, 1, true).needsFreshConnection(sound));
+    BOOST_TEST(world.attempts(false, 1, true).needsFreshConnection(doubtful));
+    BOOST_TEST(world.attempts(false, 1).needsFreshConnection(sound));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibRouting/TestServicePlacement.cpp
+++ b/Tests/LibRouting/TestServicePlacement.cpp
@@ -17,11 +17,14 @@
     return [engine = std::make_shared<std::mt19937_64>(seed)] { return (*engine)(); };
 }
 
+// Of tests in which nothing falls silent.
+SilenceWatch const nobodySilent;
+
 ServicePlacement placementOf(size_t upstreams, size_t ownHall = 0, uint64_t seed = 1)
 {
-    ServicePlacement placement({}, seeded(seed));
+    ServicePlacement placement({}, nobodySilent, seeded(seed));
     for (size_t number = 1; number <= upstreams; ++number)
-        placement.putUpstream({ UpstreamId(number), number <= ownHall, 4, false });
+        placement.putUpstream({ UpstreamId(number), number <= ownHall, 4, false, HallId(1) });
     return placement;
 }
 
@@ -94,7 +97,7 @@
 {
     auto placement = placementOf(4);
     auto const holder = placement.choose(wishFor(5), at(1))->upstream;
-    placement.putUpstream({ holder, false, 4, true });
+    placement.putUpstream({ holder, false, 4, true, HallId(1) });
     auto const choice = placement.choose(wishFor(5), at(1));
     BOOST_TEST((choice->upstream != holder));
     BOOST_TEST((*choice->contextSource == holder));
