--- a/Tests/LibMembership/TestStateExchange.cpp
+++ b/Tests/LibMembership/TestStateExchange.cpp
@@ -269,7 +269,7 @@
     size_t reads = 0;
     for (auto const& daemon : fleet.daemons)
         reads += daemon->reads;
-    BOOST_TEST((oldest(fleet) < Milliseconds(1600)));
+    BOOST_TEST((oldest(fleet) < Milliseconds(1300)));
     // One reader in each of three halls, twice a second.
     BOOST_TEST(reads - before <= 3u * 2 * 20 + 3);
     BOOST_TEST(fleet.violations == 0u);
@@ -383,7 +383,7 @@
     fleet.run(Seconds(5));
     for (auto const& daemon : fleet.daemons)
         BOOST_TEST((daemon->reads == 0u) == !daemon->exchange->isReader());
-    BOOST_TEST((oldest(fleet) < Milliseconds(1600)));
+    BOOST_TEST((oldest(fleet) < Milliseconds(1300)));
 }
 
 // The relays are gone, or cannot read the store.
