--- a/Tests/Processes/test_deploy.py
+++ b/Tests/Processes/test_deploy.py
@@ -49,6 +49,10 @@
     def test_keys_have_no_bound_where_the_deployment_does_not_ask_for_one(self):
         self.assertEqual(flags_for(strictRevoke=False)["--key-bound-ms"], "0")
 
+    def test_both_bounds_on_news_are_given(self):
+        flags = flags_for(drainMs=3000, configApplyMs=700)
+        self.assertEqual((flags["--leave-bound-ms"], flags["--config-bound-ms"]), ("3000", "700"))
+
     def test_the_daemon_takes_the_flags(self):
         for is_strict in (True, False):
             words = [word for pair in flags_for(strictRevoke=is_strict).items() for word in pair]
