LibMembership: Ask one suspected daemon at a time

Cause: since daemons that did not answer are asked beside the one that does, a daemon that is cut off from all came to ask the whole fleet every five seconds: 21 KB/s after two minutes, 120 daemons before 880 upstreams, where 9 are allowed. Found on reading the change.

Change: only the one whose turn came first is asked, at most one with each ask.

Test: ADaemonThatIsCutOffAsksWithinItsBudget failed before.

--- a/Libraries/LibMembership/StateExchange.cpp
+++ b/Libraries/LibMembership/StateExchange.cpp
@@ -15,6 +15,12 @@
     constexpr double headerBytes = 53;
     constexpr uint64_t relayKey = 0x72656c61795f6b65;
 
+    // Of those who have not answered, who is to be asked again first.
+    bool isSuspectedLess(std::pair<VMId const, Instant> const& one, std::pair<VMId const, Instant> const& other)
+    {
+        return one.second < other.second;
+    }
+
     Microseconds stampOf(Instant instant)
     {
         return instant.time_since_epoch();
@@ -128,7 +134,7 @@
     if (found != m_order.end())
         return *found;
     // Nobody has answered: one after the other, in the order of their suspicions.
-    auto const first = std::min_element(m_suspectedUntil.begin(), m_suspectedUntil.end(), [](auto const& one, auto const& other) { return one.second < other.second; });
+    auto const first = std::min_element(m_suspectedUntil.begin(), m_suspectedUntil.end(), isSuspectedLess);
     return first == m_suspectedUntil.end() ? std::nullopt : std::optional(first->first);
 }
 
@@ -137,15 +143,15 @@
     return !isReader() || !m_hooks.beliefs.provenAt() || isStale(now);
 }
 
-// Beside the one that answers, so that no proof is missed for asking in vain.
+// Beside the one that answers, so that no proof is missed for asking in vain. One
+// at a time: a daemon that is cut off comes to suspect the whole fleet.
 void StateExchange::askSuspected(Instant now)
 {
-    for (auto& [id, until] : m_suspectedUntil) {
-        if (now < until || id == m_asked)
-            continue;
-        until = now + m_bounds.suspicion;
-        sendAsk(id, now);
-    }
+    auto const next = std::min_element(m_suspectedUntil.begin(), m_suspectedUntil.end(), isSuspectedLess);
+    if (next == m_suspectedUntil.end() || now < next->second)
+        return;
+    next->second = now + m_bounds.suspicion;
+    sendAsk(next->first, now);
 }
 
 void StateExchange::sendAsk(VMId to, Instant now)
--- a/Tests/LibMembership/TestStateExchange.cpp
+++ b/Tests/LibMembership/TestStateExchange.cpp
@@ -433,6 +433,20 @@
     }
 }
 
+// A daemon that reaches nobody for minutes, as where regions lose each other.
+BOOST_AUTO_TEST_CASE(ADaemonThatIsCutOffAsksWithinItsBudget)
+{
+    Fleet fleet(6, 20, 12);
+    useUpstreams(fleet, 880);
+    fleet.run(Seconds(5));
+    auto& alone = *fleet.daemons.front();
+    for (auto& daemon : fleet.daemons)
+        daemon->isPaused = daemon->id != alone.id;
+    alone.reachesStore = false;
+    fleet.run(Seconds(120));
+    BOOST_TEST(mostBytesPerSecond(fleet) < controlBudget);
+}
+
 BOOST_AUTO_TEST_CASE(StampsOfAnEarlierProcessProveNothing)
 {
     std::optional<Instant> provenAt;
