LibRouting: Keep what a silent line needs and no more

- A line of SilenceWatch is made when a request goes out, so the time since which something is due is always set; it is no optional any more. unreached() does not need the time, and its comment says that refused connections count.
- GatewayFlow looks the service of a request up once for each send.
- The tests of silence share how a connection fails and how a placement is made, with all their assertions; the test of the deploy file takes the build's folder and its patience from where the other process tests have them.

--- a/Libraries/LibRouting/SilenceWatch.cpp
+++ b/Libraries/LibRouting/SilenceWatch.cpp
@@ -43,11 +43,11 @@
 {
     if (isSilent(hall, now))
         m_halls[hall].nextTrialAt = now + m_bounds.trialPause;
-    auto& line = m_lines[upstream];
-    line.hall = hall;
-    ++line.open;
-    if (!line.waitingSince)
-        line.waitingSince = now;
+    auto const [line, isNew] = m_lines.try_emplace(upstream);
+    if (isNew)
+        line->second.waitingSince = now;
+    line->second.hall = hall;
+    ++line->second.open;
 }
 
 void SilenceWatch::heard(UpstreamId upstream, Instant now)
@@ -78,7 +78,7 @@
     heard(upstream, now);
 }
 
-void SilenceWatch::unreached(UpstreamId upstream, Instant)
+void SilenceWatch::unreached(UpstreamId upstream)
 {
     if (auto const found = m_lines.find(upstream); found != m_lines.end())
         found->second.isUnreached = true;
@@ -98,7 +98,7 @@
 
 bool SilenceWatch::isSilent(Line const& line, Instant now) const
 {
-    return line.isUnreached || (line.waitingSince && now - *line.waitingSince > patience());
+    return line.isUnreached || now - line.waitingSince > patience();
 }
 
 bool SilenceWatch::isSilent(HallId id, Instant now) const
--- a/Libraries/LibRouting/SilenceWatch.h
+++ b/Libraries/LibRouting/SilenceWatch.h
@@ -3,7 +3,6 @@
 #include <LibBase/Ids.h>
 #include <LibBase/Time.h>
 #include <map>
-#include <optional>
 
 namespace Stagepost {
 
@@ -64,8 +63,8 @@
     // The answer began, or went on, after a wait.
     void answerBegan(UpstreamId, Microseconds wait, Instant now);
     void answerWentOn(UpstreamId, Microseconds wait, Instant now);
-    // No connection came up in time.
-    void unreached(UpstreamId, Instant now);
+    // No connection came up: in time, or at all.
+    void unreached(UpstreamId);
     // The request is over, whatever it came to.
     void ended(UpstreamId, Instant now);
     // The upstream is gone for good.
@@ -84,7 +83,7 @@
         HallId hall;
         size_t open { 0 };
         // Since when something is due from it.
-        std::optional<Instant> waitingSince;
+        Instant waitingSince;
         bool isUnreached { false };
     };
     struct Hall {
--- a/Services/stagepostd/GatewayFlow.cpp
+++ b/Services/stagepostd/GatewayFlow.cpp
@@ -99,7 +99,7 @@
     return static_cast<size_t>(idleConnectionsShare * m_services.share() * static_cast<double>(service->mostConnections));
 }
 
-GatewaySend GatewayFlow::sendTo(ServicePlacement::Choice const& choice, ServiceBoard::Target const& target, Instant now)
+GatewaySend GatewayFlow::sendTo(ServicePlacement::Choice const& choice, ServiceBoard::Target const& target, Service const* service, Instant now)
 {
     GatewaySend send;
     send.instance = target.instance;
@@ -107,7 +107,6 @@
     send.priority = m_request.priority;
     send.timeLeft = m_attempts.timeLeft(now);
     send.lastEvent = m_progress && m_progress->lastId ? m_progress->lastId : m_request.call.lastEvent;
-    auto const* service = m_request.table->service(m_request.service);
     auto const* source = choice.contextSource ? m_services.board.target(*choice.contextSource) : nullptr;
     if (service && service->movesContexts && source)
         send.contextSource = source->endpoint.toString();
@@ -118,9 +117,10 @@
 ForwardPlan GatewayFlow::planFor(ServicePlacement::Choice const& choice, ServiceBoard::Target const& target, Instant now)
 {
     auto const patience = m_attempts.patience(m_service.placement.size(), now);
+    auto const* service = m_request.table->service(m_request.service);
     ForwardPlan plan;
     plan.upstream = target.endpoint;
-    plan.call = m_services.dialect.writeCall(m_exchange->call(), sendTo(choice, target, now));
+    plan.call = m_services.dialect.writeCall(m_exchange->call(), sendTo(choice, target, service, now));
     plan.idField = m_services.dialect.idField;
     plan.id = m_request.call.id;
     plan.keepsHost = true;
@@ -128,7 +128,7 @@
     plan.answerTimeout = patience.firstByte;
     plan.idleTimeout = patience.betweenParts;
     plan.freshConnection = m_attempts.needsFreshConnection(choice);
-    plan.mostIdleConnections = std::min(plan.mostIdleConnections, mostIdleConnections(m_request.table->service(m_request.service)));
+    plan.mostIdleConnections = std::min(plan.mostIdleConnections, mostIdleConnections(service));
     plan.holdBytes = heldAnswer;
     plan.progress = m_progress;
     plan.endsWithErrorEvent = false;
@@ -211,7 +211,7 @@
         return result.verdict == Verdict::Ran ? SendOutcome::Failed : SendOutcome::Broke;
     }();
     if (outcome == SendOutcome::Unreachable)
-        m_services.board.silence().unreached(upstream, now);
+        m_services.board.silence().unreached(upstream);
     // The time to the head tells of the upstream; a stream's whole time tells of
     // the answer's length.
     m_service.placement.finished(upstream, outcome, result.firstByteAfter, now);
--- a/Services/stagepostd/GatewayFlow.h
+++ b/Services/stagepostd/GatewayFlow.h
@@ -50,7 +50,7 @@
 private:
     void place();
     size_t mostIdleConnections(Service const*) const;
-    GatewaySend sendTo(ServicePlacement::Choice const&, ServiceBoard::Target const&, Instant now);
+    GatewaySend sendTo(ServicePlacement::Choice const&, ServiceBoard::Target const&, Service const*, Instant now);
     ForwardPlan planFor(ServicePlacement::Choice const&, ServiceBoard::Target const&, Instant now);
     void forward(ServicePlacement::Choice const&, ServiceBoard::Target const&);
     void noteSign(UpstreamId, UpstreamSign);
--- a/Tests/LibRouting/TestSilenceWatch.cpp
+++ b/Tests/LibRouting/TestSilenceWatch.cpp
@@ -25,6 +25,19 @@
     }
 }
 
+// A request that finds no connection.
+void failToConnect(SilenceWatch& watch, UpstreamId upstream, HallId hall, double sentAt, double endedAt)
+{
+    watch.sent(upstream, hall, at(sentAt));
+    watch.unreached(upstream);
+    watch.ended(upstream, at(endedAt));
+}
+
+ServicePlacement placementWith(SilenceWatch const& watch)
+{
+    return { {}, watch, [engine = std::mt19937_64(1)]() mutable { return engine(); } };
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(SilenceWatchTests)
@@ -96,9 +109,7 @@
     // The first request after it was noticed is a trial.
     BOOST_TEST((watch.reach(north, at(10.5)) == Reach::Doubtful));
     BOOST_TEST((watch.reach(south, at(10.5)) == Reach::Heard));
-    watch.sent(UpstreamId(3), north, at(10.5));
-    watch.unreached(UpstreamId(3), at(10.54));
-    watch.ended(UpstreamId(3), at(10.54));
+    failToConnect(watch, UpstreamId(3), north, 10.5, 10.54);
     BOOST_TEST((watch.reach(north, at(10.6)) == Reach::Silent));
     BOOST_TEST((watch.reach(north, at(10.95)) == Reach::Doubtful));
     watch.sent(UpstreamId(4), north, at(10.95));
@@ -109,11 +120,8 @@
 BOOST_AUTO_TEST_CASE(ConnectionsThatDoNotComeUpAreSilenceAtOnce)
 {
     SilenceWatch watch;
-    for (uint64_t upstream : { 1, 2 }) {
-        watch.sent(UpstreamId(upstream), north, at(10));
-        watch.unreached(UpstreamId(upstream), at(10.04));
-        watch.ended(UpstreamId(upstream), at(10.04));
-    }
+    for (uint64_t upstream : { 1, 2 })
+        failToConnect(watch, UpstreamId(upstream), north, 10, 10.04);
     BOOST_TEST((watch.reach(north, at(10.05)) != Reach::Heard));
     watch.forget(UpstreamId(1));
     BOOST_TEST((watch.reach(north, at(10.05)) == Reach::Heard));
@@ -124,8 +132,7 @@
 BOOST_AUTO_TEST_CASE(ContextsLeaveASilentHallAndReturnToIt)
 {
     SilenceWatch watch;
-    std::mt19937_64 engine(1);
-    ServicePlacement placement({}, watch, [&engine] { return engine(); });
+    auto placement = placementWith(watch);
     for (uint64_t number = 1; number <= 8; ++number)
         placement.putUpstream({ UpstreamId(number), false, 8, false, number <= 4 ? north : south });
     auto const inNorth = [&](double now) {
@@ -138,11 +145,8 @@
         return count;
     };
     BOOST_TEST(inNorth(10) > 30u);
-    for (uint64_t upstream : { 1, 2, 3 }) {
-        watch.sent(UpstreamId(upstream), north, at(10));
-        watch.unreached(UpstreamId(upstream), at(10.05));
-        watch.ended(UpstreamId(upstream), at(10.05));
-    }
+    for (uint64_t upstream : { 1, 2, 3 })
+        failToConnect(watch, UpstreamId(upstream), north, 10, 10.05);
     // The trial is under way.
     watch.sent(UpstreamId(4), north, at(10.1));
     BOOST_TEST(inNorth(10.2) == 0u);
@@ -153,17 +157,13 @@
 BOOST_AUTO_TEST_CASE(NoSilentUpstreamIsNamedAsTheSourceOfAContext)
 {
     SilenceWatch watch;
-    std::mt19937_64 engine(1);
-    ServicePlacement placement({}, watch, [&engine] { return engine(); });
+    auto placement = placementWith(watch);
     for (uint64_t number = 1; number <= 6; ++number)
         placement.putUpstream({ UpstreamId(number), false, 8, false, number <= 2 ? north : south });
     // Its hall has others that are heard.
     watch.sent(UpstreamId(6), south, at(9));
-    for (uint64_t upstream : { 1, 2 }) {
-        watch.sent(UpstreamId(upstream), north, at(10));
-        watch.unreached(UpstreamId(upstream), at(10.05));
-        watch.ended(UpstreamId(upstream), at(10.05));
-    }
+    for (uint64_t upstream : { 1, 2 })
+        failToConnect(watch, UpstreamId(upstream), north, 10, 10.05);
     watch.sent(UpstreamId(3), south, at(10));
     watch.answerBegan(UpstreamId(3), Milliseconds(60), at(10.06));
     for (uint64_t context = 1; context <= 50; ++context) {
@@ -177,8 +177,7 @@
 BOOST_AUTO_TEST_CASE(WhereEveryHallIsSilentAnyUpstreamIsTried)
 {
     SilenceWatch watch;
-    std::mt19937_64 engine(1);
-    ServicePlacement placement({}, watch, [&engine] { return engine(); });
+    auto placement = placementWith(watch);
     for (uint64_t number = 1; number <= 2; ++number) {
         placement.putUpstream({ UpstreamId(number), false, 8, false, north });
         watch.sent(UpstreamId(number), north, at(10));
@@ -193,8 +192,7 @@
 {
     ServicePlacement::Wish once;
     SilenceWatch watch;
-    std::mt19937_64 engine(1);
-    ServicePlacement placement({}, watch, [&engine] { return engine(); });
+    auto placement = placementWith(watch);
     for (uint64_t number = 1; number <= 2; ++number)
         placement.putUpstream({ UpstreamId(number), false, 8, false, HallId(number) });
     for (int failure = 0; failure < 2; ++failure) {
--- a/Tests/Processes/test_deploy.py
+++ b/Tests/Processes/test_deploy.py
@@ -7,8 +7,10 @@
 import tomllib
 import unittest
 
-ROOT = os.path.join(os.path.dirname(__file__), "..", "..")
-PROGRAM = os.path.join(os.environ.get("STAGEPOST_BUILD", os.path.join(ROOT, "Build")), "platform", "stagepostd-platform")
+from fleet import BUILD, PATIENCE
+
+PROGRAM = f"{BUILD}/platform/stagepostd-platform"
+DEPLOY = os.path.join(os.path.dirname(__file__), "..", "..", "deploy", "system.toml")
 
 # What a process's settings hold, as far as the deploy file uses it.
 SETTINGS = {
@@ -36,7 +38,7 @@
 
 
 def flags_for(**bounds):
-    with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
+    with open(DEPLOY, "rb") as file:
         run = tomllib.load(file)["roles"]["entry"]["run"]
     words = fill(run, {**SETTINGS, "bounds": {**SETTINGS["bounds"], **bounds}}).split()[1:]
     return dict(zip(words[::2], words[1::2]))
@@ -57,7 +59,7 @@
         for is_strict in (True, False):
             words = [word for pair in flags_for(strictRevoke=is_strict).items() for word in pair]
             # Without the wrong flag it would start and stay.
-            refused = subprocess.run([PROGRAM, *words, "--log-level", "none"], capture_output=True, text=True, timeout=20)
+            refused = subprocess.run([PROGRAM, *words, "--log-level", "none"], capture_output=True, text=True, timeout=PATIENCE)
             self.assertEqual(refused.returncode, 2)
             self.assertIn("--log-level = 'none'", refused.stderr)
 
