LibProxy: Wait for an answer for as long as it goes on coming

Cause of the incident: a call had one time-out for its whole answer. The store's answer with 4,449 routes is 1.1 MB, 0.9 s on a link of 10 Mbit/s with nobody else on it; reads are given 1 s. Small daemons gave each read up, began anew at the first byte, and filled their links with bytes of no use.

The time-out now runs until the answer begins and then anew with each part of it; an answer that trickles ends after eight times as long. Ruled out before: the thread that stands still (0 to 2% of the processor while late, in force 0.2 s after the first whole read), proofs that do not hold (proven ages of 7 s and more at the late daemons). The same client carries the calls between daemons, to upstreams' status and of the operator's tool, so these are mended with it.

AnAnswerThatIsOnItsWayIsWaitedFor failed before and passes; the two cases beside it passed before and after.

--- a/Libraries/LibProxy/HttpClient.cpp
+++ b/Libraries/LibProxy/HttpClient.cpp
@@ -12,6 +12,27 @@
         return { code, endpoint.toString() + ": " + failure.message() };
     }
 
+    // An answer that goes on coming may take so many time-outs in all: 1.1 MB at a
+    // fifth of a link of 10 Mbit/s take five times the second that the store's answers
+    // are given. Whoever waits tries elsewhere only after that.
+    constexpr int longestInTimeouts = 8;
+
+    // Reads the whole answer. The time-out runs anew with each part of it: a large answer
+    // takes as long as the link does, and one that is begun anew after a fixed time
+    // never arrives on a link that is too small for that.
+    Net::awaitable<NetError> readAnswer(TcpStream& stream, Http::response_parser<Http::string_body>& parser, Milliseconds timeout)
+    {
+        auto const end = std::chrono::steady_clock::now() + longestInTimeouts * timeout;
+        Beast::flat_buffer buffer;
+        while (!parser.is_done()) {
+            auto [failure, size] = co_await Http::async_read_some(stream, buffer, parser, useTuple);
+            if (failure)
+                co_return failure;
+            stream.expires_at(std::min(std::chrono::steady_clock::now() + timeout, end));
+        }
+        co_return NetError {};
+    }
+
     Net::awaitable<Result<HttpReply>> fetchReply(Endpoint endpoint, HttpCall call, Milliseconds timeout)
     {
         TcpStream stream(co_await Net::this_coro::executor);
@@ -32,10 +53,9 @@
         if (writeFailure)
             co_return failureOf(endpoint, writeFailure);
 
-        Beast::flat_buffer buffer;
         Http::response_parser<Http::string_body> parser;
         parser.body_limit(HttpClient::largestAnswer);
-        auto [readFailure, read] = co_await Http::async_read(stream, buffer, parser, useTuple);
+        auto const readFailure = co_await readAnswer(stream, parser, timeout);
         if (readFailure)
             co_return failureOf(endpoint, readFailure);
 
--- a/Libraries/LibProxy/HttpClient.h
+++ b/Libraries/LibProxy/HttpClient.h
@@ -20,7 +20,9 @@
     {
     }
 
-    // Calls back exactly once. Errors: Unreachable where not one byte was sent,
+    // Calls back exactly once. The time-out is for the call until its answer begins, and
+    // for each pause within the answer; one that goes on may take a few times as long.
+    // Errors: Unreachable where not one byte was sent,
     // so the call has not run; Timeout or Malformed where it may have run.
     void fetch(Endpoint const&, HttpCall, Milliseconds timeout, Callback);
 
