LibProxy: Let a loop that was stopped with nothing left run again

The work guard of a run was given up after the restart; where it was the last work, giving it up stops the context, so the next run ended at once and its call's answer was written into a function that had returned. Until then a timer of the last call had always been left over and hid this.

Ruled out: the coroutine's frames (the loop of reads stands in the coroutine itself now, which changed nothing), a callback that runs twice (a line for each call).

--- a/Libraries/LibProxy/EventLoop.cpp
+++ b/Libraries/LibProxy/EventLoop.cpp
@@ -12,18 +12,30 @@
 
 EventLoop::~EventLoop() = default;
 
+namespace {
+
+    // Whoever gives up the last work of a context stops it, so the guard goes before
+    // the restart: else the next run would end at once.
+    template <typename Run>
+    void runAgainAfter(Net::io_context& context, Run const& run)
+    {
+        {
+            auto const keepRunning = Net::make_work_guard(context);
+            run();
+        }
+        context.restart();
+    }
+
+}
+
 void EventLoop::run()
 {
-    auto const keepRunning = Net::make_work_guard(m_native->context);
-    m_native->context.run();
-    m_native->context.restart();
+    runAgainAfter(m_native->context, [this] { m_native->context.run(); });
 }
 
 void EventLoop::runFor(Milliseconds duration)
 {
-    auto const keepRunning = Net::make_work_guard(m_native->context);
-    m_native->context.run_for(duration);
-    m_native->context.restart();
+    runAgainAfter(m_native->context, [this, duration] { m_native->context.run_for(duration); });
 }
 
 void EventLoop::stop()
--- a/Libraries/LibProxy/HttpClient.cpp
+++ b/Libraries/LibProxy/HttpClient.cpp
@@ -17,22 +17,6 @@
     // are given. Whoever waits tries elsewhere only after that.
     constexpr int longestInTimeouts = 8;
 
-    // Reads the whole answer. The time-out runs anew with each part of it: a large answer
-    // takes as long as the link does, and one that is begun anew after a fixed time
-    // never arrives on a link that is too small for that.
-    Net::awaitable<NetError> readAnswer(TcpStream& stream, Http::response_parser<Http::string_body>& parser, Milliseconds timeout)
-    {
-        auto const end = std::chrono::steady_clock::now() + longestInTimeouts * timeout;
-        Beast::flat_buffer buffer;
-        while (!parser.is_done()) {
-            auto [failure, size] = co_await Http::async_read_some(stream, buffer, parser, useTuple);
-            if (failure)
-                co_return failure;
-            stream.expires_at(std::min(std::chrono::steady_clock::now() + timeout, end));
-        }
-        co_return NetError {};
-    }
-
     Net::awaitable<Result<HttpReply>> fetchReply(Endpoint endpoint, HttpCall call, Milliseconds timeout)
     {
         TcpStream stream(co_await Net::this_coro::executor);
@@ -55,9 +39,18 @@
 
         Http::response_parser<Http::string_body> parser;
         parser.body_limit(HttpClient::largestAnswer);
-        auto const readFailure = co_await readAnswer(stream, parser, timeout);
-        if (readFailure)
-            co_return failureOf(endpoint, readFailure);
+
+        // The time-out runs anew with each part of the answer: a large one takes as long as
+        // the link does, and one that is begun anew after a fixed time never arrives on a
+        // link that is too small for that.
+        auto const end = std::chrono::steady_clock::now() + longestInTimeouts * timeout;
+        Beast::flat_buffer buffer;
+        while (!parser.is_done()) {
+            auto [readFailure, read] = co_await Http::async_read_some(stream, buffer, parser, useTuple);
+            if (readFailure)
+                co_return failureOf(endpoint, readFailure);
+            stream.expires_at(std::min(std::chrono::steady_clock::now() + timeout, end));
+        }
 
         HttpReply reply;
         reply.status = parser.get().result_int();
