--- a/Meta/Measure/SettingsMeasurement.cpp
+++ b/Meta/Measure/SettingsMeasurement.cpp
@@ -107,9 +107,9 @@
         line.add("apply_ms", cost(runs, [&] { (void)applyDelta(before, delta); }));
         line.add("whole_kb", static_cast<double>(makeDelta({}, after).size()) / 1000);
         ManifestReader reader;
-        (void)readWhole(reader.read(before));
-        line.add("read_change_ms", cost(1, [&] { (void)readWhole(reader.read(after)); }));
-        line.add("read_same_ms", cost(runs, [&] { (void)readWhole(reader.read(after)); }));
+        (void)readWhole(reader.read(makeSettingsText(before)));
+        line.add("read_change_ms", cost(1, [&] { (void)readWhole(reader.read(makeSettingsText(after))); }));
+        line.add("read_same_ms", cost(runs, [&] { (void)readWhole(reader.read(makeSettingsText(after))); }));
         line.add("read_ms", cost(runs, [&] { (void)readManifest(after); }));
         line.add("table_ms", cost(runs, [&] { RouteTable const table(*parsed); }));
         line.print();
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -46,7 +46,7 @@
     , m_dialect(std::move(dialect))
     , m_registry(std::move(registry))
     , m_random(std::move(random))
-    , m_intake(loop, { m_dialect.readSettings, [this](auto&& parts, auto const& arrival) { return applySettings(std::move(parts), arrival); } })
+    , m_intake(loop, { m_dialect.readSettings, [this](auto&& parts, auto const& arrival) { return applySettings(std::move(parts), arrival); }, [this](Microseconds turn) { m_metrics.observe("stagepost_settings_turn_seconds", turn); } })
     , m_board({ m_options.hall, m_options.placement, m_options.retries }, m_random)
     , m_directory(m_options.directory, [this](UpstreamChange const& change) { m_board.apply(change); })
     , m_peers(loop, m_metrics, m_options.exchange, m_random, peerHooks())
@@ -119,7 +119,7 @@
 {
     bool const isNew = text && (m_intake.isBusy() || *text != m_settings.text());
     if (isNew)
-        m_intake.take({ std::move(*text), {}, [this, readSentAt] { settingsProven(readSentAt); } });
+        m_intake.take({ makeSettingsText(std::move(*text)), {}, [this, readSentAt] { settingsProven(readSentAt); } });
     else if (m_intake.isBusy())
         m_readWhileTaking = readSentAt;
     else
@@ -268,7 +268,7 @@
     if (m_intake.isTaking(state.settings.version))
         return;
     if (auto text = m_settings.textOf(state.settings)) {
-        m_intake.take({ std::move(*text), state.settings, confirm });
+        m_intake.take({ makeSettingsText(std::move(*text)), state.settings, confirm });
         return;
     }
     m_wantedSince = m_loop.now() - m_options.settingsPatience - Milliseconds(1);
--- a/Services/stagepostd/GatewayDialect.h
+++ b/Services/stagepostd/GatewayDialect.h
@@ -50,7 +50,7 @@
 // How the platform, its callers and its upstreams spell what the gateway needs.
 struct GatewayDialect {
     // One reading at a time.
-    std::function<SettingsSteps(std::string const&)> readSettings;
+    std::function<SettingsSteps(SettingsText const&)> readSettings;
     // The field in which requests carry their ids and answers repeat them.
     std::string idField;
     std::function<GatewayCall(HttpCall const&)> readCall;
--- a/Services/stagepostd/SettingsHistory.cpp
+++ b/Services/stagepostd/SettingsHistory.cpp
@@ -4,13 +4,13 @@
 
 namespace Stagepost {
 
-void SettingsHistory::add(uint64_t version, std::string text, std::optional<ToldSettings> const& told)
+void SettingsHistory::add(uint64_t version, SettingsText text, std::optional<ToldSettings> const& told)
 {
     bool const leadsOn = told && told->base && told->base == m_version;
     if (leadsOn)
         m_steps.insert(m_steps.end(), told->steps.begin(), told->steps.end());
     else if (m_version)
-        m_steps.push_back({ version, makeDelta(m_text, text) });
+        m_steps.push_back({ version, makeDelta(*m_text, *text) });
     else
         m_base = version;
     while (m_steps.size() > mostSteps) {
@@ -33,7 +33,7 @@
         told.steps.assign(known == m_base ? m_steps.begin() : last + 1, m_steps.end());
     } else {
         if (m_whole.empty())
-            m_whole = makeDelta({}, m_text);
+            m_whole = makeDelta({}, *m_text);
         told.steps = { { m_version, m_whole } };
     }
     size_t bytes = 0;
@@ -50,7 +50,7 @@
         return Error(ErrorCode::Malformed, "no configuration was told");
     if (told.base && told.base != m_version)
         return Error(ErrorCode::Malformed, "it leads on from another configuration");
-    std::string text = told.base ? m_text : std::string();
+    std::string text = told.base ? *m_text : std::string();
     for (auto const& step : told.steps)
         text = TRY(applyDelta(text, step.delta));
     return text;
--- a/Services/stagepostd/SettingsHistory.h
+++ b/Services/stagepostd/SettingsHistory.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <stagepostd/SettingsSteps.h>
 #include <string>
 #include <vector>
 
@@ -38,10 +39,11 @@
 public:
     // The steps by which it was told are passed on as they are: only whoever has read a
     // configuration from the store works out what has changed.
-    void add(uint64_t version, std::string text, std::optional<ToldSettings> const& told);
+    void add(uint64_t version, SettingsText text, std::optional<ToldSettings> const& told);
 
     uint64_t version() const { return m_version; }
-    std::string const& text() const { return m_text; }
+    // Empty where there is none.
+    std::string const& text() const { return *m_text; }
     ToldSettings since(uint64_t known) const;
     // The text that was told. Error: Malformed, also where nothing was told or it leads on
     // from another configuration.
@@ -56,7 +58,7 @@
     static constexpr size_t mostBytes = 128u << 10;
 
     uint64_t m_version { 0 };
-    std::string m_text;
+    SettingsText m_text { makeSettingsText({}) };
     // What leads to the newest, each on from the one before it.
     std::deque<ToldSettings::Step> m_steps;
     // What the first step leads on from.
--- a/Services/stagepostd/SettingsIntake.cpp
+++ b/Services/stagepostd/SettingsIntake.cpp
@@ -47,16 +47,22 @@
     goOn();
 }
 
+std::optional<Result<RouteTable::Parts>> SettingsIntake::turn()
+{
+    auto const begin = m_loop.now();
+    std::optional<Result<RouteTable::Parts>> parts;
+    for (size_t count = 0; count < mostSteps && !parts && m_loop.now() - begin < longestTurn; ++count)
+        parts = m_steps();
+    m_hooks.turned(m_loop.now() - begin);
+    return parts;
+}
+
 void SettingsIntake::goOn()
 {
-    auto const end = m_loop.now() + longestTurn;
-    for (size_t count = 0; count < mostSteps && m_loop.now() < end; ++count) {
-        if (auto parts = m_steps()) {
-            finish(std::move(*parts));
-            return;
-        }
-    }
-    m_timer.once(Milliseconds(0), [this] { goOn(); });
+    if (auto parts = turn())
+        finish(std::move(*parts));
+    else
+        m_timer.once(Milliseconds(0), [this] { goOn(); });
 }
 
 void SettingsIntake::finish(Result<RouteTable::Parts> parts)
--- a/Services/stagepostd/SettingsIntake.h
+++ b/Services/stagepostd/SettingsIntake.h
@@ -5,7 +5,6 @@
 #include <optional>
 #include <stagepostd/SettingsHistory.h>
 #include <stagepostd/SettingsSteps.h>
-#include <string>
 
 namespace Stagepost {
 
@@ -17,7 +16,7 @@
 public:
     // A configuration as it came.
     struct Arrival {
-        std::string text;
+        SettingsText text;
         // How it was told, if another daemon told it.
         std::optional<ToldSettings> told;
         // Called once it is in force, or a newer one is; not if it cannot be read.
@@ -25,9 +24,11 @@
     };
 
     struct Hooks {
-        std::function<SettingsSteps(std::string const& text)> read;
+        std::function<SettingsSteps(SettingsText const&)> read;
         // Whether it is in force now, or a newer one: not if it could not be read.
         std::function<bool(Result<RouteTable::Parts>&&, Arrival const&)> taken;
+        // How long requests had to wait for one turn.
+        std::function<void(Microseconds)> turned { [](Microseconds) {} };
     };
 
     SettingsIntake(EventLoop&, Hooks);
@@ -40,6 +41,7 @@
 private:
     void begin(Arrival);
     void goOn();
+    std::optional<Result<RouteTable::Parts>> turn();
     void finish(Result<RouteTable::Parts>);
 
     EventLoop& m_loop;
--- a/Tests/platform/TestManifestReader.cpp
+++ b/Tests/platform/TestManifestReader.cpp
@@ -32,7 +32,7 @@
 Reading readWith(ManifestReader const& reader, std::string const& text)
 {
     Reading reading;
-    auto const step = reader.read(text);
+    auto const step = reader.read(makeSettingsText(text));
     std::optional<Result<RouteTable::Parts>> parts;
     while (!parts) {
         parts = step();
--- a/Tests/platform/TestSettingsIntake.cpp
+++ b/Tests/platform/TestSettingsIntake.cpp
@@ -22,7 +22,7 @@
 
     SettingsIntake::Arrival arrival(std::string const& text)
     {
-        return { text, {}, [this, text] { inForce.push_back(text); } };
+        return { makeSettingsText(text), {}, [this, text] { inForce.push_back(text); } };
     }
 
     void run()
@@ -35,8 +35,8 @@
     std::vector<std::string> taken;
     std::vector<std::string> inForce;
     size_t steps { 0 };
-    SettingsIntake intake { loop, { [this](std::string const& text) { return read(text); }, [this](auto&& parts, auto const& arrived) {
-                                       taken.push_back(arrived.text);
+    SettingsIntake intake { loop, { [this](SettingsText const& text) { return read(*text); }, [this](auto&& parts, auto const& arrived) {
+                                       taken.push_back(*arrived.text);
                                        return parts.has_value(); } } };
 };
 
