--- a/Libraries/LibSettings/RouteTable.cpp
+++ b/Libraries/LibSettings/RouteTable.cpp
@@ -2,37 +2,80 @@
 
 #include <LibBase/Hash.h>
 #include <algorithm>
+#include <bit>
 #include <functional>
 #include <set>
 
 namespace Stagepost {
 
-size_t RouteTable::PlaceHash::operator()(Place const& place) const
+namespace {
+
+    uint64_t placeHashOf(std::string_view host, std::string_view prefix)
+    {
+        return mixHashes(hashOf(host), hashOf(prefix));
+    }
+
+    bool isAt(Route const& route, std::string_view host, std::string_view prefix)
+    {
+        return route.host == host && route.pathPrefix == prefix;
+    }
+
+}
+
+RouteEntry::RouteEntry(Route newRoute)
+    : route(std::make_shared<Route const>(std::move(newRoute)))
+    , placeHash(placeHashOf(route->host, route->pathPrefix))
+    , prefixLength(route->pathPrefix.size())
 {
-    return mixHashes(hashOf(place.host), hashOf(place.pathPrefix));
 }
 
 RouteTable::RouteTable(Parts parts)
     : m_parts(std::move(parts))
 {
+    index();
+}
+
+void RouteTable::index()
+{
+    // At the most half of the slots are taken, so that few lie between one's own and the
+    // next free one.
+    m_slots.resize(std::bit_ceil(2 * m_parts.routes.size() + 1));
     std::set<size_t, std::greater<>> lengths;
-    m_routesByPlace.reserve(m_parts.routes.size());
-    for (auto const& route : m_parts.routes) {
-        m_routesByPlace.emplace(Place { route->host, route->pathPrefix }, route.get());
-        lengths.insert(route->pathPrefix.size());
+    for (size_t number = 0; number < m_parts.routes.size(); ++number) {
+        addToIndex(number);
+        lengths.insert(m_parts.routes[number].prefixLength);
     }
     m_prefixLengths.assign(lengths.begin(), lengths.end());
 }
 
+// Of two routes at one place the first serves: it stands before the other.
+void RouteTable::addToIndex(size_t route)
+{
+    auto slot = slotOf(m_parts.routes[route].placeHash);
+    while (m_slots[slot])
+        slot = slotOf(slot + 1);
+    m_slots[slot] = static_cast<uint32_t>(route + 1);
+}
+
+Route const* RouteTable::routeAt(std::string_view host, std::string_view prefix) const
+{
+    auto const hash = placeHashOf(host, prefix);
+    for (auto slot = slotOf(hash); m_slots[slot]; slot = slotOf(slot + 1)) {
+        auto const& entry = m_parts.routes[m_slots[slot] - 1];
+        if (entry.placeHash == hash && isAt(*entry.route, host, prefix))
+            return entry.route.get();
+    }
+    return nullptr;
+}
+
 Route const* RouteTable::find(std::string_view host, std::string_view path) const
 {
     auto const name = host.substr(0, host.find(':'));
     for (auto const length : m_prefixLengths) {
         if (length > path.size())
             continue;
-        auto const found = m_routesByPlace.find({ name, path.substr(0, length) });
-        if (found != m_routesByPlace.end())
-            return found->second;
+        if (auto const* route = routeAt(name, path.substr(0, length)))
+            return route;
     }
     return nullptr;
 }
--- a/Libraries/LibSettings/RouteTable.h
+++ b/Libraries/LibSettings/RouteTable.h
@@ -56,6 +56,17 @@
     bool isRepeatable() const { return kind == RequestKind::Repeatable || (kind == RequestKind::Stream && isResumable); }
 };
 
+// A route as a table holds it, with what its place is found by: a table of thousands is
+// made anew for each change, and does not touch the routes themselves for that.
+struct RouteEntry {
+    explicit RouteEntry(Route);
+
+    std::shared_ptr<Route const> route;
+    // Of the host and the prefix.
+    uint64_t placeHash { 0 };
+    size_t prefixLength { 0 };
+};
+
 // Upstreams that serve the same requests.
 struct Service {
     std::string name;
@@ -89,7 +100,7 @@
         uint64_t version { 0 };
         // Shared with the table before it where they have not changed: of thousands of
         // routes a change touches a few.
-        std::vector<std::shared_ptr<Route const>> routes;
+        std::vector<RouteEntry> routes;
         std::vector<Service> services;
         std::vector<RoutedOrganisation> organisations;
         // Each key with the index of its organisation.
@@ -114,19 +125,15 @@
     RoutedOrganisation const* organisationOf(std::string const& key) const;
 
 private:
-    // Where a route begins.
-    struct Place {
-        std::string_view host;
-        std::string_view pathPrefix;
-
-        bool operator==(Place const&) const = default;
-    };
-    struct PlaceHash {
-        size_t operator()(Place const&) const;
-    };
+    void index();
+    void addToIndex(size_t route);
+    Route const* routeAt(std::string_view host, std::string_view prefix) const;
+    size_t slotOf(uint64_t placeHash) const { return placeHash & (m_slots.size() - 1); }
 
     Parts m_parts;
-    std::unordered_map<Place, Route const*, PlaceHash> m_routesByPlace;
+    // An open hash table: each slot holds the number of a route from 1 on, or 0. Its size
+    // is a power of two.
+    std::vector<uint32_t> m_slots;
     // The lengths that prefixes have, the longest first. A request is looked up once for
     // each of these few, and not once for each of the thousands of routes of its host.
     std::vector<size_t> m_prefixLengths;
--- a/Tests/LibSettings/TestRouteTable.cpp
+++ b/Tests/LibSettings/TestRouteTable.cpp
@@ -5,13 +5,13 @@
 
 namespace {
 
-std::shared_ptr<Route const> route(std::string name, std::string host, std::string prefix)
+RouteEntry route(std::string name, std::string host, std::string prefix)
 {
-    auto result = std::make_shared<Route>();
-    result->name = std::move(name);
-    result->host = std::move(host);
-    result->pathPrefix = std::move(prefix);
-    return result;
+    Route result;
+    result.name = std::move(name);
+    result.host = std::move(host);
+    result.pathPrefix = std::move(prefix);
+    return RouteEntry(std::move(result));
 }
 
 RouteTable table()
@@ -49,6 +49,20 @@
     BOOST_TEST(!routes.find("a.example", ""));
 }
 
+BOOST_AUTO_TEST_CASE(EachOfManyRoutesIsFound)
+{
+    RouteTable::Parts parts;
+    for (size_t number = 0; number < 3000; ++number)
+        parts.routes.push_back(route("r" + std::to_string(number), "host" + std::to_string(number % 7), "/p" + std::to_string(number) + "/"));
+    RouteTable const routes(std::move(parts));
+    for (size_t number = 0; number < 3000; ++number) {
+        auto const* found = routes.find("host" + std::to_string(number % 7), "/p" + std::to_string(number) + "/x");
+        BOOST_REQUIRE(found);
+        BOOST_TEST(found->name == "r" + std::to_string(number));
+        BOOST_TEST(!routes.find("host" + std::to_string(number % 7 + 1), "/p" + std::to_string(number) + "/x"));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(KeysNameTheirOrganisation)
 {
     auto const routes = table();
--- a/Tests/platform/TestManifestReader.cpp
+++ b/Tests/platform/TestManifestReader.cpp
@@ -107,9 +107,9 @@
     BOOST_REQUIRE((first.parts.has_value() && second.parts.has_value()));
     size_t shared = 0;
     for (size_t number = 0; number < 1000; ++number)
-        shared += first.parts->routes[number] == second.parts->routes[number] ? 1 : 0;
+        shared += first.parts->routes[number].route == second.parts->routes[number].route ? 1 : 0;
     BOOST_TEST(shared == 999u);
-    BOOST_TEST((second.parts->routes[500]->timeout == Milliseconds(7)));
+    BOOST_TEST((second.parts->routes[500].route->timeout == Milliseconds(7)));
     // Each route that is new is a step of its own, so that requests are served between.
     BOOST_TEST(first.steps > 1000u);
     BOOST_TEST(second.steps < 40u);
@@ -136,7 +136,40 @@
         }
         RC_ASSERT(known->routes.size() == anew->routes.size());
         for (size_t index = 0; index < known->routes.size(); ++index)
-            RC_ASSERT(known->routes[index]->name == anew->routes[index]->name);
+            RC_ASSERT(known->routes[index].route->name == anew->routes[index].route->name);
+        RC_ASSERT(known->organisationByKey == anew->organisationByKey);
+    }));
+}
+
+// Routes come and go in runs, at either end and between; texts are indented or not.
+BOOST_AUTO_TEST_CASE(ChangesOfAnyPlaceAreReadAsTheyStand)
+{
+    ManifestReader const reader;
+    std::vector<size_t> numbers;
+    size_t version = 0;
+    BOOST_TEST(rc::check("one change after the other", [&](uint8_t at, uint8_t count, bool removes, uint8_t changed, bool isIndented) {
+        auto const place = numbers.begin() + static_cast<ptrdiff_t>(at % (numbers.size() + 1));
+        if (removes)
+            numbers.erase(place, place + std::min<ptrdiff_t>(count, numbers.end() - place));
+        else
+            numbers.insert(place, count % 20, version + changed);
+        if (!numbers.empty())
+            numbers[changed % numbers.size()] = version;
+        auto next = manifest(++version, 0);
+        for (auto const number : numbers)
+            next["routes"].push_back(route(number));
+        if (changed % 3 == 0)
+            next["tenants"].erase(0);
+        auto const text = next.dump(isIndented ? 1 : -1);
+        auto const known = readWith(reader, text).parts;
+        auto const anew = readManifest(text);
+        RC_ASSERT(known.has_value());
+        RC_ASSERT(known->version == version);
+        RC_ASSERT(known->routes.size() == numbers.size());
+        for (size_t index = 0; index < numbers.size(); ++index) {
+            RC_ASSERT(known->routes[index].route->name == "r-" + std::to_string(numbers[index]));
+            RC_ASSERT(known->routes[index].route->timeout == anew->routes[index].route->timeout);
+        }
         RC_ASSERT(known->organisationByKey == anew->organisationByKey);
     }));
 }
--- a/Tests/platform/TestPlatformReaders.cpp
+++ b/Tests/platform/TestPlatformReaders.cpp
@@ -109,11 +109,11 @@
     auto const parts = readManifest(manifest().dump());
     BOOST_REQUIRE(parts.has_value());
     BOOST_TEST(parts->version == 7u);
-    auto const& digest = *parts->routes.at(0);
+    auto const& digest = *parts->routes.at(0).route;
     BOOST_TEST((digest.kind == RequestKind::Stream && digest.isResumable && digest.keepsContext && !digest.isPublic));
     BOOST_TEST((digest.timeout == Milliseconds(12000) && digest.latencyObjective == Milliseconds(1200) && digest.gapObjective == Milliseconds(400)));
     BOOST_TEST(digest.shares.at(1).weight == 10u);
-    auto const& confirm = *parts->routes.at(1);
+    auto const& confirm = *parts->routes.at(1).route;
     BOOST_TEST((confirm.kind == RequestKind::Once && confirm.mostAttempts == 1u && confirm.shares.at(0).service == "book"));
     BOOST_TEST(parts->services.at(0).contextTokens == 423882u);
     BOOST_TEST(parts->services.at(0).movesContexts);
@@ -141,7 +141,7 @@
     auto changed = manifest();
     changed["routes"][0]["kind"] = "of-a-later-release";
     auto const parts = readManifest(changed.dump());
-    BOOST_TEST((parts->routes.at(0)->kind == RequestKind::Once));
+    BOOST_TEST((parts->routes.at(0).route->kind == RequestKind::Once));
 }
 
 BOOST_AUTO_TEST_CASE(WithoutAListOfOrganisationsNobodyNeedsAKey)
