--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -151,7 +151,7 @@
     m_settings.add(m_table->version(), arrival.text, isAsTold ? arrival.told : std::nullopt);
     m_server.setOptions(serverOptions(m_table->limits()));
     m_metrics.setGauge("stagepost_settings_version", static_cast<double>(m_table->version()));
-    logEvent(LogLevel::Info, "settings-in-force", { { "version", m_table->version() }, { "routes", m_table->routeCount() }, { "source", arrival.told ? "told" : "store" } });
+    logEvent(LogLevel::Info, "settings-in-force", { { "version", m_table->version() }, { "routes", m_table->routeCount() }, { "source", arrival.told ? "told" : "store" }, { "took_ms", (m_loop.now() - arrival.begunAt).count() / 1000 }, { "longest_turn_us", arrival.longestTurn.count() } });
     m_peers.changed(m_loop.now());
     return true;
 }
--- a/Services/stagepostd/SettingsIntake.cpp
+++ b/Services/stagepostd/SettingsIntake.cpp
@@ -1,5 +1,6 @@
 #include <stagepostd/SettingsIntake.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Stagepost {
@@ -43,6 +44,7 @@
 void SettingsIntake::begin(Arrival arrival)
 {
     m_reading = std::move(arrival);
+    m_reading->begunAt = m_loop.now();
     m_steps = m_hooks.read(m_reading->text);
     goOn();
 }
@@ -53,7 +55,9 @@
     std::optional<Result<RouteTable::Parts>> parts;
     for (size_t count = 0; count < mostSteps && !parts && m_loop.now() - begin < longestTurn; ++count)
         parts = m_steps();
-    m_hooks.turned(m_loop.now() - begin);
+    auto const took = m_loop.now() - begin;
+    m_reading->longestTurn = std::max(m_reading->longestTurn, took);
+    m_hooks.turned(took);
     return parts;
 }
 
--- a/Services/stagepostd/SettingsIntake.h
+++ b/Services/stagepostd/SettingsIntake.h
@@ -21,6 +21,9 @@
         std::optional<ToldSettings> told;
         // Called once it is in force, or a newer one is; not if it cannot be read.
         std::function<void()> inForce;
+        // When it began to be read, and how long requests waited for its longest turn.
+        Instant begunAt {};
+        Microseconds longestTurn { 0 };
     };
 
     struct Hooks {
