platform: Ask whether there is something new before reading it

While a hall's reader fetches 0.8 MB on its link it proves nothing, the others' proofs grow older than the age from which each reads for itself (settings_age_ms=1841 of 1,600), and a second later their links are full (requests=upstream-refused, three upstreams in a row, 40 ms each).

A daemon that others have told up to where they know the topic asks only where it ends, 16 bytes; what is there and not known is left to be told within the patience for configurations, and read from that place after it.

--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -107,23 +107,34 @@
 
 // A daemon that is told of a newer configuration gets it from there, unless that takes
 // longer than its patience.
-bool Gateway::needsSettings() const
+bool Gateway::isSettingsOverdue() const
 {
+    auto const isOver = [&](Instant since) { return m_loop.now() - since > m_options.settingsPatience; };
     bool const isWanted = m_wantedSettings > settingsVersion() && !m_intake.isTaking(m_wantedSettings);
-    return needsStore() || (isWanted && m_loop.now() - m_wantedSince > m_options.settingsPatience);
+    bool const isStoreAhead = m_storeIsAheadSince && !m_intake.isBusy();
+    return (isWanted && isOver(m_wantedSince)) || (isStoreAhead && isOver(*m_storeIsAheadSince));
+}
+
+void Gateway::noteNewerSettings()
+{
+    if (!m_storeIsAheadSince)
+        m_storeIsAheadSince = m_loop.now();
 }
 
 // A read without a newer configuration proves the newest that came, which may still be
 // on its way to being in force.
-void Gateway::takeSettings(std::optional<std::string> text, Instant readSentAt)
+void Gateway::takeSettings(std::optional<std::string> text, Instant readSentAt, uint64_t position)
 {
+    m_storeIsAheadSince.reset();
     bool const isNew = text && (m_intake.isBusy() || *text != m_settings.text());
     if (isNew)
-        m_intake.take({ makeSettingsText(std::move(*text)), {}, [this, readSentAt] { settingsProven(readSentAt); } });
+        m_intake.take({ makeSettingsText(std::move(*text)), {}, [this, readSentAt] { settingsProven(readSentAt); }, position });
     else if (m_intake.isBusy())
         m_readWhileTaking = readSentAt;
-    else
+    else {
+        m_settingsPosition = position;
         settingsProven(readSentAt);
+    }
 }
 
 void Gateway::settingsProven(Instant readSentAt)
@@ -147,6 +158,8 @@
     if (m_table && parts->version <= m_table->version())
         return true;
     m_table = std::make_shared<RouteTable const>(std::move(*parts));
+    m_settingsPosition = arrival.position;
+    m_storeIsAheadSince.reset();
     bool const isAsTold = arrival.told && arrival.told->version == m_table->version();
     m_settings.add(m_table->version(), arrival.text, isAsTold ? arrival.told : std::nullopt);
     m_server.setOptions(serverOptions(m_table->limits()));
@@ -243,6 +256,7 @@
 GatewayState Gateway::state(StateSummary const& known) const
 {
     GatewayState state { m_settings.since(known.settingsVersion), m_directory.hash(), {} };
+    state.settings.position = m_settingsPosition;
     if (known.upstreamsHash == m_directory.hash())
         return state;
     auto& upstreams = state.upstreams.emplace();
@@ -262,13 +276,15 @@
             confirmTold(version, hash, *provenAt);
     };
     if (state.settings.version <= settingsVersion()) {
+        if (state.settings.version == settingsVersion())
+            m_settingsPosition = std::max(m_settingsPosition, state.settings.position);
         confirm();
         return;
     }
     if (m_intake.isTaking(state.settings.version))
         return;
     if (auto text = m_settings.textOf(state.settings)) {
-        m_intake.take({ makeSettingsText(std::move(*text)), state.settings, confirm });
+        m_intake.take({ makeSettingsText(std::move(*text)), state.settings, confirm, state.settings.position });
         return;
     }
     m_wantedSince = m_loop.now() - m_options.settingsPatience - Milliseconds(1);
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -28,7 +28,8 @@
     // within one life of the process it never goes back. One that cannot be read
     // leaves the one before in force, and proves nothing. It is read beside the requests
     // and in force some turns of the loop later.
-    void takeSettings(std::optional<std::string> text, Instant readSentAt);
+    // The position is where the platform's records go on, or 0.
+    void takeSettings(std::optional<std::string> text, Instant readSentAt, uint64_t position = 0);
 
     // The changes since the last read, or all upstreams that there are. False where
     // other daemons have proven newer ones meanwhile: the read is not taken, and all
@@ -42,7 +43,15 @@
     // Whether it speaks with other daemons, and so knows that nobody reads for it.
     bool hasJoined() const { return m_peers.hasJoined(); }
     // Another daemon has told of a newer configuration, and could not give it in time.
-    bool needsSettings() const;
+    bool needsSettings() const { return needsStore() || isSettingsOverdue(); }
+    // Whether the store's records are needed, or only whether any were added: then others
+    // tell what they hold.
+    bool needsSettingsRecords() const { return m_peers.isReader() || isSettingsOverdue(); }
+    // The store has records behind the position that were not read.
+    void noteNewerSettings();
+    // Where the platform's records go on behind the configuration in force; 0 where that
+    // is not known.
+    uint64_t settingsPosition() const { return m_settingsPosition; }
     // Whether this daemon is to read the registry now, or others tell it.
     bool needsRegistry() const { return m_peers.needsRegistry(m_loop.now()); }
     // Begins to speak with other daemons, and takes who they are.
@@ -70,6 +79,7 @@
     HttpReply renderMetrics();
     void setServiceGauges();
     bool areKeysFresh() const;
+    bool isSettingsOverdue() const;
     Microseconds settingsAge() const;
     bool applySettings(Result<RouteTable::Parts>&& parts, SettingsIntake::Arrival const&);
     void settingsProven(Instant);
@@ -107,6 +117,8 @@
     std::optional<Instant> m_readWhileTaking;
     uint64_t m_wantedSettings { 0 };
     Instant m_wantedSince;
+    uint64_t m_settingsPosition { 0 };
+    std::optional<Instant> m_storeIsAheadSince;
     ServiceBoard m_board;
     UpstreamDirectory m_directory;
     GatewayPeers m_peers;
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -61,6 +61,8 @@
     bool hasJoined() const { return m_exchange != nullptr; }
     // Without others every daemon reads the store.
     bool needsStore(Instant now) const { return !m_exchange || m_exchange->needsStore(now); }
+    // Whether it reads the store for others, or there is nobody to read it for this one.
+    bool isReader() const { return !m_exchange || m_exchange->isReader(); }
     bool isRelay() const { return !m_exchange || m_exchange->isRelay(); }
     bool needsRegistry(Instant now) const { return !m_exchange || m_exchange->needsRegistry(now); }
     // This daemon's part of the fleet, from 0 to 1.
--- a/Services/stagepostd/GatewayState.cpp
+++ b/Services/stagepostd/GatewayState.cpp
@@ -10,6 +10,7 @@
     MessageWriter writer;
     writer.number(settings.version);
     writer.number(settings.base);
+    writer.number(settings.position);
     writer.number(settings.steps.size());
     for (auto const& step : settings.steps) {
         writer.number(step.version);
@@ -31,6 +32,7 @@
     GatewayState state;
     state.settings.version = reader.number();
     state.settings.base = reader.number();
+    state.settings.position = reader.number();
     auto const steps = reader.count();
     for (size_t index = 0; index < steps && !reader.failed(); ++index) {
         auto const version = reader.number();
--- a/Services/stagepostd/SettingsHistory.cpp
+++ b/Services/stagepostd/SettingsHistory.cpp
@@ -24,7 +24,7 @@
 
 ToldSettings SettingsHistory::since(uint64_t known) const
 {
-    ToldSettings told { version(), 0, {} };
+    ToldSettings told { version(), 0, {}, 0 };
     if (!m_version || known == m_version)
         return told;
     auto const last = std::find_if(m_steps.begin(), m_steps.end(), [known](auto const& step) { return step.version == known; });
@@ -40,7 +40,7 @@
     for (auto const& step : told.steps)
         bytes += step.delta.size();
     if (bytes > mostBytes)
-        return { m_version, 0, {} };
+        return { m_version, 0, {}, 0 };
     return told;
 }
 
--- a/Services/stagepostd/SettingsHistory.h
+++ b/Services/stagepostd/SettingsHistory.h
@@ -29,6 +29,8 @@
     // None where the other has that version already, or where they are too many bytes
     // for a link between daemons, which carries callers' streams: it reads the store then.
     std::vector<Step> steps;
+    // Where the platform's records go on behind this version; 0 where that is not known.
+    uint64_t position { 0 };
 };
 
 // The newest configuration as the platform wrote it, and the last changes. Others are
--- a/Services/stagepostd/SettingsIntake.h
+++ b/Services/stagepostd/SettingsIntake.h
@@ -21,6 +21,8 @@
         std::optional<ToldSettings> told;
         // Called once it is in force, or a newer one is; not if it cannot be read.
         std::function<void()> inForce;
+        // Where the platform's records go on behind it; 0 where that is not known.
+        uint64_t position { 0 };
         // When it began to be read, and how long requests waited for its longest turn.
         Instant begunAt {};
         Microseconds longestTurn { 0 };
--- a/Tests/platform/TestStoreClient.cpp
+++ b/Tests/platform/TestStoreClient.cpp
@@ -21,6 +21,53 @@
 
 }
 
+// A topic whose records are added by the test, and what is asked of it.
+struct RecordStore {
+    StoreClient client { {}, [this](Endpoint const&, HttpCall const& call, Milliseconds, auto const& callback) {
+                            targets.push_back(call.target);
+                            auto const from = std::stoull(call.target.substr(call.target.find("from=") + 5));
+                            std::string body(16, '\0');
+                            body[7] = static_cast<char>(records.size());
+                            for (auto at = from; at < records.size(); ++at)
+                                body += std::string { 0, 0, 0, static_cast<char>(2 + records[at].size()), 1, 'k' } + records[at];
+                            callback(HttpReply { 200, {}, body });
+                        } };
+    std::vector<std::string> records { "a", "b" };
+    std::vector<std::string> targets;
+};
+
+// A daemon that others tell up to where they know the topic.
+struct ToldFollower {
+    ToldFollower()
+    {
+        KeyedTopicFollower::Hooks hooks;
+        hooks.taken = [this](auto const& batch) {
+            ++proofs;
+            for (auto const& record : batch.records)
+                read.push_back(*record.value);
+            return true;
+        };
+        hooks.isNeeded = [] { return true; };
+        hooks.areAllPagesNeeded = [] { return true; };
+        hooks.fairPause = [](size_t) { return Milliseconds(1); };
+        hooks.knownUpTo = [this] { return known; };
+        hooks.areRecordsNeeded = [this] { return isOverdue; };
+        hooks.added = [this] { ++added; };
+        follower.emplace(
+            loop, store.client, "t", KeyedTopicFollower::Pace { Milliseconds(0), Milliseconds(1) }, [] { return 0u; }, hooks);
+        follower->start();
+    }
+
+    EventLoop loop;
+    RecordStore store;
+    std::optional<Offset> known { Offset(2) };
+    bool isOverdue { false };
+    size_t proofs { 0 };
+    size_t added { 0 };
+    std::vector<std::string> read;
+    std::optional<KeyedTopicFollower> follower;
+};
+
 BOOST_AUTO_TEST_SUITE(StoreClientTests)
 
 BOOST_AUTO_TEST_CASE(AListIsReadPageByPage)
@@ -56,6 +103,48 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(TheEndOfATopicCostsNoRecord)
+{
+    RecordStore store;
+    std::optional<Result<Offset>> end;
+    store.client.end("t", [&](auto result) { end = std::move(result); });
+    BOOST_REQUIRE(end && end->has_value());
+    BOOST_TEST(end->value().value() == 2u);
+    BOOST_TEST(store.targets.size() == 1u);
+}
+
+// While one daemon of a hall read a configuration of 0.8 MB, the proofs of all others
+// grew old, and each of them read it as well: 0.7 s of a link of 10 Mbit/s, on which
+// requests found no connection to their upstreams in 40 ms.
+BOOST_AUTO_TEST_CASE(WhatOthersAreAboutToTellIsNotReadByAll)
+{
+    ToldFollower told;
+    told.loop.runFor(Milliseconds(10));
+    BOOST_TEST(told.proofs > 0u);
+    told.store.records.emplace_back("large");
+    told.loop.runFor(Milliseconds(10));
+    auto const proofs = told.proofs;
+    BOOST_TEST(told.added > 0u);
+    told.loop.runFor(Milliseconds(10));
+    // What is there and not known proves nothing.
+    BOOST_TEST(told.proofs == proofs);
+    BOOST_TEST(told.read.empty());
+    told.known = Offset(3);
+    told.loop.runFor(Milliseconds(10));
+    BOOST_TEST(told.proofs > proofs);
+    BOOST_TEST(told.read.empty());
+}
+
+BOOST_AUTO_TEST_CASE(WhatNobodyTellsIsReadFromWhereOthersWere)
+{
+    ToldFollower told;
+    told.store.records.emplace_back("new");
+    told.loop.runFor(Milliseconds(10));
+    told.isOverdue = true;
+    told.loop.runFor(Milliseconds(10));
+    BOOST_TEST((told.read == std::vector<std::string> { "new" }));
+}
+
 // Whoever is to pause longer after each failure has to be told how many there were.
 BOOST_AUTO_TEST_CASE(FailuresInARowAreCountedUntilTheStoreAnswers)
 {
