stagepost: Take an upstream that starts again under its name for another one

An upstream's record carries when its process started (born). A new start is another upstream to all that decides by upstreams: its id is made of name and start, so contexts and sources that were believed there, loads, shares, failures, breaker, silence and what was said to be leaving end with the one before; requests in flight there end as that one's, and idle connections to it are closed. A record of an earlier start changes nothing, whoever tells it and when; only where the store goes on naming it for ten seconds (a clock that was set back; late calls are done within six) is it believed. Without a start all is as before, bytes and hashes included, so daemons of both versions understand each other where no upstream says its start.

Records of other writers name no upstream: types, ranges and states are checked, a list is never refused for one of them, and an upstream whose record turned unreadable is taken away (it stayed before).

--- a/Libraries/LibMembership/UpstreamDirectory.cpp
+++ b/Libraries/LibMembership/UpstreamDirectory.cpp
@@ -13,30 +13,53 @@
     m_age.confirm(readSentAt);
 }
 
-void UpstreamDirectory::put(UpstreamRecord record, Instant)
+// Whether it is a late word of a process that has been replaced.
+bool UpstreamDirectory::isOfEarlierStart(UpstreamRecord const& record, Instant now)
+{
+    auto const known = m_records.find(record.instance);
+    if (known == m_records.end() || record.incarnation >= known->second.incarnation) {
+        m_earlierStarts.erase(record.instance);
+        return false;
+    }
+    auto& earlier = m_earlierStarts.try_emplace(record.instance, EarlierStart { record, now }).first->second;
+    earlier.record = record;
+    return true;
+}
+
+void UpstreamDirectory::put(UpstreamRecord record, Instant now)
+{
+    if (!isOfEarlierStart(record, now))
+        take(std::move(record));
+}
+
+void UpstreamDirectory::take(UpstreamRecord record)
 {
     m_lapsed.erase(record.instance);
     auto const instance = record.instance;
     auto const known = m_records.find(instance);
     if (known != m_records.end() && known->second == record)
         return;
-    bool const wasKnown = known != m_records.end();
-    auto const before = wasKnown ? known->second.hash() : 0;
+    std::optional<UpstreamId> idBefore;
+    if (known != m_records.end())
+        idBefore = known->second.id();
+    auto const before = idBefore ? known->second.hash() : 0;
     auto const after = record.hash();
     auto const& stored = m_records[instance] = std::move(record);
-    if (!wasKnown || before != after)
-        noteChange(instance, wasKnown, before ^ after);
+    if (!idBefore || before != after)
+        noteChange(instance, idBefore, before ^ after);
     m_changed({ instance, stored });
 }
 
 void UpstreamDirectory::remove(std::string const& instance, Instant now)
 {
+    m_earlierStarts.erase(instance);
     auto const known = m_records.find(instance);
     if (known == m_records.end())
         return;
     auto const before = known->second.hash();
+    auto const idBefore = known->second.id();
     m_records.erase(known);
-    noteChange(instance, true, before);
+    noteChange(instance, idBefore, before);
     if (isGracious(now))
         m_lapsed.emplace(instance, m_graceUntil);
     else
@@ -45,11 +68,11 @@
 
 // The hash of all is the sum of each without regard to order, so that a change
 // of one costs nothing but its own.
-void UpstreamDirectory::noteChange(std::string const& instance, bool wasKnown, uint64_t difference)
+void UpstreamDirectory::noteChange(std::string const& instance, std::optional<UpstreamId> idBefore, uint64_t difference)
 {
     auto const found = m_records.find(instance);
     UpstreamChange change { instance, found == m_records.end() ? std::nullopt : std::optional(found->second) };
-    m_history.push_back({ m_hash, wasKnown, std::move(change) });
+    m_history.push_back({ m_hash, idBefore, std::move(change) });
     if (m_history.size() > longestHistory)
         m_history.pop_front();
     m_hash ^= difference;
@@ -85,23 +108,23 @@
 // Goes back from the records as they are, change by change.
 std::shared_ptr<UpstreamList const> UpstreamDirectory::makeList(uint64_t hash) const
 {
-    std::set<std::string_view> instances;
+    std::map<std::string_view, UpstreamId> upstreams;
     for (auto const& [instance, record] : m_records)
-        instances.insert(instances.end(), instance);
+        upstreams.emplace_hint(upstreams.end(), instance, record.id());
     auto hashThen = m_hash;
     for (auto past = m_history.rbegin(); hashThen != hash && past != m_history.rend(); ++past) {
         hashThen = past->hashBefore;
-        if (past->wasKnown)
-            instances.insert(past->change.instance);
+        if (past->idBefore)
+            upstreams.insert_or_assign(past->change.instance, *past->idBefore);
         else
-            instances.erase(past->change.instance);
+            upstreams.erase(past->change.instance);
     }
     if (hashThen != hash)
         return {};
     UpstreamList list;
-    list.reserve(instances.size());
-    for (auto const instance : instances)
-        list.push_back(UpstreamId::fromName(instance));
+    list.reserve(upstreams.size());
+    for (auto const& [instance, id] : upstreams)
+        list.push_back(id);
     return std::make_shared<UpstreamList const>(std::move(list));
 }
 
@@ -133,6 +156,15 @@
         m_lapsed.erase(instance);
         m_changed({ instance, {} });
     }
+    std::vector<UpstreamRecord> believed;
+    for (auto const& [instance, earlier] : m_earlierStarts) {
+        if (now - earlier.since > m_bounds.earlierStart)
+            believed.push_back(earlier.record);
+    }
+    for (auto& record : believed) {
+        m_earlierStarts.erase(record.instance);
+        take(std::move(record));
+    }
 }
 
 }
--- a/Libraries/LibMembership/UpstreamDirectory.h
+++ b/Libraries/LibMembership/UpstreamDirectory.h
@@ -17,7 +17,8 @@
 // Which upstreams there are, as far as the store has told. A record that is
 // taken away means that its upstream is gone, with one exception: after the
 // store was out of reach, records that lapsed meanwhile come back within a
-// while if their upstreams live, and until then those upstreams stay in.
+// while if their upstreams live, and until then those upstreams stay in. A record of
+// an earlier start than is known changes nothing, whoever tells it and when.
 class UpstreamDirectory {
 public:
     struct Bounds {
@@ -25,6 +26,11 @@
         Microseconds outage { 1500000 };
         // How long after the store's return a lapsed record may still come back.
         Microseconds returnGrace { 2000000 };
+        // How long the store has to go on naming an earlier start of an upstream than is
+        // known before that is believed. A call that the store answers late is done up to
+        // some six seconds after its process has died; one whose clock was set back
+        // before it started goes on saying so.
+        Microseconds earlierStart { 10000000 };
     };
 
     // The hook is called for each upstream that is new, has changed or is gone.
@@ -72,19 +78,27 @@
 
     struct PastChange {
         uint64_t hashBefore { 0 };
-        bool wasKnown { false };
+        std::optional<UpstreamId> idBefore;
         UpstreamChange change;
     };
 
     bool isGracious(Instant now) const { return now < m_graceUntil; }
     std::shared_ptr<UpstreamList const> makeList(uint64_t hash) const;
-    void noteChange(std::string const& instance, bool wasKnown, uint64_t difference);
+    void noteChange(std::string const& instance, std::optional<UpstreamId> idBefore, uint64_t difference);
+    void take(UpstreamRecord);
+    bool isOfEarlierStart(UpstreamRecord const&, Instant now);
 
     Bounds m_bounds;
     std::function<void(UpstreamChange const&)> m_changed;
     std::map<std::string, UpstreamRecord> m_records;
     // Upstreams that the store no longer has, until when they stay in use.
     std::map<std::string, Instant> m_lapsed;
+    struct EarlierStart {
+        UpstreamRecord record;
+        Instant since;
+    };
+    // Upstreams that were last said to have started earlier than is known.
+    std::map<std::string, EarlierStart> m_earlierStarts;
     std::deque<PastChange> m_history;
     // A list never changes once its hash is known, so it is made only once.
     mutable std::deque<std::pair<uint64_t, std::shared_ptr<UpstreamList const>>> m_lists;
--- a/Libraries/LibMembership/UpstreamRecord.cpp
+++ b/Libraries/LibMembership/UpstreamRecord.cpp
@@ -4,12 +4,26 @@
 
 namespace Stagepost {
 
+namespace {
+
+    // What the number that says whether an upstream is leaving holds besides.
+    constexpr uint64_t leavingFlag = 1;
+    constexpr uint64_t incarnationFlag = 2;
+
+}
+
+UpstreamId UpstreamRecord::id() const
+{
+    auto const name = UpstreamId::fromName(instance);
+    return incarnation.isNull() ? name : UpstreamId(mixHashes(name.value(), incarnation.value()));
+}
+
 uint64_t UpstreamRecord::hash() const
 {
     uint64_t result = slots * 2 + (isLeaving ? 1 : 0);
     for (auto const* text : { &instance, &service, &address, &hall })
         result = mixHashes(result, hashOf(*text));
-    return result;
+    return incarnation.isNull() ? result : mixHashes(result, incarnation.value());
 }
 
 void write(MessageWriter& writer, UpstreamRecord const& record)
@@ -19,8 +33,10 @@
     writer.text(record.address);
     writer.text(record.hall);
     writer.number(record.slots);
-    writer.number(record.isLeaving ? 1 : 0);
+    writer.number((record.isLeaving ? leavingFlag : 0) | (record.incarnation.isNull() ? 0 : incarnationFlag));
     writer.duration(record.coldLeft);
+    if (!record.incarnation.isNull())
+        writer.id(record.incarnation);
 }
 
 UpstreamRecord readUpstreamRecord(MessageReader& reader)
@@ -31,8 +47,11 @@
     record.address = reader.text();
     record.hall = reader.text();
     record.slots = reader.number();
-    record.isLeaving = reader.number() != 0;
+    auto const flags = reader.number();
+    record.isLeaving = (flags & leavingFlag) != 0;
     record.coldLeft = std::chrono::duration_cast<Milliseconds>(reader.duration());
+    if (flags & incarnationFlag)
+        record.incarnation = reader.id<Incarnation>();
     return record;
 }
 
--- a/Libraries/LibMembership/UpstreamRecord.h
+++ b/Libraries/LibMembership/UpstreamRecord.h
@@ -11,7 +11,7 @@
 
 // What an upstream has recorded of itself in the platform's store.
 struct UpstreamRecord {
-    // The name of this start of the upstream's process.
+    // The upstream's name, which a process that starts again may keep.
     std::string instance;
     std::string service;
     // IP:PORT.
@@ -22,8 +22,13 @@
     bool isLeaving { false };
     // How much longer it stays slow after its start.
     Milliseconds coldLeft { 0 };
+    // When its process started, in milliseconds since 1970 by its own clock; null where
+    // it does not say.
+    Incarnation incarnation {};
 
-    UpstreamId id() const { return UpstreamId::fromName(instance); }
+    // Of this start. A process that starts again holds nothing and has nothing in flight,
+    // so all that is known of the one before must not pass to it: it is another upstream.
+    UpstreamId id() const;
     bool operator==(UpstreamRecord const&) const = default;
 
     // Differs wherever what matters to other daemons does; the time that a cold
@@ -38,6 +43,7 @@
     std::optional<UpstreamRecord> record;
 };
 
+// A record without an incarnation is written as by versions that do not know of any.
 void write(MessageWriter&, UpstreamRecord const&);
 UpstreamRecord readUpstreamRecord(MessageReader&);
 
--- a/Libraries/LibProxy/Detail/UpstreamConnections.h
+++ b/Libraries/LibProxy/Detail/UpstreamConnections.h
@@ -37,6 +37,7 @@
     // Keeps the connection and at most so many in all that are idle; the oldest go.
     void give(Endpoint const&, std::shared_ptr<UpstreamConnection>, size_t mostIdle);
     void clear() { m_idle.clear(); }
+    void drop(Endpoint const& endpoint) { m_idle.erase(endpoint); }
 
 private:
     std::map<Endpoint, std::vector<std::shared_ptr<UpstreamConnection>>> m_idle;
--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -24,6 +24,11 @@
     m_state->upstreams.clear();
 }
 
+void HttpServer::dropIdleConnections(Endpoint const& upstream)
+{
+    m_state->upstreams.drop(upstream);
+}
+
 Result<Endpoint> HttpServer::listen(Endpoint const& endpoint)
 {
     auto const native = nativeEndpoint<Tcp>(endpoint);
--- a/Libraries/LibProxy/HttpServer.h
+++ b/Libraries/LibProxy/HttpServer.h
@@ -40,6 +40,10 @@
     // Takes no further connection and closes those that carry no request.
     void stopListening();
 
+    // Closes the connections to an upstream that carry no request: what answers at that
+    // address now is another process.
+    void dropIdleConnections(Endpoint const& upstream);
+
     // Requests that have been read and are not yet answered in full.
     size_t openExchanges() const;
 
--- a/Services/stagepostd/ServiceBoard.cpp
+++ b/Services/stagepostd/ServiceBoard.cpp
@@ -23,33 +23,47 @@
 
 void ServiceBoard::apply(UpstreamChange const& change)
 {
-    auto const id = UpstreamId::fromName(change.instance);
     if (!change.record) {
-        remove(id);
+        remove(change.instance);
         return;
     }
     auto const& record = *change.record;
     auto endpoint = Endpoint::parse(record.address);
     if (!endpoint) {
         logEvent(LogLevel::Warning, "upstream-skipped", { { "instance", record.instance }, { "reason", "its address is not IP:PORT" }, { "address", record.address } });
-        remove(id);
+        remove(record.instance);
         return;
     }
-    if (auto const* known = target(id); known && known->service != record.service)
-        remove(id);
+    removeOthers(record);
+    auto const id = record.id();
     auto const hall = HallId::fromName(record.hall);
+    m_ids[record.instance] = id;
     m_targets[id] = { record.instance, std::move(*endpoint), record.service, hall };
     service(record.service).placement.putUpstream({ id, record.hall == m_bounds.hall, record.slots, record.isLeaving, hall });
 }
 
-void ServiceBoard::remove(UpstreamId id)
+// An earlier start of the same upstream, or the same one in another service.
+void ServiceBoard::removeOthers(UpstreamRecord const& record)
 {
-    auto const known = m_targets.find(id);
-    if (known == m_targets.end())
+    auto const known = m_ids.find(record.instance);
+    if (known == m_ids.end())
         return;
-    service(known->second.service).placement.removeUpstream(id);
-    m_silence.forget(id);
-    m_targets.erase(known);
+    if (known->second != record.id())
+        logEvent(LogLevel::Info, "upstream-restarted", { { "instance", record.instance }, { "address", record.address }, { "incarnation", record.incarnation.value() } });
+    if (known->second != record.id() || m_targets.at(known->second).service != record.service)
+        remove(record.instance);
+}
+
+void ServiceBoard::remove(std::string const& instance)
+{
+    auto const known = m_ids.find(instance);
+    if (known == m_ids.end())
+        return;
+    auto const target = m_targets.extract(known->second);
+    m_ids.erase(known);
+    service(target.mapped().service).placement.removeUpstream(target.key());
+    m_silence.forget(target.key());
+    m_dropped(target.mapped().endpoint);
 }
 
 ServiceBoard::Target const* ServiceBoard::target(UpstreamId id) const
--- a/Services/stagepostd/ServiceBoard.h
+++ b/Services/stagepostd/ServiceBoard.h
@@ -26,6 +26,10 @@
         AdmissionGate gate;
     };
 
+    // Called where an upstream's process is gone or was replaced: connections to it that
+    // rest are of no use to what is there now.
+    using Dropped = std::function<void(Endpoint const&)>;
+
     struct Target {
         std::string instance;
         Endpoint endpoint;
@@ -33,9 +37,10 @@
         HallId hall;
     };
 
-    ServiceBoard(Bounds bounds, RandomHook random)
+    ServiceBoard(Bounds bounds, RandomHook random, Dropped dropped)
         : m_bounds(std::move(bounds))
         , m_random(std::move(random))
+        , m_dropped(std::move(dropped))
     {
     }
 
@@ -54,14 +59,18 @@
     size_t upstreamCount() const { return m_targets.size(); }
 
 private:
-    void remove(UpstreamId);
+    void remove(std::string const& instance);
+    void removeOthers(UpstreamRecord const&);
 
     Bounds m_bounds;
     RandomHook m_random;
+    Dropped m_dropped;
     double m_retryShare { 0 };
     SilenceWatch m_silence;
     std::map<std::string, std::unique_ptr<Entry>> m_services;
     std::map<UpstreamId, Target> m_targets;
+    // Which start of each upstream is a target.
+    std::map<std::string, UpstreamId> m_ids;
 };
 
 }
--- a/Tests/LibMembership/TestStateExchange.cpp
+++ b/Tests/LibMembership/TestStateExchange.cpp
@@ -1,3 +1,5 @@
+#include <LibBase/MessageReader.h>
+#include <LibBase/MessageWriter.h>
 #include <LibBase/ProvenAge.h>
 #include <LibMembership/StateExchange.h>
 #include <boost/test/unit_test.hpp>
@@ -659,6 +661,28 @@
     }));
 }
 
+// While a fleet is restarted daemons of both versions speak with each other.
+BOOST_AUTO_TEST_CASE(ARecordWithoutAStartIsWrittenAsBeforeThereWereAny)
+{
+    MessageWriter old;
+    for (auto const* text : { "i-1", "chat", "10.0.0.1:80", "north" })
+        old.text(text);
+    old.number(4);
+    old.number(1);
+    old.duration(Microseconds(5000));
+    UpstreamRecord record { "i-1", "chat", "10.0.0.1:80", "north", 4, true, Milliseconds(5) };
+    MessageWriter writer;
+    write(writer, record);
+    auto const bytes = writer.release();
+    BOOST_TEST(bytes == old.release());
+    MessageReader reader(bytes);
+    BOOST_TEST((readUpstreamRecord(reader) == record && reader.finished()));
+    record.incarnation = Incarnation(1764000000123);
+    write(writer, record);
+    MessageReader newReader(writer.release());
+    BOOST_TEST((readUpstreamRecord(newReader) == record && newReader.finished()));
+}
+
 BOOST_AUTO_TEST_CASE(DamagedMessagesAreRefused)
 {
     StateMessage message { StateMessage::Kind::Answer, 5, 6, { 7, 8 }, std::string("\0\3\7", 3), Milliseconds(40), { { "gone", {} }, { "i-1", UpstreamRecord { "i-1", "chat", "10.0.0.1:80", "north", 4, true, Milliseconds(5) } } }, std::vector<RegistryRecord> { { "one", "text" }, { "two", {} } } };
--- a/Tests/LibMembership/TestUpstreamDirectory.cpp
+++ b/Tests/LibMembership/TestUpstreamDirectory.cpp
@@ -57,6 +57,73 @@
     BOOST_TEST(world.changes == changes + 1);
 }
 
+UpstreamRecord startedAt(std::string instance, uint64_t incarnation, bool isLeaving = false)
+{
+    auto result = record(std::move(instance), isLeaving);
+    result.incarnation = Incarnation(incarnation);
+    return result;
+}
+
+// A process that starts again under its name holds nothing of what the one before held,
+// so it is another upstream to all that decides by upstreams.
+BOOST_AUTO_TEST_CASE(AnotherStartIsAnotherUpstream)
+{
+    Directory world;
+    world.directory.replace({ startedAt("a", 5), record("b") }, at(1));
+    auto const before = world.directory.hash();
+    world.directory.put(startedAt("a", 6), at(2));
+    BOOST_TEST(world.directory.hash() != before);
+    BOOST_TEST((startedAt("a", 5).id() != startedAt("a", 6).id()));
+    BOOST_TEST((record("a").id() == UpstreamId::fromName("a")));
+    // Counts that go by the list before name the start before.
+    auto const listBefore = world.directory.listAt(before);
+    auto const list = world.directory.listAt(world.directory.hash());
+    BOOST_REQUIRE((listBefore && list));
+    BOOST_TEST((listBefore->front() == startedAt("a", 5).id() && list->front() == startedAt("a", 6).id()));
+    auto const changes = world.directory.changesSince(before);
+    BOOST_REQUIRE((changes && changes->size() == 1u));
+    BOOST_TEST((changes->front().record->incarnation == Incarnation(6)));
+}
+
+// The store does a call that it answers late up to some six seconds after the process
+// that made it has died; and another daemon may not have heard of the new start.
+BOOST_AUTO_TEST_CASE(ALateWordOfAnEarlierStartChangesNothing)
+{
+    Directory world;
+    world.directory.replace({ startedAt("a", 6) }, at(1));
+    auto const changes = world.changes;
+    world.directory.put(startedAt("a", 5, true), at(2));
+    world.directory.put(record("a", true), at(3));
+    world.directory.replace({ startedAt("a", 5, true) }, at(4));
+    world.directory.tick(at(9));
+    BOOST_TEST(world.changes == changes);
+    BOOST_TEST(!world.told["a"]->isLeaving);
+    // The new process says that it is there: what was said late is forgotten.
+    world.directory.put(startedAt("a", 6), at(9.5));
+    world.directory.tick(at(30));
+    BOOST_TEST(world.changes == changes);
+}
+
+BOOST_AUTO_TEST_CASE(AClockThatWasSetBackIsBelievedInTheEnd)
+{
+    Directory world;
+    world.directory.replace({ startedAt("a", 6, true) }, at(1));
+    world.directory.put(startedAt("a", 5), at(2));
+    world.directory.tick(at(11));
+    BOOST_TEST((world.told["a"]->incarnation == Incarnation(6)));
+    world.directory.tick(at(13));
+    BOOST_TEST((world.told["a"]->incarnation == Incarnation(5) && !world.told["a"]->isLeaving));
+}
+
+BOOST_AUTO_TEST_CASE(AfterItsRecordIsGoneAnyStartIsTaken)
+{
+    Directory world;
+    world.directory.replace({ startedAt("a", 6) }, at(1));
+    world.directory.remove("a", at(2));
+    world.directory.put(startedAt("a", 5), at(3));
+    BOOST_TEST((world.told["a"]->incarnation == Incarnation(5)));
+}
+
 BOOST_AUTO_TEST_CASE(WhatLapsedDuringAnOutageHasTimeToComeBack)
 {
     Directory world;
--- a/Tests/Processes/test_platform.py
+++ b/Tests/Processes/test_platform.py
@@ -392,6 +392,57 @@
         self.assertEqual(self.call("/open/x", key=None).status, 200)
         eventually(lambda: self.call("/open/x", key=None).status == 503, "gone in the end")
 
+    def test_records_of_other_writers_name_no_upstream_and_the_others_hold(self):
+        for number, text in enumerate([b"{", b"\xff\xfe", b"[" * 10000, b"null", b"7"]):
+            with self.store.changed:
+                self.store.topics["keyed.servers"].append((f"other-{number}", text))
+        for number, fields in enumerate([{"slots": "8"}, {"address": None}, {"state": "resting"}, {"born": "now"}, {"slots": -1}]):
+            self.store.put("keyed.servers", f"wrong-{number}", self.books[0].record(**fields))
+        marker = self.upstream("book-3", "book")
+        eventually(lambda: self.call("/lookup/x").status == 200 and marker.runs(), "the list was read")
+        # One that starts now reads them all as a list.
+        self.entry = self.start("--name", "entry-2")
+        self.assertEqual(self.call("/lookup/x").status, 200)
+        rejected = [line for line in self.entries[0].lines if "event=upstream-rejected" in line]
+        self.assertEqual(len(rejected), 10)
+        self.assertIn("stagepost_upstream_records_rejected_total 10", self.entries[0].get_ready("/metrics").body)
+
+    def test_an_upstream_whose_record_turns_unreadable_gets_no_more_requests(self):
+        self.store.put("keyed.servers", "book-1", self.books[0].record(state="resting"))
+        eventually(lambda: any("event=upstream-rejected" in line for line in self.entry.lines), "it was read")
+        before = len(self.books[0].runs())
+        for _ in range(10):
+            self.assertEqual(self.call("/lookup/x").status, 200)
+        self.assertEqual(len(self.books[0].runs()), before)
+
+    def test_an_upstream_that_starts_again_under_its_name_is_judged_anew(self):
+        for number, book in enumerate(self.books):
+            self.store.put("keyed.servers", book.instance, book.record(born=1764000000000 + number))
+        eventually(lambda: sum("event=upstream-restarted" in line for line in self.entry.lines) >= 2, "both starts are known")
+        # The second one is left out for its failures, then starts again.
+        self.set_fault(self.books[1:], "fail")
+        for _ in range(12):
+            self.call("/lookup/x")
+        self.set_fault(self.books, None)
+        self.store.put("keyed.servers", "book-2", self.books[1].record(born=1764000009000))
+        eventually(lambda: any("event=upstream-restarted instance=book-2" in line and "incarnation=1764000009000" in line for line in self.entry.lines), "the start is known")
+        self.set_fault(self.books[:1], "refuse")
+        before = len(self.books[1].runs())
+        for _ in range(6):
+            self.assertEqual(self.call("/lookup/x").status, 200)
+        self.assertEqual(len(self.books[1].runs()), before + 6)
+        self.set_fault(self.books, None)
+        # A late word of the process before, that it leaves, takes nothing away.
+        self.store.put("keyed.servers", "book-2", self.books[1].record(born=1764000000001, state="draining"))
+        self.store.put("keyed.servers", "book-1", self.books[0].record(born=1764000000000, state="draining"))
+        marker = self.upstream("book-3", "book")
+        eventually(lambda: self.call("/lookup/x") and marker.runs(), "the list was read")
+        self.set_fault([marker], "refuse")
+        before = len(self.books[1].runs())
+        for _ in range(6):
+            self.assertEqual(self.call("/lookup/x").status, 200)
+        self.assertEqual(len(self.books[1].runs()), before + 6)
+
     def test_another_instance_at_the_address_runs_nothing(self):
         self.books[0].instance = "of-another-service"
         for _ in range(8):
--- a/Tests/platform/TestPlatformReaders.cpp
+++ b/Tests/platform/TestPlatformReaders.cpp
@@ -162,6 +162,62 @@
     BOOST_TEST(!readUpstreamRecord("i-1", "x").has_value());
 }
 
+Json upstreamRecord()
+{
+    return { { "service", "chat" }, { "address", "10.1.1.1:80" }, { "zone", "north" }, { "version", "v1" }, { "slots", 64 }, { "state", "ready" }, { "coldLeftMs", 0 }, { "seq", 4 }, { "born", 1764000000123 } };
+}
+
+BOOST_AUTO_TEST_CASE(AnUpstreamsStartIsDecoded)
+{
+    BOOST_TEST((readUpstreamRecord("i", upstreamRecord().dump())->incarnation == Incarnation(1764000000123)));
+    auto without = upstreamRecord();
+    without.erase("born");
+    BOOST_TEST(readUpstreamRecord("i", without.dump())->incarnation.isNull());
+}
+
+// Others may write where upstreams do.
+BOOST_AUTO_TEST_CASE(ARecordThatIsNoUpstreamsNamesNone)
+{
+    std::vector<std::pair<char const*, Json>> const wrong { { "service", 7 }, { "service", nullptr }, { "address", "nowhere" }, { "address", "10.1.1.1" }, { "address", Json::array() },
+        { "zone", false }, { "slots", "64" }, { "slots", -1 }, { "slots", 1.5 }, { "slots", 1e18 }, { "slots", nullptr }, { "state", "resting" }, { "state", 1 }, { "coldLeftMs", "soon" },
+        { "coldLeftMs", -5 }, { "coldLeftMs", 1e15 }, { "born", "1764000000123" }, { "born", -1 }, { "born", 1.5 }, { "born", nullptr }, { "seq", "4" }, { "version", 1 } };
+    for (auto const& [field, value] : wrong) {
+        auto changed = upstreamRecord();
+        changed[field] = value;
+        auto const read = readUpstreamRecord("i", changed.dump());
+        BOOST_TEST(!read.has_value(), field << " = " << value);
+        BOOST_TEST((read || mentions(read.error().detail, field)));
+    }
+    for (auto const* const field : { "service", "address", "zone", "slots", "state" }) {
+        auto changed = upstreamRecord();
+        changed.erase(field);
+        BOOST_TEST(!readUpstreamRecord("i", changed.dump()).has_value(), field);
+    }
+    auto const deep = std::string(10000, '[') + std::string(10000, ']');
+    for (auto const& text : { std::string(), std::string("null"), std::string("[]"), std::string("\xff\xfe{}"), std::string("{\"service\":\"\xff\"}"), deep, "{\"service\":" + deep + "}" })
+        BOOST_TEST(!readUpstreamRecord("i", text).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ARecordThatTurnedUnreadableTakesItsUpstreamAwayAndNoOther)
+{
+    Metrics metrics;
+    UpstreamRecordReader reader(metrics);
+    auto const good = upstreamRecord().dump();
+    auto const changes = reader.read({ { "a", good }, { "b", "{" }, { "c", good }, { "d", std::nullopt } });
+    BOOST_REQUIRE(changes.size() == 4u);
+    BOOST_TEST((changes[0].record && !changes[1].record && changes[2].record && !changes[3].record));
+    auto const rejected = [&] { return metrics.counter("stagepost_upstream_records_rejected_total"); };
+    BOOST_TEST(rejected() == 1u);
+    // Said once for as long as it stays what it is.
+    (void)reader.read({ { "b", "{" } });
+    BOOST_TEST(rejected() == 1u);
+    (void)reader.read({ { "b", "[" } });
+    BOOST_TEST(rejected() == 2u);
+    (void)reader.read({ { "b", good } });
+    (void)reader.read({ { "b", "[" } });
+    BOOST_TEST(rejected() == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(RecordsOfTheStoreAreDecoded)
 {
     auto const bytes = std::string(16, '\0') + recordBytes("config", "{}") + recordBytes("gone", "");
--- a/Tests/platform/TestStoreClient.cpp
+++ b/Tests/platform/TestStoreClient.cpp
@@ -103,6 +103,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(AnItemThatCannotBeReadLeavesTheOthers)
+{
+    StoreClient const client({}, [](Endpoint const&, HttpCall const&, Milliseconds, auto const& callback) {
+        callback(HttpReply { 200, {}, R"({"items":[{"key":"a","value":"dg=="},{"key":"b","value":"no base64!"},{"key":7},3,{"key":"c","value":"dg=="}],"hasMore":false,"end":7})" });
+    });
+    std::optional<Result<KeyedRecords>> found;
+    client.newest(
+        "t", [] { return true; }, [&](auto result) { found = std::move(result); });
+    BOOST_REQUIRE(found && found->has_value());
+    auto const& records = (*found)->records;
+    BOOST_REQUIRE(records.size() == 3u);
+    BOOST_TEST((records[0].value == "v" && records[2].value == "v"));
+    // It is there and cannot be read, which is not the same as taken away.
+    BOOST_TEST((records[1].value == std::string()));
+}
+
 BOOST_AUTO_TEST_CASE(TheEndOfATopicCostsNoRecord)
 {
     RecordStore store;
