--- a/Meta/stagepost.sh
+++ b/Meta/stagepost.sh
@@ -21,7 +21,7 @@
   lint          checks formatting and runs the linter
   model-check   has spin check the specifications
   day BENCH SITE DAY  plays a day of the users' platform; BENCH is the path of their bench
-  days BENCH SITE     plays all days under Tests/Days, a line each
+  days BENCH SITE     plays all days under deploy/days, a line each
   soak FIRST LAST [SECONDS [JOBS]]  runs the fault soak with these seeds; without any, with one fresh one
   measure WHAT  proxy, placement, once, membership, capacity or all; --quick for a short run
 TEXT
@@ -253,7 +253,7 @@
 # a rule was broken or the bench could not play one.
 play_days() {
     local bench=$1 site=$2 day output result=0
-    for day in Tests/Days/*.toml; do
+    for day in deploy/days/*.toml; do
         output=$("$bench" run "$site" "$day" --why "own day $(basename "$day" .toml)" 2>&1) || result=1
         echo "$(basename "$day" .toml): $(grep -m1 -A1 '^day ' <<<"$output" | tail -n 1)"
         grep -q 'BROKEN' <<<"$output" && result=1
