LibRouting: Send a third to the second of the order while the load rises

Cause of the broken bound in the seconds 1 to 6 of large fleets, from the logs of 295 daemons: of 88 requests beyond it in those five seconds 66 were sent before second 3, on 24 upstreams and 74 contexts, none of them a repeat. Counts tell of the load a second after it began; until then each upstream gets whatever its contexts draw, and those that read several long prompts hold all their requests for longer (one with half of the sends of others held three times as much).

Tried and not taken: a forecast of the mean by its rise (no change in the replay: what goes beyond the bound does so before any count can tell).

While counts say nothing or grow by more than a quarter in the time that requests stay, one request of three goes to the second upstream of its context's order.

--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -20,6 +20,12 @@
     constexpr double otherHallCost = 0.4;
     // Waits are kept for so many tokens of a prompt: for one they are a microsecond.
     constexpr uint64_t tokensOfWait = 1000;
+    // While the load rises faster than counts can tell, one of so many requests goes to
+    // the second upstream of its context's order: which upstreams get more than their
+    // part is not known yet, and two of them are seldom both such. In the first seconds
+    // of a fleet of 295 daemons 1.8 in 100 requests go beyond the users' bound, and 2.6
+    // without it (the daemons' logs).
+    constexpr uint64_t oneOfRisingTo = 3;
     // What the watch says of halls, asked once for each: some have hundreds of upstreams.
     class HallReaches {
     public:
@@ -284,6 +290,8 @@
     for (auto const* upstream : usable)
         sum += upstream->load.expected(m_load.hold(), now);
     auto const mean = sum / static_cast<double>(usable.size());
+    if (m_load.isRising() && randomBelow(m_random, oneOfRisingTo) == 0)
+        return firstOrSecond(usable, context);
     if (!m_load.areCountsFresh())
         return chooseByShare(usable, context, mean, now);
     FirstInOrder firstWithin(context);
@@ -295,6 +303,20 @@
     return firstWithin.id() ? *firstWithin.id() : *firstBeyond.id();
 }
 
+// The second upstream of the order, or the first where it is alone.
+UpstreamId ServicePlacement::firstOrSecond(std::vector<Upstream*> const& usable, uint64_t context) const
+{
+    FirstInOrder first(context);
+    for (auto const* upstream : usable)
+        first.offer(upstream->facts.id);
+    FirstInOrder second(context);
+    for (auto const* upstream : usable) {
+        if (upstream->facts.id != *first.id())
+            second.offer(upstream->facts.id);
+    }
+    return second.id().value_or(*first.id());
+}
+
 // What this daemon has in flight itself it knows, so its own bound holds beside the
 // upstream's share.
 bool ServicePlacement::takes(Upstream const& upstream, double mean) const
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -126,6 +126,7 @@
     std::vector<Upstream*> reachable(std::vector<Upstream*> const&, Instant now) const;
     std::vector<Upstream*> sound(std::vector<Upstream*> const&, Instant now) const;
     UpstreamId chooseByContext(std::vector<Upstream*> const&, uint64_t context, Instant now) const;
+    UpstreamId firstOrSecond(std::vector<Upstream*> const&, uint64_t context) const;
     UpstreamId chooseByShare(std::vector<Upstream*> const&, uint64_t context, double mean, Instant now) const;
     bool takes(Upstream const&, double mean) const;
     size_t widthOfSpill(Upstream const& home, size_t others) const;
--- a/Tests/LoadPatterns/StreamFleet.cpp
+++ b/Tests/LoadPatterns/StreamFleet.cpp
@@ -8,6 +8,7 @@
 namespace {
 
     constexpr double sampleSeconds = 0.05;
+    constexpr int countsBeforeTraffic = 12;
     // What an engine reads of a prompt in a second, and how much faster it takes a
     // context from another engine.
     constexpr double tokensReadPerSecond = 48200;
@@ -76,8 +77,13 @@
 {
     auto const interval = asSeconds(m_pattern.countsInterval);
     std::uniform_real_distribution<double> phase(0, interval);
-    for (size_t daemon = 0; daemon < m_daemons.size(); ++daemon)
-        m_events.push({ phase(m_random), Event::Kind::Counts, daemon, 0 });
+    for (size_t daemon = 0; daemon < m_daemons.size(); ++daemon) {
+        auto const first = phase(m_random);
+        // The daemons are there before their traffic begins, and know how old counts are.
+        for (int before = m_pattern.runsBeforeTraffic ? countsBeforeTraffic : 0; before > 0; --before)
+            m_daemons[daemon].placement->othersCounted({}, m_pattern.countsAge, at(first - before * interval));
+        m_events.push({ first, Event::Kind::Counts, daemon, 0 });
+    }
     m_events.push({ 0, Event::Kind::Sample, 0, 0 });
     m_events.push({ 0, Event::Kind::Arrival, 0, 0 });
     while (!m_events.empty() && m_events.top().at < m_pattern.seconds) {
@@ -231,12 +237,12 @@
 {
     m_events.push({ event.at + asSeconds(m_pattern.countsInterval), Event::Kind::Counts, event.daemon, 0 });
     auto const then = static_cast<int64_t>((event.at - asSeconds(m_pattern.countsAge)) / sampleSeconds);
-    if (then < 0)
+    if (then < 0 && !m_pattern.runsBeforeTraffic)
         return;
     auto& daemon = m_daemons[event.daemon];
     std::map<UpstreamId, size_t> counts;
     for (size_t upstream = 0; upstream < m_engines.size(); ++upstream) {
-        auto const all = m_history[static_cast<size_t>(then)][upstream];
+        auto const all = then < 0 ? 0 : m_history[static_cast<size_t>(then)][upstream];
         counts[UpstreamId(upstream + 1)] = all - std::min(all, daemon.inFlight[upstream]);
     }
     daemon.placement->othersCounted(counts, m_pattern.countsAge, at(event.at));
--- a/Tests/LoadPatterns/StreamFleet.h
+++ b/Tests/LoadPatterns/StreamFleet.h
@@ -57,6 +57,8 @@
     double slowness { 1 };
     double slowFrom { 0 };
     double slowUntil { 0 };
+    // The daemons are there for a while before any traffic comes, and tell of nothing.
+    bool runsBeforeTraffic { false };
     // Lets everybody in, as a policy to compare with.
     bool isUngated { false };
 };
--- a/Tests/LoadPatterns/TestBoundOnLoad.cpp
+++ b/Tests/LoadPatterns/TestBoundOnLoad.cpp
@@ -10,6 +10,8 @@
 constexpr double allowedBeyondBound = 0.03;
 // In a calm time a third of that is left to what the pattern does not show.
 constexpr double tolerableInCalm = 0.02;
+// Half of it where traffic begins, of which the pattern shows less than there is.
+constexpr double tolerableAtStart = 0.015;
 
 // Of 295 daemons each sends some two requests a second, and nearly all of an
 // upstream's load is known a second or two late, while an answer takes less.
@@ -64,6 +66,19 @@
     play(largeFleet(), "large fleet, cold", 0, allowedBeyondBound);
 }
 
+// The daemons wait for their traffic, which comes in clumps: until they have told one
+// another of it, each upstream gets whatever its contexts draw. With nothing done about
+// it 1.7 to 2.0 in 100 requests go beyond the bound here, and 2.6 where long prompts
+// keep all other requests of an upstream waiting (the logs of 295 daemons).
+BOOST_AUTO_TEST_CASE(ALargeFleetKeepsTheBoundWhenItsTrafficBegins)
+{
+    auto pattern = largeFleet();
+    pattern.seconds = 7;
+    pattern.runsBeforeTraffic = true;
+    pattern.clumpShare = 12;
+    play(pattern, "large fleet, traffic begins", 0, tolerableAtStart);
+}
+
 BOOST_AUTO_TEST_CASE(ALargeFleetKeepsTheBoundWithOneContextThatAllAskFor)
 {
     auto pattern = largeFleet();
