--- a/Tests/Processes/platform_stand_ins.py
+++ b/Tests/Processes/platform_stand_ins.py
@@ -83,7 +83,10 @@
 
     def put(self, topic, key, value):
         """Adds a record; a value of None takes its key away."""
-        text = b"" if value is None else json.dumps(value).encode()
+        self.put_raw(topic, key, b"" if value is None else json.dumps(value).encode())
+
+    def put_raw(self, topic, key, text):
+        """Adds a record of any bytes."""
         with self.changed:
             self.topics.setdefault(topic, []).append((key, text))
             self.changed.notify_all()
--- a/Tests/Soak/faults.py
+++ b/Tests/Soak/faults.py
@@ -28,6 +28,11 @@
         return all(first > end or last + SETTLE < start for _, first, last in self.spans)
 
 
+# From this seed on upstreams start again under their names and others write into their
+# list. Seeds below it play as they did when they were kept.
+FIRST_WITH_RESTARTS = 1000
+
+
 class Schedule:
     """Carries out actions when they are due."""
 
@@ -57,12 +62,17 @@
         self.world, self.random = world, random.Random(seed)
         self.disturbances, self.note = disturbances, note
         self.schedule = Schedule()
+        # Draws of its own, so that what it adds changes nothing else of a seed.
+        self.restarts = random.Random(f"{seed} restarts") if seed >= FIRST_WITH_RESTARTS else None
         self.unplanned = [self.pause, self.pause, self.kill, self.kill_all, self.cut_from_store, self.cut_from_peers, self.reset_callers,
                           self.slow_link, self.store_outage, self.store_outage, self.store_forgets, self.lapse, self.fail_requests,
                           self.fail_requests, self.crash_upstream, self.cut_upstream]
         self.planned = [self.roll, self.reload, self.configure, self.configure, self.configuration_storm, self.revoke, self.drain_upstream, self.scale_out]
 
     def storm(self, seconds):
+        if self.restarts:
+            for _ in range(int(2 * seconds)):
+                self.schedule.after(self.restarts.uniform(0, seconds), self.restarts.choice((self.restart_upstream, self.write_nonsense)))
         self.play(seconds, 0.25, self.unplanned * 2 + self.planned)
 
     def planned_work(self, seconds):
@@ -212,6 +222,35 @@
         self.world.add_upstream(service)
         self.disturb(f"crash {upstream.instance}", lambda: self.world.store.put("keyed.servers", upstream.instance, None), 0.5, 2.0)
 
+    def restart_upstream(self):
+        """It crashes and is back under its name, and says so within a second; a late word
+        of the process before may come after that."""
+        upstream = self.restarts.choice(self.world.living())
+        before = upstream.record(state=self.restarts.choice(("ready", "draining")))
+        upstream.restart()
+        seconds = self.restarts.uniform(0.0, 1.0)
+        self.note(f"{upstream.instance} starts again, says so after {seconds:.2f} s")
+        start = time.monotonic()
+        self.disturbances.add(f"restart {upstream.instance}", start, start + seconds + 0.5)
+        self.schedule.after(seconds, lambda: self.tell_start(upstream))
+        if self.restarts.random() < 0.3:
+            self.schedule.after(seconds + 0.2, lambda: self.tell_late(upstream, before))
+
+    def tell_start(self, upstream):
+        if upstream in self.world.living():
+            self.world.store.put("keyed.servers", upstream.instance, upstream.record())
+
+    def tell_late(self, upstream, before):
+        """As the store does: the record of the process that lives comes again."""
+        if upstream in self.world.living():
+            self.world.store.put("keyed.servers", upstream.instance, before)
+            self.schedule.after(0.5, lambda: self.tell_start(upstream))
+
+    def write_nonsense(self):
+        self.note("another writer in the list of upstreams")
+        nonsense = self.restarts.choice((b"{", b"\xff", b"[" * 2000, b"7", b'{"service":"book","address":7}', b'{"service":"book","slots":"8","state":"ready"}'))
+        self.world.store.put_raw("keyed.servers", f"other-{self.restarts.randrange(5)}", nonsense)
+
     def scale_out(self):
         service = self.random.choice(("book", "chat"))
         if len(self.world.living(service)) < 5:
--- a/Tests/Soak/world.py
+++ b/Tests/Soak/world.py
@@ -35,6 +35,8 @@
         self.kind, self.share = None, 0.0
         self.random = random.Random(instance)
         self.connections = []
+        # When its process started; none is told until it starts again.
+        self.born = None
         super().__init__(instance, service, hall)
         self.events, self.event_pause, self.stop_after = EVENTS, 0.02, 4
         self.link = TcpLink(network, self.endpoint)
@@ -52,11 +54,20 @@
         super().serve(connection)
 
     def record(self, **fields):
+        if self.born is not None:
+            fields = {"born": self.born, **fields}
         return super().record(address=self.link.endpoint, **fields)
 
     def crash(self):
         self.link.refuses = True
         self.stop()
+        self.break_connections()
+
+    def restart(self):
+        self.born = time.time_ns() // 1000000
+        self.break_connections()
+
+    def break_connections(self):
         for connection in self.connections:
             try:
                 connection.shutdown(socket.SHUT_RDWR)
