--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -46,7 +46,7 @@
     , m_dialect(std::move(dialect))
     , m_registry(std::move(registry))
     , m_random(std::move(random))
-    , m_intake(loop, { m_dialect.readSettings, [this](auto&& parts, auto const& arrival) { return applySettings(std::move(parts), arrival); }, [this](Microseconds turn) { m_metrics.observe("stagepost_settings_turn_seconds", turn); } })
+    , m_intake(loop, { m_dialect.readSettings, [this](Result<RouteTable::Parts>&& parts, SettingsIntake::Arrival const& arrival) { return applySettings(std::move(parts), arrival); }, [this](Microseconds turn) { m_metrics.observe("stagepost_settings_turn_seconds", turn); } })
     , m_board({ m_options.hall, m_options.placement, m_options.retries }, m_random, [this](Endpoint const& upstream) { m_server.dropIdleConnections(upstream); })
     , m_directory(m_options.directory, [this](UpstreamChange const& change) { m_board.apply(change); })
     , m_peers(loop, m_metrics, m_options.exchange, m_random, peerHooks())
--- a/Tests/platform/TestManifestReader.cpp
+++ b/Tests/platform/TestManifestReader.cpp
@@ -68,8 +68,8 @@
     using Parts = std::vector<std::string>;
     BOOST_TEST((*partsOf(R"( [1, "a,]" ,{"x":[2,"}"]}, [ ] ,true] )") == Parts { "1", R"("a,]")", R"({"x":[2,"}"]})", "[ ]", "true" }));
     BOOST_TEST((*partsOf(R"({"a":1,"b\"c" : {"d":[]}})") == Parts { "a=1", R"(b\"c={"d":[]})" }));
-    BOOST_TEST((*partsOf("[]") == Parts {}));
-    BOOST_TEST((*partsOf("{ }") == Parts {}));
+    BOOST_TEST(partsOf("[]").value().empty());
+    BOOST_TEST(partsOf("{ }").value().empty());
     for (auto const* const broken : { "[1,]", "[,1]", "[1 2]", "[1", "[\"a]", "[1]]", "{\"a\"}", "{\"a\":}", "{\"a\":1,}", "{a:1}", "{\"a\":1", "[\"\\", "7", "" })
         BOOST_TEST(!partsOf(broken).has_value(), broken);
 }
