LibMembership: Keep nothing in use beyond the bound on leaving after an outage

Cause, from the daemon's lines: it was cut off from the store until 9.9 s and had a proof again at 10.6; the upstream's record went at 10.7, which it was told at 11.6; then it kept the upstream for all of the two seconds in which lapsed records may come back, until 13.05. What goes after the return has that grace now only as far as the bound on leaving allows, counted from the last proof that still named it.

WhatLeavesAfterTheReturnIsOutWithinTheBoundOnLeaving failed before.

--- a/Libraries/LibMembership/UpstreamDirectory.cpp
+++ b/Libraries/LibMembership/UpstreamDirectory.cpp
@@ -8,11 +8,24 @@
 void UpstreamDirectory::confirm(Instant readSentAt, Instant now)
 {
     auto const age = m_age.age(readSentAt);
-    if (age && *age > m_bounds.outage)
+    m_provenBefore = m_age.provenAt();
+    m_endsOutage = age && *age > m_bounds.outage;
+    if (m_endsOutage)
         m_graceUntil = now + m_bounds.returnGrace;
     m_age.confirm(readSentAt);
 }
 
+// Until when an upstream stays in use whose record is gone now. What went while the store
+// could not be read may have lapsed for that alone, and has all of the grace. What went
+// since has left all the same if it is no lapse, at the earliest when the list was last
+// proven: after the bound on leaving it must get nothing, grace or not.
+Instant UpstreamDirectory::graceOfRemoval() const
+{
+    if (m_endsOutage || !m_provenBefore)
+        return m_graceUntil;
+    return std::min(m_graceUntil, *m_provenBefore + m_bounds.leave);
+}
+
 // Whether it is a late word of a process that has been replaced.
 bool UpstreamDirectory::isOfEarlierStart(UpstreamRecord const& record, Instant now)
 {
@@ -60,8 +73,9 @@
     auto const idBefore = known->second.id();
     m_records.erase(known);
     noteChange(instance, idBefore, before);
-    if (isGracious(now))
-        m_lapsed.emplace(instance, m_graceUntil);
+    auto const until = graceOfRemoval();
+    if (now < until)
+        m_lapsed.emplace(instance, until);
     else
         m_changed({ instance, {} });
 }
--- a/Libraries/LibMembership/UpstreamDirectory.h
+++ b/Libraries/LibMembership/UpstreamDirectory.h
@@ -26,6 +26,9 @@
         Microseconds outage { 1500000 };
         // How long after the store's return a lapsed record may still come back.
         Microseconds returnGrace { 2000000 };
+        // How soon an upstream that has left must get no more requests, less a reserve for
+        // a request's way and a late tick.
+        Microseconds leave { 1700000 };
         // How long the store has to go on naming an earlier start of an upstream than is
         // known before that is believed. A call that the store answers late is done up to
         // some six seconds after its process has died; one whose clock was set back
@@ -82,7 +85,7 @@
         UpstreamChange change;
     };
 
-    bool isGracious(Instant now) const { return now < m_graceUntil; }
+    Instant graceOfRemoval() const;
     std::shared_ptr<UpstreamList const> makeList(uint64_t hash) const;
     void noteChange(std::string const& instance, std::optional<UpstreamId> idBefore, uint64_t difference);
     void take(UpstreamRecord);
@@ -105,6 +108,10 @@
     uint64_t m_hash { 0 };
     ProvenAge m_age;
     Instant m_graceUntil;
+    // As of when the list was proven before the read that is being taken, and whether
+    // that read has ended an outage.
+    std::optional<Instant> m_provenBefore;
+    bool m_endsOutage { false };
     bool m_hasList { false };
 };
 
--- a/Tests/LibMembership/TestUpstreamDirectory.cpp
+++ b/Tests/LibMembership/TestUpstreamDirectory.cpp
@@ -115,6 +115,36 @@
     BOOST_TEST((world.told["a"]->incarnation == Incarnation(5) && !world.told["a"]->isLeaving));
 }
 
+// A daemon that had been cut off from the store for four seconds learnt, half a second
+// after its return, that an upstream's record was gone, and gave it requests for all of
+// the time in which records that lapsed may come back: until 2,288 ms after the upstream
+// had left, where 2,000 are allowed. It had left after the return.
+BOOST_AUTO_TEST_CASE(WhatLeavesAfterTheReturnIsOutWithinTheBoundOnLeaving)
+{
+    Directory world;
+    world.confirm(1);
+    world.directory.replace({ record("a"), record("b"), record("c") }, at(1));
+    // The store is back: what went meanwhile may have lapsed.
+    world.directory.confirm(at(10.5), at(10.6));
+    world.directory.remove("a", at(10.6));
+    world.directory.confirm(at(11.0), at(11.5));
+    world.directory.remove("b", at(11.5));
+    BOOST_TEST((world.has("a") && world.has("b")));
+    world.directory.tick(at(12.1));
+    BOOST_TEST(world.has("b"));
+    // 1.7 s after the last read that still named it.
+    world.directory.tick(at(12.25));
+    BOOST_TEST(!world.has("b"));
+    BOOST_TEST(world.has("a"));
+    world.directory.tick(at(12.65));
+    BOOST_TEST(!world.has("a"));
+    // Long after the last proof there is no grace at all.
+    world.directory.confirm(at(12.5), at(12.55));
+    world.directory.confirm(at(12.6), at(14.5));
+    world.directory.remove("c", at(14.5));
+    BOOST_TEST(!world.has("c"));
+}
+
 BOOST_AUTO_TEST_CASE(AfterItsRecordIsGoneAnyStartIsTaken)
 {
     Directory world;
