--- a/Tests/platform/TestStoreClient.cpp
+++ b/Tests/platform/TestStoreClient.cpp
@@ -25,6 +25,10 @@
 struct RecordStore {
     StoreClient client { {}, [this](Endpoint const&, HttpCall const& call, Milliseconds, auto const& callback) {
                             targets.push_back(call.target);
+                            if (isStrict && call.target.find("from=281474976710656") != std::string::npos) {
+                                callback(HttpReply { 400, {}, {} });
+                                return;
+                            }
                             auto const from = std::stoull(call.target.substr(call.target.find("from=") + 5));
                             std::string body(16, '\0');
                             body[7] = static_cast<char>(records.size());
@@ -33,6 +37,8 @@
                             callback(HttpReply { 200, {}, body });
                         } };
     std::vector<std::string> records { "a", "b" };
+    // Refuses a read from behind the end.
+    bool isStrict { false };
     std::vector<std::string> targets;
 };
 
@@ -151,6 +157,17 @@
     BOOST_TEST(told.read.empty());
 }
 
+BOOST_AUTO_TEST_CASE(AStoreThatDoesNotSayWhereATopicEndsIsRead)
+{
+    ToldFollower told;
+    told.store.isStrict = true;
+    told.store.records.emplace_back("new");
+    for (size_t round = 0; round < 100 && told.read.empty(); ++round)
+        told.loop.runFor(Milliseconds(20));
+    BOOST_TEST((told.read == std::vector<std::string> { "new" }));
+    BOOST_TEST(told.proofs > 0u);
+}
+
 BOOST_AUTO_TEST_CASE(WhatNobodyTellsIsReadFromWhereOthersWere)
 {
     ToldFollower told;
