LibMembership: Count the grace after an outage from the read that ended it

It counts from the asking now. The bound on what goes after the return stays: it is a fault by itself, with its test.

TheGraceCountsFromTheReadThatEndedTheOutage failed before.

--- a/Libraries/LibMembership/UpstreamDirectory.cpp
+++ b/Libraries/LibMembership/UpstreamDirectory.cpp
@@ -5,13 +5,15 @@
 
 namespace Stagepost {
 
-void UpstreamDirectory::confirm(Instant readSentAt, Instant now)
+// The grace counts from the read that found the store back, as far as it can be told: an
+// answer that was long on its way would add its time to it.
+void UpstreamDirectory::confirm(Instant readSentAt, Instant)
 {
     auto const age = m_age.age(readSentAt);
     m_provenBefore = m_age.provenAt();
     m_endsOutage = age && *age > m_bounds.outage;
     if (m_endsOutage)
-        m_graceUntil = now + m_bounds.returnGrace;
+        m_graceUntil = readSentAt + m_bounds.returnGrace;
     m_age.confirm(readSentAt);
 }
 
--- a/Tests/LibMembership/TestUpstreamDirectory.cpp
+++ b/Tests/LibMembership/TestUpstreamDirectory.cpp
@@ -115,10 +115,25 @@
     BOOST_TEST((world.told["a"]->incarnation == Incarnation(5) && !world.told["a"]->isLeaving));
 }
 
-// A daemon that had been cut off from the store for four seconds learnt, half a second
-// after its return, that an upstream's record was gone, and gave it requests for all of
-// the time in which records that lapsed may come back: until 2,288 ms after the upstream
-// had left, where 2,000 are allowed. It had left after the return.
+// A daemon that had been cut off from the store for four seconds was told half a second
+// after it had asked (age_ms=465) that an upstream's record was gone, and gave it requests
+// for two seconds from then on, in which records that lapsed may come back: until 2,288 ms
+// after the upstream had left, where 2,000 are allowed.
+BOOST_AUTO_TEST_CASE(TheGraceCountsFromTheReadThatEndedTheOutage)
+{
+    Directory world;
+    world.confirm(5.3);
+    world.directory.replace({ record("a"), record("b") }, at(5.3));
+    world.directory.confirm(at(10.584), at(11.049));
+    world.directory.remove("a", at(11.049));
+    BOOST_TEST(world.has("a"));
+    world.directory.tick(at(12.55));
+    BOOST_TEST(world.has("a"));
+    world.directory.tick(at(12.6));
+    BOOST_TEST(!world.has("a"));
+}
+
+// It may have left after the return, and then the bound on leaving holds.
 BOOST_AUTO_TEST_CASE(WhatLeavesAfterTheReturnIsOutWithinTheBoundOnLeaving)
 {
     Directory world;
