LibRouting: Let a rise that was counted long ago be none of now

TestRouting was red since "Send a third to the second of the order while the load rises" (WhatOthersHaveInFlightCountsAndFades, each run): after a first count of a rise nothing ended it where no further counts came, as on a daemon that is cut off. It counts for as long as loads are remembered.

--- a/Libraries/LibRouting/ServiceLoad.cpp
+++ b/Libraries/LibRouting/ServiceLoad.cpp
@@ -95,6 +95,11 @@
     m_countedBeforeAt = countedAt;
 }
 
+bool ServiceLoad::isRising(Instant now) const
+{
+    return m_isRising && m_countedAt && now - *m_countedAt <= LoadEstimate::memory(hold());
+}
+
 // Requests of one context come in clumps, and an upstream that reads a long prompt
 // keeps all others waiting, so loads scatter more than independent requests would.
 // By the mean deviation, which one rush does not decide, as the variance would.
--- a/Libraries/LibRouting/ServiceLoad.h
+++ b/Libraries/LibRouting/ServiceLoad.h
@@ -55,7 +55,8 @@
     // Whether counts may be gone by one by one.
     bool areCountsFresh() const;
     // Whether the load grows faster than counts can tell: traffic has begun, or come back.
-    bool isRising() const { return m_isRising; }
+    // A rise that was counted long ago is none of now: others may be gone, or cut off.
+    bool isRising(Instant now) const;
     // Whether counts tell of queues.
     bool areQueuesKnown() const;
 
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -290,7 +290,7 @@
     for (auto const* upstream : usable)
         sum += upstream->load.expected(m_load.hold(), now);
     auto const mean = sum / static_cast<double>(usable.size());
-    if (m_load.isRising() && randomBelow(m_random, oneOfRisingTo) == 0)
+    if (m_load.isRising(now) && randomBelow(m_random, oneOfRisingTo) == 0)
         return firstOrSecond(usable, context);
     if (!m_load.areCountsFresh())
         return chooseByShare(usable, context, mean, now);
