stagepostd: Say in each line which request it is

Lines of requests that were not answered carry a keyed hash of organisation, method, host, target and body (FingerprintKey), the same at every daemon of a fleet: nothing that a caller sent, and nothing that another one can aim at.

No decision changes.

--- a/Libraries/LibBase/Base.h
+++ b/Libraries/LibBase/Base.h
@@ -5,6 +5,7 @@
 
 #include <LibBase/Authenticator.h>
 #include <LibBase/Error.h>
+#include <LibBase/FingerprintKey.h>
 #include <LibBase/Hash.h>
 #include <LibBase/Hex.h>
 #include <LibBase/Hooks.h>
--- /dev/null
+++ b/Libraries/LibBase/FingerprintKey.cpp
@@ -0,0 +1,40 @@
+#include <LibBase/FingerprintKey.h>
+
+#include <cstring>
+#include <sodium.h>
+
+namespace Stagepost {
+
+namespace {
+
+    // Each text with its length before it, so that no two lists of texts give the same bytes.
+    void add(crypto_generichash_state& state, std::string_view text)
+    {
+        uint64_t const size = text.size();
+        crypto_generichash_update(&state, reinterpret_cast<unsigned char const*>(&size), sizeof(size));
+        crypto_generichash_update(&state, reinterpret_cast<unsigned char const*>(text.data()), text.size());
+    }
+
+}
+
+FingerprintKey::FingerprintKey(std::string_view key)
+{
+    constexpr std::string_view purpose = "request-fingerprint";
+    crypto_generichash(m_key.data(), m_key.size(), reinterpret_cast<unsigned char const*>(key.data()), key.size(),
+        reinterpret_cast<unsigned char const*>(purpose.data()), purpose.size());
+}
+
+RequestFingerprint FingerprintKey::fingerprintOf(RequestTraits const& traits) const
+{
+    crypto_generichash_state state;
+    crypto_generichash_init(&state, m_key.data(), m_key.size(), crypto_generichash_BYTES_MIN);
+    for (auto const text : { traits.organisation, traits.method, traits.host, traits.target, traits.body })
+        add(state, text);
+    std::array<unsigned char, crypto_generichash_BYTES_MIN> digest {};
+    crypto_generichash_final(&state, digest.data(), digest.size());
+    uint64_t value = 0;
+    std::memcpy(&value, digest.data(), sizeof(value));
+    return RequestFingerprint(value);
+}
+
+}
--- a/Libraries/LibBase/Ids.h
+++ b/Libraries/LibBase/Ids.h
@@ -48,6 +48,9 @@
 // a lower one, so that news of an earlier process can be told from news of this.
 using Incarnation = Id<struct IncarnationTag>;
 
+// What makes a caller's request the same one whenever it comes, and wherever.
+using RequestFingerprint = Id<struct RequestFingerprintTag>;
+
 // The number of an accepted configuration; it only rises.
 using Revision = Id<struct RevisionTag>;
 
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -47,10 +47,11 @@
     , m_registry(std::move(registry))
     , m_random(std::move(random))
     , m_intake(loop, { m_dialect.readSettings, [this](Result<RouteTable::Parts>&& parts, SettingsIntake::Arrival const& arrival) { return applySettings(std::move(parts), arrival); }, [this](Microseconds turn) { m_metrics.observe("stagepost_settings_turn_seconds", turn); } })
+    , m_fingerprintKey(std::to_string(m_random()))
     , m_board({ m_options.hall, m_options.placement, m_options.retries }, m_random, [this](Endpoint const& upstream) { m_server.dropIdleConnections(upstream); })
     , m_directory(m_options.directory, [this](UpstreamChange const& change) { m_board.apply(change); })
     , m_peers(loop, m_metrics, m_options.exchange, m_random, peerHooks())
-    , m_services { loop, m_metrics, m_board, m_dialect, [this] { return areKeysFresh(); }, [this] { return settingsAge(); }, [this] { return m_peers.share(); } }
+    , m_services { loop, m_metrics, m_board, m_dialect, [this] { return areKeysFresh(); }, [this] { return settingsAge(); }, [this] { return m_peers.share(); }, [this](RequestTraits const& traits) { return m_fingerprintKey.fingerprintOf(traits); } }
     , m_server(
           loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handle(exchange); }, [this](Refusal const& refusal) { return refuse(refusal); })
     , m_readyServer(
@@ -324,6 +325,12 @@
         service->placement.othersCounted(counts, age, m_loop.now());
 }
 
+Result<void> Gateway::join(GatewayPeer const& self, std::string const& key, Incarnation incarnation)
+{
+    m_fingerprintKey = FingerprintKey(key);
+    return m_peers.join(self, key, incarnation);
+}
+
 void Gateway::setPeers(std::vector<GatewayPeer> const& peers)
 {
     m_peers.setPeers(peers);
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -55,7 +55,7 @@
     // Whether this daemon is to read the registry now, or others tell it.
     bool needsRegistry() const { return m_peers.needsRegistry(m_loop.now()); }
     // Begins to speak with other daemons, and takes who they are.
-    Result<void> join(GatewayPeer const& self, std::string const& key, Incarnation incarnation) { return m_peers.join(self, key, incarnation); }
+    Result<void> join(GatewayPeer const& self, std::string const& key, Incarnation incarnation);
     void setPeers(std::vector<GatewayPeer> const&);
 
     // Turns unready at once, takes requests until the balancer has noticed, then
@@ -119,6 +119,8 @@
     Instant m_wantedSince;
     uint64_t m_settingsPosition { 0 };
     std::optional<Instant> m_storeIsAheadSince;
+    // The fleet's from the moment at which it is known.
+    FingerprintKey m_fingerprintKey;
     ServiceBoard m_board;
     UpstreamDirectory m_directory;
     GatewayPeers m_peers;
--- a/Services/stagepostd/GatewayFlow.cpp
+++ b/Services/stagepostd/GatewayFlow.cpp
@@ -282,11 +282,19 @@
     m_exchange->respond(gatewayReply(refusal));
 }
 
+RequestFingerprint GatewayFlow::fingerprint() const
+{
+    auto const& call = m_exchange->call();
+    if (!m_fingerprint)
+        m_fingerprint = m_services.fingerprintOf({ m_request.organisation, call.method, call.headers.find("Host"), call.target, call.body });
+    return *m_fingerprint;
+}
+
 void GatewayFlow::log(std::string_view outcome, ForwardResult const& result, std::string_view reason) const
 {
     auto const now = m_services.loop.now();
     logEvent(LogLevel::Info, "request",
-        { { "id", m_request.call.id }, { "outcome", outcome }, { "reason", reason }, { "verdict", nameOf(m_attempts.verdict()) },
+        { { "id", m_request.call.id }, { "request", outcome == "answered" ? "" : hexOf(fingerprint().value()) }, { "outcome", outcome }, { "reason", reason }, { "verdict", nameOf(m_attempts.verdict()) },
             { "status", result.status }, { "route", m_request.route->name }, { "service", m_request.service },
             { "organisation", m_request.organisation }, { "context", hexOf(m_request.call.prompt.sharedKey().value_or(0)) },
             { "upstream", m_instance }, { "context_source", m_contextSource }, { "sends", m_attempts.sends() },
--- a/Services/stagepostd/GatewayFlow.h
+++ b/Services/stagepostd/GatewayFlow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibBase/FingerprintKey.h>
 #include <LibBase/Metrics.h>
 #include <LibBase/ProvenAge.h>
 #include <LibProxy/EventLoop.h>
@@ -24,6 +25,7 @@
     std::function<Microseconds()> settingsAge;
     // This daemon's part of the fleet, from 0 to 1.
     std::function<double()> share;
+    std::function<RequestFingerprint(RequestTraits const&)> fingerprintOf;
 };
 
 // A caller's request with all that the configuration says of it.
@@ -59,6 +61,7 @@
     void noteOutcome(UpstreamId, ForwardResult const&);
     void giveUp(ForwardResult const&);
     void refuse(Refusal const&);
+    RequestFingerprint fingerprint() const;
     void log(std::string_view outcome, ForwardResult const&, std::string_view reason) const;
 
     GatewayServices const& m_services;
@@ -75,6 +78,8 @@
     // The same, or the upstream last heard since.
     Instant m_heardAt;
     std::optional<Refusal> m_lastFailure;
+    // Once it was needed: few requests fail.
+    mutable std::optional<RequestFingerprint> m_fingerprint;
 };
 
 }
