stagepost: Stop a request that ends whoever runs it

Cause: a request was known by the id of one attempt, each try of a caller was a new one, and what broke off was booked on the upstream alone, at one daemon. Class: harm that is booked on whoever suffers it, with nothing that remembers who did it, nor tells it to others.

- CrashSuspects (LibRouting, no I/O): what was with an upstream when its process ended is a suspect by one step; three ends without an answer in between make it guilty, and it goes to no upstream for ten minutes.
One other daemon's word counts for two ends at the most; one's own eyes and what two have seen count whole.
An answer clears a request everywhere.
- CrashExchange: a witness tells two homes of the request in the fleet and one in its hall, agreed on by rendezvous; from the second end on these tell the relays, and relays those that ask them.
- CrashWatch, PortProbe: a broken answer is the end of a process only where its port is closed right after, or another start has taken its place.
- GatewayFlow refuses a guilty request before each send, as 502 may-have-run without Retry-After.

Ruled out: telling everything to everybody (64 suspects an end, some 54 KB/s at a relay), a time-out as an end (a cut explains it as well).

--- a/Libraries/LibBase/RefusalReason.h
+++ b/Libraries/LibBase/RefusalReason.h
@@ -20,6 +20,7 @@
     DeadlinePassed,
     DeadlineTooNear,
     Draining,
+    EndsUpstreams,
     HeadersTooLarge,
     KeyInProgress,
     KeyOutOfWindow,
--- a/Libraries/LibMembership/StateExchange.cpp
+++ b/Libraries/LibMembership/StateExchange.cpp
@@ -96,6 +96,8 @@
         if (m_isRelay)
             orderCounterparts(relays);
     }
+    m_relays = own;
+    m_relays.insert(m_relays.end(), others.begin(), others.end());
     std::vector<VMId> anybody;
     anybody.reserve(m_peers.size());
     for (auto const& peer : m_peers)
@@ -340,6 +342,15 @@
     m_waiting.push_back({ from, message.stamp, message.askingProcess, message.summary, now });
 }
 
+std::vector<VMId> StateExchange::askers() const
+{
+    std::vector<VMId> result;
+    result.reserve(m_askers.size());
+    for (auto const& [id, askedAt] : m_askers)
+        result.push_back(id);
+    return result;
+}
+
 void StateExchange::takeAnswer(VMId from, StateMessage const& message, Instant now)
 {
     if (m_asked == from)
--- a/Libraries/LibMembership/StateExchange.h
+++ b/Libraries/LibMembership/StateExchange.h
@@ -117,6 +117,10 @@
     // have come too far to tell it.
     bool needsRegistry(Instant now) const;
     size_t peerCount() const { return m_peers.size(); }
+    // Of all halls, this daemon among them where it is one.
+    std::vector<VMId> const& relays() const { return m_relays; }
+    // Who has asked this daemon for proofs within the last seconds.
+    std::vector<VMId> askers() const;
     // Counts that others sent and that contradicted the list they went by.
     size_t unreadableCounts() const { return m_unreadableCounts + m_loads.unreadableCounts(); }
 
@@ -158,6 +162,7 @@
     Hooks m_hooks;
     std::vector<Peer> m_peers;
     bool m_isRelay { true };
+    std::vector<VMId> m_relays;
     // The relays of the own hall that go before this one.
     std::vector<VMId> m_relaysBefore;
     // Whom to ask, the best first.
--- a/Libraries/LibProxy/Proxy.h
+++ b/Libraries/LibProxy/Proxy.h
@@ -15,4 +15,5 @@
 #include <LibProxy/HttpClient.h>
 #include <LibProxy/HttpMessage.h>
 #include <LibProxy/HttpServer.h>
+#include <LibProxy/PortProbe.h>
 #include <LibProxy/Timer.h>
--- a/Libraries/LibRouting/Routing.h
+++ b/Libraries/LibRouting/Routing.h
@@ -9,6 +9,8 @@
 #include <LibRouting/AdmissionNode.h>
 #include <LibRouting/CircuitBreaker.h>
 #include <LibRouting/ContextTable.h>
+#include <LibRouting/CrashExchange.h>
+#include <LibRouting/CrashSuspects.h>
 #include <LibRouting/EntryRole.h>
 #include <LibRouting/FairQueue.h>
 #include <LibRouting/LoadEstimate.h>
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -16,6 +16,8 @@
     constexpr Milliseconds longestUnnoticedStall { 50 };
     // What a caller is told to wait where only the platform can change things.
     constexpr Milliseconds platformPause { 250 };
+    // Connections come up or are refused within a few milliseconds, or hardly at all.
+    constexpr Milliseconds portTimeout { 500 };
     constexpr unsigned statusUnready = 503;
 
     HttpServerOptions serverOptions(CallerLimits const& limits)
@@ -48,10 +50,13 @@
     , m_random(std::move(random))
     , m_intake(loop, { m_dialect.readSettings, [this](Result<RouteTable::Parts>&& parts, SettingsIntake::Arrival const& arrival) { return applySettings(std::move(parts), arrival); }, [this](Microseconds turn) { m_metrics.observe("stagepost_settings_turn_seconds", turn); } })
     , m_fingerprintKey(std::to_string(m_random()))
+    , m_suspects(VMId::fromName(m_options.name))
     , m_board({ m_options.hall, m_options.placement, m_options.retries }, m_random, [this](Endpoint const& upstream) { m_server.dropIdleConnections(upstream); })
-    , m_directory(m_options.directory, [this](UpstreamChange const& change) { m_board.apply(change); })
-    , m_peers(loop, m_metrics, m_options.exchange, m_random, peerHooks())
-    , m_services { loop, m_metrics, m_board, m_dialect, [this] { return areKeysFresh(); }, [this] { return settingsAge(); }, [this] { return m_peers.share(); }, [this](RequestTraits const& traits) { return m_fingerprintKey.fingerprintOf(traits); } }
+    , m_directory(m_options.directory, [this](UpstreamChange const& change) { applyUpstream(change); })
+    , m_peers(loop, m_metrics, m_options.exchange, m_suspects, m_random, peerHooks())
+    , m_portProbe(loop)
+    , m_crashes(loop, m_metrics, m_suspects, crashHooks())
+    , m_services { loop, m_metrics, m_board, m_crashes, m_dialect, [this] { return areKeysFresh(); }, [this] { return settingsAge(); }, [this] { return m_peers.share(); }, [this](RequestTraits const& traits) { return m_fingerprintKey.fingerprintOf(traits); } }
     , m_server(
           loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handle(exchange); }, [this](Refusal const& refusal) { return refuse(refusal); })
     , m_readyServer(
@@ -80,6 +85,22 @@
     return hooks;
 }
 
+CrashWatch::Hooks Gateway::crashHooks()
+{
+    CrashWatch::Hooks hooks;
+    hooks.probe = [this](Endpoint const& endpoint, PortProbe::Callback callback) { m_portProbe.probe(endpoint, portTimeout, std::move(callback)); };
+    hooks.seen = [this](RequestFingerprint request) { m_peers.crashSeen(request, m_loop.now()); };
+    return hooks;
+}
+
+void Gateway::applyUpstream(UpstreamChange const& change)
+{
+    auto const before = m_board.idOf(change.instance);
+    m_board.apply(change);
+    if (before && change.record && change.record->id() != *before)
+        m_crashes.restarted(*before);
+}
+
 Result<void> Gateway::start()
 {
     m_callerEndpoint = TRY(m_server.listen(m_options.listen));
@@ -353,6 +374,7 @@
 {
     noteStall(m_loop.now());
     m_directory.tick(m_loop.now());
+    m_crashes.tick();
     noteReadiness();
 }
 
@@ -391,6 +413,7 @@
     setServiceGauges();
     m_metrics.setGauge("stagepost_open_requests", static_cast<double>(m_server.openExchanges()));
     m_metrics.setGauge("stagepost_upstreams", static_cast<double>(m_board.upstreamCount()));
+    m_metrics.setGauge("stagepost_suspect_requests", static_cast<double>(m_suspects.all().size()));
     m_metrics.setGauge("stagepost_control_bytes_sent", static_cast<double>(m_peers.bytesSent()));
     m_metrics.setGauge("stagepost_peer_unreadable_counts", static_cast<double>(m_peers.unreadableCounts()));
     m_metrics.setGauge("stagepost_control_messages_sent", static_cast<double>(m_peers.messagesSent()));
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -70,6 +70,8 @@
 
 private:
     GatewayPeers::Hooks peerHooks();
+    CrashWatch::Hooks crashHooks();
+    void applyUpstream(UpstreamChange const&);
     void handle(std::shared_ptr<Exchange> const&);
     void handleReady(Exchange&);
     std::variant<RoutedRequest, Refusal> route(HttpCall const&) const;
@@ -121,9 +123,12 @@
     std::optional<Instant> m_storeIsAheadSince;
     // The fleet's from the moment at which it is known.
     FingerprintKey m_fingerprintKey;
+    CrashSuspects m_suspects;
     ServiceBoard m_board;
     UpstreamDirectory m_directory;
     GatewayPeers m_peers;
+    PortProbe m_portProbe;
+    CrashWatch m_crashes;
     GatewayServices m_services;
     HttpServer m_server;
     HttpServer m_readyServer;
--- a/Services/stagepostd/GatewayFlow.cpp
+++ b/Services/stagepostd/GatewayFlow.cpp
@@ -83,6 +83,11 @@
         refuse({ RefusalReason::DeadlinePassed, m_attempts.verdict(), "no time is left for an upstream to answer", {} });
         return;
     }
+    // Each try of a caller is a new request by its id: without this it would end another upstream.
+    if (m_services.crashes.hasSuspects() && m_services.crashes.isGuilty(fingerprint())) {
+        refuse({ RefusalReason::EndsUpstreams, Verdict::MayHaveRun, "upstreams have ended under this request: it goes to none any more", {} });
+        return;
+    }
     ServicePlacement::Wish wish;
     if (m_request.route->keepsContext)
         wish.context = m_request.call.prompt.sharedKey();
@@ -229,16 +234,27 @@
     m_services.board.silence().ended(upstream, now);
 }
 
+void GatewayFlow::noteBroken(UpstreamId upstream)
+{
+    auto const* target = m_services.board.target(upstream);
+    if (target)
+        m_services.crashes.brokeOff({ fingerprint(), upstream, target->instance, target->endpoint });
+}
+
 void GatewayFlow::forwarded(UpstreamId upstream, ForwardResult const& result)
 {
     noteOutcome(upstream, result);
     if (!result.failure) {
         m_service.placement.began(m_request.call.prompt.tokens(), result.firstByteAfter);
         m_attempts.answered();
+        if (m_services.crashes.hasSuspects() && result.status < firstServerError)
+            m_services.crashes.answered(fingerprint());
         m_services.metrics.count("stagepost_answers_total");
         log("answered", result, "none");
         return;
     }
+    if (result.failure == RefusalReason::UpstreamBroken && result.verdict == Verdict::MayHaveRun)
+        noteBroken(upstream);
     FailedAttempt attempt;
     attempt.verdict = result.verdict;
     attempt.isUnconnected = isUnconnected(result);
--- a/Services/stagepostd/GatewayFlow.h
+++ b/Services/stagepostd/GatewayFlow.h
@@ -8,6 +8,7 @@
 #include <LibRouting/RequestAttempts.h>
 #include <LibSettings/RouteTable.h>
 #include <memory>
+#include <stagepostd/CrashWatch.h>
 #include <stagepostd/GatewayDialect.h>
 #include <stagepostd/ServiceBoard.h>
 
@@ -18,6 +19,7 @@
     EventLoop& loop;
     Metrics& metrics;
     ServiceBoard& board;
+    CrashWatch& crashes;
     GatewayDialect const& dialect;
     // Whether keys may still be taken for good by the configuration in force.
     std::function<bool()> areKeysFresh;
@@ -59,6 +61,8 @@
     std::optional<HeadRejection> judge(UpstreamId, unsigned status, HttpFields const&);
     void forwarded(UpstreamId, ForwardResult const&);
     void noteOutcome(UpstreamId, ForwardResult const&);
+    // Of an answer that broke off.
+    void noteBroken(UpstreamId);
     void giveUp(ForwardResult const&);
     void refuse(Refusal const&);
     RequestFingerprint fingerprint() const;
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -42,10 +42,11 @@
 
 }
 
-GatewayPeers::GatewayPeers(EventLoop& loop, Metrics& metrics, StateExchange::Bounds bounds, RandomHook random, Hooks hooks)
+GatewayPeers::GatewayPeers(EventLoop& loop, Metrics& metrics, StateExchange::Bounds bounds, CrashSuspects& suspects, RandomHook random, Hooks hooks)
     : m_loop(loop)
     , m_metrics(metrics)
     , m_bounds(bounds)
+    , m_suspects(suspects)
     , m_random(std::move(random))
     , m_hooks(std::move(hooks))
     , m_client(loop)
@@ -70,7 +71,11 @@
     TRY(m_channel->bind(m_endpoint));
     StateExchange::Peer const peer { self.id(), HallId::fromName(self.hall) };
     m_exchange = std::make_unique<StateExchange>(peer, m_random(), m_bounds, exchangeHooks());
-    m_ticker.every(tickInterval, [this] { m_exchange->tick(m_loop.now()); });
+    m_crashes = std::make_unique<CrashExchange>(CrashExchange::Peer { peer.id, peer.hall }, m_suspects, CrashExchange::Bounds {}, crashHooks());
+    m_ticker.every(tickInterval, [this] {
+        m_exchange->tick(m_loop.now());
+        m_crashes->tick(m_loop.now());
+    });
     logEvent(LogLevel::Info, "joined", { { "name", self.name }, { "hall", self.hall }, { "peer_listen", m_endpoint.toString() }, { "incarnation", incarnation.value() } });
     return {};
 }
@@ -78,7 +83,7 @@
 StateExchange::Hooks GatewayPeers::exchangeHooks()
 {
     StateExchange::Hooks hooks;
-    hooks.send = [this](VMId to, std::string const& body) { send(to, body); };
+    hooks.send = [this](VMId to, std::string const& body) { send(to, PeerMessageKind::State, body); };
     hooks.differs = [this](VMId from, StateSummary const& summary, std::optional<Instant> provenAt) {
         if (m_hooks.wantsState(summary))
             fetch(from, provenAt);
@@ -87,18 +92,30 @@
     return hooks;
 }
 
+CrashExchange::Hooks GatewayPeers::crashHooks()
+{
+    CrashExchange::Hooks hooks;
+    hooks.send = [this](VMId to, std::string const& body) { send(to, PeerMessageKind::Crashes, body); };
+    hooks.relays = [this] { return m_exchange->relays(); };
+    hooks.askers = [this] { return m_exchange->askers(); };
+    return hooks;
+}
+
 void GatewayPeers::setPeers(std::vector<GatewayPeer> const& peers)
 {
     m_peers.clear();
     m_newcomers.clear();
     std::vector<StateExchange::Peer> list;
+    std::vector<CrashExchange::Peer> crashList;
     for (auto const& peer : peers) {
         m_peers[peer.id()] = peer;
         list.push_back({ peer.id(), HallId::fromName(peer.hall) });
+        crashList.push_back({ peer.id(), HallId::fromName(peer.hall) });
     }
     if (!m_exchange)
         return;
     m_exchange->setPeers(std::move(list));
+    m_crashes->setPeers(std::move(crashList), m_loop.now());
     m_metrics.setGauge("stagepost_daemons", static_cast<double>(m_exchange->peerCount() + 1));
     logEvent(LogLevel::Info, "peers", { { "others", m_exchange->peerCount() }, { "relay", m_exchange->isRelay() ? 1 : 0 } });
 }
@@ -115,10 +132,29 @@
         m_exchange->changed(now);
 }
 
-void GatewayPeers::send(VMId to, std::string const& body)
+void GatewayPeers::crashSeen(RequestFingerprint request, Instant now)
+{
+    if (m_crashes)
+        m_crashes->seen(request, now);
+}
+
+bool GatewayPeers::takeCrashes(VMId from, std::string_view body)
+{
+    if (!m_crashes)
+        return true;
+    auto const news = m_crashes->receive(from, body, m_loop.now());
+    if (!news)
+        return false;
+    auto const sender = m_peers.find(from);
+    for (auto const request : *news)
+        logEvent(LogLevel::Info, "crash-evidence", { { "request", hexOf(request.value()) }, { "source", "told" }, { "peer", sender == m_peers.end() ? "" : sender->second.name }, { "ends", m_suspects.endCount(request) }, { "guilty", m_suspects.isGuilty(request) ? 1 : 0 } });
+    return true;
+}
+
+void GatewayPeers::send(VMId to, PeerMessageKind kind, std::string const& body)
 {
     if (auto const* endpoint = endpointOf(to))
-        m_channel->send(*endpoint, PeerMessageKind::State, body);
+        m_channel->send(*endpoint, kind, body);
 }
 
 Endpoint const* GatewayPeers::endpointOf(VMId id) const
@@ -133,7 +169,16 @@
 {
     if (!m_peers.contains(from))
         m_newcomers.insert_or_assign(from, source);
-    bool const isTaken = kind == PeerMessageKind::State && m_exchange && m_exchange->receive(from, body, m_loop.now());
+    auto const isTaken = [&] {
+        switch (kind) {
+        case PeerMessageKind::State:
+            return m_exchange && m_exchange->receive(from, body, m_loop.now());
+        case PeerMessageKind::Crashes:
+            return takeCrashes(from, body);
+        default:
+            return false;
+        }
+    }();
     if (!isTaken)
         m_metrics.count("stagepost_peer_dropped_total", "reason=\"malformed\"");
 }
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -5,6 +5,7 @@
 #include <LibProxy/HttpClient.h>
 #include <LibProxy/HttpServer.h>
 #include <LibProxy/Timer.h>
+#include <LibRouting/CrashExchange.h>
 #include <memory>
 #include <stagepostd/GatewayState.h>
 #include <stagepostd/PeerChannel.h>
@@ -46,7 +47,7 @@
         std::function<void(GatewayState const&, std::optional<Instant> provenAt)> takeState;
     };
 
-    GatewayPeers(EventLoop&, Metrics&, StateExchange::Bounds, RandomHook, Hooks);
+    GatewayPeers(EventLoop&, Metrics&, StateExchange::Bounds, CrashSuspects&, RandomHook, Hooks);
     GatewayPeers(GatewayPeers const&) = delete;
     GatewayPeers& operator=(GatewayPeers const&) = delete;
 
@@ -69,6 +70,8 @@
     double share() const { return m_exchange ? 1.0 / static_cast<double>(m_exchange->peerCount() + 1) : 0; }
     void proven(Instant now);
     void changed(Instant now);
+    // This daemon has seen something about the request that others are to know.
+    void crashSeen(RequestFingerprint, Instant now);
 
     // Of messages to other daemons, since the start, without UDP's and IP's headers.
     uint64_t bytesSent() const { return m_channel ? m_channel->socket().bytesSent() : 0; }
@@ -77,9 +80,11 @@
 
 private:
     StateExchange::Hooks exchangeHooks();
+    CrashExchange::Hooks crashHooks();
+    bool takeCrashes(VMId from, std::string_view body);
     void receive(PeerMessageKind, VMId from, Endpoint const& source, std::string_view body);
     Endpoint const* endpointOf(VMId) const;
-    void send(VMId to, std::string const& body);
+    void send(VMId to, PeerMessageKind, std::string const& body);
     void fetch(VMId from, std::optional<Instant> provenAt);
     void takeFetched(VMId from, Result<HttpReply> const&, std::optional<Instant> provenAt);
     HttpReply answerState(HttpCall const&);
@@ -87,6 +92,7 @@
     EventLoop& m_loop;
     Metrics& m_metrics;
     StateExchange::Bounds m_bounds;
+    CrashSuspects& m_suspects;
     RandomHook m_random;
     Hooks m_hooks;
     HttpClient m_client;
@@ -100,6 +106,7 @@
     std::optional<Authenticator> m_stateSeal;
     std::unique_ptr<PeerChannel> m_channel;
     std::unique_ptr<StateExchange> m_exchange;
+    std::unique_ptr<CrashExchange> m_crashes;
     Timer m_ticker;
     bool m_isFetching { false };
 };
--- a/Services/stagepostd/PeerChannel.h
+++ b/Services/stagepostd/PeerChannel.h
@@ -13,6 +13,7 @@
     Membership = 'm',
     Routing = 'r',
     State = 's',
+    Crashes = 'c',
 };
 
 // Sends and receives sealed datagrams; forged, damaged and replayed ones are
--- a/Services/stagepostd/ServiceBoard.cpp
+++ b/Services/stagepostd/ServiceBoard.cpp
@@ -66,6 +66,12 @@
     m_dropped(target.mapped().endpoint);
 }
 
+std::optional<UpstreamId> ServiceBoard::idOf(std::string const& instance) const
+{
+    auto const found = m_ids.find(instance);
+    return found == m_ids.end() ? std::nullopt : std::optional(found->second);
+}
+
 ServiceBoard::Target const* ServiceBoard::target(UpstreamId id) const
 {
     auto const found = m_targets.find(id);
--- a/Services/stagepostd/ServiceBoard.h
+++ b/Services/stagepostd/ServiceBoard.h
@@ -53,6 +53,8 @@
     // Services are made when they are first asked for and then stay.
     Entry& service(std::string const& name);
     Target const* target(UpstreamId) const;
+    // The start of the upstream that is a target now.
+    std::optional<UpstreamId> idOf(std::string const& instance) const;
     // Which upstreams and halls have fallen silent.
     SilenceWatch& silence() { return m_silence; }
     std::map<std::string, std::unique_ptr<Entry>> const& services() const { return m_services; }
--- /dev/null
+++ b/Tests/LibRouting/TestCrashExchange.cpp
@@ -0,0 +1,242 @@
+#include <LibRouting/Routing.h>
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <random>
+
+using namespace Stagepost;
+
+namespace {
+
+Instant const start { Seconds(1000) };
+constexpr Milliseconds step { 10 };
+constexpr Microseconds tickInterval { 50000 };
+constexpr size_t hallCount = 6;
+constexpr size_t groupSize = 8;
+
+// A fleet whose messages take one step and are lost now and then.
+class Fleet {
+public:
+    Fleet(size_t size, double loss, unsigned seed)
+        : m_loss(loss)
+        , m_random(seed)
+    {
+        for (size_t number = 0; number < size; ++number)
+            add(number);
+        introduce();
+    }
+
+    void add(size_t number)
+    {
+        auto daemon = std::make_unique<Daemon>(VMId(hashOf("daemon-" + std::to_string(number))), HallId(1 + number % hallCount));
+        auto* const added = daemon.get();
+        daemon->exchange = std::make_unique<CrashExchange>(CrashExchange::Peer { added->id, added->hall }, added->suspects, CrashExchange::Bounds {},
+            CrashExchange::Hooks { [this, added](VMId to, std::string const& bytes) { send(*added, to, bytes); }, [this] { return m_relays; }, [this, added] { return askersOf(*added); } });
+        m_daemons.push_back(std::move(daemon));
+    }
+
+    // In each hall every eighth daemon is a relay, and the seven after it ask it.
+    void introduce()
+    {
+        std::vector<CrashExchange::Peer> peers;
+        m_relays.clear();
+        for (size_t index = 0; index < m_daemons.size(); ++index) {
+            peers.push_back({ m_daemons[index]->id, m_daemons[index]->hall });
+            if (isRelay(index))
+                m_relays.push_back(m_daemons[index]->id);
+        }
+        for (auto const& daemon : m_daemons)
+            daemon->exchange->setPeers(peers, m_now);
+    }
+
+    void ended(size_t daemon, RequestFingerprint request, UpstreamId upstream)
+    {
+        if (m_daemons[daemon]->suspects.ended(request, upstream, m_now))
+            m_daemons[daemon]->exchange->seen(request, m_now);
+    }
+
+    void answered(size_t daemon, RequestFingerprint request)
+    {
+        if (m_daemons[daemon]->suspects.answered(request, m_now))
+            m_daemons[daemon]->exchange->seen(request, m_now);
+    }
+
+    void run(Milliseconds duration)
+    {
+        for (auto const until = m_now + duration; m_now < until;) {
+            m_now += step;
+            deliver();
+            if (m_now.time_since_epoch() % tickInterval == Microseconds(0)) {
+                for (auto const& daemon : m_daemons)
+                    daemon->exchange->tick(m_now);
+            }
+        }
+    }
+
+    size_t convinced(RequestFingerprint request) const
+    {
+        return static_cast<size_t>(std::count_if(m_daemons.begin(), m_daemons.end(), [&](auto const& daemon) { return daemon->suspects.isGuilty(request); }));
+    }
+
+    size_t size() const { return m_daemons.size(); }
+    double mostBytesPerSecond() const
+    {
+        size_t most = 0;
+        for (auto const& daemon : m_daemons)
+            most = std::max(most, daemon->bytes);
+        return static_cast<double>(most) / asSeconds(m_now - start);
+    }
+    void silence(bool isSilent) { m_isSilent = isSilent; }
+
+private:
+    struct Daemon {
+        Daemon(VMId vm, HallId ownHall)
+            : id(vm)
+            , hall(ownHall)
+            , suspects(vm)
+        {
+        }
+        VMId id;
+        HallId hall;
+        CrashSuspects suspects;
+        std::unique_ptr<CrashExchange> exchange;
+        size_t bytes { 0 };
+    };
+
+    struct Message {
+        VMId from;
+        VMId to;
+        std::string bytes;
+    };
+
+    static bool isRelay(size_t index) { return (index / hallCount) % groupSize == 0; }
+
+    std::vector<VMId> askersOf(Daemon const& daemon) const
+    {
+        std::vector<VMId> askers;
+        auto const position = std::find_if(m_daemons.begin(), m_daemons.end(), [&](auto const& candidate) { return candidate.get() == &daemon; });
+        auto const index = static_cast<size_t>(position - m_daemons.begin());
+        if (!isRelay(index))
+            return askers;
+        for (size_t next = index + hallCount; next < m_daemons.size() && !isRelay(next); next += hallCount)
+            askers.push_back(m_daemons[next]->id);
+        return askers;
+    }
+
+    void send(Daemon& from, VMId to, std::string const& bytes)
+    {
+        constexpr size_t headerBytes = 53;
+        from.bytes += headerBytes + bytes.size();
+        if (!m_isSilent && std::uniform_real_distribution<>(0, 1)(m_random) >= m_loss)
+            m_messages.push_back({ from.id, to, bytes });
+    }
+
+    void deliver()
+    {
+        auto const messages = std::exchange(m_messages, {});
+        for (auto const& message : messages) {
+            auto const to = std::find_if(m_daemons.begin(), m_daemons.end(), [&](auto const& daemon) { return daemon->id == message.to; });
+            if (to != m_daemons.end())
+                BOOST_REQUIRE((*to)->exchange->receive(message.from, message.bytes, m_now));
+        }
+    }
+
+    std::vector<std::unique_ptr<Daemon>> m_daemons;
+    std::vector<VMId> m_relays;
+    std::vector<Message> m_messages;
+    double m_loss;
+    std::mt19937 m_random;
+    Instant m_now { start };
+    bool m_isSilent { false };
+};
+
+RequestFingerprint const request { 77 };
+
+}
+
+BOOST_AUTO_TEST_SUITE(CrashExchangeTests)
+
+// Each daemon sees one end; with each, 63 requests of others are with the upstream.
+BOOST_AUTO_TEST_CASE(TheThirdEndIsKnownToAllWithinASecondAtAnySize)
+{
+    for (size_t const size : { 7, 87, 330 }) {
+        for (unsigned seed = 1; seed <= 5; ++seed) {
+            Fleet fleet(size, 0.05, seed);
+            for (uint64_t end = 0; end < 3; ++end) {
+                fleet.ended((end * 31 + seed) % size, request, UpstreamId(10 + end));
+                for (uint64_t chance = 0; chance < 63; ++chance)
+                    fleet.ended(chance % size, RequestFingerprint(1000 + 100 * end + chance), UpstreamId(10 + end));
+                if (end < 2)
+                    fleet.run(Milliseconds(300));
+            }
+            fleet.run(Milliseconds(1000));
+            BOOST_TEST_CONTEXT("daemons " << size << " seed " << seed)
+            {
+                BOOST_TEST(fleet.convinced(request) == size);
+                BOOST_TEST(fleet.convinced(RequestFingerprint(1001)) == 0u);
+            }
+        }
+    }
+}
+
+// 9 KB/s are a daemon's for all control.
+BOOST_AUTO_TEST_CASE(WhatIsToldStaysWithinADaemonsBytes)
+{
+    Fleet fleet(330, 0, 1);
+    for (uint64_t end = 0; end < 30; ++end) {
+        for (uint64_t chance = 0; chance < 64; ++chance)
+            fleet.ended((end * 64 + chance * 5) % 330, RequestFingerprint(1000 + (chance < 3 ? chance : 100 * end + chance)), UpstreamId(10 + end));
+        fleet.run(Milliseconds(1000));
+    }
+    BOOST_TEST(fleet.convinced(RequestFingerprint(1000)) == 330u);
+    BOOST_TEST_MESSAGE("most bytes a second of a daemon: " << fleet.mostBytesPerSecond());
+    BOOST_TEST(fleet.mostBytesPerSecond() < 2000);
+}
+
+BOOST_AUTO_TEST_CASE(ADaemonThatStartsLaterIsTold)
+{
+    Fleet fleet(86, 0.05, 1);
+    for (uint64_t end = 0; end < 3; ++end)
+        fleet.ended(end, request, UpstreamId(10 + end));
+    fleet.run(Milliseconds(5000));
+    fleet.add(86);
+    fleet.introduce();
+    fleet.run(Milliseconds(1000));
+    BOOST_TEST(fleet.convinced(request) == 87u);
+}
+
+BOOST_AUTO_TEST_CASE(WhoWasCutOffIsToldInTheEnd)
+{
+    Fleet fleet(87, 0, 1);
+    fleet.silence(true);
+    for (uint64_t end = 0; end < 3; ++end)
+        fleet.ended(end, request, UpstreamId(10 + end));
+    fleet.run(Milliseconds(5000));
+    BOOST_TEST(fleet.convinced(request) == 0u);
+    fleet.silence(false);
+    fleet.run(Milliseconds(17000));
+    BOOST_TEST(fleet.convinced(request) == 87u);
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerClearsARequestEverywhere)
+{
+    Fleet fleet(87, 0, 1);
+    for (uint64_t end = 0; end < 3; ++end)
+        fleet.ended(end, request, UpstreamId(10 + end));
+    fleet.run(Milliseconds(1000));
+    BOOST_TEST(fleet.convinced(request) == 87u);
+    fleet.answered(50, request);
+    fleet.run(Milliseconds(1000));
+    BOOST_TEST(fleet.convinced(request) == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(MessagesThatAreNotUnderstoodChangeNothing)
+{
+    CrashSuspects suspects { VMId(1) };
+    CrashExchange exchange({ VMId(1), HallId(1) }, suspects, {}, { [](VMId, std::string const&) {}, [] { return std::vector<VMId>(); }, [] { return std::vector<VMId>(); } });
+    for (std::string const bytes : { "", "\x93\x01\x02\x03", "nonsense", "\x91\xce\xff\xff\xff\xff" })
+        BOOST_TEST(!exchange.receive(VMId(2), bytes, start).has_value());
+    BOOST_TEST(suspects.isEmpty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/platform/TestCrashWatch.cpp
@@ -0,0 +1,90 @@
+#include <boost/test/unit_test.hpp>
+#include <stagepostd/CrashWatch.h>
+
+using namespace Stagepost;
+
+namespace {
+
+RequestFingerprint const request { 77 };
+UpstreamId const upstream { 10 };
+
+// Ports answer when the test says so.
+struct World {
+    EventLoop loop;
+    Metrics metrics;
+    CrashSuspects suspects { VMId(1) };
+    std::vector<PortProbe::Callback> probes;
+    std::vector<RequestFingerprint> seen;
+    CrashWatch watch { loop, metrics, suspects,
+        { [this](Endpoint const&, PortProbe::Callback callback) { probes.push_back(std::move(callback)); }, [this](RequestFingerprint fingerprint) { seen.push_back(fingerprint); } } };
+
+    void breakOff(RequestFingerprint fingerprint) { watch.brokeOff({ fingerprint, upstream, "book-1", { "127.0.0.1", 1 } }); }
+    void answerProbe(PortState state) { std::exchange(probes, {}).front()(state); }
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(CrashWatchTests)
+
+BOOST_AUTO_TEST_CASE(AClosedPortBooksTheEndOnAllThatWasThere)
+{
+    World world;
+    world.breakOff(request);
+    world.breakOff(RequestFingerprint(78));
+    // One question for both.
+    BOOST_TEST(world.probes.size() == 1u);
+    world.answerProbe(PortState::Closed);
+    BOOST_TEST(world.suspects.endCount(request) == 1u);
+    BOOST_TEST(world.suspects.endCount(RequestFingerprint(78)) == 1u);
+    BOOST_TEST(world.seen.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(AnOpenPortAndSilenceBookNothing)
+{
+    for (auto const state : { PortState::Open, PortState::Silent }) {
+        World world;
+        world.breakOff(request);
+        world.answerProbe(state);
+        BOOST_TEST(!world.watch.hasSuspects());
+    }
+}
+
+// The port may be closed a moment after the connections.
+BOOST_AUTO_TEST_CASE(AnOpenPortIsAskedOnceMore)
+{
+    World world;
+    world.breakOff(request);
+    world.answerProbe(PortState::Open);
+    world.watch.tick();
+    BOOST_TEST(world.probes.empty());
+    world.loop.runFor(Milliseconds(60));
+    world.watch.tick();
+    BOOST_REQUIRE(world.probes.size() == 1u);
+    world.answerProbe(PortState::Closed);
+    BOOST_TEST(world.suspects.endCount(request) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(AnotherStartInItsPlaceBooksTheEnd)
+{
+    World world;
+    world.breakOff(request);
+    world.answerProbe(PortState::Open);
+    world.watch.restarted(UpstreamId(11));
+    BOOST_TEST(!world.watch.hasSuspects());
+    world.watch.restarted(upstream);
+    BOOST_TEST(world.suspects.endCount(request) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerClearsAndIsTold)
+{
+    World world;
+    world.breakOff(request);
+    world.answerProbe(PortState::Closed);
+    world.watch.answered(request);
+    BOOST_TEST(world.suspects.endCount(request) == 0u);
+    BOOST_TEST(world.seen.size() == 2u);
+    world.watch.answered(request);
+    BOOST_TEST(world.seen.size() == 2u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
