stagepost: Count the time in which the VM is suspended

Cause: every age, deadline and lease was counted on the steady clock, which stands still while a VM is suspended: a daemon woke up with beliefs as young as before. Class: an age by a clock that stops when its owner does.

- MonotonicClock::now() reads CLOCK_BOOTTIME, in one place; timers are waitable timers over it.
They wait on the kernel's steady clock, so after a suspension they are late by what was left to wait, at the most a tick of 50 ms; requests look at the clock themselves.
The lint refuses the other clocks.
What stays on the steady one: the time-outs of Beast's streams (a transfer without progress).
- A daemon that stood still, suspended or frozen, for longer than the bound on leaving upstreams is not ready, and refuses as not run, until its configuration and its list of upstreams are proven anew, for a second at the most; where nobody proves them it is cut off and goes on.
Before, a frozen one sent its first request to an upstream that had left.
- Time in which it stood still is no silence of upstreams (SilenceWatch::stoodStill).
- A line (resumed) and a metric (stagepost_suspended_seconds) for the operator.
The first tick had to come before any of it was noticed: one suspended within 100 ms of its start knew nothing.

Ruled out: a hook on a signal (there is none).

--- a/Libraries/LibBase/Log.cpp
+++ b/Libraries/LibBase/Log.cpp
@@ -22,8 +22,7 @@
     private:
         void sink_it_(spdlog::details::log_msg const& message) override
         {
-            auto const since = std::chrono::steady_clock::now().time_since_epoch();
-            if (!m_budget.allows(Instant(std::chrono::duration_cast<Microseconds>(since))))
+            if (!m_budget.allows(MonotonicClock::now()))
                 return;
             if (!canWrite()) {
                 m_budget.leaveOut();
--- a/Libraries/LibBase/ProvenAge.h
+++ b/Libraries/LibBase/ProvenAge.h
@@ -8,7 +8,7 @@
 // How old a belief can be at most. It counts from the moment at which the read
 // that confirmed it was sent: whoever answered may have looked at any time after
 // that, and an answer that took long proves nothing newer. A process that was
-// paused finds its beliefs old by itself, since the steady clock went on.
+// paused finds its beliefs old by itself, since its clock went on.
 class ProvenAge {
 public:
     // An answer that arrived after a newer one changes nothing.
--- a/Libraries/LibProxy/Detail/Exchange.h
+++ b/Libraries/LibProxy/Detail/Exchange.h
@@ -17,7 +17,7 @@
 
     SessionExchange(Net::io_context& context, HttpCall call)
         : m_call(std::move(call))
-        , m_chosen(context, Net::steady_timer::time_point::max())
+        , m_chosen(context, ClockTimer::time_point::max())
     {
     }
 
@@ -45,7 +45,7 @@
     void choose(Choice);
 
     HttpCall m_call;
-    Net::steady_timer m_chosen;
+    ClockTimer m_chosen;
     Choice m_choice;
     std::function<void()> m_callerGoneHook;
     TcpStream* m_upstream { nullptr };
--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -6,13 +6,6 @@
 
 namespace {
 
-    std::optional<IdleWatchdog::Clock::time_point> nativeTime(std::optional<Instant> instant)
-    {
-        if (!instant)
-            return {};
-        return IdleWatchdog::Clock::time_point(instant->time_since_epoch());
-    }
-
     bool mayHaveBody(unsigned status)
     {
         return status != 204 && status != 304;
@@ -102,7 +95,7 @@
     if (!m_connection)
         m_connection = std::make_shared<UpstreamConnection>(m_context);
     m_exchange.setUpstream(&m_connection->stream);
-    m_watchdog.emplace(m_context, m_plan.connectTimeout, nativeTime(m_plan.limit), [this] { expired(); });
+    m_watchdog.emplace(m_context, m_plan.connectTimeout, m_plan.limit, [this] { expired(); });
     if (m_result.reusedConnection)
         co_return true;
     auto [failure] = co_await m_connection->stream.async_connect(nativeEndpoint<Tcp>(m_plan.upstream), useTuple);
--- a/Libraries/LibProxy/Detail/IdleWatchdog.h
+++ b/Libraries/LibProxy/Detail/IdleWatchdog.h
@@ -12,7 +12,7 @@
 // than a timer for each read and each write of a stream.
 class IdleWatchdog {
 public:
-    using Clock = std::chrono::steady_clock;
+    using Clock = MonotonicClock;
 
     IdleWatchdog(Net::io_context& context, Milliseconds limit, std::optional<Clock::time_point> end, std::function<void()> expired)
         : m_state(std::make_shared<State>(context, limit, end, std::move(expired)))
@@ -90,7 +90,7 @@
             expired();
         }
 
-        Net::steady_timer timer;
+        ClockTimer timer;
         Milliseconds limit;
         std::optional<Clock::time_point> end;
         std::function<void()> expired;
--- a/Libraries/LibProxy/Detail/Native.h
+++ b/Libraries/LibProxy/Detail/Native.h
@@ -20,6 +20,14 @@
 using Udp = Net::ip::udp;
 using NetError = boost::system::error_code;
 
+// Waits on the kernel's steady clock, and decides on ours: after a suspension it fires late by what was
+// left to wait, which other timers cut to a tick (50 ms).
+using ClockTimer = Net::basic_waitable_timer<MonotonicClock>;
+
+// Beast's streams count their time-outs on it. What they bound is how long a transfer makes no progress,
+// and a suspension is no fault of the other end's.
+using TransferClock = std::chrono::steady_clock;
+
 // Completions give the error as a value instead of throwing it.
 constexpr auto useTuple = Net::as_tuple(Net::use_awaitable);
 
--- a/Libraries/LibProxy/Detail/UpstreamConnections.cpp
+++ b/Libraries/LibProxy/Detail/UpstreamConnections.cpp
@@ -14,7 +14,7 @@
         return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     }
 
-    bool isSafelyOpen(UpstreamConnection const& connection, std::chrono::steady_clock::duration rested)
+    bool isSafelyOpen(UpstreamConnection const& connection, Microseconds rested)
     {
         std::chrono::duration<double> const usable = connection.keepAlive * UpstreamConnections::usableKeepAliveShare;
         return rested <= usable;
@@ -30,7 +30,7 @@
     if (found == m_idle.end())
         return nullptr;
     auto& idle = found->second;
-    auto const now = std::chrono::steady_clock::now();
+    auto const now = MonotonicClock::now();
     std::erase_if(idle, [&](auto const& connection) { return !isSafelyOpen(*connection, now - connection->restsSince); });
     while (!idle.empty()) {
         if (now - idle.back()->restsSince > longestRest)
@@ -47,7 +47,7 @@
 void UpstreamConnections::give(Endpoint const& endpoint, std::shared_ptr<UpstreamConnection> connection, size_t mostIdle)
 {
     auto& idle = m_idle[endpoint];
-    connection->restsSince = std::chrono::steady_clock::now();
+    connection->restsSince = MonotonicClock::now();
     idle.push_back(std::move(connection));
     if (idle.size() > mostIdle)
         idle.erase(idle.begin(), idle.end() - static_cast<std::ptrdiff_t>(mostIdle));
--- a/Libraries/LibProxy/Detail/UpstreamConnections.h
+++ b/Libraries/LibProxy/Detail/UpstreamConnections.h
@@ -15,9 +15,9 @@
     }
     TcpStream stream;
     Beast::flat_buffer buffer;
-    std::chrono::steady_clock::time_point restsSince;
+    Instant restsSince;
     // How long the upstream has said that it keeps an idle connection open.
-    std::chrono::steady_clock::duration keepAlive { std::chrono::steady_clock::duration::max() };
+    Microseconds keepAlive { Microseconds::max() };
     // The last request has been written to its end.
     bool isWritten { true };
     NetError writeFailure;
--- a/Libraries/LibProxy/EventLoop.cpp
+++ b/Libraries/LibProxy/EventLoop.cpp
@@ -45,8 +45,7 @@
 
 Instant EventLoop::now() const
 {
-    auto const since = std::chrono::steady_clock::now().time_since_epoch();
-    return Instant(std::chrono::duration_cast<Microseconds>(since));
+    return MonotonicClock::now();
 }
 
 void EventLoop::post(std::function<void()> function)
@@ -81,7 +80,7 @@
         : timer(loop.native().context)
     {
     }
-    Net::steady_timer timer;
+    ClockTimer timer;
     uint64_t generation { 0 };
 };
 
--- a/Libraries/LibProxy/HttpClient.cpp
+++ b/Libraries/LibProxy/HttpClient.cpp
@@ -43,13 +43,13 @@
         // The time-out runs anew with each part of the answer: a large one takes as long as
         // the link does, and one that is begun anew after a fixed time never arrives on a
         // link that is too small for that.
-        auto const end = std::chrono::steady_clock::now() + longestInTimeouts * timeout;
+        auto const end = TransferClock::now() + longestInTimeouts * timeout;
         Beast::flat_buffer buffer;
         while (!parser.is_done()) {
             auto [readFailure, read] = co_await Http::async_read_some(stream, buffer, parser, useTuple);
             if (readFailure)
                 co_return failureOf(endpoint, readFailure);
-            stream.expires_at(std::min(std::chrono::steady_clock::now() + timeout, end));
+            stream.expires_at(std::min(TransferClock::now() + timeout, end));
         }
 
         HttpReply reply;
--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -50,7 +50,7 @@
 Net::awaitable<void> HttpServer::State::acceptLoop()
 {
     auto const self = shared_from_this();
-    Net::steady_timer pause(context);
+    ClockTimer pause(context);
     while (acceptor.is_open()) {
         auto [failure, socket] = co_await acceptor.async_accept(useTuple);
         if (!acceptor.is_open())
--- a/Libraries/LibRouting/SilenceWatch.cpp
+++ b/Libraries/LibRouting/SilenceWatch.cpp
@@ -78,6 +78,12 @@
     heard(upstream, now);
 }
 
+void SilenceWatch::stoodStill(Microseconds duration)
+{
+    for (auto& [upstream, line] : m_lines)
+        line.waitingSince += duration;
+}
+
 void SilenceWatch::unreached(UpstreamId upstream)
 {
     if (auto const found = m_lines.find(upstream); found != m_lines.end())
--- a/Libraries/LibRouting/SilenceWatch.h
+++ b/Libraries/LibRouting/SilenceWatch.h
@@ -67,6 +67,8 @@
     void unreached(UpstreamId);
     // The request is over, whatever it came to.
     void ended(UpstreamId, Instant now);
+    // This daemon stood still for so long: nobody waited for what is due meanwhile.
+    void stoodStill(Microseconds duration);
     // The upstream is gone for good.
     void forget(UpstreamId upstream) { m_lines.erase(upstream); }
 
--- a/Meta/stagepost.sh
+++ b/Meta/stagepost.sh
@@ -239,10 +239,22 @@
     git ls-files --cached --others --exclude-standard -- '*.cpp' '*.h'
 }
 
+# Ages and deadlines count the time that a VM is suspended: LibBase's clock is the only one that does.
+lint_clocks() {
+    local found
+    found=$(git grep -nE 'steady_clock|steady_timer|high_resolution_clock|CLOCK_(MONOTONIC|BOOTTIME)' -- Libraries Services platform Utilities \
+        | grep -vE '^Libraries/(LibBase/Time\.(h|cpp)|LibProxy/Detail/Native\.h):' || true)
+    [[ -z $found ]] && return
+    echo "use MonotonicClock, or TransferClock where it may be:" >&2
+    echo "$found" >&2
+    return 1
+}
+
 lint() {
     deps
     [[ -f $build/build.ninja ]] || cmake -S . -B "$build" -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache
     sources | xargs clang-format-14 --dry-run -Werror
+    lint_clocks
     # The linter cannot read the compiler's precompiled headers.
     mkdir -p "$build/lint"
     sed -E 's/-Winvalid-pch -include [^ ]*cmake_pch\.hxx//' "$build/compile_commands.json" >"$build/lint/compile_commands.json"
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -16,6 +16,9 @@
     constexpr Milliseconds longestUnnoticedStall { 50 };
     // What a caller is told to wait where only the platform can change things.
     constexpr Milliseconds platformPause { 250 };
+    // After standing still: a proof takes a read of the store, and an ask for most, within half a second
+    // at the pace of two reads a second.
+    constexpr Milliseconds proofPatience { 1000 };
     // Connections come up or are refused within a few milliseconds, or hardly at all.
     constexpr Milliseconds portTimeout { 500 };
     constexpr unsigned statusUnready = 503;
@@ -56,7 +59,7 @@
     , m_peers(loop, m_metrics, m_options.exchange, m_suspects, m_random, peerHooks())
     , m_portProbe(loop)
     , m_crashes(loop, m_metrics, m_suspects, crashHooks())
-    , m_services { loop, m_metrics, m_board, m_crashes, m_dialect, [this] { return areKeysFresh(); }, [this] { return settingsAge(); }, [this] { return m_peers.share(); }, [this](RequestTraits const& traits) { return m_fingerprintKey.fingerprintOf(traits); } }
+    , m_services { loop, m_metrics, m_board, m_crashes, m_dialect, [this] { return areKeysFresh(); }, [this] { return awaitsProof(); }, [this] { return settingsAge(); }, [this] { return m_peers.share(); }, [this](RequestTraits const& traits) { return m_fingerprintKey.fingerprintOf(traits); } }
     , m_server(
           loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handle(exchange); }, [this](Refusal const& refusal) { return refuse(refusal); })
     , m_readyServer(
@@ -108,6 +111,7 @@
     m_peerEndpoint = TRY(m_peers.listen(m_options.peerListen));
     logEvent(LogLevel::Info, "started", { { "name", m_options.name }, { "hall", m_options.hall }, { "listen", m_callerEndpoint.toString() }, { "ready_listen", m_readyEndpoint.toString() }, { "peer_listen", m_peerEndpoint.toString() } });
     m_server.setClosing(true);
+    m_tickedAt = m_loop.now();
     m_ticker.every(tickInterval, [this] { tick(); });
     return {};
 }
@@ -124,7 +128,7 @@
 
 bool Gateway::isReady() const
 {
-    return !m_isDraining && m_table && m_directory.hasList() && areKeysFresh();
+    return !m_isDraining && m_table && m_directory.hasList() && areKeysFresh() && !awaitsProof();
 }
 
 // A daemon that is told of a newer configuration gets it from there, unless that takes
@@ -358,21 +362,41 @@
     m_board.setRetryShare(m_peers.share());
 }
 
-// A process that was paused, or whose VM was, explains much of what its callers
-// saw; it alone can tell.
-void Gateway::noteStall(Instant now)
+// A process that was paused, or whose VM was suspended, explains much of what its callers saw;
+// it alone can tell. Noticed before the next request is handled, or by the next tick.
+void Gateway::noteAbsence(Instant now)
 {
     auto const late = now - m_tickedAt - tickInterval;
-    if (m_tickedAt != Instant {} && late > longestUnnoticedStall) {
-        m_metrics.observe("stagepost_stall_seconds", late);
-        logEvent(LogLevel::Warning, "stalled", { { "late_ms", late.count() / 1000 }, { "open", m_server.openExchanges() } });
-    }
+    if (late <= longestUnnoticedStall)
+        return;
     m_tickedAt = now;
+    m_metrics.observe("stagepost_stall_seconds", late);
+    logEvent(LogLevel::Warning, "stalled", { { "late_ms", late.count() / 1000 }, { "open", m_server.openExchanges() } });
+    auto const suspendedTime = MonotonicClock::suspendedTime();
+    auto const suspended = suspendedTime - std::exchange(m_suspendedTime, suspendedTime);
+    if (suspended > longestUnnoticedStall) {
+        m_metrics.observe("stagepost_suspended_seconds", suspended);
+        logEvent(LogLevel::Warning, "resumed", { { "suspended_ms", suspended.count() / 1000 }, { "open", m_server.openExchanges() } });
+    }
+    m_board.silence().stoodStill(late);
+    if (late > m_options.directory.outage)
+        m_resumedAt = now;
+}
+
+// A list of upstreams, or a configuration, that was right before names who has left meanwhile. Where
+// nobody proves it in time the daemon is cut off, and goes on with what it has.
+bool Gateway::awaitsProof() const
+{
+    if (!m_resumedAt || m_loop.now() - *m_resumedAt > proofPatience)
+        return false;
+    auto const proven = provenAt();
+    return !proven || *proven < *m_resumedAt;
 }
 
 void Gateway::tick()
 {
-    noteStall(m_loop.now());
+    noteAbsence(m_loop.now());
+    m_tickedAt = m_loop.now();
     m_directory.tick(m_loop.now());
     m_crashes.tick();
     noteReadiness();
@@ -436,6 +460,7 @@
 void Gateway::handle(std::shared_ptr<Exchange> const& exchange)
 {
     // A belief grows too old by itself, between two ticks as well.
+    noteAbsence(m_loop.now());
     noteReadiness();
     auto routed = route(exchange->call());
     if (auto const* refusal = std::get_if<Refusal>(&routed)) {
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -100,7 +100,8 @@
     void confirmTold(uint64_t settingsVersion, uint64_t upstreamsHash, Instant provenAt);
     std::vector<UpstreamInFlight> ownInFlight() const;
     void takeOthersInFlight(std::vector<UpstreamInFlight> const&, Microseconds age);
-    void noteStall(Instant now);
+    void noteAbsence(Instant now);
+    bool awaitsProof() const;
     void tick();
     void noteReadiness();
 
@@ -137,6 +138,10 @@
     Endpoint m_peerEndpoint;
     Timer m_ticker;
     Instant m_tickedAt;
+    // Of the VM, until the last look.
+    Microseconds m_suspendedTime { MonotonicClock::suspendedTime() };
+    // After it stood still for longer than what it believes may be old.
+    std::optional<Instant> m_resumedAt;
     ServerDrain m_drain;
     bool m_wasReady { false };
     bool m_isDraining { false };
--- a/Services/stagepostd/GatewayFlow.cpp
+++ b/Services/stagepostd/GatewayFlow.cpp
@@ -79,6 +79,10 @@
         refuse({ RefusalReason::SettingsTooOld, m_attempts.verdict(), "the configuration is too old to tell whether the key is good", m_attempts.timeToComeBack() });
         return;
     }
+    if (m_services.awaitsProof()) {
+        refuse({ RefusalReason::SettingsTooOld, m_attempts.verdict(), "this daemon stood still and has not learnt yet what has changed", m_attempts.timeToComeBack() });
+        return;
+    }
     if (m_attempts.isOver(now)) {
         refuse({ RefusalReason::DeadlinePassed, m_attempts.verdict(), "no time is left for an upstream to answer", {} });
         return;
--- a/Services/stagepostd/GatewayFlow.h
+++ b/Services/stagepostd/GatewayFlow.h
@@ -23,6 +23,8 @@
     GatewayDialect const& dialect;
     // Whether keys may still be taken for good by the configuration in force.
     std::function<bool()> areKeysFresh;
+    // Whether the daemon stood still for so long that nothing it believes may be acted on yet.
+    std::function<bool()> awaitsProof;
     // The proven age of the configuration, for the log.
     std::function<Microseconds()> settingsAge;
     // This daemon's part of the fleet, from 0 to 1.
--- a/Tests/LibRouting/TestSilenceWatch.cpp
+++ b/Tests/LibRouting/TestSilenceWatch.cpp
@@ -66,6 +66,20 @@
     BOOST_TEST(watch.isSilent(UpstreamId(1), at(12)));
 }
 
+// A daemon that was suspended for ten seconds must not take the whole fleet of upstreams for gone.
+BOOST_AUTO_TEST_CASE(TimeInWhichThisDaemonStoodStillIsNoSilence)
+{
+    SilenceWatch watch;
+    for (uint64_t number = 1; number <= 3; ++number) {
+        seeUsualAnswers(watch, UpstreamId(number), north, 10);
+        watch.sent(UpstreamId(number), north, at(10));
+    }
+    BOOST_TEST((watch.reach(north, at(20.05)) != Reach::Heard));
+    watch.stoodStill(Seconds(10));
+    BOOST_TEST((watch.reach(north, at(20.05)) == Reach::Heard));
+    BOOST_TEST(watch.isSilent(UpstreamId(1), at(20.4)));
+}
+
 BOOST_AUTO_TEST_CASE(SlowUpstreamsAreNotSilent)
 {
     SilenceWatch watch;
--- a/Tests/Processes/test_suspension.py
+++ b/Tests/Processes/test_suspension.py
@@ -26,6 +26,8 @@
     def run(self):
         for stand_still in (self.entry.suspend, self.entry.freeze):
             with self.subTest(way=stand_still.__name__):
+                # It refuses for some milliseconds after the way before.
+                eventually(self.entry.is_ready, "ready")
                 test(self, stand_still)
     return run
 
--- a/Utilities/stagepostctl/SettingsCommands.cpp
+++ b/Utilities/stagepostctl/SettingsCommands.cpp
@@ -88,7 +88,7 @@
     std::vector<std::string> waitInForce(CommandLine const& line, EventLoop& loop, Revision revision)
     {
         FleetConnection fleet(loop, *line.vmList, line.operatorToken);
-        auto const end = std::chrono::steady_clock::now() + Milliseconds(line.timeoutMs);
+        auto const end = MonotonicClock::now() + Milliseconds(line.timeoutMs);
         while (true) {
             std::vector<std::string> missing;
             auto const vms = fleet.entryVMs();
@@ -99,7 +99,7 @@
                 if (!status || Json::parse(*status).value("revision", uint64_t { 0 }) < revision.value())
                     missing.push_back(vm.name);
             }
-            if (missing.empty() || std::chrono::steady_clock::now() >= end)
+            if (missing.empty() || MonotonicClock::now() >= end)
                 return missing;
             if (isatty(STDERR_FILENO))
                 std::cerr << "\rwaiting for " << missing.size() << " of " << vms->size() << " VMs " << std::flush;
