--- a/Tests/Processes/test_platform.py
+++ b/Tests/Processes/test_platform.py
@@ -40,8 +40,8 @@
 class Entry(LoggedProcess):
     """One daemon, started on free ports."""
 
-    def __init__(self, store, *extra, environment=None):
-        arguments = [PROGRAM, "--name", "entry-1", "--hall", "north", "--listen", "127.0.0.1:0", "--ready-listen", "127.0.0.1:0",
+    def __init__(self, store, *extra, program=PROGRAM, environment=None):
+        arguments = [program, "--name", "entry-1", "--hall", "north", "--listen", "127.0.0.1:0", "--ready-listen", "127.0.0.1:0",
                      "--peer-listen", "127.0.0.1:0", "--store", store.endpoint, "--key-bound-ms", "2000", "--leave-bound-ms", "300",
                      "--drain-s", "4", "--retry-slack", "20", *extra]
         super().__init__(arguments, r"event=started .*listen=(\S+) ready_listen=(\S+)", environment)
--- a/Tests/Processes/test_suspension.py
+++ b/Tests/Processes/test_suspension.py
@@ -6,10 +6,8 @@
 """
 
 import functools
-import mmap
 import os
 import signal
-import struct
 import tempfile
 import threading
 import time
@@ -21,7 +19,8 @@
 
 # The daemons' bound on keys is 2 s.
 AWAY = 3.0
-SHIM = f"{BUILD}/Tests/StandIns/libstagepost-suspension-shim.so"
+# The daemon with a steady clock that can be suspended.
+SUSPENDABLE = f"{BUILD}/Tests/StandIns/stagepostd-platform-suspendable"
 
 
 class SuspendedTime:
@@ -29,25 +28,22 @@
 
     def __init__(self):
         self.file = tempfile.NamedTemporaryFile()
-        self.file.write(bytes(8))
-        self.file.flush()
-        self.memory = mmap.mmap(self.file.fileno(), 8)
         self.seconds = 0.0
-        self.environment = dict(os.environ, LD_PRELOAD=SHIM, STAGEPOST_SUSPENDED_TIME_FILE=self.file.name)
+        self.environment = dict(os.environ, STAGEPOST_SUSPENDED_TIME_FILE=self.file.name)
 
     def add(self, seconds):
         self.seconds += seconds
-        self.memory[:8] = struct.pack("<q", int(self.seconds * 1e9))
+        # In one write, since the daemon reads at any time.
+        os.pwrite(self.file.fileno(), str(int(self.seconds * 1e9)).encode(), 0)
 
     def close(self):
-        self.memory.close()
         self.file.close()
 
 
 class SuspendableEntry(Entry):
     def __init__(self, store, *extra):
         self.suspended_time = SuspendedTime()
-        super().__init__(store, *extra, environment=self.suspended_time.environment)
+        super().__init__(store, *extra, program=SUSPENDABLE, environment=self.suspended_time.environment)
 
     def freeze(self, seconds, meanwhile=lambda: None):
         """The process stands still; its clocks go on."""
