Tests: Suspend VMs in the soak, and model a bound and a lease

Seeds from 2000 on suspend daemons' VMs, alone and some at once, over the other faults; the promises are the same.

--- a/Meta/model-check.sh
+++ b/Meta/model-check.sh
@@ -51,6 +51,10 @@
 for variant in PROVE_ON_ARRIVAL ANSWER_EARLY READ_ON_ARRIVAL GO_BACK CHECK_ONCE; do
     check freshness refuted Freshness assertions "$variant" &
 done
+check suspension holds Suspension assertions &
+for variant in STEADY CHECK_ONCE AGE_ON_WAKE; do
+    check suspension refuted Suspension assertions "$variant" &
+done
 results=0
 for job in $(jobs -p); do
     wait "$job" || results=1
--- a/Tests/Soak/faults.py
+++ b/Tests/Soak/faults.py
@@ -5,7 +5,7 @@
 import signal
 import time
 
-from world import STOP_LIMIT
+from world import FIRST_WITH_SUSPENSION, STOP_LIMIT
 
 # Between two storms: a daemon that was disturbed is in touch again after this.
 SETTLE = 3.0
@@ -64,6 +64,7 @@
         self.schedule = Schedule()
         # Draws of its own, so that what it adds changes nothing else of a seed.
         self.restarts = random.Random(f"{seed} restarts") if seed >= FIRST_WITH_RESTARTS else None
+        self.suspensions = random.Random(f"{seed} suspensions") if seed >= FIRST_WITH_SUSPENSION else None
         self.unplanned = [self.pause, self.pause, self.kill, self.kill_all, self.cut_from_store, self.cut_from_peers, self.reset_callers,
                           self.slow_link, self.store_outage, self.store_outage, self.store_forgets, self.lapse, self.fail_requests,
                           self.fail_requests, self.crash_upstream, self.cut_upstream]
@@ -73,6 +74,9 @@
         if self.restarts:
             for _ in range(int(2 * seconds)):
                 self.schedule.after(self.restarts.uniform(0, seconds), self.restarts.choice((self.restart_upstream, self.write_nonsense)))
+        if self.suspensions:
+            for _ in range(int(seconds)):
+                self.schedule.after(self.suspensions.uniform(0, seconds), self.suspend)
         self.play(seconds, 0.25, self.unplanned * 2 + self.planned)
 
     def planned_work(self, seconds):
@@ -104,6 +108,24 @@
         # The process that was stopped, and not one that came after it.
         self.disturb(f"pause {daemon.name}", lambda: process.poll() is None and process.send_signal(signal.SIGCONT), longest=4.0)
 
+    def suspend(self):
+        """The daemon's VM stands still, its steady clock with it; now and then some at once."""
+        count = self.suspensions.choice((1, 1, 1, len(self.world.daemons) // 2))
+        seconds = self.suspensions.uniform(0.2, 5.0)
+        for daemon in self.suspensions.sample(self.world.daemons, count):
+            process = daemon.process
+            daemon.signal(signal.SIGSTOP)
+            self.note(f"suspend {daemon.name} for {seconds:.2f} s")
+            start = time.monotonic()
+            self.disturbances.add(f"suspend {daemon.name}", start, start + seconds + 0.5)
+            self.schedule.after(seconds, lambda daemon=daemon, process=process: self.resume(daemon, process, seconds))
+
+    def resume(self, daemon, process, seconds):
+        # Processes that have come after it began later than the time that is left out.
+        daemon.suspended_time.add(seconds)
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+
     def kill(self):
         daemon = self.daemon()
         if daemon.end(signal.SIGKILL):
--- a/Tests/Soak/world.py
+++ b/Tests/Soak/world.py
@@ -16,6 +16,7 @@
 from fleet import BUILD  # noqa: E402
 from platform_stand_ins import Store, Upstream  # noqa: E402
 from test_platform import HOST, route  # noqa: E402
+from test_suspension import SUSPENDABLE, SuspendedTime  # noqa: E402
 
 from links import Network, PeerLink, TcpLink  # noqa: E402
 
@@ -24,6 +25,8 @@
 KEY_BOUND = 3.0
 LEAVE_BOUND = 1.5
 STOP_LIMIT = 6.0
+# From this seed on daemons' VMs are suspended as well.
+FIRST_WITH_SUSPENSION = 2000
 TIMEOUT = 2.0
 EVENTS = 12
 
@@ -107,6 +110,7 @@
         self.to_peers = PeerLink(world.network, self.peer)
         self.callers = TcpLink(world.network, self.listen)
         self.log = open(os.path.join(world.directory, self.name + ".log"), "a", encoding="utf-8")
+        self.suspended_time = SuspendedTime() if world.seed >= FIRST_WITH_SUSPENSION else None
         self.process = None
         self.starts = 0
         self.is_expected = False
@@ -116,10 +120,11 @@
         self.starts += 1
         self.is_expected = True
         self.process = subprocess.Popen(
-            [PROGRAM, "--name", self.name, "--hall", self.hall, "--listen", self.listen, "--ready-listen", self.ready,
+            [SUSPENDABLE if self.suspended_time else PROGRAM, "--name", self.name, "--hall", self.hall, "--listen", self.listen, "--ready-listen", self.ready,
              "--peer-listen", self.peer, "--peer-address", self.to_peers.endpoint, "--store", self.to_store.endpoint,
              "--key-bound-ms", str(int(KEY_BOUND * 1000)), "--leave-bound-ms", str(int(LEAVE_BOUND * 1000)),
-             "--drain-s", str(STOP_LIMIT), "--retry-slack", "50"], stdout=self.log, stderr=self.log)
+             "--drain-s", str(STOP_LIMIT), "--retry-slack", "50"], stdout=self.log, stderr=self.log,
+            env=self.suspended_time.environment if self.suspended_time else None)
 
     def signal(self, number):
         if self.process.poll() is None:
