LibBase: Hash a request's body by itself

A fingerprint took 2.7 us for a body of 1 KB and 128 us for 64 KB, measured only now (its comment had said a microsecond for 1 KB, which was a guess): while anything is suspected each request pays for it. The seed comes from the fleet's key.

--- a/Libraries/LibBase/FingerprintKey.cpp
+++ b/Libraries/LibBase/FingerprintKey.cpp
@@ -1,5 +1,6 @@
 #include <LibBase/FingerprintKey.h>
 
+#include <LibBase/Hash.h>
 #include <cstring>
 #include <sodium.h>
 
@@ -20,16 +21,21 @@
 FingerprintKey::FingerprintKey(std::string_view key)
 {
     constexpr std::string_view purpose = "request-fingerprint";
-    crypto_generichash(m_key.data(), m_key.size(), reinterpret_cast<unsigned char const*>(key.data()), key.size(),
+    std::array<unsigned char, sizeof(m_key) + sizeof(m_bodySeed)> derived {};
+    crypto_generichash(derived.data(), derived.size(), reinterpret_cast<unsigned char const*>(key.data()), key.size(),
         reinterpret_cast<unsigned char const*>(purpose.data()), purpose.size());
+    std::memcpy(m_key.data(), derived.data(), m_key.size());
+    std::memcpy(&m_bodySeed, derived.data() + m_key.size(), sizeof(m_bodySeed));
 }
 
 RequestFingerprint FingerprintKey::fingerprintOf(RequestTraits const& traits) const
 {
     crypto_generichash_state state;
     crypto_generichash_init(&state, m_key.data(), m_key.size(), crypto_generichash_BYTES_MIN);
-    for (auto const text : { traits.organisation, traits.method, traits.host, traits.target, traits.body })
+    auto const body = hashOf(traits.body, m_bodySeed);
+    for (auto const text : { traits.organisation, traits.method, traits.host, traits.target })
         add(state, text);
+    add(state, { reinterpret_cast<char const*>(&body), sizeof(body) });
     std::array<unsigned char, crypto_generichash_BYTES_MIN> digest {};
     crypto_generichash_final(&state, digest.data(), digest.size());
     uint64_t value = 0;
--- a/Libraries/LibBase/FingerprintKey.h
+++ b/Libraries/LibBase/FingerprintKey.h
@@ -25,11 +25,13 @@
     // The key may be of any length.
     explicit FingerprintKey(std::string_view key);
 
-    // A keyed BLAKE2b over all traits; 1 KB of body takes about a microsecond.
+    // A keyed BLAKE2b over all traits, for which the body stands as a seeded hash: BLAKE2b alone takes
+    // 128 us for a body of 64 KB.
     RequestFingerprint fingerprintOf(RequestTraits const&) const;
 
 private:
     std::array<unsigned char, 32> m_key {};
+    uint64_t m_bodySeed { 0 };
 };
 
 }
