LibRouting: Tell a daemon that starts again which requests end upstreams

Found by asking what a loss of most daemons does: one that starts again under its name is no newcomer to those that know it, and was told when something was due, up to 16 s later; a request could end a further upstream through each.

--- a/Libraries/LibRouting/CrashExchange.cpp
+++ b/Libraries/LibRouting/CrashExchange.cpp
@@ -144,7 +144,7 @@
     telling.pause = std::min(2 * telling.pause, m_bounds.longestPause);
 }
 
-Result<std::vector<RequestFingerprint>> CrashExchange::receive(VMId, std::string_view bytes, Instant now)
+Result<std::vector<RequestFingerprint>> CrashExchange::receive(VMId from, std::string_view bytes, Instant now)
 {
     MessageReader reader(bytes);
     std::vector<CrashSuspect> suspects;
@@ -153,6 +153,10 @@
         suspects.push_back(readSuspect(reader, now));
     if (!reader.finished())
         return Error(ErrorCode::Malformed, "a message about crashes is not understood");
+    if (suspects.empty()) {
+        if (auto const known = whatConcernsAll(); !known.empty())
+            send(from, known, now);
+    }
     std::vector<RequestFingerprint> news;
     for (auto const& told : suspects) {
         if (!m_suspects.merge(told, now))
@@ -168,10 +172,9 @@
     return news;
 }
 
-// A daemon that has started, or is back, asks a relay first.
-void CrashExchange::tellNewcomers(Instant now)
+// Those with the most ends.
+std::vector<CrashSuspect const*> CrashExchange::whatConcernsAll() const
 {
-    auto askers = m_hooks.askers();
     std::vector<CrashSuspect const*> suspects;
     for (auto const& [request, suspect] : m_suspects.all()) {
         if (concernsAll(suspect))
@@ -182,18 +185,43 @@
         return one->ends.size() > other->ends.size();
     });
     suspects.resize(count);
+    return suspects;
+}
+
+// A daemon that is back from a cut asks a relay again.
+void CrashExchange::tellNewcomers(Instant now)
+{
+    auto askers = m_hooks.askers();
+    auto const suspects = whatConcernsAll();
     for (auto const asker : askers) {
         bool const isNew = std::find(m_knownAskers.begin(), m_knownAskers.end(), asker) == m_knownAskers.end();
-        if (isNew && count)
+        if (isNew && !suspects.empty())
             send(asker, suspects, now);
     }
     m_knownAskers = std::move(askers);
 }
 
+// Without it one that starts again under its name is told only when something is due: it ended a
+// further upstream meanwhile.
+void CrashExchange::askAtStart(Instant now)
+{
+    if (m_peers.empty() || m_asks == m_bounds.asksAtStart || now < m_nextAskAt)
+        return;
+    ++m_asks;
+    m_nextAskAt = now + m_bounds.firstPause;
+    std::vector<VMId> others;
+    others.reserve(m_peers.size());
+    for (auto const& peer : m_peers)
+        others.push_back(peer.id);
+    for (auto const to : firstOf(std::move(others), RequestFingerprint(m_self.id.value()), m_bounds.askedAtStart))
+        send(to, {}, now);
+}
+
 void CrashExchange::tick(Instant now)
 {
     m_suspects.prune(now);
     earnCredit(now);
+    askAtStart(now);
     tellNewcomers(now);
     std::erase_if(m_tellings, [this](auto const& entry) { return !m_suspects.find(entry.first); });
     for (auto& [request, telling] : m_tellings) {
--- a/Libraries/LibRouting/CrashExchange.h
+++ b/Libraries/LibRouting/CrashExchange.h
@@ -16,7 +16,7 @@
 // of the fleet, and what matters is known to all after three messages.
 //
 // Messages may be lost, and daemons start or come back: everything is told again, ever
-// more rarely, and whoever is new is told at once.
+// more rarely, and whoever starts asks some others, by a message that tells nothing.
 class CrashExchange {
 public:
     struct Bounds {
@@ -33,6 +33,9 @@
         double burstBytes { 8000 };
         // To a daemon that is new: those with the most ends.
         size_t suspectsToNewcomers { 16 };
+        // A daemon that starts asks so many others, so many times: some may have started as well.
+        size_t askedAtStart { 4 };
+        size_t asksAtStart { 3 };
     };
 
     struct Peer {
@@ -78,6 +81,8 @@
     std::vector<VMId> audienceOf(CrashSuspect const&, bool isWitness) const;
     void tell(CrashSuspect const&, Telling&, Instant now);
     void tellNewcomers(Instant now);
+    std::vector<CrashSuspect const*> whatConcernsAll() const;
+    void askAtStart(Instant now);
     void send(VMId to, std::vector<CrashSuspect const*> const&, Instant now);
     void earnCredit(Instant now);
 
@@ -88,6 +93,8 @@
     std::vector<Peer> m_peers;
     std::map<RequestFingerprint, Telling> m_tellings;
     std::vector<VMId> m_knownAskers;
+    size_t m_asks { 0 };
+    Instant m_nextAskAt;
     double m_credit;
     Instant m_creditedAt;
 };
--- a/Tests/LibRouting/TestCrashExchange.cpp
+++ b/Tests/LibRouting/TestCrashExchange.cpp
@@ -35,18 +35,28 @@
         m_daemons.push_back(std::move(daemon));
     }
 
+    void startAgain(size_t number)
+    {
+        auto const id = m_daemons[number]->id;
+        add(number);
+        std::swap(m_daemons[number], m_daemons.back());
+        m_daemons.pop_back();
+        BOOST_REQUIRE((m_daemons[number]->id == id));
+        m_daemons[number]->exchange->setPeers(m_peers, m_now);
+    }
+
     // In each hall every eighth daemon is a relay, and the seven after it ask it.
     void introduce()
     {
-        std::vector<CrashExchange::Peer> peers;
+        m_peers.clear();
         m_relays.clear();
         for (size_t index = 0; index < m_daemons.size(); ++index) {
-            peers.push_back({ m_daemons[index]->id, m_daemons[index]->hall });
+            m_peers.push_back({ m_daemons[index]->id, m_daemons[index]->hall });
             if (isRelay(index))
                 m_relays.push_back(m_daemons[index]->id);
         }
         for (auto const& daemon : m_daemons)
-            daemon->exchange->setPeers(peers, m_now);
+            daemon->exchange->setPeers(m_peers, m_now);
     }
 
     void ended(size_t daemon, RequestFingerprint request, UpstreamId upstream)
@@ -142,6 +152,7 @@
     }
 
     std::vector<std::unique_ptr<Daemon>> m_daemons;
+    std::vector<CrashExchange::Peer> m_peers;
     std::vector<VMId> m_relays;
     std::vector<Message> m_messages;
     double m_loss;
@@ -205,6 +216,21 @@
     BOOST_TEST(fleet.convinced(request) == 87u);
 }
 
+// The names are known to all, so nobody else notices.
+BOOST_AUTO_TEST_CASE(DaemonsThatStartAgainUnderTheirNamesAreTold)
+{
+    for (size_t const size : { 7, 87, 330 }) {
+        Fleet fleet(size, 0.05, 1);
+        for (uint64_t end = 0; end < 3; ++end)
+            fleet.ended(end, request, UpstreamId(10 + end));
+        fleet.run(Milliseconds(20000));
+        for (size_t daemon = 0; daemon < size; daemon += 2)
+            fleet.startAgain(daemon);
+        fleet.run(Milliseconds(1000));
+        BOOST_TEST(fleet.convinced(request) == size);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(WhoWasCutOffIsToldInTheEnd)
 {
     Fleet fleet(87, 0, 1);
