--- a/Libraries/LibBase/Hooks.h
+++ b/Libraries/LibBase/Hooks.h
@@ -18,4 +18,11 @@
     return random() % bound;
 }
 
+// A share from 0 up to, but not including, 1, in steps of a millionth.
+inline double randomShare(RandomHook const& random)
+{
+    constexpr uint64_t steps = 1 << 20;
+    return static_cast<double>(randomBelow(random, steps)) / static_cast<double>(steps);
+}
+
 }
--- a/Libraries/LibMembership/UpstreamDirectory.cpp
+++ b/Libraries/LibMembership/UpstreamDirectory.cpp
@@ -7,7 +7,7 @@
 
 // The grace counts from the read that found the store back, as far as it can be told: an
 // answer that was long on its way would add its time to it.
-void UpstreamDirectory::confirm(Instant readSentAt, Instant)
+void UpstreamDirectory::confirm(Instant readSentAt)
 {
     auto const age = m_age.age(readSentAt);
     m_provenBefore = m_age.provenAt();
--- a/Libraries/LibMembership/UpstreamDirectory.h
+++ b/Libraries/LibMembership/UpstreamDirectory.h
@@ -48,7 +48,7 @@
     // The whole list, as a read of all records gave it.
     void replace(std::vector<UpstreamRecord> const&, Instant now);
     // A read that was sent then has been answered; call before its records.
-    void confirm(Instant readSentAt, Instant now);
+    void confirm(Instant readSentAt);
     // Another daemon that has the whole list has this one.
     void confirmWhole() { m_hasList = true; }
     // Drops lapsed records whose grace is over.
--- a/Libraries/LibRouting/AdmissionGate.cpp
+++ b/Libraries/LibRouting/AdmissionGate.cpp
@@ -35,8 +35,7 @@
 bool AdmissionGate::admits(ServiceOccupancy const& occupancy, unsigned priority) const
 {
     auto const share = refusedShare(occupancy, priority);
-    constexpr uint64_t steps = 1 << 20;
-    return share == 0 || static_cast<double>(randomBelow(m_random, steps)) >= share * static_cast<double>(steps);
+    return share == 0 || randomShare(m_random) >= share;
 }
 
 Milliseconds AdmissionGate::timeToComeBack(ServiceOccupancy const& occupancy) const
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -321,9 +321,7 @@
 // upstream's share.
 bool ServicePlacement::takes(Upstream const& upstream, double mean) const
 {
-    constexpr uint64_t steps = 1 << 20;
-    auto const drawn = static_cast<double>(randomBelow(m_random, steps)) / static_cast<double>(steps);
-    return static_cast<double>(upstream.load.own()) <= m_load.usable(mean, upstream.facts.slots) && drawn < upstream.share.value();
+    return static_cast<double>(upstream.load.own()) <= m_load.usable(mean, upstream.facts.slots) && randomShare(m_random) < upstream.share.value();
 }
 
 // What the first upstream of the order does not take goes to one of so many others
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -12,13 +12,8 @@
     constexpr Milliseconds drainReserve { 300 };
     // Fine enough for lapsed records and readiness, whose bounds are seconds.
     constexpr Milliseconds tickInterval { 100 };
-    // A stall that callers of a stream may notice.
-    constexpr Milliseconds longestUnnoticedStall { 50 };
     // What a caller is told to wait where only the platform can change things.
     constexpr Milliseconds platformPause { 250 };
-    // After standing still: a proof takes a read of the store, and an ask for most, within half a second
-    // at the pace of two reads a second.
-    constexpr Milliseconds proofPatience { 1000 };
     // Connections come up or are refused within a few milliseconds, or hardly at all.
     constexpr Milliseconds portTimeout { 500 };
     constexpr unsigned statusUnready = 503;
@@ -65,6 +60,7 @@
     , m_readyServer(
           loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handleReady(*exchange); }, [this](Refusal const& refusal) { return refuse(refusal); })
     , m_ticker(loop)
+    , m_absence(m_metrics, { tickInterval, m_options.directory.outage })
     , m_drain(loop, m_server)
 {
 }
@@ -111,7 +107,7 @@
     m_peerEndpoint = TRY(m_peers.listen(m_options.peerListen));
     logEvent(LogLevel::Info, "started", { { "name", m_options.name }, { "hall", m_options.hall }, { "listen", m_callerEndpoint.toString() }, { "ready_listen", m_readyEndpoint.toString() }, { "peer_listen", m_peerEndpoint.toString() } });
     m_server.setClosing(true);
-    m_tickedAt = m_loop.now();
+    m_absence.start(m_loop.now());
     m_ticker.every(tickInterval, [this] { tick(); });
     return {};
 }
@@ -226,7 +222,7 @@
 {
     auto const hashBefore = m_directory.hash();
     auto const now = m_loop.now();
-    m_directory.confirm(provenAt, now);
+    m_directory.confirm(provenAt);
     m_directory.replace(all, now);
     noteUpstreams(source, hashBefore);
 }
@@ -258,7 +254,7 @@
 
 void Gateway::confirmed(Instant provenAt)
 {
-    m_directory.confirm(provenAt, m_loop.now());
+    m_directory.confirm(provenAt);
     m_directory.confirmWhole();
     m_tableAge.confirm(provenAt);
     noteReadiness();
@@ -269,7 +265,7 @@
 {
     auto const hashBefore = m_directory.hash();
     auto const now = m_loop.now();
-    m_directory.confirm(provenAt, now);
+    m_directory.confirm(provenAt);
     for (auto const& change : changes) {
         if (change.record)
             m_directory.put(*change.record, now);
@@ -362,41 +358,21 @@
     m_board.setRetryShare(m_peers.share());
 }
 
-// A process that was paused, or whose VM was suspended, explains much of what its callers saw;
-// it alone can tell. Noticed before the next request is handled, or by the next tick.
-void Gateway::noteAbsence(Instant now)
+// Time in which nobody waited is no silence of upstreams.
+void Gateway::noteAbsence(Microseconds stoodStill)
 {
-    auto const late = now - m_tickedAt - tickInterval;
-    if (late <= longestUnnoticedStall)
-        return;
-    m_tickedAt = now;
-    m_metrics.observe("stagepost_stall_seconds", late);
-    logEvent(LogLevel::Warning, "stalled", { { "late_ms", late.count() / 1000 }, { "open", m_server.openExchanges() } });
-    auto const suspendedTime = MonotonicClock::suspendedTime();
-    auto const suspended = suspendedTime - std::exchange(m_suspendedTime, suspendedTime);
-    if (suspended > longestUnnoticedStall) {
-        m_metrics.observe("stagepost_suspended_seconds", suspended);
-        logEvent(LogLevel::Warning, "resumed", { { "suspended_ms", suspended.count() / 1000 }, { "open", m_server.openExchanges() } });
-    }
-    m_board.silence().stoodStill(late);
-    if (late > m_options.directory.outage)
-        m_resumedAt = now;
+    if (stoodStill > Microseconds(0))
+        m_board.silence().stoodStill(stoodStill);
 }
 
-// A list of upstreams, or a configuration, that was right before names who has left meanwhile. Where
-// nobody proves it in time the daemon is cut off, and goes on with what it has.
 bool Gateway::awaitsProof() const
 {
-    if (!m_resumedAt || m_loop.now() - *m_resumedAt > proofPatience)
-        return false;
-    auto const proven = provenAt();
-    return !proven || *proven < *m_resumedAt;
+    return m_absence.awaitsProof(provenAt(), m_loop.now());
 }
 
 void Gateway::tick()
 {
-    noteAbsence(m_loop.now());
-    m_tickedAt = m_loop.now();
+    noteAbsence(m_absence.tick(m_loop.now(), m_server.openExchanges()));
     m_directory.tick(m_loop.now());
     m_crashes.tick();
     noteReadiness();
@@ -460,7 +436,7 @@
 void Gateway::handle(std::shared_ptr<Exchange> const& exchange)
 {
     // A belief grows too old by itself, between two ticks as well.
-    noteAbsence(m_loop.now());
+    noteAbsence(m_absence.look(m_loop.now(), m_server.openExchanges()));
     noteReadiness();
     auto routed = route(exchange->call());
     if (auto const* refusal = std::get_if<Refusal>(&routed)) {
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -3,6 +3,7 @@
 #include <LibMembership/UpstreamDirectory.h>
 #include <LibProxy/HttpServer.h>
 #include <LibProxy/Timer.h>
+#include <stagepostd/AbsenceWatch.h>
 #include <stagepostd/GatewayFlow.h>
 #include <stagepostd/GatewayOptions.h>
 #include <stagepostd/GatewayPeers.h>
@@ -100,7 +101,7 @@
     void confirmTold(uint64_t settingsVersion, uint64_t upstreamsHash, Instant provenAt);
     std::vector<UpstreamInFlight> ownInFlight() const;
     void takeOthersInFlight(std::vector<UpstreamInFlight> const&, Microseconds age);
-    void noteAbsence(Instant now);
+    void noteAbsence(Microseconds stoodStill);
     bool awaitsProof() const;
     void tick();
     void noteReadiness();
@@ -137,11 +138,7 @@
     Endpoint m_readyEndpoint;
     Endpoint m_peerEndpoint;
     Timer m_ticker;
-    Instant m_tickedAt;
-    // Of the VM, until the last look.
-    Microseconds m_suspendedTime { MonotonicClock::suspendedTime() };
-    // After it stood still for longer than what it believes may be old.
-    std::optional<Instant> m_resumedAt;
+    AbsenceWatch m_absence;
     ServerDrain m_drain;
     bool m_wasReady { false };
     bool m_isDraining { false };
--- a/Tests/LibMembership/TestUpstreamDirectory.cpp
+++ b/Tests/LibMembership/TestUpstreamDirectory.cpp
@@ -25,7 +25,7 @@
                                  } };
 
     // A read that was answered at once.
-    void confirm(double seconds) { directory.confirm(at(seconds), at(seconds)); }
+    void confirm(double seconds) { directory.confirm(at(seconds)); }
     // Whether the upstream is in use.
     bool has(std::string const& instance) const { return told.contains(instance) && told.at(instance).has_value(); }
 };
@@ -124,7 +124,7 @@
     Directory world;
     world.confirm(5.3);
     world.directory.replace({ record("a"), record("b") }, at(5.3));
-    world.directory.confirm(at(10.584), at(11.049));
+    world.directory.confirm(at(10.584));
     world.directory.remove("a", at(11.049));
     BOOST_TEST(world.has("a"));
     world.directory.tick(at(12.55));
@@ -140,9 +140,9 @@
     world.confirm(1);
     world.directory.replace({ record("a"), record("b"), record("c") }, at(1));
     // The store is back: what went meanwhile may have lapsed.
-    world.directory.confirm(at(10.5), at(10.6));
+    world.directory.confirm(at(10.5));
     world.directory.remove("a", at(10.6));
-    world.directory.confirm(at(11.0), at(11.5));
+    world.directory.confirm(at(11.0));
     world.directory.remove("b", at(11.5));
     BOOST_TEST((world.has("a") && world.has("b")));
     world.directory.tick(at(12.1));
@@ -154,8 +154,8 @@
     world.directory.tick(at(12.65));
     BOOST_TEST(!world.has("a"));
     // Long after the last proof there is no grace at all.
-    world.directory.confirm(at(12.5), at(12.55));
-    world.directory.confirm(at(12.6), at(14.5));
+    world.directory.confirm(at(12.5));
+    world.directory.confirm(at(12.6));
     world.directory.remove("c", at(14.5));
     BOOST_TEST(!world.has("c"));
 }
