stagepostd: Say by which rule an upstream was chosen

Each choice now carries its reason, and the request's line says it: placed_by, counts_age_ms and hold_ms. No decision changes; the draws of chance come in the same order.

--- /dev/null
+++ b/Libraries/LibRouting/PlacementRule.cpp
@@ -0,0 +1,20 @@
+#include <LibRouting/PlacementRule.h>
+
+namespace Stagepost {
+
+std::string_view nameOf(PlacementRule rule)
+{
+    switch (rule) {
+    case PlacementRule::Wait:
+        return "wait";
+    case PlacementRule::Count:
+        return "count";
+    case PlacementRule::Share:
+        return "share";
+    case PlacementRule::Rise:
+        return "rise";
+    }
+    return "unknown";
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/PlacementRule.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <LibBase/Time.h>
+#include <cstdint>
+#include <string_view>
+
+namespace Stagepost {
+
+// By which rule an upstream was chosen.
+enum class PlacementRule : uint8_t {
+    // No context: where the answer is expected soonest.
+    Wait,
+    // The first of the context's order whose newest count leaves room.
+    Count,
+    // By the shares that upstreams take of what belongs to them.
+    Share,
+    // The load rises faster than counts can tell.
+    Rise,
+};
+
+std::string_view nameOf(PlacementRule);
+
+// Why an upstream was chosen, for the log.
+struct PlacementReason {
+    PlacementRule rule { PlacementRule::Wait };
+    // How old the others' counts were believed to be.
+    Microseconds countsAge { 0 };
+    // How long requests were believed to stay.
+    Microseconds hold { 0 };
+};
+
+}
--- a/Libraries/LibRouting/Routing.h
+++ b/Libraries/LibRouting/Routing.h
@@ -18,6 +18,7 @@
 #include <LibRouting/OrganisationLimiter.h>
 #include <LibRouting/OwnerRole.h>
 #include <LibRouting/PlacementRequest.h>
+#include <LibRouting/PlacementRule.h>
 #include <LibRouting/PoolPolicy.h>
 #include <LibRouting/PromptChain.h>
 #include <LibRouting/Rendezvous.h>
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -258,7 +258,8 @@
     auto const usable = candidates(wish, now);
     if (usable.empty())
         return {};
-    Choice choice { wish.context ? chooseByContext(usable, *wish.context, now) : chooseByWait(usable, now)->facts.id, {}, false };
+    auto const rule = wish.context ? ruleForContexts(now) : PlacementRule::Wait;
+    Choice choice { wish.context ? chooseByContext(rule, usable, *wish.context, now) : chooseByWait(usable, now)->facts.id, {}, false, { rule, m_load.countsAge(), m_load.hold() } };
     if (wish.context)
         choice.contextSource = contextSource(*wish.context, choice.upstream, now);
     auto const& upstream = m_upstreams.at(choice.upstream);
@@ -284,16 +285,26 @@
     return first.id();
 }
 
-UpstreamId ServicePlacement::chooseByContext(std::vector<Upstream*> const& usable, uint64_t context, Instant now) const
+PlacementRule ServicePlacement::ruleForContexts(Instant now) const
 {
+    if (m_load.isRising(now) && randomBelow(m_random, oneOfRisingTo) == 0)
+        return PlacementRule::Rise;
+    return m_load.areCountsFresh() ? PlacementRule::Count : PlacementRule::Share;
+}
+
+UpstreamId ServicePlacement::chooseByContext(PlacementRule rule, std::vector<Upstream*> const& usable, uint64_t context, Instant now) const
+{
+    if (rule == PlacementRule::Rise)
+        return firstOrSecond(usable, context);
     double sum = 0;
     for (auto const* upstream : usable)
         sum += upstream->load.expected(m_load.hold(), now);
     auto const mean = sum / static_cast<double>(usable.size());
-    if (m_load.isRising(now) && randomBelow(m_random, oneOfRisingTo) == 0)
-        return firstOrSecond(usable, context);
-    if (!m_load.areCountsFresh())
-        return chooseByShare(usable, context, mean, now);
+    return rule == PlacementRule::Share ? chooseByShare(usable, context, mean, now) : chooseByCount(usable, context, mean, now);
+}
+
+UpstreamId ServicePlacement::chooseByCount(std::vector<Upstream*> const& usable, uint64_t context, double mean, Instant now) const
+{
     FirstInOrder firstWithin(context);
     FirstInOrder firstBeyond(context);
     for (auto const* upstream : usable) {
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -4,6 +4,7 @@
 #include <LibBase/Ids.h>
 #include <LibRouting/AdmissionGate.h>
 #include <LibRouting/LoadEstimate.h>
+#include <LibRouting/PlacementRule.h>
 #include <LibRouting/PromptChain.h>
 #include <LibRouting/ServiceLoad.h>
 #include <LibRouting/SilenceWatch.h>
@@ -84,6 +85,7 @@
         // Whether it is in doubt that the upstream can be reached: the request is
         // sent only on a connection that has just come up.
         bool isInDoubt { false };
+        PlacementReason reason;
     };
     std::optional<Choice> choose(Wish const&, Instant now);
 
@@ -125,7 +127,9 @@
     std::vector<Upstream*> candidates(Wish const&, Instant now);
     std::vector<Upstream*> reachable(std::vector<Upstream*> const&, Instant now) const;
     std::vector<Upstream*> sound(std::vector<Upstream*> const&, Instant now) const;
-    UpstreamId chooseByContext(std::vector<Upstream*> const&, uint64_t context, Instant now) const;
+    PlacementRule ruleForContexts(Instant now) const;
+    UpstreamId chooseByContext(PlacementRule, std::vector<Upstream*> const&, uint64_t context, Instant now) const;
+    UpstreamId chooseByCount(std::vector<Upstream*> const&, uint64_t context, double mean, Instant now) const;
     UpstreamId firstOrSecond(std::vector<Upstream*> const&, uint64_t context) const;
     UpstreamId chooseByShare(std::vector<Upstream*> const&, uint64_t context, double mean, Instant now) const;
     bool takes(Upstream const&, double mean) const;
--- a/Services/stagepostd/GatewayFlow.cpp
+++ b/Services/stagepostd/GatewayFlow.cpp
@@ -170,6 +170,7 @@
         return flow && !flow->m_attempts.couldSendAgain(flow->m_service.placement.size(), flow->m_services.loop.now());
     };
     m_instance = target.instance;
+    m_placement = choice.reason;
     m_sentAt = now;
     m_heardAt = now;
     m_service.placement.started(upstream);
@@ -317,7 +318,7 @@
         { { "id", m_request.call.id }, { "request", outcome == "answered" ? "" : hexOf(fingerprint().value()) }, { "outcome", outcome }, { "reason", reason }, { "verdict", nameOf(m_attempts.verdict()) },
             { "status", result.status }, { "route", m_request.route->name }, { "service", m_request.service },
             { "organisation", m_request.organisation }, { "context", hexOf(m_request.call.prompt.sharedKey().value_or(0)) },
-            { "upstream", m_instance }, { "context_source", m_contextSource }, { "sends", m_attempts.sends() },
+            { "upstream", m_instance }, { "context_source", m_contextSource }, { "placed_by", nameOf(m_placement.rule) }, { "counts_age_ms", m_placement.countsAge.count() / 1000 }, { "hold_ms", m_placement.hold.count() / 1000 }, { "sends", m_attempts.sends() },
             { "rejections", m_attempts.rejections() }, { "unconnected", m_attempts.unconnected() }, { "reused_connection", result.reusedConnection ? 1 : 0 },
             { "events", m_progress ? m_progress->events : 0 }, { "bytes", result.answerBytes },
             { "settings", m_request.table->version() }, { "settings_age_ms", m_services.settingsAge().count() / 1000 },
--- a/Services/stagepostd/GatewayFlow.h
+++ b/Services/stagepostd/GatewayFlow.h
@@ -79,6 +79,7 @@
     std::string m_instance;
     // Where the upstream may take the context from; empty for none.
     std::string m_contextSource;
+    PlacementReason m_placement;
     // When the request was sent last.
     Instant m_sentAt;
     // The same, or the upstream last heard since.
--- a/Tests/LibRouting/TestServicePlacement.cpp
+++ b/Tests/LibRouting/TestServicePlacement.cpp
@@ -64,6 +64,19 @@
         BOOST_TEST((one.choose(wishFor(context), at(1))->upstream == other.choose(wishFor(context), at(1))->upstream));
 }
 
+BOOST_AUTO_TEST_CASE(AChoiceSaysByWhichRuleItWasMade)
+{
+    auto placement = placementOf(9);
+    BOOST_TEST((placement.choose({}, at(1))->reason.rule == PlacementRule::Wait));
+    BOOST_TEST((placement.choose(wishFor(5), at(1))->reason.rule == PlacementRule::Count));
+    // Far older than requests stay.
+    placement.othersCounted({ { UpstreamId(1), 9 } }, Milliseconds(5000), at(2));
+    placement.othersCounted({ { UpstreamId(1), 9 } }, Milliseconds(5000), at(4));
+    auto const byShare = placement.choose(wishFor(5), at(4))->reason;
+    BOOST_TEST((byShare.rule == PlacementRule::Share));
+    BOOST_TEST((byShare.countsAge > Milliseconds(5000)));
+}
+
 BOOST_AUTO_TEST_CASE(AHotContextSpillsAndNamesItsHolder)
 {
     auto placement = placementOf(9);
