LibMembership: Give counts of nothing in flight their age

What callers saw: nothing; upstreams held more than twice the mean load and three more, 144 of 3,426 requests in a large fleet's first seconds.

The age of counts was the mean over the requests that they tell of. A fleet that waits for its traffic tells of none, so its news was of age zero, and the moving mean of ages took some six seconds of traffic to get to what it is. Until then all daemons believed their counts to be younger than requests stay, and went by them one by one (498 of 735 in the first second, 698 of 703 in the fifth: the lines' placed_by), which makes everybody leave an upstream and come back at once. Where nothing is in flight the age is now that of the oldest word of it.

Ruled out: that replacing upstreams makes counts late. The same start without replacements shows the same gaps (18 of 382 beyond the bound in its fifth second).

--- a/Libraries/LibMembership/LoadSums.cpp
+++ b/Libraries/LibMembership/LoadSums.cpp
@@ -8,6 +8,7 @@
 void AgedTotals::add(std::vector<UpstreamInFlight> const& counts, Microseconds age)
 {
     Stagepost::add(m_counts, counts);
+    m_oldest = std::max(m_oldest, age);
     for (auto const& [upstream, count] : counts) {
         m_requests += static_cast<double>(count);
         m_ageSeconds += static_cast<double>(count) * asSeconds(age);
@@ -16,7 +17,7 @@
 
 Microseconds AgedTotals::age() const
 {
-    return m_requests > 0 ? Microseconds(std::llround(1e6 * m_ageSeconds / m_requests)) : Microseconds(0);
+    return m_requests > 0 ? Microseconds(std::llround(1e6 * m_ageSeconds / m_requests)) : m_oldest;
 }
 
 void LoadSums::take(Told& told, PackedCounts counts, Instant now)
--- a/Libraries/LibMembership/LoadSums.h
+++ b/Libraries/LibMembership/LoadSums.h
@@ -23,7 +23,9 @@
     void add(std::vector<UpstreamInFlight> const&, Microseconds age);
 
     InFlightTotals const& counts() const { return m_counts; }
-    // How long ago they were counted, in the mean over all requests.
+    // How long ago they were counted, in the mean over all requests. Of none at all, how
+    // long ago the oldest of them were: nothing in flight is news of some time as well,
+    // and a fleet before its first request must not take it for news of now.
     Microseconds age() const;
 
 private:
@@ -31,6 +33,7 @@
     double m_requests { 0 };
     // The ages of all requests together.
     double m_ageSeconds { 0 };
+    Microseconds m_oldest { 0 };
 };
 
 // Adds up how many requests the daemons of a fleet have in flight at each
--- a/Tests/LibMembership/TestLoadSums.cpp
+++ b/Tests/LibMembership/TestLoadSums.cpp
@@ -56,6 +56,19 @@
     BOOST_TEST(packCounts(listOfSize(880), { { UpstreamId(3), 1 } }).size() <= 13u);
 }
 
+// Daemons of a fleet whose traffic had not begun believed what they were told to be of now,
+// and went by counts one by one for seconds after its begin, each 1 s old.
+BOOST_AUTO_TEST_CASE(NothingInFlightIsAsOldAsTheOldestWordOfIt)
+{
+    AgedTotals totals;
+    totals.add({}, Milliseconds(300));
+    totals.add({}, Milliseconds(900));
+    totals.add({}, {});
+    BOOST_TEST((totals.age() == Milliseconds(900)));
+    totals.add({ { UpstreamId(1), 2 } }, Milliseconds(400));
+    BOOST_TEST((totals.age() == Milliseconds(400)));
+}
+
 BOOST_AUTO_TEST_CASE(LargeCountsSaturate)
 {
     auto const list = listOfSize(2);
--- a/Tests/LoadPatterns/StreamFleet.cpp
+++ b/Tests/LoadPatterns/StreamFleet.cpp
@@ -87,7 +87,7 @@
         auto const first = phase(m_random);
         // The daemons are there before their traffic begins, and know how old counts are.
         for (int before = m_pattern.runsBeforeTraffic ? countsBeforeTraffic : 0; before > 0; --before)
-            m_daemons[daemon].placement->othersCounted({}, ageOf({}), at(first - before * interval));
+            m_daemons[daemon].placement->othersCounted({}, m_pattern.countsAge, at(first - before * interval));
         m_events.push({ first, Event::Kind::Counts, daemon, 0 });
     }
     m_events.push({ 0, Event::Kind::Sample, 0, 0 });
@@ -291,13 +291,6 @@
     m_events.push({ now + sampleSeconds, Event::Kind::Sample, 0, 0 });
 }
 
-// The age of counts is the mean over the requests that they tell of (AgedTotals), so
-// nothing in flight has none.
-Microseconds StreamFleet::ageOf(std::map<UpstreamId, size_t> const& counts) const
-{
-    return counts.empty() ? Microseconds(0) : m_pattern.countsAge;
-}
-
 // What the fleet had in flight so long ago, without what this daemon has.
 void StreamFleet::tellCounts(Event const& event)
 {
@@ -312,7 +305,7 @@
         if (auto const others = all - std::min(all, daemon.inFlight[upstream]))
             counts[UpstreamId(upstream + 1)] = others;
     }
-    daemon.placement->othersCounted(counts, ageOf(counts), at(event.at));
+    daemon.placement->othersCounted(counts, m_pattern.countsAge, at(event.at));
 }
 
 }
--- a/Tests/LoadPatterns/StreamFleet.h
+++ b/Tests/LoadPatterns/StreamFleet.h
@@ -151,7 +151,6 @@
     void arrive(double now);
     void place(double now, StreamKind const&, uint64_t context);
     void end(Event const&);
-    Microseconds ageOf(std::map<UpstreamId, size_t> const&) const;
     void tellCounts(Event const&);
     void sample(double now);
     uint64_t drawContext(double now, StreamKind const*& kind);
