LibMembership: Leave out the age of counts that cannot be read yet

A daemon's first counts that go by a list which is not known here yet are kept until it is. Their age counted from the clock's zero, so the age of nothing in flight, which is now the oldest of all, came to be 12 s in a fleet's first second (the lines' counts_age_ms). Counts of which nothing was read have no age now.

--- a/Libraries/LibMembership/LoadSums.cpp
+++ b/Libraries/LibMembership/LoadSums.cpp
@@ -39,6 +39,7 @@
         told.inFlight = std::move(*inFlight);
         told.at = told.unreadAt;
         told.age = told.unread->age;
+        told.wasRead = true;
     } else {
         ++m_unreadableCounts;
     }
@@ -79,6 +80,9 @@
 {
     for (auto& [id, told] : all) {
         read(told);
+        // Nothing was read from it yet: there is no word whose age could count.
+        if (!told.wasRead)
+            continue;
         totals.add(told.inFlight, now - told.at + told.age);
     }
 }
--- a/Libraries/LibMembership/LoadSums.h
+++ b/Libraries/LibMembership/LoadSums.h
@@ -80,6 +80,7 @@
         Instant at;
         // How old they were then.
         Microseconds age { 0 };
+        bool wasRead { false };
         // Newer than what stands above, and not to be read yet.
         std::optional<PackedCounts> unread;
         Instant unreadAt;
--- a/Tests/LibMembership/TestLoadSums.cpp
+++ b/Tests/LibMembership/TestLoadSums.cpp
@@ -69,6 +69,15 @@
     BOOST_TEST((totals.age() == Milliseconds(400)));
 }
 
+BOOST_AUTO_TEST_CASE(WhatCannotBeReadYetHasNoAge)
+{
+    auto const known = std::make_shared<UpstreamList const>(listOfSize(3));
+    LoadSums sums([&](uint64_t hash) { return hash == 1 ? known : nullptr; });
+    sums.takeFromGroup(VMId(1), { 1, packCounts(*known, {}), Milliseconds(100) }, at(1000000));
+    sums.takeFromGroup(VMId(2), { 2, packCounts(listOfSize(4), {}), Milliseconds(100) }, at(1000000));
+    BOOST_TEST((sums.ofGroup(at(1000200)).age() == Milliseconds(300)));
+}
+
 BOOST_AUTO_TEST_CASE(LargeCountsSaturate)
 {
     auto const list = listOfSize(2);
