LibMembership: Keep what a store has lost until it can be written again

A store that comes back from a copy lacks the records of its last seconds, and the upstreams write theirs again within two. A whole list that was read then took them away at once, also where the store was away for less than what counts as an outage (1.5 s). They stay now for two seconds from the read, also in what others are told, who cannot know that the store has lost anything. An upstream that was known to leave goes on leaving whatever the copy says of the same start.

--- a/Libraries/LibMembership/UpstreamDirectory.cpp
+++ b/Libraries/LibMembership/UpstreamDirectory.cpp
@@ -50,8 +50,12 @@
 void UpstreamDirectory::take(UpstreamRecord record)
 {
     m_lapsed.erase(record.instance);
+    m_lost.erase(record.instance);
     auto const instance = record.instance;
     auto const known = m_records.find(instance);
+    // No process that leaves goes back on it; a store that has lost its last seconds does.
+    bool const isSameStart = known != m_records.end() && known->second.id() == record.id();
+    record.isLeaving = record.isLeaving || (isSameStart && known->second.isLeaving);
     if (known != m_records.end() && known->second == record)
         return;
     std::optional<UpstreamId> idBefore;
@@ -68,6 +72,7 @@
 void UpstreamDirectory::remove(std::string const& instance, Instant now)
 {
     m_earlierStarts.erase(instance);
+    m_lost.erase(instance);
     auto const known = m_records.find(instance);
     if (known == m_records.end())
         return;
@@ -144,7 +149,8 @@
     return std::make_shared<UpstreamList const>(std::move(list));
 }
 
-void UpstreamDirectory::replace(std::vector<UpstreamRecord> const& list, Instant now)
+// The result is what is known and not among them.
+std::vector<std::string> UpstreamDirectory::putAll(std::vector<UpstreamRecord> const& list, Instant now)
 {
     m_hasList = true;
     std::set<std::string> listed;
@@ -157,12 +163,38 @@
         if (!listed.contains(instance))
             missing.push_back(instance);
     }
-    for (auto const& instance : missing)
+    return missing;
+}
+
+void UpstreamDirectory::replace(std::vector<UpstreamRecord> const& list, Instant now)
+{
+    for (auto const& instance : putAll(list, now)) {
+        if (!m_lost.contains(instance))
+            remove(instance, now);
+    }
+}
+
+void UpstreamDirectory::replaceAfterReturn(std::vector<UpstreamRecord> const& list, Instant readSentAt, Instant now)
+{
+    for (auto const& instance : putAll(list, now))
+        m_lost.emplace(instance, readSentAt + m_bounds.returnGrace);
+}
+
+// What was not written again within its time is gone.
+void UpstreamDirectory::dropLost(Instant now)
+{
+    std::vector<std::string> over;
+    for (auto const& [instance, until] : m_lost) {
+        if (now >= until)
+            over.push_back(instance);
+    }
+    for (auto const& instance : over)
         remove(instance, now);
 }
 
 void UpstreamDirectory::tick(Instant now)
 {
+    dropLost(now);
     std::vector<std::string> over;
     for (auto const& [instance, until] : m_lapsed) {
         if (now >= until)
--- a/Libraries/LibMembership/UpstreamDirectory.h
+++ b/Libraries/LibMembership/UpstreamDirectory.h
@@ -47,6 +47,10 @@
     void remove(std::string const& instance, Instant now);
     // The whole list, as a read of all records gave it.
     void replace(std::vector<UpstreamRecord> const&, Instant now);
+    // The same from a store that has come back from a copy and lacks what was written last.
+    // What is missing stays, for this daemon and for those that it tells, until it has had the
+    // time to be written again.
+    void replaceAfterReturn(std::vector<UpstreamRecord> const&, Instant readSentAt, Instant now);
     // A read that was sent then has been answered; call before its records.
     void confirm(Instant readSentAt);
     // Another daemon that has the whole list has this one.
@@ -90,12 +94,16 @@
     void noteChange(std::string const& instance, std::optional<UpstreamId> idBefore, uint64_t difference);
     void take(UpstreamRecord);
     bool isOfEarlierStart(UpstreamRecord const&, Instant now);
+    std::vector<std::string> putAll(std::vector<UpstreamRecord> const&, Instant now);
+    void dropLost(Instant now);
 
     Bounds m_bounds;
     std::function<void(UpstreamChange const&)> m_changed;
     std::map<std::string, UpstreamRecord> m_records;
     // Upstreams that the store no longer has, until when they stay in use.
     std::map<std::string, Instant> m_lapsed;
+    // Upstreams that the store has lost, until when they may be written again.
+    std::map<std::string, Instant> m_lost;
     struct EarlierStart {
         UpstreamRecord record;
         Instant since;
--- a/Tests/LibMembership/TestUpstreamDirectory.cpp
+++ b/Tests/LibMembership/TestUpstreamDirectory.cpp
@@ -312,4 +312,42 @@
     BOOST_TEST(world.told.at("i-499")->isLeaving);
 }
 
+// A store that comes back from a copy lacks what was written last, and the upstreams write
+// it again within two seconds.
+BOOST_AUTO_TEST_CASE(WhatTheStoreHasLostMayBeWrittenAgain)
+{
+    Directory world;
+    world.directory.confirm(at(1));
+    world.directory.replace({ record("a"), record("b"), record("c") }, at(1));
+    world.directory.confirm(at(2));
+    world.directory.replaceAfterReturn({ record("a") }, at(2), at(2));
+    BOOST_TEST(world.has("b"));
+    // Others are told so, too: what they would lose they could not know to be lost.
+    BOOST_TEST(world.directory.records().contains("b"));
+    world.directory.tick(at(3.5));
+    world.directory.put(record("b"), at(3.6));
+    // A whole list that comes within that time takes nothing away.
+    world.directory.replace({ record("a"), record("b") }, at(3.8));
+    BOOST_TEST(world.has("c"));
+    world.directory.tick(at(4.1));
+    BOOST_TEST(world.has("b"));
+    BOOST_TEST(!world.has("c"));
+    BOOST_TEST(!world.directory.records().contains("c"));
+}
+
+BOOST_AUTO_TEST_CASE(AnUpstreamThatLeavesGoesOnLeavingWhateverACopySays)
+{
+    Directory world;
+    world.directory.confirm(at(1));
+    world.directory.replace({ record("a"), record("b") }, at(1));
+    world.directory.put(record("a", true), at(1.5));
+    world.directory.confirm(at(2));
+    world.directory.replaceAfterReturn({ record("a"), record("b") }, at(2), at(2));
+    BOOST_TEST(world.told.at("a")->isLeaving);
+    BOOST_TEST(!world.told.at("b")->isLeaving);
+    // One that starts again is another one.
+    world.directory.put(startedAt("a", 7), at(3));
+    BOOST_TEST(!world.told.at("a")->isLeaving);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
