platform: Know a place in the store by its era and offset

What callers saw: a key that only a lost configuration knew was served on without end, and the operator's next configuration was not in force after 8 s.

Cause: the store came back from a copy, and gave the offsets of what it had lost to other records. Reading went on behind them, and each answer that nothing was new was taken for a proof, from a log that was another one. Class: an offset compared across logs.

A position is now (era, offset), ordered by era first, and as one number between daemons it is what older ones send where there is no era. An answer of another era than the position it was read from is no answer, one from before the return counts for nothing. A new era ends all positions: lists are read anew by the readers, the others are told what differs from before, as with any change. What a copy says of an older configuration replaces nothing, by its own version. Where a read behind the end is refused, the list behind the last key tells it.

The registry: records that were lost are written again by whom they name, the fleet's key by whoever reads; where another key was faster, all go by that one.

--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -184,8 +184,11 @@
         logEvent(LogLevel::Error, "settings-rejected", { { "reason", parts.error().message() }, { "in_force", settingsVersion() } });
         return false;
     }
-    if (m_table && parts->version <= m_table->version())
+    if (m_table && parts->version <= m_table->version()) {
+        // Up to there is nothing newer: after the return of a store from a copy, too.
+        m_settingsPosition = std::max(m_settingsPosition, arrival.position);
         return true;
+    }
     m_table = std::make_shared<RouteTable const>(std::move(*parts));
     m_settingsPosition = arrival.position;
     m_storeIsAheadSince.reset();
@@ -200,7 +203,7 @@
 
 // An answer that was long on its way may be older than what other daemons have
 // proven meanwhile, and must not take that back.
-bool Gateway::takeUpstreams(std::vector<UpstreamChange> const& changes, bool isWhole, Instant readSentAt)
+bool Gateway::takeUpstreams(std::vector<UpstreamChange> const& changes, bool isWhole, Instant readSentAt, bool isAfterReturn)
 {
     auto const known = m_directory.age().provenAt();
     if (known && *known > readSentAt) {
@@ -208,7 +211,7 @@
         return false;
     }
     if (isWhole)
-        replaceUpstreams("store", recordsOf(changes), readSentAt);
+        replaceUpstreams("store", recordsOf(changes), readSentAt, isAfterReturn);
     else
         applyChanges("store", changes, readSentAt);
     noteReadiness();
@@ -225,12 +228,15 @@
             { "age_ms", m_directory.age().age(m_loop.now()).value_or(Microseconds(0)).count() / 1000 } });
 }
 
-void Gateway::replaceUpstreams(std::string_view source, std::vector<UpstreamRecord> const& all, Instant provenAt)
+void Gateway::replaceUpstreams(std::string_view source, std::vector<UpstreamRecord> const& all, Instant provenAt, bool isAfterReturn)
 {
     auto const hashBefore = m_directory.hash();
     auto const now = m_loop.now();
     m_directory.confirm(provenAt);
-    m_directory.replace(all, now);
+    if (isAfterReturn)
+        m_directory.replaceAfterReturn(all, provenAt, now);
+    else
+        m_directory.replace(all, now);
     noteUpstreams(source, hashBefore);
 }
 
@@ -264,6 +270,9 @@
     m_directory.confirm(provenAt);
     m_directory.confirmWhole();
     m_tableAge.confirm(provenAt);
+    // What the store had more than was known here is no newer configuration.
+    if (m_storeIsAheadSince && provenAt >= *m_storeIsAheadSince)
+        m_storeIsAheadSince.reset();
     noteReadiness();
     m_peers.proven(m_loop.now());
 }
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -35,7 +35,8 @@
     // The changes since the last read, or all upstreams that there are. False where
     // other daemons have proven newer ones meanwhile: the read is not taken, and all
     // have to be read anew.
-    bool takeUpstreams(std::vector<UpstreamChange> const&, bool isWhole, Instant readSentAt);
+    // After the return of a store that has lost its last seconds, what is missing may come back.
+    bool takeUpstreams(std::vector<UpstreamChange> const&, bool isWhole, Instant readSentAt, bool isAfterReturn = false);
 
     // Whether this daemon is to read the store now, or others do it for it.
     bool needsStore() const { return m_peers.needsStore(m_loop.now()); }
@@ -94,7 +95,7 @@
     void confirmed(Instant);
     void noteUpstreams(std::string_view source, uint64_t hashBefore);
     // The source is for the log.
-    void replaceUpstreams(std::string_view source, std::vector<UpstreamRecord> const& all, Instant provenAt);
+    void replaceUpstreams(std::string_view source, std::vector<UpstreamRecord> const& all, Instant provenAt, bool isAfterReturn = false);
     void applyChanges(std::string_view source, std::vector<UpstreamChange> const&, Instant provenAt);
     GatewayState state(StateSummary const& known) const;
     void takeState(GatewayState const&, std::optional<Instant> provenAt);
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -74,7 +74,9 @@
     StateExchange::Peer const peer { self.id(), HallId::fromName(self.hall) };
     m_exchange = std::make_unique<StateExchange>(peer, m_random(), m_bounds, exchangeHooks());
     m_crashes = std::make_unique<CrashExchange>(CrashExchange::Peer { peer.id, peer.hall }, m_suspects, CrashExchange::Bounds {}, crashHooks());
-    m_ledger = std::make_unique<LedgerExchange>(LedgerExchange::Peer { peer.id, peer.hall }, LedgerExchange::Bounds {}, ledgerHooks());
+    // One that joins again by another key has requests that wait for owners' answers.
+    if (!m_ledger)
+        m_ledger = std::make_unique<LedgerExchange>(LedgerExchange::Peer { peer.id, peer.hall }, LedgerExchange::Bounds {}, ledgerHooks());
     m_ticker.every(tickInterval, [this] {
         m_exchange->tick(m_loop.now());
         m_crashes->tick(m_loop.now());
--- a/Tests/Processes/platform_stand_ins.py
+++ b/Tests/Processes/platform_stand_ins.py
@@ -47,6 +47,10 @@
         # Topics that cannot be reached while the others can.
         self.topics_down = set()
         self.page_size = 500
+        # How often it has come back from a copy; None where it does not say.
+        self.era = None
+        # Answers a read from where it has nothing by 410, also far behind the end.
+        self.refuses_behind_end = False
         self.calls = []
         store = self
 
@@ -91,6 +95,21 @@
             self.topics.setdefault(topic, []).append((key, text))
             self.changed.notify_all()
 
+    def copy(self):
+        with self.changed:
+            return {topic: list(records) for topic, records in self.topics.items()}
+
+    def return_to(self, copy, written=()):
+        """Comes back from the copy; what is given was written before anybody could read."""
+        with self.changed:
+            for topic in self.topics:
+                self.topics[topic] = list(copy.get(topic, []))
+            for topic, key, value in written:
+                self.topics.setdefault(topic, []).append((key, b"" if value is None else json.dumps(value).encode()))
+            self.first = {}
+            self.era += 1
+            self.changed.notify_all()
+
     def forget_history(self):
         with self.changed:
             for topic, records in self.topics.items():
@@ -135,10 +154,13 @@
         self.reply(handler, 200, json.dumps(answer).encode())
 
     def answer_read(self, handler, query):
-        topic, start = query["topic"], int(query["from"])
+        topic, start, era = query["topic"], int(query["from"]), self.era
         records = self.topics.setdefault(topic, [])
-        self.changed.wait_for(lambda: len(records) > start or self.mode != "up" or self.first.get(topic, 0) > start, int(query.get("waitMs", 0)) / 1000)
-        if self.mode != "up":
+        if start > len(records) and self.refuses_behind_end:
+            self.reply(handler, 410, json.dumps({"first": self.first.get(topic, 0)}).encode())
+            return
+        self.changed.wait_for(lambda: len(records) > start or self.mode != "up" or self.era != era or self.first.get(topic, 0) > start, int(query.get("waitMs", 0)) / 1000)
+        if self.mode != "up" or self.era != era:
             handler.close_connection = True
             return
         first = self.first.get(topic, 0)
@@ -171,6 +193,8 @@
             return
         handler.send_response(status)
         handler.send_header("Content-Length", str(len(body)))
+        if self.era is not None:
+            handler.send_header("Store-Era", str(self.era))
         handler.end_headers()
         handler.wfile.write(body)
 
--- a/Tests/platform/TestPlatformReaders.cpp
+++ b/Tests/platform/TestPlatformReaders.cpp
@@ -221,14 +221,14 @@
 BOOST_AUTO_TEST_CASE(RecordsOfTheStoreAreDecoded)
 {
     auto const bytes = std::string(16, '\0') + recordBytes("config", "{}") + recordBytes("gone", "");
-    auto const records = parseKeyedRecords(bytes, Offset(40));
+    auto const records = parseKeyedRecords(bytes, StorePosition { {}, Offset(40) });
     BOOST_REQUIRE(records.has_value());
-    BOOST_TEST(records->next.value() == 42u);
+    BOOST_TEST(records->next.offset.value() == 42u);
     BOOST_TEST(records->records.at(0).key == "config");
     BOOST_TEST(*records->records.at(0).value == "{}");
     BOOST_TEST(!records->records.at(1).value.has_value());
     for (size_t length = 0; length < bytes.size(); ++length) {
-        auto const cut = parseKeyedRecords(std::string_view(bytes).substr(0, length), Offset(40));
+        auto const cut = parseKeyedRecords(std::string_view(bytes).substr(0, length), StorePosition { {}, Offset(40) });
         BOOST_TEST((!cut || cut->records.size() < 2));
     }
 }
@@ -372,7 +372,7 @@
         (void)readManifest(damaged);
         (void)readManifest(junk);
         (void)readUpstreamRecord("i", junk);
-        (void)parseKeyedRecords(junk, Offset(0));
+        (void)parseKeyedRecords(junk, StorePosition {});
         (void)GatewayState::decode(junk);
         (void)readPromptParts(junk);
         (void)dialect.readCall({ "GET", junk, { { "X-Prompt-Prefix", junk }, { "X-Deadline-Ms", junk }, { "Last-Event-Id", junk } }, junk });
--- a/Tests/platform/TestStoreClient.cpp
+++ b/Tests/platform/TestStoreClient.cpp
@@ -66,7 +66,7 @@
 
     EventLoop loop;
     RecordStore store;
-    std::optional<Offset> known { Offset(2) };
+    std::optional<StorePosition> known { StorePosition { {}, Offset(2) } };
     bool isOverdue { false };
     size_t proofs { 0 };
     size_t added { 0 };
@@ -85,7 +85,7 @@
     BOOST_REQUIRE(found && found->has_value());
     BOOST_TEST((*found)->records.size() == 3u);
     // What changes while the pages are read is read again.
-    BOOST_TEST((*found)->next.value() == 41u);
+    BOOST_TEST((*found)->next.offset.value() == 41u);
     BOOST_TEST(store.targets.back().ends_with("=k2"));
 }
 
@@ -128,10 +128,10 @@
 BOOST_AUTO_TEST_CASE(TheEndOfATopicCostsNoRecord)
 {
     RecordStore store;
-    std::optional<Result<Offset>> end;
+    std::optional<Result<StorePosition>> end;
     store.client.end("t", [&](auto result) { end = std::move(result); });
     BOOST_REQUIRE(end && end->has_value());
-    BOOST_TEST(end->value().value() == 2u);
+    BOOST_TEST(end->value().offset.value() == 2u);
     BOOST_TEST(store.targets.size() == 1u);
 }
 
@@ -151,7 +151,7 @@
     // What is there and not known proves nothing.
     BOOST_TEST(told.proofs == proofs);
     BOOST_TEST(told.read.empty());
-    told.known = Offset(3);
+    told.known = StorePosition { {}, Offset(3) };
     told.loop.runFor(Milliseconds(10));
     BOOST_TEST(told.proofs > proofs);
     BOOST_TEST(told.read.empty());
