LibMembership: Let an upstream that a copy revives say itself that it stays

An upstream that had said that it leaves could never be ready again under the same start, whoever said so (test_suspension, where it comes back, failed). Only what the first read after a store's return says is held against what was known; a record that is written after it counts as any other.

--- a/Libraries/LibMembership/UpstreamDirectory.cpp
+++ b/Libraries/LibMembership/UpstreamDirectory.cpp
@@ -53,9 +53,6 @@
     m_lost.erase(record.instance);
     auto const instance = record.instance;
     auto const known = m_records.find(instance);
-    // No process that leaves goes back on it; a store that has lost its last seconds does.
-    bool const isSameStart = known != m_records.end() && known->second.id() == record.id();
-    record.isLeaving = record.isLeaving || (isSameStart && known->second.isLeaving);
     if (known != m_records.end() && known->second == record)
         return;
     std::optional<UpstreamId> idBefore;
@@ -174,9 +171,19 @@
     }
 }
 
+// Whether this start of the upstream was known to leave: the copy is from before it said so.
+bool UpstreamDirectory::isLeaving(UpstreamRecord const& record) const
+{
+    auto const known = m_records.find(record.instance);
+    return known != m_records.end() && known->second.id() == record.id() && known->second.isLeaving;
+}
+
 void UpstreamDirectory::replaceAfterReturn(std::vector<UpstreamRecord> const& list, Instant readSentAt, Instant now)
 {
-    for (auto const& instance : putAll(list, now))
+    auto records = list;
+    for (auto& record : records)
+        record.isLeaving = record.isLeaving || isLeaving(record);
+    for (auto const& instance : putAll(records, now))
         m_lost.emplace(instance, readSentAt + m_bounds.returnGrace);
 }
 
--- a/Libraries/LibMembership/UpstreamDirectory.h
+++ b/Libraries/LibMembership/UpstreamDirectory.h
@@ -49,7 +49,7 @@
     void replace(std::vector<UpstreamRecord> const&, Instant now);
     // The same from a store that has come back from a copy and lacks what was written last.
     // What is missing stays, for this daemon and for those that it tells, until it has had the
-    // time to be written again.
+    // time to be written again; what was known to leave goes on leaving until it says otherwise.
     void replaceAfterReturn(std::vector<UpstreamRecord> const&, Instant readSentAt, Instant now);
     // A read that was sent then has been answered; call before its records.
     void confirm(Instant readSentAt);
@@ -95,6 +95,7 @@
     void take(UpstreamRecord);
     bool isOfEarlierStart(UpstreamRecord const&, Instant now);
     std::vector<std::string> putAll(std::vector<UpstreamRecord> const&, Instant now);
+    bool isLeaving(UpstreamRecord const&) const;
     void dropLost(Instant now);
 
     Bounds m_bounds;
