LibOnce: Run nothing twice where the log has lost claims

A log that comes back from a copy may lack a claim that was acknowledged, and gives its offset out again: a call could run twice, by a daemon to which its key was free again, and one that had read further passed over claims below its position.

The log says how often it has come back. Each daemon then reads the streams anew, a record of the return says from when on keys cannot have been claimed by what was lost, and older ones run only where a daemon still knows them: else they are in doubt. Fences have the return above the offset.

--- a/Libraries/LibOnce/ClaimGate.cpp
+++ b/Libraries/LibOnce/ClaimGate.cpp
@@ -10,8 +10,11 @@
     // How far callers' clocks may be ahead of a daemon's.
     constexpr int64_t clockSlack = 60;
     constexpr Milliseconds retrySoon { 1000 };
+    // A fence is a return of the log above an offset: offsets go back, fences must not.
+    constexpr unsigned returnsShift = 48;
 
     Refusal const tooOld { RefusalReason::KeyOutOfWindow, Verdict::MayHaveRun, "the key is older than what is remembered", {} };
+    Refusal const lost { RefusalReason::KeyOutOfWindow, Verdict::MayHaveRun, "the log came back from a copy and may have lost what the key did", {} };
     Refusal const fromTheFuture { RefusalReason::KeyOutOfWindow, Verdict::NotRun, "the key's time is in the future", {} };
 
     Refusal notRun(RefusalReason reason, char const* detail)
@@ -58,13 +61,45 @@
     return key.madeAt > now + clockSlack ? &fromTheFuture : nullptr;
 }
 
+// A claim that was lost may have run: without this its key would be free again. What this
+// daemon still knows of a key goes before.
+bool ClaimGate::mayHaveLost(Shard const& shard, OnceKey const& key) const
+{
+    return shard.table.returns() < shard.returns || (shard.returns && key.madeAt <= shard.table.lostUpTo());
+}
+
+void ClaimGate::noteReturns(uint64_t returns)
+{
+    if (returns <= m_returns)
+        return;
+    m_returns = returns;
+    m_returnNoticedAt = m_hooks.wallSecond();
+}
+
+// Keys that were made after it can have been claimed by no record that was lost.
+void ClaimGate::tellReturn(Shard& shard)
+{
+    if (shard.isTellingReturn || shard.table.returns() >= shard.returns)
+        return;
+    shard.isTellingReturn = true;
+    ClaimRecord record;
+    record.step = ClaimRecord::Step::Return;
+    record.key.madeAt = m_returnNoticedAt + clockSlack;
+    record.nonce = shard.returns;
+    ++m_appends;
+    m_hooks.append(shard.stream, ClaimRecord::encode({ record }), [this, &shard](Result<Offset> const&) {
+        shard.isTellingReturn = false;
+        read(shard);
+    });
+}
+
 // What the log as read so far says about a key, or none when it is free or held
 // by this very attempt.
 std::optional<ClaimGate::Decision> ClaimGate::knownDecision(Shard const& shard, OnceKey const& key, uint64_t fingerprint, uint64_t ownNonce) const
 {
     auto const* entry = shard.table.find(key);
     if (!entry || entry->nonce == ownNonce)
-        return {};
+        return mayHaveLost(shard, key) ? std::optional<Decision>(lost) : std::nullopt;
     if (entry->fingerprint != fingerprint)
         return Refusal { RefusalReason::KeyReused, Verdict::NotRun, "the key was used for another request", {} };
     if (entry->state == ClaimTable::State::Done && entry->answer.isWhole)
@@ -195,6 +230,15 @@
     shard.isReading = false;
     if (!result)
         return;
+    if (result->returns < shard.returns)
+        return;
+    if (result->returns > shard.returns) {
+        noteReturns(result->returns);
+        shard.returns = result->returns;
+        shard.position = Offset(0);
+        read(shard);
+        return;
+    }
     // What the log has forgotten is out of every window.
     shard.position = std::max(shard.position, result->first);
     for (auto const& [offset, text] : result->records) {
@@ -212,6 +256,8 @@
     }
     if (shard.position < result->next || shard.wantsRead)
         read(shard);
+    else
+        tellReturn(shard);
 }
 
 // An attempt is decided at the very record that brought its claim, by all that
@@ -224,10 +270,12 @@
     auto const attempt = std::move(found->second);
     shard.attempts.erase(found);
     if (auto const known = knownDecision(shard, attempt.key, attempt.fingerprint, attempt.nonce)) {
+        if (mayHaveLost(shard, attempt.key))
+            abandon(attempt.key, attempt.nonce, m_now);
         attempt.decided(*known);
         return;
     }
-    attempt.decided(MayRun { attempt.nonce, offset.value() + 1 });
+    attempt.decided(MayRun { attempt.nonce, shard.returns << returnsShift | (offset.value() + 1) });
 }
 
 // An attempt that is given up is forgotten here, so that its claim, should it
--- a/Libraries/LibOnce/ClaimGate.h
+++ b/Libraries/LibOnce/ClaimGate.h
@@ -45,6 +45,8 @@
         Offset first;
         Offset next;
         std::vector<std::pair<Offset, std::string>> records;
+        // How often the log has come back from a copy.
+        uint64_t returns { 0 };
     };
     struct Hooks {
         // Appends to a stream. Errors: Unreachable or LimitReached where it was
@@ -82,6 +84,8 @@
     size_t bytes() const;
     size_t keys() const;
     uint64_t appends() const { return m_appends; }
+    // The log was seen to have come back from a copy so often.
+    void noteReturns(uint64_t returns);
 
 private:
     struct Attempt {
@@ -104,6 +108,8 @@
         bool isAppending { false };
         bool isReading { false };
         bool wantsRead { false };
+        uint64_t returns { 0 };
+        bool isTellingReturn { false };
     };
 
     Shard& shardFor(OnceKey const&);
@@ -113,6 +119,8 @@
     void read(Shard&);
     void takeRead(Shard&, Result<ReadResult> const&);
     void settleSeen(Shard&, ClaimRecord const&, Offset);
+    bool mayHaveLost(Shard const&, OnceKey const&) const;
+    void tellReturn(Shard&);
     void giveUp(Shard&, Instant now);
     Refusal const* checkWindow(OnceKey const&) const;
 
@@ -120,6 +128,9 @@
     Hooks m_hooks;
     std::map<size_t, Shard> m_shards;
     Instant m_now;
+    // When the last return was noticed, and which it was.
+    uint64_t m_returns { 0 };
+    int64_t m_returnNoticedAt { 0 };
     uint64_t m_appends { 0 };
 };
 
--- a/Libraries/LibOnce/ClaimRecord.cpp
+++ b/Libraries/LibOnce/ClaimRecord.cpp
@@ -35,7 +35,7 @@
     while (!reader.failed() && !reader.finished()) {
         ClaimRecord record;
         auto const step = reader.number();
-        if (step > static_cast<uint64_t>(Step::Abandon))
+        if (step > static_cast<uint64_t>(Step::Return))
             return Error(ErrorCode::Malformed, "a step of a claim that is not known");
         record.step = static_cast<Step>(step);
         record.key.high = reader.number();
--- a/Libraries/LibOnce/ClaimRecord.h
+++ b/Libraries/LibOnce/ClaimRecord.h
@@ -19,11 +19,16 @@
         Done,
         // The attempt has not run it and never will.
         Abandon,
+        // The log has come back from a copy; in a record of its own, which daemons that do not
+        // know this step pass over.
+        Return,
     };
 
     Step step { Step::Claim };
     OnceKey key;
     uint64_t nonce { 0 };
+    // For Return, the key's time is the second up to which claims may have been lost, and the
+    // nonce says which return it was.
     // For Claim: the hash of the request, so that a key is not used for two.
     uint64_t fingerprint { 0 };
     // For Done.
--- a/Libraries/LibOnce/ClaimTable.cpp
+++ b/Libraries/LibOnce/ClaimTable.cpp
@@ -1,5 +1,7 @@
 #include <LibOnce/ClaimTable.h>
 
+#include <algorithm>
+
 namespace Stagepost {
 
 void ClaimTable::apply(ClaimRecord const& record)
@@ -30,6 +32,10 @@
         if (isHeldByThis)
             found->second.state = State::Free;
         return;
+    case ClaimRecord::Step::Return:
+        m_returns = std::max(m_returns, record.nonce);
+        m_lostUpTo = std::max(m_lostUpTo, record.key.madeAt);
+        return;
     }
 }
 
--- a/Libraries/LibOnce/ClaimTable.h
+++ b/Libraries/LibOnce/ClaimTable.h
@@ -35,6 +35,11 @@
     // Drops the bodies of answers, the oldest keys' first, until the table fits.
     void shrinkTo(size_t bytes);
 
+    // The last return of the log that its records tell of, and up to which second keys may
+    // have been claimed by records that were lost.
+    uint64_t returns() const { return m_returns; }
+    int64_t lostUpTo() const { return m_lostUpTo; }
+
     size_t size() const { return m_entries.size(); }
     // What the table takes, by the sizes of its parts.
     size_t bytes() const;
@@ -48,6 +53,8 @@
     // Attempts that gave up before their claim reached the log.
     std::map<uint64_t, int64_t> m_abandoned;
     size_t m_answerBytes { 0 };
+    uint64_t m_returns { 0 };
+    int64_t m_lostUpTo { 0 };
 };
 
 }
--- a/Libraries/LibPlatform/LogBatch.h
+++ b/Libraries/LibPlatform/LogBatch.h
@@ -18,6 +18,9 @@
     // The offset that the next record will get.
     Offset next;
     std::vector<LogRecord> records;
+    // How often the log has come back from a copy that lacks its last records; their offsets
+    // are given out again. 0 where the log does not say.
+    uint64_t returns { 0 };
 };
 
 }
--- a/Libraries/LibPlatform/LogClient.cpp
+++ b/Libraries/LibPlatform/LogClient.cpp
@@ -42,6 +42,8 @@
         LogBatch batch;
         batch.first = Offset(parsed["first"].get<uint64_t>());
         batch.next = Offset(parsed["next"].get<uint64_t>());
+        if (isNumber("returns"))
+            batch.returns = parsed["returns"].get<uint64_t>();
         for (auto const& record : parsed["records"]) {
             if (!record.is_object() || !record.contains("offset") || !record["offset"].is_number_unsigned() || !record.contains("body") || !record["body"].is_string())
                 return malformed;
--- a/Libraries/LibSettings/PublicationReader.cpp
+++ b/Libraries/LibSettings/PublicationReader.cpp
@@ -74,6 +74,13 @@
     return true;
 }
 
+void PublicationReader::readAgainFrom(Offset first)
+{
+    m_unplaced.clear();
+    m_position = first;
+    m_runStart = first;
+}
+
 void PublicationReader::skipTo(Offset offset)
 {
     assert(offset >= m_position);
--- a/Libraries/LibSettings/PublicationReader.h
+++ b/Libraries/LibSettings/PublicationReader.h
@@ -59,6 +59,9 @@
     Offset position() const { return m_position; }
     // Jumps to an offset because the records before it are gone from the log.
     void skipTo(Offset);
+    // Reads on from the log's first record, since offsets have been given out again. What is
+    // accepted stays.
+    void readAgainFrom(Offset first);
 
     std::optional<AcceptedSettings> const& accepted() const { return m_accepted; }
 
--- a/Services/stagepostd/OnceGateway.cpp
+++ b/Services/stagepostd/OnceGateway.cpp
@@ -76,7 +76,7 @@
                     callback(batch.error());
                     return;
                 }
-                ClaimGate::ReadResult result { batch->first, batch->next, {} };
+                ClaimGate::ReadResult result { batch->first, batch->next, {}, batch->returns };
                 for (auto const& record : batch->records)
                     result.records.emplace_back(record.offset, record.body);
                 callback(std::move(result));
--- a/Services/stagepostd/SettingsFollower.cpp
+++ b/Services/stagepostd/SettingsFollower.cpp
@@ -12,6 +12,9 @@
     constexpr size_t batchSize = 64;
     // Settings are repeated after about this part of the log's retention.
     constexpr int64_t snapshotShare = 8;
+    // After the log has lost its last records, all daemons repeat the settings within this
+    // time, unless they see that another one has.
+    constexpr int64_t longestUntilRepeat = 2000000;
 
     Result<FleetSettings> settingsFrom(std::string const& toml)
     {
@@ -59,8 +62,26 @@
     m_timer.once(batch ? leastInterval : failurePause, [this] { read(); });
 }
 
+// Offsets have been given out again, so what was read stands elsewhere or not at all.
+void SettingsFollower::noteReturn(LogBatch const& batch)
+{
+    logEvent(LogLevel::Warning, "log-returned", { { "stream", settingsStream }, { "returns", batch.returns }, { "next", batch.next.value() }, { "known_before", m_reader.position().value() } });
+    m_reader.readAgainFrom(batch.first);
+    m_standsSince = m_loop.now();
+    m_snapshotAfter = Microseconds(static_cast<int64_t>(m_random() % static_cast<uint64_t>(longestUntilRepeat)));
+}
+
 void SettingsFollower::takeBatch(LogBatch const& batch)
 {
+    // An answer from before the return, which comes late, tells of a log that is gone.
+    if (m_returns && batch.returns < *m_returns)
+        return;
+    bool const isAfterReturn = m_returns && batch.returns > *m_returns;
+    m_returns = batch.returns;
+    if (isAfterReturn) {
+        noteReturn(batch);
+        return;
+    }
     if (batch.first > m_reader.position())
         m_reader.skipTo(batch.first);
     if (batch.first.isNull() && m_reader.position().isNull())
--- a/Services/stagepostd/SettingsFollower.h
+++ b/Services/stagepostd/SettingsFollower.h
@@ -32,6 +32,7 @@
     void read();
     void take(Result<LogBatch> const&);
     void takeBatch(LogBatch const&);
+    void noteReturn(LogBatch const&);
     void applyAccepted();
     void snapshotIfDue();
     void noteStanding();
@@ -47,6 +48,8 @@
     // When the log was last seen to hold what is in force, and how long that lasts.
     Instant m_standsSince;
     Microseconds m_snapshotAfter {};
+    // How often the log has come back from a copy, as far as is known.
+    std::optional<uint64_t> m_returns;
     bool m_isLogReachable { false };
     std::shared_ptr<bool> m_alive { std::make_shared<bool>(true) };
 };
--- a/Tests/LibOnce/OnceWorld.cpp
+++ b/Tests/LibOnce/OnceWorld.cpp
@@ -97,7 +97,7 @@
             return;
         }
         auto const& records = m_streams[stream];
-        ClaimGate::ReadResult result { Offset(0), Offset(records.size()), {} };
+        ClaimGate::ReadResult result { Offset(0), Offset(records.size()), {}, m_returns };
         for (auto offset = from.value(); offset < records.size() && result.records.size() < 3; ++offset)
             result.records.emplace_back(Offset(offset), records[offset]);
         callback(std::move(result));
@@ -232,6 +232,14 @@
         m_events.after(someTime(4000000), [this, ticket, call, resends] { submitTicket(ticket, call, resends - 1); });
 }
 
+// In each stream some of the last records are gone; what is on its way comes after them.
+void OnceWorld::loseRecords()
+{
+    for (auto& [name, records] : m_streams)
+        records.resize(records.size() - std::min<size_t>(records.size(), m_random() % 6));
+    ++m_returns;
+}
+
 void OnceWorld::tick()
 {
     for (auto& daemon : m_daemons)
@@ -243,6 +251,8 @@
         m_isLogDown = true;
         m_events.after(someTime(3000000), [this] { m_isLogDown = false; });
     }
+    if (m_options.losesRecords && m_random() % 4000 < m_options.faultsPerThousand)
+        loseRecords();
     m_events.after(tickInterval, [this] { tick(); });
 }
 
--- a/Tests/LibOnce/OnceWorld.h
+++ b/Tests/LibOnce/OnceWorld.h
@@ -24,6 +24,8 @@
         unsigned faultsPerThousand { 80 };
         // Off, every daemon runs what it is asked to: what the guard is there for.
         bool isGuarded { true };
+        // The log comes back from copies now and then that lack its last records.
+        bool losesRecords { false };
     };
     struct Counts {
         uint64_t calls { 0 };
@@ -70,6 +72,7 @@
     void append(std::string const& stream, std::string record, std::function<void(Result<Offset>)> const& callback);
     void read(std::string const& stream, Offset from, std::function<void(Result<ClaimGate::ReadResult>)> const& callback);
     void tick();
+    void loseRecords();
 
     Options m_options;
     std::mt19937_64 m_random;
@@ -79,6 +82,7 @@
     std::map<std::string, unsigned> m_runs;
     std::vector<std::shared_ptr<Submission>> m_submissions;
     bool m_isLogDown { false };
+    uint64_t m_returns { 0 };
     Counts m_counts;
 };
 
--- a/Tests/LibOnce/TestOnce.cpp
+++ b/Tests/LibOnce/TestOnce.cpp
@@ -170,6 +170,76 @@
     }));
 }
 
+// A claim that was answered and is lost must not let its call run again, and a claim at an
+// offset that was read before must not be passed over.
+BOOST_AUTO_TEST_CASE(NothingRunsTwiceWhereTheLogLosesItsLastRecords)
+{
+    BOOST_TEST(rc::check("random returns of the log from copies", [](uint32_t seed) {
+        Tests::OnceWorld::Options options;
+        options.seed = seed;
+        options.faultsPerThousand = 20 + seed % 200;
+        options.losesRecords = true;
+        auto const counts = Tests::OnceWorld(options).run(40);
+        RC_ASSERT(counts.duplicates == 0u);
+        RC_ASSERT(counts.wrongVerdicts == 0u);
+        RC_ASSERT(counts.ran > 0u);
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(KeysThatWereMadeBeforeTheReturnAreInDoubtAndLaterOnesAreNot)
+{
+    std::vector<std::string> log;
+    uint64_t returns = 0;
+    int64_t second = 1000;
+    uint64_t nonce = 1;
+    std::vector<std::function<void()>> due;
+    ClaimGate::Hooks const hooks {
+        [&](std::string const&, std::string record, std::function<void(Result<Offset>)> callback) {
+            log.push_back(std::move(record));
+            due.emplace_back([callback, at = log.size() - 1] { callback(Offset(at)); });
+        },
+        [&](std::string const&, Offset from, std::function<void(Result<ClaimGate::ReadResult>)> callback) {
+            ClaimGate::ReadResult result { Offset(0), Offset(log.size()), {}, returns };
+            for (auto at = from.value(); at < log.size(); ++at)
+                result.records.emplace_back(Offset(at), log[at]);
+            due.emplace_back([callback, result] { callback(result); });
+        },
+        [&] { return nonce += 2; },
+        [&] { return second; },
+    };
+    auto const settle = [&] {
+        while (!due.empty()) {
+            auto const steps = std::exchange(due, {});
+            for (auto const& step : steps)
+                step();
+        }
+    };
+    Instant now { Seconds(100) };
+    auto const decisionOf = [&](ClaimGate& gate, std::string const& key) {
+        std::optional<ClaimGate::Decision> decision;
+        now += Seconds(1);
+        gate.claim(keyOf(key), 1, now, [&](auto const& decided) { decision = decided; });
+        settle();
+        return decision.value();
+    };
+    ClaimGate before({}, hooks);
+    auto const first = std::get<ClaimGate::MayRun>(decisionOf(before, "1000-a"));
+    // The claim is lost, and its holder with it.
+    log.clear();
+    ++returns;
+    ClaimGate after({}, hooks);
+    auto const refused = std::get<Refusal>(decisionOf(after, "1000-a"));
+    BOOST_TEST((refused.reason == RefusalReason::KeyOutOfWindow && refused.verdict == Verdict::MayHaveRun));
+    second = 1100;
+    auto const later = std::get<ClaimGate::MayRun>(decisionOf(after, "1090-a"));
+    // Whatever offsets do, what runs later has the higher fence.
+    BOOST_TEST(later.fence > first.fence);
+    // A third daemon goes by what the second has written.
+    ClaimGate third({}, hooks);
+    BOOST_TEST(std::holds_alternative<Refusal>(decisionOf(third, "1000-b")));
+    BOOST_TEST(std::holds_alternative<ClaimGate::MayRun>(decisionOf(third, "1095-b")));
+}
+
 BOOST_AUTO_TEST_CASE(WithoutTheGuardTheSameWorldRunsCallsTwice)
 {
     Tests::OnceWorld::Options options;
--- a/Tests/Processes/test_fleet.py
+++ b/Tests/Processes/test_fleet.py
@@ -88,6 +88,19 @@
         eventually(fresh.ready, "ready from a snapshot alone")
         self.assertEqual(fresh.metric("stagepost_settings_revision"), 1)
 
+    def test_what_is_published_where_the_log_lost_something_comes_into_force(self):
+        entry = self.daemon()
+        self.publish()
+        self.serve(entry, upstreams=0)
+        for _ in range(4):
+            self.log.post("/v1/streams/settings/records", "not a publication")
+        time.sleep(0.5)
+        self.log.faults(lose_last=4)
+        # It stands at an offset that was read before.
+        self.publish(self.settings(pool="queue_length = 5"))
+        eventually(lambda: entry.metric("stagepost_settings_revision") == 2, "the change")
+        self.assertTrue(any("event=log-returned stream=settings returns=1" in line for line in entry.lines))
+
     def test_an_outage_of_the_platform_changes_nothing_for_callers(self):
         entry = self.daemon()
         self.engine()
--- a/Tests/StandIns/LogStandIn.cpp
+++ b/Tests/StandIns/LogStandIn.cpp
@@ -47,6 +47,15 @@
     m_faults.losesReplies = json.value("lose_replies", m_faults.losesReplies);
     m_faults.delay = Milliseconds(json.value("delay_ms", m_faults.delay.count()));
     m_faults.keep = json.value("keep", m_faults.keep);
+    if (auto const lost = json.value("lose_last", size_t { 0 }))
+        loseLast(lost);
+}
+
+void LogStandIn::loseLast(size_t records)
+{
+    for (auto& [name, stream] : m_streams)
+        stream.records.resize(stream.records.size() - std::min(stream.records.size(), records));
+    ++m_returns;
 }
 
 Net::awaitable<bool> LogStandIn::handle(TcpStream& stream, Request& request)
@@ -84,15 +93,16 @@
     Json records = Json::array();
     for (auto offset = std::max(from, log.first); offset < log.next() && records.size() < most; ++offset)
         records.push_back({ { "offset", offset }, { "body", log.records[offset - log.first] } });
-    return Json { { "first", log.first }, { "next", log.next() }, { "records", std::move(records) } }.dump();
+    return Json { { "first", log.first }, { "next", log.next() }, { "records", std::move(records) }, { "returns", m_returns } }.dump();
 }
 
 Net::awaitable<bool> LogStandIn::handleRead(TcpStream& stream, Request& request, std::string const& name)
 {
     auto const from = queryNumber(request, "from", 0);
     auto const most = queryNumber(request, "max", 100);
+    auto const returns = m_returns;
     auto const end = std::chrono::steady_clock::now() + Milliseconds(queryNumber(request, "wait_ms", 0));
-    while (m_streams[name].next() <= from && std::chrono::steady_clock::now() < end && !m_faults.isDown)
+    while (m_streams[name].next() <= from && std::chrono::steady_clock::now() < end && !m_faults.isDown && m_returns == returns)
         co_await sleepFor(pollInterval);
     if (m_faults.isDown)
         co_return false;
--- a/Tests/StandIns/LogStandIn.h
+++ b/Tests/StandIns/LogStandIn.h
@@ -24,6 +24,9 @@
         size_t keep { 100000 };
     };
 
+    // Comes back from a copy that lacks the last records of each stream.
+    void loseLast(size_t records);
+
     explicit LogStandIn(EventLoop&);
     Endpoint listen(Endpoint const& endpoint) { return m_server.listen(endpoint); }
 
@@ -48,6 +51,7 @@
     Faults m_faults;
     uint64_t m_appends { 0 };
     std::map<std::string, Stream> m_streams;
+    uint64_t m_returns { 0 };
     StandInServer m_server;
 };
 
