--- a/Meta/model-check.sh
+++ b/Meta/model-check.sh
@@ -55,6 +55,10 @@
 for variant in STEADY CHECK_ONCE AGE_ON_WAKE; do
     check suspension refuted Suspension assertions "$variant" &
 done
+check storereturn holds StoreReturn assertions &
+for variant in OFFSET_ALONE TAKE_COPY TELL_OFFSET; do
+    check storereturn refuted StoreReturn assertions "$variant" &
+done
 results=0
 for job in $(jobs -p); do
     wait "$job" || results=1
--- a/Tests/Soak/faults.py
+++ b/Tests/Soak/faults.py
@@ -31,6 +31,8 @@
 # From this seed on upstreams start again under their names and others write into their
 # list. Seeds below it play as they did when they were kept.
 FIRST_WITH_RESTARTS = 1000
+# From this one on the store comes back from copies.
+FIRST_WITH_RETURNS = 3000
 
 
 class Schedule:
@@ -65,6 +67,9 @@
         # Draws of its own, so that what it adds changes nothing else of a seed.
         self.restarts = random.Random(f"{seed} restarts") if seed >= FIRST_WITH_RESTARTS else None
         self.suspensions = random.Random(f"{seed} suspensions") if seed >= FIRST_WITH_SUSPENSION else None
+        self.returns = random.Random(f"{seed} returns") if seed >= FIRST_WITH_RETURNS else None
+        if self.returns:
+            world.store.era = 1
         self.unplanned = [self.pause, self.pause, self.kill, self.kill_all, self.cut_from_store, self.cut_from_peers, self.reset_callers,
                           self.slow_link, self.store_outage, self.store_outage, self.store_forgets, self.lapse, self.fail_requests,
                           self.fail_requests, self.crash_upstream, self.cut_upstream]
@@ -77,6 +82,9 @@
         if self.suspensions:
             for _ in range(int(seconds)):
                 self.schedule.after(self.suspensions.uniform(0, seconds), self.suspend)
+        if self.returns:
+            for _ in range(2):
+                self.schedule.after(self.returns.uniform(0, seconds), self.copy_store)
         self.play(seconds, 0.25, self.unplanned * 2 + self.planned)
 
     def planned_work(self, seconds):
@@ -213,6 +221,34 @@
         self.world.store.forget_history()
         self.disturb("store forgets its history", lambda: None, longest=0.2)
 
+    def copy_store(self):
+        copied_at, copy = time.monotonic(), self.world.store.copy()
+        self.schedule.after(self.returns.uniform(0.1, 4.0), lambda: self.lose_since(copied_at, copy))
+
+    def lose_since(self, copied_at, copy):
+        """The store is away for a moment and lacks what was written since the copy."""
+        self.world.store.mode = "busy"
+        away, missing = self.returns.uniform(0.05, 0.8), self.returns.uniform(0.05, 1.5)
+        self.schedule.after(away, lambda: self.return_store(copied_at, copy))
+        self.schedule.after(away + missing, lambda: self.write_again(copied_at))
+        self.note(f"store comes back from a copy {time.monotonic() - copied_at:.2f} s old, written again after {missing:.2f} s")
+        start = time.monotonic()
+        self.disturbances.add("store comes back from a copy", start, start + away + missing + 0.5)
+
+    def return_store(self, copied_at, copy):
+        self.world.store.return_to(copy)
+        self.world.lost_since(copied_at)
+        self.restore()
+
+    def write_again(self, copied_at):
+        self.world.publish_again()
+        for upstream in self.world.upstreams:
+            left_at = self.world.left_at.get(upstream.instance)
+            if upstream in self.world.living():
+                self.world.store.put("keyed.servers", upstream.instance, upstream.record())
+            elif left_at is None or left_at > copied_at:
+                self.world.store.put("keyed.servers", upstream.instance, None)
+
     def lapse(self):
         """The store is away so long that upstreams' records go; they are back soon after its return."""
         upstreams = self.random.sample(self.world.living(), 3)
--- a/Tests/Soak/promises.py
+++ b/Tests/Soak/promises.py
@@ -76,7 +76,10 @@
     # Whatever daemon it was and however it fared.
     def no_revoked_key(self, attempt):
         revoked_at = self.world.revoked_at.get(attempt.key)
-        is_late = revoked_at is not None and attempt.sent_at > revoked_at + KEY_BOUND
+        since, until = self.world.lost_revocations.get(attempt.key, (0.0, 0.0))
+        # A process that starts on the copy cannot know what the store has lost.
+        is_lost = since <= attempt.sent_at <= until + KEY_BOUND
+        is_late = revoked_at is not None and attempt.sent_at > revoked_at + KEY_BOUND and not is_lost
         return "its key was taken away" if is_late and attempt.kind != "mark" and self.runs[attempt.id] else None
 
     def not_denied(self, attempt):
--- a/Tests/Soak/world.py
+++ b/Tests/Soak/world.py
@@ -264,6 +264,8 @@
         # When the store accepted a configuration with the key, and one without it.
         self.added_at = {"key-0": time.monotonic()}
         self.revoked_at = {}
+        # Of keys whose taking away the store has lost: from when until when it was written again.
+        self.lost_revocations = {}
         # By version: when it was sent, and accepted.
         self.accepted = {}
         # When the store accepted that an upstream leaves.
@@ -309,6 +311,20 @@
                 "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 100000, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
                 "tenants": [{"name": "club", "apiKeys": list(self.keys), "priority": 3}]}
 
+    def lost_since(self, copied_at):
+        now = time.monotonic()
+        for key, revoked_at in self.revoked_at.items():
+            if revoked_at > copied_at:
+                self.lost_revocations[key] = (now, float("inf"))
+
+    def publish_again(self):
+        """What the store has lost, under the version that it had."""
+        with self.lock:
+            self.store.put("keyed.op", "config", self.manifest())
+            now = time.monotonic()
+            self.accepted[self.version] = (self.accepted[self.version][0], now)
+            self.lost_revocations = {key: (since, min(until, now)) for key, (since, until) in self.lost_revocations.items()}
+
     def change_keys(self):
         added = f"key-{self.version + 1}"
         taken = self.keys[0]
