--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -162,6 +162,7 @@
     m_exchange->setPeers(std::move(list));
     m_crashes->setPeers(std::move(crashList), m_loop.now());
     auto const& relays = m_exchange->relays();
+    ledgerList.reserve(peers.size());
     for (auto const& peer : peers)
         ledgerList.push_back({ peer.id(), HallId::fromName(peer.hall), std::find(relays.begin(), relays.end(), peer.id()) != relays.end() });
     m_ledger->setPeers(std::move(ledgerList), m_exchange->isRelay());
--- a/Tests/LibOnce/TestOnce.cpp
+++ b/Tests/LibOnce/TestOnce.cpp
@@ -194,11 +194,11 @@
     uint64_t nonce = 1;
     std::vector<std::function<void()>> due;
     ClaimGate::Hooks const hooks {
-        [&](std::string const&, std::string record, std::function<void(Result<Offset>)> callback) {
+        [&](std::string const&, std::string record, std::function<void(Result<Offset>)> const& callback) {
             log.push_back(std::move(record));
             due.emplace_back([callback, at = log.size() - 1] { callback(Offset(at)); });
         },
-        [&](std::string const&, Offset from, std::function<void(Result<ClaimGate::ReadResult>)> callback) {
+        [&](std::string const&, Offset from, std::function<void(Result<ClaimGate::ReadResult>)> const& callback) {
             ClaimGate::ReadResult result { Offset(0), Offset(log.size()), {}, returns };
             for (auto at = from.value(); at < log.size(); ++at)
                 result.records.emplace_back(Offset(at), log[at]);
--- a/Tests/LibRouting/TestLedgerExchange.cpp
+++ b/Tests/LibRouting/TestLedgerExchange.cpp
@@ -29,6 +29,7 @@
     explicit Fleet(size_t size, double loss = 0)
         : m_loss(loss)
     {
+        m_peers.reserve(size);
         for (size_t number = 1; number <= size; ++number)
             m_peers.push_back({ VMId(number), number % 2 ? north : HallId(2) });
         for (size_t number = 1; number <= size; ++number)
