LibBase: Name a daemon of the fleet by one type

Three exchanges had the same struct for a peer, and the gateway filled a list of each from the same records. Who is a relay is told to the ledger beside them.

--- a/Libraries/LibBase/Base.h
+++ b/Libraries/LibBase/Base.h
@@ -6,6 +6,7 @@
 #include <LibBase/Authenticator.h>
 #include <LibBase/Error.h>
 #include <LibBase/FingerprintKey.h>
+#include <LibBase/FleetPeer.h>
 #include <LibBase/Hash.h>
 #include <LibBase/Hex.h>
 #include <LibBase/Hooks.h>
--- a/Libraries/LibMembership/StateExchange.cpp
+++ b/Libraries/LibMembership/StateExchange.cpp
@@ -47,7 +47,7 @@
 
 }
 
-void StateExchange::setPeers(std::vector<Peer> peers)
+void StateExchange::setPeers(std::vector<FleetPeer> peers)
 {
     m_peers = std::move(peers);
     std::erase_if(m_peers, [this](auto const& peer) { return peer.id == m_self.id; });
--- a/Libraries/LibMembership/StateExchange.h
+++ b/Libraries/LibMembership/StateExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibBase/FleetPeer.h>
 #include <LibMembership/LoadSums.h>
 #include <LibMembership/StateMessage.h>
 #include <functional>
@@ -51,11 +52,6 @@
         double loadsBytesPerSecond { 2600 };
     };
 
-    struct Peer {
-        VMId id;
-        HallId hall;
-    };
-
     // What this daemon believes, and how that is changed.
     struct Beliefs {
         std::function<StateSummary()> summary;
@@ -87,7 +83,7 @@
     };
 
     // The process number is drawn at random at each start.
-    StateExchange(Peer self, uint64_t process, Bounds bounds, Hooks hooks)
+    StateExchange(FleetPeer self, uint64_t process, Bounds bounds, Hooks hooks)
         : m_self(self)
         , m_process(process)
         , m_bounds(bounds)
@@ -97,7 +93,7 @@
     }
 
     // All other daemons that are registered.
-    void setPeers(std::vector<Peer>);
+    void setPeers(std::vector<FleetPeer>);
 
     // Error: Malformed.
     Result<void> receive(VMId from, std::string_view bytes, Instant now);
@@ -156,11 +152,11 @@
     std::string pack(InFlightTotals const&, uint64_t upstreamsHash) const;
     std::string loadsMessage(StateMessage::Kind, AgedTotals const&) const;
 
-    Peer m_self;
+    FleetPeer m_self;
     uint64_t m_process;
     Bounds m_bounds;
     Hooks m_hooks;
-    std::vector<Peer> m_peers;
+    std::vector<FleetPeer> m_peers;
     bool m_isRelay { true };
     std::vector<VMId> m_relays;
     // The relays of the own hall that go before this one.
--- a/Libraries/LibRouting/CrashExchange.cpp
+++ b/Libraries/LibRouting/CrashExchange.cpp
@@ -57,7 +57,7 @@
 
 }
 
-void CrashExchange::setPeers(std::vector<Peer> peers, Instant now)
+void CrashExchange::setPeers(std::vector<FleetPeer> peers, Instant now)
 {
     m_peers = std::move(peers);
     std::erase_if(m_peers, [this](auto const& peer) { return peer.id == m_self.id; });
--- a/Libraries/LibRouting/CrashExchange.h
+++ b/Libraries/LibRouting/CrashExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibBase/FleetPeer.h>
 #include <LibBase/Result.h>
 #include <LibRouting/CrashSuspects.h>
 #include <functional>
@@ -38,11 +39,6 @@
         size_t asksAtStart { 3 };
     };
 
-    struct Peer {
-        VMId id;
-        HallId hall;
-    };
-
     struct Hooks {
         std::function<void(VMId to, std::string bytes)> send;
         // Who speaks with this daemon: the relays of all halls, and those that ask it.
@@ -50,7 +46,7 @@
         std::function<std::vector<VMId>()> askers;
     };
 
-    CrashExchange(Peer self, CrashSuspects& suspects, Bounds bounds, Hooks hooks)
+    CrashExchange(FleetPeer self, CrashSuspects& suspects, Bounds bounds, Hooks hooks)
         : m_self(self)
         , m_suspects(suspects)
         , m_bounds(bounds)
@@ -60,7 +56,7 @@
     }
 
     // All other daemons that are registered.
-    void setPeers(std::vector<Peer>, Instant now);
+    void setPeers(std::vector<FleetPeer>, Instant now);
     // This daemon has seen something about the request.
     void seen(RequestFingerprint, Instant now);
     // Takes a message. The result is the requests of which it told something new. Error: Malformed.
@@ -86,11 +82,11 @@
     void send(VMId to, std::vector<CrashSuspect const*> const&, Instant now);
     void earnCredit(Instant now);
 
-    Peer m_self;
+    FleetPeer m_self;
     CrashSuspects& m_suspects;
     Bounds m_bounds;
     Hooks m_hooks;
-    std::vector<Peer> m_peers;
+    std::vector<FleetPeer> m_peers;
     std::map<RequestFingerprint, Telling> m_tellings;
     std::vector<VMId> m_knownAskers;
     size_t m_asks { 0 };
--- a/Libraries/LibRouting/LedgerExchange.cpp
+++ b/Libraries/LibRouting/LedgerExchange.cpp
@@ -5,9 +5,9 @@
 
 namespace Stagepost {
 
-void LedgerExchange::setPeers(std::vector<Peer> peers, bool isRelay)
+void LedgerExchange::setPeers(std::vector<FleetPeer> peers, std::vector<VMId> const& relays)
 {
-    m_self.isRelay = isRelay;
+    m_relays = std::set(relays.begin(), relays.end());
     m_peers = std::move(peers);
     std::erase_if(m_peers, [this](auto const& peer) { return peer.id == m_self.id; });
     std::erase_if(m_suspectedUntil, [this](auto const& suspected) {
@@ -21,13 +21,13 @@
 {
     std::optional<VMId> owner;
     std::pair<bool, uint64_t> highest;
-    auto const offer = [&](Peer const& peer) {
+    auto const offer = [&](FleetPeer const& peer) {
         if (peer.hall != hall)
             return;
         auto const suspected = m_suspectedUntil.find(peer.id);
         if (suspected != m_suspectedUntil.end() && now < suspected->second)
             return;
-        std::pair const rank { !peer.isRelay, mixHashes(upstream.value(), peer.id.value()) };
+        std::pair const rank { !m_relays.contains(peer.id), mixHashes(upstream.value(), peer.id.value()) };
         if (owner && rank <= highest)
             return;
         owner = peer.id;
--- a/Libraries/LibRouting/LedgerExchange.h
+++ b/Libraries/LibRouting/LedgerExchange.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <LibBase/FleetPeer.h>
 #include <LibRouting/InFlightLedger.h>
 #include <LibRouting/LedgerMessage.h>
 #include <LibRouting/SilenceWatch.h>
 #include <functional>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace Stagepost {
@@ -37,14 +39,6 @@
         Microseconds repeatInterval { 500000 };
     };
 
-    struct Peer {
-        VMId id;
-        HallId hall;
-        // Relays tell others' loads and proofs, which takes most of what a daemon may send:
-        // they own upstreams only where a hall has nobody else.
-        bool isRelay { false };
-    };
-
     // An upstream to which a request may go.
     struct Candidate {
         UpstreamId upstream;
@@ -67,7 +61,7 @@
         InFlightLedger::Forecast forecast;
     };
 
-    LedgerExchange(Peer self, Bounds bounds, Hooks hooks)
+    LedgerExchange(FleetPeer self, Bounds bounds, Hooks hooks)
         : m_self(self)
         , m_bounds(bounds)
         , m_hooks(std::move(hooks))
@@ -76,8 +70,10 @@
     {
     }
 
-    // All other daemons that are registered, and whether this one is a relay.
-    void setPeers(std::vector<Peer>, bool isRelay);
+    // All other daemons that are registered, and who of all are relays: those tell others' loads
+    // and proofs, which takes most of what a daemon may send, and own upstreams only where a
+    // hall has nobody else.
+    void setPeers(std::vector<FleetPeer>, std::vector<VMId> const& relays);
 
     // Asks the candidates' owners, in their order, until one has room. What is granted or
     // chosen counts as in flight from then on. Calls back at once where all owners are this
@@ -135,11 +131,12 @@
     Own& count(UpstreamId, HallId, VMId owner, Instant now);
     void report(UpstreamId, Own&, Instant now);
 
-    Peer m_self;
+    FleetPeer m_self;
     Bounds m_bounds;
     Hooks m_hooks;
     InFlightLedger m_ledger;
-    std::vector<Peer> m_peers;
+    std::vector<FleetPeer> m_peers;
+    std::set<VMId> m_relays;
     std::map<VMId, Instant> m_suspectedUntil;
     WaitEstimate m_roundTrip;
     std::map<uint64_t, Pending> m_pending;
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -2,7 +2,6 @@
 
 #include <LibBase/Hex.h>
 #include <LibBase/Log.h>
-#include <algorithm>
 #include <charconv>
 
 namespace Stagepost {
@@ -71,12 +70,12 @@
     m_stateSeal.emplace(key + "/state", self.id(), incarnation);
     m_channel = std::make_unique<PeerChannel>(m_loop, *m_datagramSeal, m_metrics, [this](PeerMessageKind kind, VMId from, Endpoint const& source, std::string_view body) { receive(kind, from, source, body); });
     TRY(m_channel->bind(m_endpoint));
-    StateExchange::Peer const peer { self.id(), HallId::fromName(self.hall) };
+    FleetPeer const peer { self.id(), HallId::fromName(self.hall) };
     m_exchange = std::make_unique<StateExchange>(peer, m_random(), m_bounds, exchangeHooks());
-    m_crashes = std::make_unique<CrashExchange>(CrashExchange::Peer { peer.id, peer.hall }, m_suspects, CrashExchange::Bounds {}, crashHooks());
+    m_crashes = std::make_unique<CrashExchange>(peer, m_suspects, CrashExchange::Bounds {}, crashHooks());
     // One that joins again by another key has requests that wait for owners' answers.
     if (!m_ledger)
-        m_ledger = std::make_unique<LedgerExchange>(LedgerExchange::Peer { peer.id, peer.hall }, LedgerExchange::Bounds {}, ledgerHooks());
+        m_ledger = std::make_unique<LedgerExchange>(peer, LedgerExchange::Bounds {}, ledgerHooks());
     m_ticker.every(tickInterval, [this] {
         m_exchange->tick(m_loop.now());
         m_crashes->tick(m_loop.now());
@@ -149,23 +148,17 @@
 {
     m_peers.clear();
     m_newcomers.clear();
-    std::vector<StateExchange::Peer> list;
-    std::vector<CrashExchange::Peer> crashList;
-    std::vector<LedgerExchange::Peer> ledgerList;
+    std::vector<FleetPeer> list;
+    list.reserve(peers.size());
     for (auto const& peer : peers) {
         m_peers[peer.id()] = peer;
         list.push_back({ peer.id(), HallId::fromName(peer.hall) });
-        crashList.push_back({ peer.id(), HallId::fromName(peer.hall) });
     }
     if (!m_exchange)
         return;
-    m_exchange->setPeers(std::move(list));
-    m_crashes->setPeers(std::move(crashList), m_loop.now());
-    auto const& relays = m_exchange->relays();
-    ledgerList.reserve(peers.size());
-    for (auto const& peer : peers)
-        ledgerList.push_back({ peer.id(), HallId::fromName(peer.hall), std::find(relays.begin(), relays.end(), peer.id()) != relays.end() });
-    m_ledger->setPeers(std::move(ledgerList), m_exchange->isRelay());
+    m_exchange->setPeers(list);
+    m_crashes->setPeers(list, m_loop.now());
+    m_ledger->setPeers(std::move(list), m_exchange->relays());
     m_metrics.setGauge("stagepost_daemons", static_cast<double>(m_exchange->peerCount() + 1));
     logEvent(LogLevel::Info, "peers", { { "others", m_exchange->peerCount() }, { "relay", m_exchange->isRelay() ? 1 : 0 } });
 }
--- a/Tests/LibMembership/TestStateExchange.cpp
+++ b/Tests/LibMembership/TestStateExchange.cpp
@@ -44,7 +44,7 @@
     Fleet(size_t halls, size_t perHall, uint64_t seed)
         : m_random(seed)
     {
-        std::vector<StateExchange::Peer> peers;
+        std::vector<FleetPeer> peers;
         for (size_t number = 0; number < halls * perHall; ++number) {
             auto daemon = std::make_unique<Daemon>();
             daemon->id = VMId(number + 1);
@@ -53,7 +53,7 @@
             daemons.push_back(std::move(daemon));
         }
         for (auto& daemon : daemons) {
-            daemon->exchange = std::make_unique<StateExchange>(StateExchange::Peer { daemon->id, daemon->hall }, m_random(), StateExchange::Bounds {}, hooksOf(*daemon));
+            daemon->exchange = std::make_unique<StateExchange>(FleetPeer { daemon->id, daemon->hall }, m_random(), StateExchange::Bounds {}, hooksOf(*daemon));
             daemon->exchange->setPeers(peers);
         }
     }
--- a/Tests/LibRouting/TestCrashExchange.cpp
+++ b/Tests/LibRouting/TestCrashExchange.cpp
@@ -30,7 +30,7 @@
     {
         auto daemon = std::make_unique<Daemon>(VMId(hashOf("daemon-" + std::to_string(number))), HallId(1 + number % hallCount));
         auto* const added = daemon.get();
-        daemon->exchange = std::make_unique<CrashExchange>(CrashExchange::Peer { added->id, added->hall }, added->suspects, CrashExchange::Bounds {},
+        daemon->exchange = std::make_unique<CrashExchange>(FleetPeer { added->id, added->hall }, added->suspects, CrashExchange::Bounds {},
             CrashExchange::Hooks { [this, added](VMId to, std::string const& bytes) { send(*added, to, bytes); }, [this] { return m_relays; }, [this, added] { return askersOf(*added); } });
         m_daemons.push_back(std::move(daemon));
     }
@@ -152,7 +152,7 @@
     }
 
     std::vector<std::unique_ptr<Daemon>> m_daemons;
-    std::vector<CrashExchange::Peer> m_peers;
+    std::vector<FleetPeer> m_peers;
     std::vector<VMId> m_relays;
     std::vector<Message> m_messages;
     double m_loss;
--- a/Tests/LibRouting/TestLedgerExchange.cpp
+++ b/Tests/LibRouting/TestLedgerExchange.cpp
@@ -43,16 +43,17 @@
         hooks.forecast = [this](UpstreamId) { return UpstreamForecast { forecast, hold }; };
         auto& daemon = m_daemons[VMId(number)];
         daemon = std::make_unique<LedgerExchange>(m_peers[number - 1], LedgerExchange::Bounds {}, hooks);
-        daemon->setPeers(m_peers, false);
+        daemon->setPeers(m_peers, {});
     }
 
     void makeRelays(std::set<size_t> const& relays)
     {
         run(Milliseconds(5));
-        for (auto& peer : m_peers)
-            peer.isRelay = relays.contains(peer.id.value());
+        std::vector<VMId> ids;
+        for (auto const relay : relays)
+            ids.emplace_back(relay);
         for (auto const& [id, each] : m_daemons)
-            each->setPeers(m_peers, relays.contains(id.value()));
+            each->setPeers(m_peers, ids);
     }
 
     LedgerExchange& daemon(size_t number) { return *m_daemons.at(VMId(number)); }
@@ -127,7 +128,7 @@
 
     double m_loss;
     std::mt19937_64 m_random { 1 };
-    std::vector<LedgerExchange::Peer> m_peers;
+    std::vector<FleetPeer> m_peers;
     std::map<VMId, std::unique_ptr<LedgerExchange>> m_daemons;
     std::vector<Message> m_messages;
 };
--- a/Tests/LoadPatterns/StreamFleet.cpp
+++ b/Tests/LoadPatterns/StreamFleet.cpp
@@ -143,11 +143,11 @@
     hooks.send = [this, daemon](VMId to, std::string const& bytes) { post(m_now, { daemon, to.value() - 1, bytes }); };
     hooks.forecast = [this, daemon](UpstreamId upstream) { return m_daemons[daemon].placement->forecast(upstream, at(m_now)); };
     auto& ledger = m_daemons[daemon].ledger;
-    ledger = std::make_unique<LedgerExchange>(LedgerExchange::Peer { VMId(daemon + 1), HallId(1) }, LedgerExchange::Bounds {}, hooks);
-    std::vector<LedgerExchange::Peer> peers;
+    ledger = std::make_unique<LedgerExchange>(FleetPeer { VMId(daemon + 1), HallId(1) }, LedgerExchange::Bounds {}, hooks);
+    std::vector<FleetPeer> peers;
     for (size_t number = 0; number < m_daemons.size(); ++number)
         peers.push_back({ VMId(number + 1), HallId(1) });
-    ledger->setPeers(std::move(peers), false);
+    ledger->setPeers(std::move(peers), {});
 }
 
 void StreamFleet::post(double now, Message message)
