stagepostd: Log the verdict that a refused caller is told

The line of a request that ends its upstreams said not-run, which is true of the attempt, while its caller is told may-have-run, since attempts before it ran: an engineer with the line alone would have told the caller the wrong thing. Lines of refusals have the refusal's verdict now. And what concerns all suspects is worked out for new askers only, not at each of 20 ticks a second.

--- a/Libraries/LibRouting/CrashExchange.cpp
+++ b/Libraries/LibRouting/CrashExchange.cpp
@@ -4,6 +4,7 @@
 #include <LibBase/MessageReader.h>
 #include <LibBase/MessageWriter.h>
 #include <algorithm>
+#include <utility>
 
 namespace Stagepost {
 
@@ -191,14 +192,17 @@
 // A daemon that is back from a cut asks a relay again.
 void CrashExchange::tellNewcomers(Instant now)
 {
-    auto askers = m_hooks.askers();
+    auto const askers = m_hooks.askers();
+    auto const known = std::exchange(m_knownAskers, askers);
+    std::vector<VMId> newcomers;
+    std::copy_if(askers.begin(), askers.end(), std::back_inserter(newcomers), [&known](auto asker) { return std::find(known.begin(), known.end(), asker) == known.end(); });
+    if (newcomers.empty())
+        return;
     auto const suspects = whatConcernsAll();
-    for (auto const asker : askers) {
-        bool const isNew = std::find(m_knownAskers.begin(), m_knownAskers.end(), asker) == m_knownAskers.end();
-        if (isNew && !suspects.empty())
-            send(asker, suspects, now);
+    for (auto const newcomer : newcomers) {
+        if (!suspects.empty())
+            send(newcomer, suspects, now);
     }
-    m_knownAskers = std::move(askers);
 }
 
 // Without it one that starts again under its name is told only when something is due: it ended a
--- a/Services/stagepostd/GatewayFlow.cpp
+++ b/Services/stagepostd/GatewayFlow.cpp
@@ -134,7 +134,7 @@
     if (m_exchange->isCallerGone()) {
         noteNotInFlight();
         m_services.metrics.countRefusal({ RefusalReason::CallerGone, m_attempts.verdict(), "the caller left before its request was sent", {} });
-        log("caller-gone", {}, nameOf(RefusalReason::CallerGone));
+        log("caller-gone", {}, nameOf(RefusalReason::CallerGone), m_attempts.verdict());
         return;
     }
     if (!maySend()) {
@@ -329,7 +329,7 @@
         if (m_services.crashes.hasSuspects() && result.status < firstServerError)
             m_services.crashes.answered(fingerprint());
         m_services.metrics.count("stagepost_answers_total");
-        log("answered", result, "none");
+        log("answered", result, "none", m_attempts.verdict());
         return;
     }
     if (result.failure == RefusalReason::UpstreamBroken && result.verdict == Verdict::MayHaveRun)
@@ -341,7 +341,7 @@
     attempt.reachedLimit = result.reachedLimit;
     attempt.isCallerLost = isCallerLost(result);
     if (m_attempts.failed(upstream, attempt, m_services.loop.now())) {
-        log("sent-again", result, nameOf(*result.failure));
+        log("sent-again", result, nameOf(*result.failure), m_attempts.verdict());
         m_services.metrics.countRetry(nameOf(*result.failure));
         m_lastFailure = Refusal { *result.failure, m_attempts.verdict(), result.detail, m_attempts.timeToComeBack() };
         place();
@@ -358,7 +358,7 @@
         return;
     }
     m_services.metrics.countRefusal({ *result.failure, m_attempts.verdict(), result.detail, {} });
-    log(isCallerGone ? "caller-gone" : "cut", result, nameOf(*result.failure));
+    log(isCallerGone ? "caller-gone" : "cut", result, nameOf(*result.failure), m_attempts.verdict());
     m_exchange->abandon();
 }
 
@@ -369,11 +369,11 @@
     none.detail = refusal.detail;
     none.status = gatewayStatusOf(refusal);
     if (m_progress && m_progress->isHeadSent) {
-        log("cut", none, nameOf(refusal.reason));
+        log("cut", none, nameOf(refusal.reason), refusal.verdict);
         m_exchange->abandon();
         return;
     }
-    log("refused", none, nameOf(refusal.reason));
+    log("refused", none, nameOf(refusal.reason), refusal.verdict);
     m_exchange->respond(gatewayReply(refusal));
 }
 
@@ -385,11 +385,11 @@
     return *m_fingerprint;
 }
 
-void GatewayFlow::log(std::string_view outcome, ForwardResult const& result, std::string_view reason) const
+void GatewayFlow::log(std::string_view outcome, ForwardResult const& result, std::string_view reason, Verdict verdict) const
 {
     auto const now = m_services.loop.now();
     logEvent(LogLevel::Info, "request",
-        { { "id", m_request.call.id }, { "request", outcome == "answered" ? "" : hexOf(fingerprint().value()) }, { "outcome", outcome }, { "reason", reason }, { "verdict", nameOf(m_attempts.verdict()) },
+        { { "id", m_request.call.id }, { "request", outcome == "answered" ? "" : hexOf(fingerprint().value()) }, { "outcome", outcome }, { "reason", reason }, { "verdict", nameOf(verdict) },
             { "status", result.status }, { "route", m_request.route->name }, { "service", m_request.service },
             { "organisation", m_request.organisation }, { "context", hexOf(m_request.call.prompt.sharedKey().value_or(0)) },
             { "upstream", m_instance }, { "context_source", m_contextSource }, { "placed_by", nameOf(m_placement.rule) }, { "counts_age_ms", m_placement.countsAge.count() / 1000 }, { "hold_ms", m_placement.hold.count() / 1000 }, { "owners_asked", m_placement.asks }, { "sends", m_attempts.sends() },
--- a/Services/stagepostd/GatewayFlow.h
+++ b/Services/stagepostd/GatewayFlow.h
@@ -79,7 +79,8 @@
     void giveUp(ForwardResult const&);
     void refuse(Refusal const&);
     RequestFingerprint fingerprint() const;
-    void log(std::string_view outcome, ForwardResult const&, std::string_view reason) const;
+    // The verdict is the one that the caller is told, or would be.
+    void log(std::string_view outcome, ForwardResult const&, std::string_view reason, Verdict) const;
 
     GatewayServices const& m_services;
     std::shared_ptr<Exchange> m_exchange;
--- a/Tests/Processes/test_crashing_requests.py
+++ b/Tests/Processes/test_crashing_requests.py
@@ -106,6 +106,10 @@
         self.assertEqual((last.status, last.headers["Retry-After"]), (502, None))
         self.assertEqual((last.error()["reason"], last.error()["verdict"]), ("ends-upstreams", "may-have-run"))
         self.assertGreater(innocents.count(200), 0.97 * len(innocents))
+        # The log says what the caller is told.
+        refused = [line for entry in self.entries for line in entry.lines if "reason=ends-upstreams" in line]
+        self.assertTrue(refused)
+        self.assertEqual([line for line in refused if "verdict=may-have-run" not in line], [])
 
     def test_a_request_that_may_not_be_repeated_is_stopped(self):
         self.check_stopped("/confirm/x", 4)
