LibSettings: Go on from no offset of the log before its return

A daemon that had begun to read the log anew took a peer's settings together with the peer's offset, which was of the log before: it went on beyond the end, and what was published below that was never read. After a return others' settings count by their revision alone. AfterALossOffsetsOfOthersCountForNothing; the fault was found by reading.

--- a/Libraries/LibSettings/PublicationReader.cpp
+++ b/Libraries/LibSettings/PublicationReader.cpp
@@ -63,6 +63,14 @@
 
 bool PublicationReader::adopt(AcceptedSettings const& peer)
 {
+    // Going on from an offset of the log before would pass over what stands below it now.
+    if (m_hasReadAgain && m_accepted) {
+        if (peer.revision <= m_accepted->revision)
+            return false;
+        m_accepted = peer;
+        m_accepted->upTo = m_position;
+        return true;
+    }
     if (m_accepted && peer.upTo <= m_position)
         return false;
     if (m_accepted && peer.revision < m_accepted->revision)
@@ -79,6 +87,7 @@
     m_unplaced.clear();
     m_position = first;
     m_runStart = first;
+    m_hasReadAgain = true;
 }
 
 void PublicationReader::skipTo(Offset offset)
--- a/Libraries/LibSettings/PublicationReader.h
+++ b/Libraries/LibSettings/PublicationReader.h
@@ -72,6 +72,8 @@
 
     ValidHook m_isValid;
     Offset m_position;
+    // Offsets of others may be of the log before.
+    bool m_hasReadAgain { false };
     // The first offset of the run without a gap that has been read.
     Offset m_runStart;
     // Changes of that run that were read before any snapshot gave them a base.
--- a/Tests/LibSettings/TestPublicationReader.cpp
+++ b/Tests/LibSettings/TestPublicationReader.cpp
@@ -157,4 +157,23 @@
     }));
 }
 
+// The log came back from a copy: offsets of those who have not seen it are of another log.
+BOOST_AUTO_TEST_CASE(AfterALossOffsetsOfOthersCountForNothing)
+{
+    auto reader = makeReader();
+    reader.startAtBeginning();
+    reader.take(Offset(0), change(0, "one"));
+    reader.readAgainFrom(Offset(0));
+    BOOST_TEST((reader.accepted()->toml == "one"));
+    AcceptedSettings peer { Revision(1), Offset(9), "one", "me", "n" };
+    BOOST_TEST(!reader.adopt(peer));
+    peer.revision = Revision(2);
+    peer.toml = "two";
+    BOOST_TEST(reader.adopt(peer));
+    BOOST_TEST(reader.position().value() == 0u);
+    // What stands at an offset that was read before.
+    BOOST_TEST((reader.take(Offset(0), change(2, "three")) == Outcome::Accepted));
+    BOOST_TEST(reader.accepted()->toml == "three");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
