LibRouting: Ask no owner about a trial

An upstream that stopped answering gets one request as a trial. Choosing whom to ask took the trial; where no owner answered, as in a hall that is cut off, the request went elsewhere, and the trial stayed taken for a minute, in which this daemon left the upstream out though it was back. A request that is a trial is placed without asking now. Found by reading; NoOwnerIsAskedAboutATrial.

--- a/Libraries/LibRouting/CircuitBreaker.h
+++ b/Libraries/LibRouting/CircuitBreaker.h
@@ -19,6 +19,8 @@
     // Whether a request may go now; a true answer in the half-open state takes the
     // one trial.
     bool allows(Instant now);
+    // Whether the one trial may be taken now.
+    bool isTrialDue(Instant now) const { return m_state != State::Closed && now >= m_openUntil; }
     // Until when it is open, from now; zero when it is not.
     Microseconds remaining(Instant now) const;
 
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -219,21 +219,33 @@
     return result.empty() ? all : result;
 }
 
+// Those that answer, or all where none does: then the fault may be the network's.
+std::vector<ServicePlacement::Upstream*> ServicePlacement::answering(std::vector<Upstream*> const& usable, Instant now) const
+{
+    std::vector<Upstream*> result;
+    std::copy_if(usable.begin(), usable.end(), std::back_inserter(result), [](auto const* upstream) { return upstream->health.isClosed(); });
+    return sound(result.empty() ? usable : result, now);
+}
+
+// Upstreams that stopped answering get one request each once their pause is over. A
+// request that has failed already is no trial: where many upstreams are gone, it would
+// go from one to the next.
+ServicePlacement::Upstream* ServicePlacement::trialFor(Wish const& wish, std::vector<Upstream*> const& usable, Instant now) const
+{
+    bool const doesAnyAnswer = std::any_of(usable.begin(), usable.end(), [](auto const* upstream) { return upstream->health.isClosed(); });
+    if (!wish.excluded.empty() && doesAnyAnswer)
+        return nullptr;
+    auto const found = std::find_if(usable.begin(), usable.end(), [&](auto const* upstream) { return upstream->health.isTrialDue(now, wish.isRepeatable); });
+    return found == usable.end() ? nullptr : *found;
+}
+
 std::vector<ServicePlacement::Upstream*> ServicePlacement::candidates(Wish const& wish, Instant now)
 {
     auto const usable = reachable(staying(wish), now);
-    std::vector<Upstream*> answering;
-    std::copy_if(usable.begin(), usable.end(), std::back_inserter(answering), [](auto const* upstream) { return upstream->health.isClosed(); });
-    // Upstreams that stopped answering get one request each once their pause is
-    // over. When all of them have, the fault may be the network's: try any. A
-    // request that has failed already is no trial: where many upstreams are gone,
-    // it would go from one to the next.
-    bool const mayBeTrial = wish.excluded.empty() || answering.empty();
-    for (auto* upstream : usable) {
-        if (mayBeTrial && !upstream->health.isClosed() && upstream->health.allows(now, wish.isRepeatable))
-            return { upstream };
-    }
-    return sound(answering.empty() ? usable : answering, now);
+    auto* trial = trialFor(wish, usable, now);
+    if (trial && trial->health.allows(now, wish.isRepeatable))
+        return { trial };
+    return answering(usable, now);
 }
 
 // Never leaves fewer than half: where most of a service fails, it is the service
@@ -308,9 +320,11 @@
 
 std::vector<LedgerExchange::Candidate> ServicePlacement::candidatesForOwners(Wish const& wish, Instant now)
 {
-    auto usable = candidates(wish, now);
-    if (usable.empty() || !wish.context)
+    auto const reached = reachable(staying(wish), now);
+    // An owner that does not answer would keep the trial from being made.
+    if (!wish.context || reached.empty() || trialFor(wish, reached, now))
         return {};
+    auto usable = answering(reached, now);
     auto const count = std::min(mostOwnersAsked, usable.size());
     std::partial_sort(usable.begin(), usable.begin() + static_cast<ptrdiff_t>(count), usable.end(), [context = *wish.context](auto const* one, auto const* other) {
         return rendezvousRank(context, one->facts.id.value()) > rendezvousRank(context, other->facts.id.value());
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -91,7 +91,8 @@
     std::optional<Choice> choose(Wish const&, Instant now);
 
     // What upstreams' owners are asked about a request with a context: the first of its
-    // order, and up to how much each may hold to take it.
+    // order, and up to how much each may hold to take it. None where it is to try an upstream
+    // that did not answer, or where there is none: choose() decides then.
     std::vector<LedgerExchange::Candidate> candidatesForOwners(Wish const&, Instant now);
     // The choice that their answers made; none where the upstream is gone by now.
     std::optional<Choice> chosenByOwners(Wish const&, LedgerExchange::Outcome const&, Instant now) const;
@@ -134,6 +135,8 @@
 
     std::vector<Upstream*> staying(Wish const&);
     std::vector<Upstream*> candidates(Wish const&, Instant now);
+    Upstream* trialFor(Wish const&, std::vector<Upstream*> const& usable, Instant now) const;
+    std::vector<Upstream*> answering(std::vector<Upstream*> const& usable, Instant now) const;
     std::vector<Upstream*> reachable(std::vector<Upstream*> const&, Instant now) const;
     std::vector<Upstream*> sound(std::vector<Upstream*> const&, Instant now) const;
     double mean(std::vector<Upstream*> const&, Instant now) const;
--- a/Libraries/LibRouting/UpstreamHealth.cpp
+++ b/Libraries/LibRouting/UpstreamHealth.cpp
@@ -39,9 +39,13 @@
 
 bool UpstreamHealth::allows(Instant now, bool isRepeatable)
 {
-    if (!m_breaker.isClosed() && !isRepeatable && !m_isTrialSafe && now - m_observedAt < pauseForOthers)
-        return false;
-    return m_breaker.allows(now);
+    return m_breaker.isClosed() || (isTrialDue(now, isRepeatable) && m_breaker.allows(now));
+}
+
+bool UpstreamHealth::isTrialDue(Instant now, bool isRepeatable) const
+{
+    bool const mayTry = isRepeatable || m_isTrialSafe || now - m_observedAt >= pauseForOthers;
+    return mayTry && m_breaker.isTrialDue(now);
 }
 
 void UpstreamHealth::succeeded(Instant now)
--- a/Libraries/LibRouting/UpstreamHealth.h
+++ b/Libraries/LibRouting/UpstreamHealth.h
@@ -23,6 +23,8 @@
     // that cannot be sent again is a trial only after a longer pause, so that
     // those that can be go first, unless connections alone have failed.
     bool allows(Instant now, bool isRepeatable);
+    // Whether it does not answer, and one request may try it now.
+    bool isTrialDue(Instant now, bool isRepeatable) const;
     void trialReturned() { m_breaker.trialReturned(); }
     bool isClosed() const { return m_breaker.isClosed(); }
 
--- a/Services/stagepostd/GatewayFlow.cpp
+++ b/Services/stagepostd/GatewayFlow.cpp
@@ -122,6 +122,10 @@
 void GatewayFlow::askOwners(ServicePlacement::Wish const& wish)
 {
     auto candidates = m_service.placement.candidatesForOwners(wish, m_services.loop.now());
+    if (candidates.empty()) {
+        placeByOwnCounts(wish);
+        return;
+    }
     m_services.peers.chooseByOwners(std::move(candidates), [self = shared_from_this()](LedgerExchange::Outcome const& outcome) {
         self->takeOwnersWord(outcome);
     });
--- a/Tests/LibRouting/TestServicePlacement.cpp
+++ b/Tests/LibRouting/TestServicePlacement.cpp
@@ -77,6 +77,25 @@
     BOOST_TEST((byShare.countsAge > Milliseconds(5000)));
 }
 
+// A trial that waits for an owner in vain would be lost, and its upstream left out for a minute.
+BOOST_AUTO_TEST_CASE(NoOwnerIsAskedAboutATrial)
+{
+    auto placement = placementOf(3);
+    auto const first = placement.choose(wishFor(5), at(1))->upstream;
+    BOOST_TEST(placement.candidatesForOwners(wishFor(5), at(1)).size() == 3u);
+    for (int request = 0; request < 2; ++request) {
+        placement.started(first);
+        placement.finished(first, SendOutcome::Broke, Milliseconds(1), Milliseconds(1), at(1));
+    }
+    // While its pause lasts the others are asked about.
+    BOOST_TEST(placement.candidatesForOwners(wishFor(5), at(1.1)).size() == 2u);
+    BOOST_TEST(placement.candidatesForOwners(wishFor(5), at(3)).empty());
+    BOOST_TEST(placement.candidatesForOwners(wishFor(5), at(3)).empty());
+    BOOST_TEST((placement.choose(wishFor(5), at(3))->upstream == first));
+    // It is under way.
+    BOOST_TEST(placement.candidatesForOwners(wishFor(5), at(3)).size() == 2u);
+}
+
 BOOST_AUTO_TEST_CASE(AHotContextSpillsAndNamesItsHolder)
 {
     auto placement = placementOf(9);
