--- a/Tests/LibRouting/TestLedgerExchange.cpp
+++ b/Tests/LibRouting/TestLedgerExchange.cpp
@@ -50,6 +50,7 @@
     {
         run(Milliseconds(5));
         std::vector<VMId> ids;
+        ids.reserve(relays.size());
         for (auto const relay : relays)
             ids.emplace_back(relay);
         for (auto const& [id, each] : m_daemons)
@@ -66,6 +67,7 @@
     Answered choose(size_t number, size_t limit, std::vector<UpstreamId> const& candidates = { upstream })
     {
         std::vector<LedgerExchange::Candidate> list;
+        list.reserve(candidates.size());
         for (auto const id : candidates)
             list.push_back({ id, north, limit });
         std::optional<Answered> answered;
