Gateway: Say when what the store had lost is not written again

A daemon that dropped an upstream two seconds after the store's return left no line about it: an engineer could not tell when it was taken out of use.

--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -389,7 +389,9 @@
 void Gateway::tick()
 {
     noteAbsence(m_absence.tick(m_loop.now(), m_server.openExchanges()));
+    auto const upstreamsBefore = m_directory.hash();
     m_directory.tick(m_loop.now());
+    noteUpstreams("not-written-again", upstreamsBefore);
     m_crashes.tick();
     noteReadiness();
 }
