--- a/Libraries/LibOnce/ClaimGate.h
+++ b/Libraries/LibOnce/ClaimGate.h
@@ -84,8 +84,6 @@
     size_t bytes() const;
     size_t keys() const;
     uint64_t appends() const { return m_appends; }
-    // The log was seen to have come back from a copy so often.
-    void noteReturns(uint64_t returns);
 
 private:
     struct Attempt {
@@ -120,6 +118,8 @@
     void takeRead(Shard&, Result<ReadResult> const&);
     void settleSeen(Shard&, ClaimRecord const&, Offset);
     bool mayHaveLost(Shard const&, OnceKey const&) const;
+    // The log was seen to have come back from a copy so often.
+    void noteReturns(uint64_t returns);
     void tellReturn(Shard&);
     void giveUp(Shard&, Instant now);
     Refusal const* checkWindow(OnceKey const&) const;
