stagepost: Send nothing to halls that operators empty

Change: EmptiedHalls, the set of halls that are emptied, is state of its own beside the configuration, with its own proof of age, ordered by the position in the store (era and offset). A hall's reader reads it with the configuration's topic; answers and news between daemons carry all of it, a few bytes. A daemon is proven only where this is, too. Upstreams of an emptied hall count as leaving: no first sends, repeats or trials; what runs is finished, and they are named as the source of their contexts. An order that a returned store lacks holds for two seconds more.

Ruled out: carrying it inside the configuration's text (a version of its own is the operator's alone) and fetching it on differences (six names fit into each answer). A daemon that cannot prove its set serves on by the one it knows: the rule binds whoever is in touch, and refusing would help nobody.

--- a/Libraries/LibMembership/Members.h
+++ b/Libraries/LibMembership/Members.h
@@ -3,6 +3,7 @@
 // The public header of LibMembership: which daemons are there, which are leaving
 // and which halls can be reached, as one daemon knows it.
 
+#include <LibMembership/EmptiedHalls.h>
 #include <LibMembership/HallReach.h>
 #include <LibMembership/MemberState.h>
 #include <LibMembership/Membership.h>
--- a/Libraries/LibMembership/StateExchange.cpp
+++ b/Libraries/LibMembership/StateExchange.cpp
@@ -365,6 +365,10 @@
     if (isOld)
         return;
     takeRegistry(message);
+    // A daemon of a version that does not know of such orders proves nothing of them.
+    if (!message.emptiedHalls)
+        return;
+    m_hooks.beliefs.takeEmptiedHalls(*message.emptiedHalls, stamp);
     auto const own = m_hooks.beliefs.summary();
     bool const isUpToDate = message.summary.settingsVersion <= own.settingsVersion && message.summary.upstreamsHash == own.upstreamsHash;
     if (isUpToDate)
@@ -408,6 +412,8 @@
 
 void StateExchange::takeNews(VMId from, StateMessage const& message)
 {
+    if (message.emptiedHalls)
+        m_hooks.beliefs.takeEmptiedHalls(*message.emptiedHalls, {});
     if (message.summary.settingsVersion > m_hooks.beliefs.summary().settingsVersion)
         m_hooks.differs(from, message.summary, {});
 }
@@ -429,14 +435,14 @@
         return;
     auto const summary = m_hooks.beliefs.summary();
     for (auto const& [to, ask] : answers) {
-        StateMessage const message { StateMessage::Kind::Answer, ask.stamp, ask.askingProcess, summary, {}, {}, m_hooks.beliefs.changesSince(ask.summary.upstreamsHash), m_hooks.beliefs.registrySince(ask.summary.registryVersion) };
+        StateMessage const message { StateMessage::Kind::Answer, ask.stamp, ask.askingProcess, summary, {}, {}, m_hooks.beliefs.changesSince(ask.summary.upstreamsHash), m_hooks.beliefs.registrySince(ask.summary.registryVersion), m_hooks.beliefs.emptiedHalls() };
         m_hooks.send(to, message.encode());
     }
 }
 
 void StateExchange::changed(Instant)
 {
-    StateMessage const message { StateMessage::Kind::News, 0, 0, m_hooks.beliefs.summary(), {}, {}, {}, {} };
+    StateMessage const message { StateMessage::Kind::News, 0, 0, m_hooks.beliefs.summary(), {}, {}, {}, {}, m_hooks.beliefs.emptiedHalls() };
     auto const encoded = message.encode();
     for (auto const& [id, askedAt] : m_askers)
         m_hooks.send(id, encoded);
--- a/Libraries/LibMembership/StateExchange.h
+++ b/Libraries/LibMembership/StateExchange.h
@@ -68,6 +68,10 @@
         std::function<std::optional<std::vector<RegistryRecord>>(uint64_t version)> registrySince;
         // Changes the own list of daemons, which is older, to that version.
         std::function<void(std::vector<RegistryRecord> const&, uint64_t version)> applyRegistry;
+        // Which halls operators empty.
+        std::function<EmptiedHallsState()> emptiedHalls { [] { return EmptiedHallsState {}; } };
+        // What another daemon knows of that, proven as of the time or not at all.
+        std::function<void(EmptiedHallsState const&, std::optional<Instant> provenAt)> takeEmptiedHalls { [](auto const&, auto const&) {} };
         // The upstreams of the list with that hash, in its order, if it is known.
         LoadSums::ListHook upstreamsOf;
         std::function<std::vector<UpstreamInFlight>()> ownInFlight;
--- a/Libraries/LibMembership/StateMessage.cpp
+++ b/Libraries/LibMembership/StateMessage.cpp
@@ -18,6 +18,24 @@
         }
     }
 
+    void write(MessageWriter& writer, EmptiedHallsState const& emptied)
+    {
+        writer.number(emptied.position);
+        writer.number(emptied.halls.size());
+        for (auto const& hall : emptied.halls)
+            writer.text(hall);
+    }
+
+    EmptiedHallsState readEmptiedHalls(MessageReader& reader)
+    {
+        EmptiedHallsState emptied;
+        emptied.position = reader.number();
+        auto const count = reader.count();
+        for (size_t index = 0; index < count && !reader.failed(); ++index)
+            emptied.halls.insert(reader.text());
+        return emptied;
+    }
+
     std::vector<RegistryRecord> readRegistryRecords(MessageReader& reader)
     {
         std::vector<RegistryRecord> records;
@@ -54,6 +72,8 @@
     writer.number(registryChanges ? 1 : 0);
     if (registryChanges)
         write(writer, *registryChanges);
+    if (emptiedHalls)
+        write(writer, *emptiedHalls);
     return writer.release();
 }
 
@@ -79,6 +99,8 @@
     }
     if (reader.number())
         message.registryChanges = readRegistryRecords(reader);
+    if (!reader.finished())
+        message.emptiedHalls = readEmptiedHalls(reader);
     if (!reader.finished() || kind > static_cast<uint64_t>(Kind::OthersLoads))
         return Error(ErrorCode::Malformed, "a state message is not understood");
     return message;
--- a/Libraries/LibMembership/StateMessage.h
+++ b/Libraries/LibMembership/StateMessage.h
@@ -3,6 +3,7 @@
 #include <LibBase/Ids.h>
 #include <LibBase/Result.h>
 #include <LibBase/Time.h>
+#include <LibMembership/EmptiedHalls.h>
 #include <LibMembership/RegistryHistory.h>
 #include <LibMembership/UpstreamRecord.h>
 #include <optional>
@@ -63,6 +64,9 @@
     // In an answer: what leads from the asker's version of the registry to the
     // summary's, where that is known and little. One without it has to be read.
     std::optional<std::vector<RegistryRecord>> registryChanges;
+    // In an answer and in news: which halls operators empty. None from a daemon of a
+    // version that does not know of them.
+    std::optional<EmptiedHallsState> emptiedHalls {};
 
     std::string encode() const;
     // Error: Malformed.
--- a/Meta/model-check.sh
+++ b/Meta/model-check.sh
@@ -59,6 +59,10 @@
 for variant in OFFSET_ALONE TAKE_COPY TELL_OFFSET; do
     check storereturn refuted StoreReturn assertions "$variant" &
 done
+check emptiedhalls holds EmptiedHalls assertions &
+for variant in BY_ARRIVAL GRANT_OUTLIVES AGE_ON_ARRIVAL; do
+    check emptiedhalls refuted EmptiedHalls assertions "$variant" &
+done
 results=0
 for job in $(jobs -p); do
     wait "$job" || results=1
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -51,6 +51,7 @@
     , m_suspects(VMId::fromName(m_options.name))
     , m_board({ m_options.hall, m_options.placement, m_options.retries }, m_random, [this](Endpoint const& upstream) { m_server.dropIdleConnections(upstream); })
     , m_directory(m_options.directory, [this](UpstreamChange const& change) { applyUpstream(change); })
+    , m_emptiedHalls({ m_options.directory.returnGrace }, [this](HallOrder const& order) { applyHallOrder(order); })
     , m_peers(loop, m_metrics, m_options.exchange, m_suspects, m_random, peerHooks())
     , m_portProbe(loop)
     , m_crashes(loop, m_metrics, m_suspects, crashHooks())
@@ -75,6 +76,8 @@
     hooks.beliefs.applyChanges = [this](auto const& changes, Instant provenAt) { applyChanges("changes", changes, provenAt); };
     hooks.beliefs.registrySince = m_registry.since;
     hooks.beliefs.applyRegistry = m_registry.take;
+    hooks.beliefs.emptiedHalls = [this] { return m_emptiedHalls.state(); };
+    hooks.beliefs.takeEmptiedHalls = [this](auto const& told, std::optional<Instant> provenAt) { takeToldHalls(told, provenAt); };
     hooks.beliefs.upstreamsOf = [this](uint64_t hash) { return m_directory.listAt(hash); };
     hooks.beliefs.ownInFlight = [this] { return ownInFlight(); };
     hooks.beliefs.othersInFlight = [this](auto const& others, Microseconds age) { takeOthersInFlight(others, age); };
@@ -107,6 +110,35 @@
         m_crashes.restarted(*before);
 }
 
+void Gateway::applyHallOrder(HallOrder const& order)
+{
+    m_board.setEmptied(HallId::fromName(order.hall), order.isEmptied);
+    m_metrics.setGauge("stagepost_emptied_halls", static_cast<double>(m_emptiedHalls.state().halls.size()));
+    logEvent(LogLevel::Info, order.isEmptied ? "hall-emptied" : "hall-taken-back",
+        { { "hall", order.hall }, { "position", m_emptiedHalls.state().position }, { "age_ms", m_emptiedHalls.age().age(m_loop.now()).value_or(Microseconds(0)).count() / 1000 } });
+}
+
+void Gateway::takeHallOrders(std::vector<HallOrder> const& orders, bool isWhole, Instant readSentAt, uint64_t position, bool isAfterReturn)
+{
+    auto const before = m_emptiedHalls.state().halls;
+    if (isAfterReturn)
+        m_emptiedHalls.replaceAfterReturn(orders, position, readSentAt);
+    else if (isWhole)
+        m_emptiedHalls.replace(orders, position, readSentAt);
+    else
+        m_emptiedHalls.apply(orders, position, readSentAt);
+    if (before != m_emptiedHalls.state().halls)
+        m_peers.changed(m_loop.now());
+}
+
+void Gateway::takeToldHalls(EmptiedHallsState const& told, std::optional<Instant> provenAt)
+{
+    auto const before = m_emptiedHalls.state().halls;
+    m_emptiedHalls.takeTold(told, provenAt);
+    if (before != m_emptiedHalls.state().halls)
+        m_peers.changed(m_loop.now());
+}
+
 Result<void> Gateway::start()
 {
     m_callerEndpoint = TRY(m_server.listen(m_options.listen));
@@ -260,9 +292,10 @@
 {
     auto const settings = m_tableAge.provenAt();
     auto const upstreams = m_directory.age().provenAt();
-    if (!settings || !upstreams)
+    auto const halls = m_emptiedHalls.age().provenAt();
+    if (!settings || !upstreams || !halls)
         return {};
-    return std::min(*settings, *upstreams);
+    return std::min({ *settings, *upstreams, *halls });
 }
 
 void Gateway::confirmed(Instant provenAt)
@@ -270,6 +303,7 @@
     m_directory.confirm(provenAt);
     m_directory.confirmWhole();
     m_tableAge.confirm(provenAt);
+    m_emptiedHalls.confirm(provenAt);
     // What the store had more than was known here is no newer configuration.
     if (m_storeIsAheadSince && provenAt >= *m_storeIsAheadSince)
         m_storeIsAheadSince.reset();
@@ -391,6 +425,7 @@
     noteAbsence(m_absence.tick(m_loop.now(), m_server.openExchanges()));
     auto const upstreamsBefore = m_directory.hash();
     m_directory.tick(m_loop.now());
+    m_emptiedHalls.tick(m_loop.now());
     noteUpstreams("not-written-again", upstreamsBefore);
     m_crashes.tick();
     noteReadiness();
@@ -437,6 +472,7 @@
     m_metrics.setGauge("stagepost_owner_asks_unanswered", static_cast<double>(m_peers.unansweredAsks()));
     m_metrics.setGauge("stagepost_control_messages_sent", static_cast<double>(m_peers.messagesSent()));
     m_metrics.setGauge("stagepost_settings_age_seconds", m_tableAge.isKnown() ? asSeconds(settingsAge()) : -1);
+    m_metrics.setGauge("stagepost_emptied_halls_age_seconds", m_emptiedHalls.age().isKnown() ? asSeconds(*m_emptiedHalls.age().age(m_loop.now())) : -1);
     m_metrics.setGauge("stagepost_ready", isReady() ? 1 : 0);
     return textReply(200, m_metrics.render());
 }
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibMembership/EmptiedHalls.h>
 #include <LibMembership/UpstreamDirectory.h>
 #include <LibProxy/HttpServer.h>
 #include <LibProxy/Timer.h>
@@ -32,6 +33,11 @@
     // The position is where the platform's records go on, or 0.
     void takeSettings(std::optional<std::string> text, Instant readSentAt, uint64_t position = 0);
 
+    // The orders to empty halls that a read of the store added, or all that there are, and up
+    // to where they are known. After the return of a store that has lost its last seconds,
+    // what is missing may come back.
+    void takeHallOrders(std::vector<HallOrder> const&, bool isWhole, Instant readSentAt, uint64_t position, bool isAfterReturn);
+
     // The changes since the last read, or all upstreams that there are. False where
     // other daemons have proven newer ones meanwhile: the read is not taken, and all
     // have to be read anew.
@@ -51,9 +57,9 @@
     bool needsSettingsRecords() const { return m_peers.isReader() || isSettingsOverdue(); }
     // The store has records behind the position that were not read.
     void noteNewerSettings();
-    // Where the platform's records go on behind the configuration in force; 0 where that
-    // is not known.
-    uint64_t settingsPosition() const { return m_settingsPosition; }
+    // Where the platform's records go on behind the configuration in force and the orders
+    // that are known; 0 where that is not known.
+    uint64_t settingsPosition() const { return std::min(m_settingsPosition, m_emptiedHalls.state().position); }
     // Whether this daemon is to read the registry now, or others tell it.
     bool needsRegistry() const { return m_peers.needsRegistry(m_loop.now()); }
     // Begins to speak with other daemons, and takes who they are.
@@ -75,6 +81,8 @@
     CrashWatch::Hooks crashHooks();
     UpstreamForecast forecast(UpstreamId);
     void applyUpstream(UpstreamChange const&);
+    void applyHallOrder(HallOrder const&);
+    void takeToldHalls(EmptiedHallsState const&, std::optional<Instant> provenAt);
     void handle(std::shared_ptr<Exchange> const&);
     void handleReady(Exchange&);
     std::variant<RoutedRequest, Refusal> route(HttpCall const&) const;
@@ -130,6 +138,7 @@
     CrashSuspects m_suspects;
     ServiceBoard m_board;
     UpstreamDirectory m_directory;
+    EmptiedHalls m_emptiedHalls;
     GatewayPeers m_peers;
     PortProbe m_portProbe;
     CrashWatch m_crashes;
--- a/Services/stagepostd/ServiceBoard.cpp
+++ b/Services/stagepostd/ServiceBoard.cpp
@@ -38,8 +38,26 @@
     auto const id = record.id();
     auto const hall = HallId::fromName(record.hall);
     m_ids[record.instance] = id;
-    m_targets[id] = { record.instance, std::move(*endpoint), record.service, hall };
-    service(record.service).placement.putUpstream({ id, record.hall == m_bounds.hall, record.slots, record.isLeaving, hall });
+    auto const& target = m_targets[id] = { record.instance, std::move(*endpoint), record.service, hall, record.slots, record.isLeaving };
+    place(id, target);
+}
+
+void ServiceBoard::place(UpstreamId id, Target const& target)
+{
+    bool const getsNothing = target.isLeaving || m_emptiedHalls.contains(target.hall);
+    service(target.service).placement.putUpstream({ id, target.hall == HallId::fromName(m_bounds.hall), target.slots, getsNothing, target.hall });
+}
+
+void ServiceBoard::setEmptied(HallId hall, bool isEmptied)
+{
+    if (isEmptied)
+        m_emptiedHalls.insert(hall);
+    else
+        m_emptiedHalls.erase(hall);
+    for (auto const& [id, target] : m_targets) {
+        if (target.hall == hall)
+            place(id, target);
+    }
 }
 
 // An earlier start of the same upstream, or the same one in another service.
--- a/Services/stagepostd/ServiceBoard.h
+++ b/Services/stagepostd/ServiceBoard.h
@@ -7,6 +7,7 @@
 #include <LibRouting/ServicePlacement.h>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace Stagepost {
 
@@ -35,6 +36,9 @@
         Endpoint endpoint;
         std::string service;
         HallId hall;
+        // What its record says of it.
+        size_t slots { 1 };
+        bool isLeaving { false };
     };
 
     ServiceBoard(Bounds bounds, RandomHook random, Dropped dropped)
@@ -47,6 +51,10 @@
     // Takes over that an upstream is there now, has changed or is gone.
     void apply(UpstreamChange const&);
 
+    // Operators empty that hall, or take that back: its upstreams get nothing further
+    // meanwhile, and still give the contexts that they hold.
+    void setEmptied(HallId, bool isEmptied);
+
     // This daemon's part of what the fleet may spend on retries, from 0 to 1.
     void setRetryShare(double);
 
@@ -62,6 +70,7 @@
 
 private:
     void remove(std::string const& instance);
+    void place(UpstreamId, Target const&);
     void removeOthers(UpstreamRecord const&);
 
     Bounds m_bounds;
@@ -71,6 +80,7 @@
     SilenceWatch m_silence;
     std::map<std::string, std::unique_ptr<Entry>> m_services;
     std::map<UpstreamId, Target> m_targets;
+    std::set<HallId> m_emptiedHalls;
     // Which start of each upstream is a target.
     std::map<std::string, UpstreamId> m_ids;
 };
--- a/Tests/LibMembership/TestStateExchange.cpp
+++ b/Tests/LibMembership/TestStateExchange.cpp
@@ -589,9 +589,18 @@
     exchange.setPeers({ { VMId(2), HallId(1) } });
     Instant const now { Seconds(100) };
     StateMessage answer { StateMessage::Kind::Answer, 99000000, 41, { 1, 1 }, {}, {}, {}, {} };
+    answer.emptiedHalls.emplace();
     BOOST_TEST(exchange.receive(VMId(2), answer.encode(), now).has_value());
     BOOST_TEST(!provenAt.has_value());
     answer.askingProcess = 42;
+    // A version that knows no orders to empty halls cannot prove that there are none.
+    auto const ofEarlierVersion = [&] {
+        auto earlier = answer;
+        earlier.emptiedHalls.reset();
+        return earlier.encode();
+    }();
+    BOOST_TEST(exchange.receive(VMId(2), ofEarlierVersion, now).has_value());
+    BOOST_TEST(!provenAt.has_value());
     BOOST_TEST(exchange.receive(VMId(2), answer.encode(), now).has_value());
     BOOST_TEST((*provenAt == Instant(Seconds(99))));
 }
--- a/Tests/platform/TestPlatformReaders.cpp
+++ b/Tests/platform/TestPlatformReaders.cpp
@@ -76,6 +76,7 @@
         bool isFirst = true;
         Timer reads(loop);
         reads.every(Milliseconds(20), [&] {
+            reading.takeHallOrders({}, isFirst, loop.now(), 1, false);
             reading.takeSettings(settings.dump(), loop.now());
             reading.takeUpstreams({ { "i-1", record } }, isFirst, loop.now());
             isFirst = false;
