--- a/Libraries/LibMembership/UpstreamRecord.cpp
+++ b/Libraries/LibMembership/UpstreamRecord.cpp
@@ -9,6 +9,8 @@
     // What the number that says whether an upstream is leaving holds besides.
     constexpr uint64_t leavingFlag = 1;
     constexpr uint64_t incarnationFlag = 2;
+    // In the hash of a record of a cold upstream.
+    constexpr uint64_t coldMark = 0x636f6c64;
 
 }
 
@@ -21,6 +23,8 @@
 uint64_t UpstreamRecord::hash() const
 {
     uint64_t result = slots * 2 + (isLeaving ? 1 : 0);
+    if (coldLeft.count())
+        result = mixHashes(result, coldMark);
     for (auto const* text : { &instance, &service, &address, &hall })
         result = mixHashes(result, hashOf(*text));
     return incarnation.isNull() ? result : mixHashes(result, incarnation.value());
--- a/Libraries/LibMembership/UpstreamRecord.h
+++ b/Libraries/LibMembership/UpstreamRecord.h
@@ -31,8 +31,8 @@
     UpstreamId id() const;
     bool operator==(UpstreamRecord const&) const = default;
 
-    // Differs wherever what matters to other daemons does; the time that a cold
-    // upstream still takes changes by itself and is left out.
+    // Differs wherever what matters to other daemons does: of the time that a cold upstream
+    // still takes, which changes by itself, only whether there is any.
     uint64_t hash() const;
 };
 
--- a/Libraries/LibRouting/InFlightLedger.cpp
+++ b/Libraries/LibRouting/InFlightLedger.cpp
@@ -17,6 +17,9 @@
     // An owner that has just become one goes by the forecast as well, until most of what
     // was sent before has ended.
     constexpr int holdsUntilKnown = 2;
+    // How long an asker's word that an upstream is cold counts: each ask says it again until
+    // the asker has learnt that the upstream is warm.
+    constexpr Microseconds noticeMemory { 1000000 };
 
 }
 
@@ -47,29 +50,71 @@
     return total;
 }
 
-size_t InFlightLedger::believed(UpstreamId upstream, Account const& account, Instant now) const
+size_t InFlightLedger::believed(UpstreamForecast const& forecast, Account const& account, Instant now)
 {
     auto const counted = sum(account);
-    auto const forecast = m_forecast(upstream);
     if (now - account.since > holdsUntilKnown * forecast.hold)
         return counted;
     return std::max(counted, static_cast<size_t>(std::llround(forecast.inFlight)));
 }
 
-LedgerVerdict InFlightLedger::ask(VMId from, UpstreamId upstream, size_t ownInFlight, size_t limit, Instant now)
+LedgerVerdict InFlightLedger::ask(VMId from, LedgerAsk const& ask, OwnerRank rank, Instant now)
 {
-    told(from, upstream, ownInFlight, now);
-    auto& account = m_accounts.at(upstream);
-    auto const count = believed(upstream, account, now);
-    LedgerVerdict const verdict { count < limit, count };
-    if (verdict.isGranted)
-        account.shares[from] = { ownInFlight + 1, now };
+    told(from, ask.upstream, ask.ownInFlight, now);
+    auto& account = m_accounts.at(ask.upstream);
+    if (ask.cold)
+        noteCold(account, *ask.cold, now);
+    auto const forecast = m_forecast(ask.upstream);
+    auto const count = believed(forecast, account, now);
+    auto const& cold = forecast.coldBound.exists() ? forecast.coldBound : account.toldBound;
+    auto const sends = account.sends.count(coldWindow, now);
+    bool const isCold = forecast.isCold || now < account.toldColdUntil;
+    if (isCold && sends >= partOf(rank, cold))
+        return { false, count, true };
+    bool const isWithinCaution = !forecast.hasRoomForCaution || sends < cold.forCaution();
+    LedgerVerdict const verdict { count < ask.limit && isWithinCaution, count };
+    if (verdict.isGranted) {
+        account.shares[from] = { ask.ownInFlight + 1, now };
+        account.sends.add(1, cold.most(), now);
+    }
     return verdict;
 }
 
+size_t InFlightLedger::partOf(OwnerRank rank, ColdBound const& bound)
+{
+    switch (rank) {
+    case OwnerRank::First:
+        return bound.forOwner();
+    case OwnerRank::Next:
+        return bound.forNextOwner();
+    case OwnerRank::Further:
+        return 0;
+    }
+    return 0;
+}
+
+void InFlightLedger::noteCold(Account& account, ColdNotice const& notice, Instant now)
+{
+    account.toldBound = notice.bound;
+    account.toldColdUntil = std::max(account.toldColdUntil, now + std::min(notice.left, noticeMemory));
+}
+
+// More than a daemon had before and was granted since has gone without this one's word.
+void InFlightLedger::noteSends(UpstreamId upstream, Account& account, size_t sends, Instant now)
+{
+    if (!sends)
+        return;
+    auto const bound = m_forecast(upstream).coldBound;
+    account.sends.add(sends, bound.exists() ? bound.most() : account.toldBound.most(), now);
+}
+
 void InFlightLedger::told(VMId from, UpstreamId upstream, size_t ownInFlight, Instant now)
 {
-    auto& shares = account(upstream, now).shares;
+    auto& account = this->account(upstream, now);
+    auto& shares = account.shares;
+    auto const known = shares.find(from);
+    auto const before = known == shares.end() ? 0 : known->second.count;
+    noteSends(upstream, account, ownInFlight > before ? ownInFlight - before : 0, now);
     if (ownInFlight)
         shares[from] = { ownInFlight, now };
     else
--- a/Libraries/LibRouting/InFlightLedger.h
+++ b/Libraries/LibRouting/InFlightLedger.h
@@ -2,6 +2,9 @@
 
 #include <LibBase/Ids.h>
 #include <LibBase/Time.h>
+#include <LibRouting/ColdBound.h>
+#include <LibRouting/LedgerMessage.h>
+#include <LibRouting/SendWindow.h>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -14,6 +17,12 @@
     double inFlight { 0 };
     // How long requests stay.
     Microseconds hold { 0 };
+    // What the upstream takes while it is cold, and whether it is known to be.
+    ColdBound coldBound {};
+    bool isCold { false };
+    // Whether the bound leaves room for twice what upstreams of the service get: then it can
+    // be kept as well while nobody knows yet that the upstream has become cold.
+    bool hasRoomForCaution { false };
 };
 
 // What an owner says to an ask.
@@ -21,6 +30,18 @@
     bool isGranted { false };
     // What the upstream holds besides what was asked for.
     size_t count { 0 };
+    // Whether it is cold and was sent all that it can take by now: it gets nothing further,
+    // whatever the others hold.
+    bool isExhausted { false };
+};
+
+// What a daemon is to an upstream about which it is asked.
+enum class OwnerRank : uint8_t {
+    First,
+    // Another daemon may be asked as well, or may have been until now.
+    Next,
+    // At least two others go before it.
+    Further,
 };
 
 // The exact count of requests in flight at upstreams, kept by the daemon that owns them:
@@ -38,7 +59,8 @@
 
     // A daemon that has so many in flight there asks whether it may send one more: it may
     // if the upstream holds fewer than the limit. What is granted is counted at once.
-    LedgerVerdict ask(VMId from, UpstreamId, size_t ownInFlight, size_t limit, Instant now);
+    // A cold upstream gets no more than it can take, by the rank of the one who answers.
+    LedgerVerdict ask(VMId from, LedgerAsk const&, OwnerRank, Instant now);
     // A daemon has so many in flight there.
     void told(VMId from, UpstreamId, size_t ownInFlight, Instant now);
     // Drops what is too old to be true.
@@ -53,13 +75,21 @@
     };
     struct Account {
         std::map<VMId, Share> shares;
+        // Where the upstream may be cold.
+        SendWindow sends;
+        // What an asker knew before this daemon did.
+        ColdBound toldBound;
+        Instant toldColdUntil;
         // When this daemon was first asked, or told, about the upstream.
         Instant since;
         Instant heardAt;
     };
 
     Account& account(UpstreamId, Instant now);
-    size_t believed(UpstreamId, Account const&, Instant now) const;
+    static size_t believed(UpstreamForecast const&, Account const&, Instant now);
+    void noteSends(UpstreamId, Account&, size_t sends, Instant now);
+    static size_t partOf(OwnerRank, ColdBound const&);
+    static void noteCold(Account&, ColdNotice const&, Instant now);
     static size_t sum(Account const&);
 
     Forecast m_forecast;
--- a/Libraries/LibRouting/LedgerExchange.cpp
+++ b/Libraries/LibRouting/LedgerExchange.cpp
@@ -5,7 +5,7 @@
 
 namespace Stagepost {
 
-void LedgerExchange::setPeers(std::vector<FleetPeer> peers, std::vector<VMId> const& relays)
+void LedgerExchange::setPeers(std::vector<FleetPeer> peers, std::vector<VMId> const& relays, Instant now)
 {
     m_relays = std::set(relays.begin(), relays.end());
     m_peers = std::move(peers);
@@ -13,6 +13,46 @@
     std::erase_if(m_suspectedUntil, [this](auto const& suspected) {
         return std::none_of(m_peers.begin(), m_peers.end(), [&](auto const& peer) { return peer.id == suspected.first; });
     });
+    auto owners = hallsOwners();
+    if (!m_startedAt)
+        m_startedAt = now;
+    if (owners == m_hallsOwners)
+        return;
+    m_hallsOwners = std::move(owners);
+    m_ownersSince = now;
+}
+
+std::vector<std::pair<VMId, bool>> LedgerExchange::hallsOwners() const
+{
+    std::vector<std::pair<VMId, bool>> owners { { m_self.id, m_relays.contains(m_self.id) } };
+    for (auto const& peer : m_peers) {
+        if (peer.hall == m_self.hall)
+            owners.emplace_back(peer.id, m_relays.contains(peer.id));
+    }
+    std::sort(owners.begin(), owners.end());
+    return owners;
+}
+
+// While daemons come and go, each asks whom it takes for the owner by then; whoever starts
+// may know of itself alone.
+OwnerRank LedgerExchange::rankFor(UpstreamId upstream, Instant now) const
+{
+    if (!m_startedAt || now - *m_startedAt < m_bounds.ownersSettle)
+        return OwnerRank::Further;
+    auto const place = [&](std::pair<VMId, bool> const& owner) { return std::pair(!owner.second, mixHashes(upstream.value(), owner.first.value())); };
+    auto const own = place({ m_self.id, m_relays.contains(m_self.id) });
+    auto const before = std::count_if(m_hallsOwners.begin(), m_hallsOwners.end(), [&](auto const& owner) { return place(owner) > own; });
+    if (before > 1)
+        return OwnerRank::Further;
+    bool const isSettled = now - m_ownersSince >= m_bounds.ownersSettle;
+    return before == 0 && isSettled ? OwnerRank::First : OwnerRank::Next;
+}
+
+LedgerVerdict LedgerExchange::judge(VMId from, LedgerAsk const& ask, Instant now)
+{
+    auto const verdict = m_ledger.ask(from, ask, rankFor(ask.upstream, now), now);
+    m_exhaustedAsks += verdict.isExhausted ? 1 : 0;
+    return verdict;
 }
 
 // The first daemon of the upstream's hall, by an order that all agree on, that is not
@@ -96,9 +136,10 @@
     ++pending.asks;
     ++pending.ownersAsked;
     auto const own = ownAt(candidate.upstream) + askedFor(candidate.upstream) - 1;
+    LedgerAsk const ask { number, candidate.upstream, own, candidate.limit, candidate.cold };
     if (*owner == m_self.id)
-        return takeAnswer(number, m_ledger.ask(m_self.id, candidate.upstream, own, candidate.limit, now), now);
-    m_hooks.send(*owner, encodeLedgerMessage(LedgerAsk { number, candidate.upstream, own, candidate.limit }));
+        return takeAnswer(number, judge(m_self.id, ask, now), now);
+    m_hooks.send(*owner, encodeLedgerMessage(ask));
 }
 
 void LedgerExchange::takeAnswer(uint64_t number, LedgerVerdict const& verdict, Instant now)
@@ -109,7 +150,8 @@
         count(candidate.upstream, candidate.hall, pending.owner, now);
         return finish(number, { candidate.upstream, true, pending.asks });
     }
-    if (!pending.least || verdict.count < pending.leastCount) {
+    bool const isLeast = !pending.least || verdict.count < pending.leastCount;
+    if (isLeast && !verdict.isExhausted) {
         pending.least = pending.index;
         pending.leastCount = verdict.count;
     }
@@ -189,8 +231,8 @@
 {
     auto const message = TRY(decodeLedgerMessage(bytes));
     if (auto const* ask = std::get_if<LedgerAsk>(&message)) {
-        auto const verdict = m_ledger.ask(from, ask->upstream, ask->ownInFlight, ask->limit, now);
-        m_hooks.send(from, encodeLedgerMessage(LedgerAnswer { ask->number, verdict.isGranted, verdict.count }));
+        auto const verdict = judge(from, *ask, now);
+        m_hooks.send(from, encodeLedgerMessage(LedgerAnswer { ask->number, verdict.isGranted, verdict.count, verdict.isExhausted }));
         return {};
     }
     if (auto const* told = std::get_if<LedgerReport>(&message)) {
@@ -204,7 +246,7 @@
         return {};
     m_suspectedUntil.erase(from);
     m_roundTrip.add(now - found->second.askedAt);
-    takeAnswer(answer.number, { answer.isGranted, answer.count }, now);
+    takeAnswer(answer.number, { answer.isGranted, answer.count, answer.isExhausted }, now);
     return {};
 }
 
--- a/Libraries/LibRouting/LedgerExchange.h
+++ b/Libraries/LibRouting/LedgerExchange.h
@@ -35,6 +35,9 @@
         // upstreams every one of them is full until the mean is known to have risen.
         double furtherAsksPerSecond { 10 };
         double furtherAsksAtOnce { 40 };
+        // After a daemon's start, and after each change of its hall's daemons, how long others
+        // may still ask another one about the upstreams that it owns.
+        Microseconds ownersSettle { 3000000 };
         // How often what is due is looked for.
         Microseconds repeatInterval { 500000 };
     };
@@ -45,6 +48,7 @@
         HallId hall;
         // It is granted while the upstream holds fewer than these.
         size_t limit { 1 };
+        std::optional<ColdNotice> cold {};
     };
 
     struct Outcome {
@@ -73,7 +77,7 @@
     // All other daemons that are registered, and who of all are relays: those tell others' loads
     // and proofs, which takes most of what a daemon may send, and own upstreams only where a
     // hall has nobody else.
-    void setPeers(std::vector<FleetPeer>, std::vector<VMId> const& relays);
+    void setPeers(std::vector<FleetPeer>, std::vector<VMId> const& relays, Instant now);
 
     // Asks the candidates' owners, in their order, until one has room. What is granted or
     // chosen counts as in flight from then on. Calls back at once where all owners are this
@@ -91,6 +95,8 @@
     std::optional<Instant> nextTimeout() const;
 
     size_t unansweredAsks() const { return m_unansweredAsks; }
+    // Sends to cold upstreams that this daemon, as their owner, did not allow.
+    size_t exhaustedAsks() const { return m_exhaustedAsks; }
     InFlightLedger const& ledger() const { return m_ledger; }
 
 private:
@@ -118,6 +124,9 @@
     };
 
     std::optional<VMId> ownerOf(UpstreamId, HallId, Instant now) const;
+    OwnerRank rankFor(UpstreamId, Instant now) const;
+    std::vector<std::pair<VMId, bool>> hallsOwners() const;
+    LedgerVerdict judge(VMId from, LedgerAsk const&, Instant now);
     Microseconds patience() const;
     size_t ownAt(UpstreamId) const;
     size_t askedFor(UpstreamId) const;
@@ -146,6 +155,11 @@
     Instant m_creditedAt;
     Instant m_repeatedAt;
     size_t m_unansweredAsks { 0 };
+    size_t m_exhaustedAsks { 0 };
+    // Who may own upstreams of this hall, and whether as a relay; and since when it is them.
+    std::vector<std::pair<VMId, bool>> m_hallsOwners;
+    std::optional<Instant> m_startedAt;
+    Instant m_ownersSince;
 };
 
 }
--- a/Libraries/LibRouting/LedgerMessage.cpp
+++ b/Libraries/LibRouting/LedgerMessage.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/MessageReader.h>
 #include <LibBase/MessageWriter.h>
+#include <algorithm>
 #include <optional>
 
 namespace Stagepost {
@@ -15,12 +16,35 @@
         Report,
     };
 
+    // Of a rate, what is told: thousandths of a request a second.
+    constexpr double rateUnit = 1000;
+
+    void write(MessageWriter& writer, ColdNotice const& notice)
+    {
+        writer.number(static_cast<uint64_t>(notice.bound.perSecond * rateUnit));
+        writer.number(notice.bound.most());
+        writer.duration(notice.left);
+    }
+
+    // The bound as a sum: how it came about does not matter to the owner.
+    ColdNotice readColdNotice(MessageReader& reader)
+    {
+        ColdNotice notice;
+        notice.bound.perSecond = static_cast<double>(reader.number()) / rateUnit;
+        auto const most = static_cast<double>(reader.number());
+        notice.bound.slack = std::max(0.0, most - notice.bound.perSecond);
+        notice.left = reader.duration();
+        return notice;
+    }
+
     void write(MessageWriter& writer, LedgerAsk const& ask)
     {
         writer.number(ask.number);
         writer.id(ask.upstream);
         writer.number(ask.ownInFlight);
         writer.number(ask.limit);
+        if (ask.cold)
+            write(writer, *ask.cold);
     }
 
     void write(MessageWriter& writer, LedgerAnswer const& answer)
@@ -28,6 +52,8 @@
         writer.number(answer.number);
         writer.number(answer.isGranted ? 1 : 0);
         writer.number(answer.count);
+        if (answer.isExhausted)
+            writer.number(1);
     }
 
     void write(MessageWriter& writer, LedgerReport const& report)
@@ -43,6 +69,8 @@
         ask.upstream = reader.id<UpstreamId>();
         ask.ownInFlight = reader.number();
         ask.limit = reader.number();
+        if (!reader.finished())
+            ask.cold = readColdNotice(reader);
         return ask;
     }
 
@@ -52,6 +80,7 @@
         answer.number = reader.number();
         answer.isGranted = reader.number() != 0;
         answer.count = reader.number();
+        answer.isExhausted = !reader.finished() && reader.number() != 0;
         return answer;
     }
 
--- a/Libraries/LibRouting/LedgerMessage.h
+++ b/Libraries/LibRouting/LedgerMessage.h
@@ -2,7 +2,9 @@
 
 #include <LibBase/Ids.h>
 #include <LibBase/Result.h>
+#include <LibRouting/ColdBound.h>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -18,6 +20,9 @@
     uint64_t ownInFlight { 0 };
     // It may be sent if the upstream holds fewer than these.
     uint64_t limit { 0 };
+    // The asker knows that the upstream is cold; the owner may not know yet. Daemons of
+    // earlier versions do not understand such an ask, and it is as if they were gone.
+    std::optional<ColdNotice> cold {};
 };
 
 struct LedgerAnswer {
@@ -25,6 +30,9 @@
     bool isGranted { false };
     // What the upstream holds without it.
     uint64_t count { 0 };
+    // The upstream is cold and gets nothing further by now. Daemons of earlier versions do
+    // not understand such an answer, and go on as if none had come.
+    bool isExhausted { false };
 };
 
 // What the sender has in flight at an upstream of the receiver's.
--- a/Libraries/LibRouting/Routing.h
+++ b/Libraries/LibRouting/Routing.h
@@ -8,6 +8,7 @@
 #include <LibRouting/AdmissionGate.h>
 #include <LibRouting/AdmissionNode.h>
 #include <LibRouting/CircuitBreaker.h>
+#include <LibRouting/ColdBound.h>
 #include <LibRouting/ContextTable.h>
 #include <LibRouting/CrashExchange.h>
 #include <LibRouting/CrashSuspects.h>
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -23,6 +23,9 @@
     // Of one request's upstreams, so many owners are asked: a context that a twentieth of all
     // requests ask for fills seven of 160 upstreams.
     constexpr size_t mostOwnersAsked = 8;
+    // So many times the usual sends have to fit into the bound of a cold upstream for it to be
+    // kept at all times: contexts come in clumps.
+    constexpr double cautionHeadroom = 1.5;
     // What the watch says of halls, asked once for each: some have hundreds of upstreams.
     class HallReaches {
     public:
@@ -78,6 +81,67 @@
     m_upstreams[facts.id].facts = facts;
 }
 
+// A bound that is given up would leave upstreams cold that were so under it.
+void ServicePlacement::setColdBound(ColdBound const& bound)
+{
+    m_coldBound = bound;
+}
+
+void ServicePlacement::noteCold(UpstreamId id, std::optional<Instant> until)
+{
+    if (auto const found = m_upstreams.find(id); found != m_upstreams.end())
+        found->second.coldUntil = until;
+}
+
+bool ServicePlacement::isCold(Upstream const& upstream, Instant now) const
+{
+    return m_coldBound.exists() && upstream.coldUntil && now < *upstream.coldUntil;
+}
+
+std::optional<ColdNotice> ServicePlacement::coldNotice(Upstream const& upstream, Instant now) const
+{
+    if (!isCold(upstream, now))
+        return {};
+    return ColdNotice { m_coldBound, *upstream.coldUntil - now };
+}
+
+size_t ServicePlacement::coldCount(Instant now) const
+{
+    return static_cast<size_t>(std::count_if(m_upstreams.begin(), m_upstreams.end(), [&](auto const& entry) { return isCold(entry.second, now); }));
+}
+
+std::vector<ServicePlacement::Upstream*> ServicePlacement::warm(std::vector<Upstream*> const& all, Instant now) const
+{
+    std::vector<Upstream*> result;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(result), [&](auto const* upstream) { return !isCold(*upstream, now); });
+    return result;
+}
+
+// One that did not answer is tried by its owner's leave alone: else all daemons would try it.
+std::vector<ServicePlacement::Upstream*> ServicePlacement::coldThatMayBeAsked(Wish const& wish, std::vector<Upstream*> const& all, Instant now) const
+{
+    std::vector<Upstream*> result;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(result), [&](auto const* upstream) {
+        return isCold(*upstream, now) && (upstream->health.isClosed() || upstream->health.isTrialDue(now, wish.isRepeatable));
+    });
+    return result;
+}
+
+// A cold upstream is asked for in its turn, where there are warm ones; else any of them.
+std::vector<ServicePlacement::Upstream*> ServicePlacement::coldByChance(Wish const& wish, std::vector<Upstream*> const& reached, Instant now)
+{
+    auto cold = coldThatMayBeAsked(wish, reached, now);
+    if (cold.empty())
+        return {};
+    std::rotate(cold.begin(), cold.begin() + static_cast<ptrdiff_t>(randomBelow(m_random, cold.size())), cold.end());
+    auto const others = warm(reached, now).size();
+    if (!others)
+        return cold;
+    if (randomBelow(m_random, cold.size() + others) >= cold.size())
+        return {};
+    return { cold.front() };
+}
+
 void ServicePlacement::started(UpstreamId id)
 {
     if (auto const found = m_upstreams.find(id); found != m_upstreams.end())
@@ -241,7 +305,7 @@
 
 std::vector<ServicePlacement::Upstream*> ServicePlacement::candidates(Wish const& wish, Instant now)
 {
-    auto const usable = reachable(staying(wish), now);
+    auto const usable = warm(reachable(staying(wish), now), now);
     auto* trial = trialFor(wish, usable, now);
     if (trial && trial->health.allows(now, wish.isRepeatable))
         return { trial };
@@ -321,26 +385,42 @@
 std::vector<LedgerExchange::Candidate> ServicePlacement::candidatesForOwners(Wish const& wish, Instant now)
 {
     auto const reached = reachable(staying(wish), now);
+    if (!wish.context)
+        return asCandidates(coldByChance(wish, reached, now), now);
+    auto const others = warm(reached, now);
     // An owner that does not answer would keep the trial from being made.
-    if (!wish.context || reached.empty() || trialFor(wish, reached, now))
+    if (reached.empty() || trialFor(wish, others, now))
         return {};
-    auto usable = answering(reached, now);
+    auto usable = others.empty() ? others : answering(others, now);
+    auto const cold = coldThatMayBeAsked(wish, reached, now);
+    usable.insert(usable.end(), cold.begin(), cold.end());
     auto const count = std::min(mostOwnersAsked, usable.size());
     std::partial_sort(usable.begin(), usable.begin() + static_cast<ptrdiff_t>(count), usable.end(), [context = *wish.context](auto const* one, auto const* other) {
         return rendezvousRank(context, one->facts.id.value()) > rendezvousRank(context, other->facts.id.value());
     });
+    usable.resize(count);
+    return asCandidates(usable, now);
+}
+
+std::vector<LedgerExchange::Candidate> ServicePlacement::asCandidates(std::vector<Upstream*> const& upstreams, Instant now) const
+{
     std::vector<LedgerExchange::Candidate> result;
-    result.reserve(count);
-    for (size_t index = 0; index < count; ++index) {
-        auto const& facts = usable[index]->facts;
-        result.push_back({ facts.id, facts.hall, 1 + m_load.grantable(facts.slots) });
+    result.reserve(std::min(mostOwnersAsked, upstreams.size()));
+    for (auto const* upstream : upstreams) {
+        if (result.size() == mostOwnersAsked)
+            break;
+        result.push_back({ upstream->facts.id, upstream->facts.hall, 1 + m_load.grantable(upstream->facts.slots), coldNotice(*upstream, now) });
     }
     return result;
 }
 
-std::optional<ServicePlacement::Choice> ServicePlacement::chosenByOwners(Wish const& wish, LedgerExchange::Outcome const& outcome, Instant now) const
+// What was allowed before an upstream began to leave is not used any more.
+std::optional<ServicePlacement::Choice> ServicePlacement::chosenByOwners(Wish const& wish, LedgerExchange::Outcome const& outcome, Instant now)
 {
-    if (!outcome.upstream || !m_upstreams.contains(*outcome.upstream))
+    auto const found = outcome.upstream ? m_upstreams.find(*outcome.upstream) : m_upstreams.end();
+    if (found == m_upstreams.end() || found->second.facts.isLeaving)
+        return {};
+    if (isCold(found->second, now) && !found->second.health.allows(now, wish.isRepeatable))
         return {};
     auto const rule = outcome.isGranted ? PlacementRule::Granted : PlacementRule::Least;
     return finish(wish, *outcome.upstream, { rule, m_load.countsAge(), m_load.hold(), outcome.asks }, now);
@@ -349,7 +429,19 @@
 UpstreamForecast ServicePlacement::forecast(UpstreamId id, Instant now) const
 {
     auto const found = m_upstreams.find(id);
-    return { found == m_upstreams.end() ? 0 : found->second.load.expected(m_load.hold(), now), m_load.hold() };
+    if (found == m_upstreams.end())
+        return { 0, m_load.hold() };
+    auto const& upstream = found->second;
+    return { upstream.load.expected(m_load.hold(), now), m_load.hold(), m_coldBound, isCold(upstream, now), hasRoomForCaution() };
+}
+
+bool ServicePlacement::hasRoomForCaution() const
+{
+    if (!m_coldBound.exists())
+        return false;
+    auto const holdSeconds = asSeconds(m_load.hold());
+    auto const inWindow = holdSeconds > 0 ? m_load.mean() / holdSeconds * asSeconds(coldWindow) : 0;
+    return cautionHeadroom * inWindow <= static_cast<double>(m_coldBound.forCaution());
 }
 
 UpstreamId ServicePlacement::chooseByCount(std::vector<Upstream*> const& usable, uint64_t context, double mean, Instant now) const
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -70,6 +70,16 @@
     void putUpstream(ServiceUpstream const&);
     void removeUpstream(UpstreamId id) { m_upstreams.erase(id); }
 
+    // What upstreams of the service take while they are cold.
+    void setColdBound(ColdBound const&);
+    // The upstream is cold until then; none where it is warm.
+    void noteCold(UpstreamId, std::optional<Instant> until);
+    // It is to be taken for one that has just started.
+    void noteStarted(UpstreamId id, Instant now) { noteCold(id, now + m_coldBound.duration); }
+    // Whether it gets only what its owner allows.
+    bool hasCold(Instant now) const { return coldCount(now) > 0; }
+    size_t coldCount(Instant now) const;
+
     struct Wish {
         // The context that decides where the request is best sent, if any.
         std::optional<uint64_t> context;
@@ -93,9 +103,10 @@
     // What upstreams' owners are asked about a request with a context: the first of its
     // order, and up to how much each may hold to take it. None where it is to try an upstream
     // that did not answer, or where there is none: choose() decides then.
+    // One without a context is to be asked for only where chance has it go to a cold upstream.
     std::vector<LedgerExchange::Candidate> candidatesForOwners(Wish const&, Instant now);
-    // The choice that their answers made; none where the upstream is gone by now.
-    std::optional<Choice> chosenByOwners(Wish const&, LedgerExchange::Outcome const&, Instant now) const;
+    // The choice that their answers made; none where the upstream is gone or leaving by now.
+    std::optional<Choice> chosenByOwners(Wish const&, LedgerExchange::Outcome const&, Instant now);
     // What an upstream is likely to hold, as far as this daemon can tell by itself.
     UpstreamForecast forecast(UpstreamId, Instant now) const;
 
@@ -131,8 +142,15 @@
         // How long answers take there, a moving mean; 0 until the first.
         double tookSeconds { 0 };
         Instant tookAt;
+        std::optional<Instant> coldUntil;
     };
 
+    bool isCold(Upstream const&, Instant now) const;
+    std::vector<Upstream*> warm(std::vector<Upstream*> const&, Instant now) const;
+    std::vector<Upstream*> coldThatMayBeAsked(Wish const&, std::vector<Upstream*> const&, Instant now) const;
+    std::vector<Upstream*> coldByChance(Wish const&, std::vector<Upstream*> const&, Instant now);
+    std::vector<LedgerExchange::Candidate> asCandidates(std::vector<Upstream*> const&, Instant now) const;
+    std::optional<ColdNotice> coldNotice(Upstream const&, Instant now) const;
     std::vector<Upstream*> staying(Wish const&);
     std::vector<Upstream*> candidates(Wish const&, Instant now);
     Upstream* trialFor(Wish const&, std::vector<Upstream*> const& usable, Instant now) const;
@@ -142,6 +160,7 @@
     double mean(std::vector<Upstream*> const&, Instant now) const;
     Choice finish(Wish const&, UpstreamId, PlacementReason, Instant now) const;
     PlacementRule ruleForContexts() const;
+    bool hasRoomForCaution() const;
     UpstreamId chooseByContext(PlacementRule, std::vector<Upstream*> const&, uint64_t context, Instant now) const;
     UpstreamId chooseByCount(std::vector<Upstream*> const&, uint64_t context, double mean, Instant now) const;
     UpstreamId chooseByShare(std::vector<Upstream*> const&, uint64_t context, double mean, Instant now) const;
@@ -156,6 +175,7 @@
     SilenceWatch const& m_silence;
     RandomHook m_random;
     ServiceLoad m_load;
+    ColdBound m_coldBound;
     std::map<UpstreamId, Upstream> m_upstreams;
     WaitEstimate m_waits;
     // For each thousand tokens of the prompt.
--- a/Libraries/LibSettings/RouteTable.h
+++ b/Libraries/LibSettings/RouteTable.h
@@ -76,6 +76,10 @@
     uint64_t contextTokens { 0 };
     // Whether its upstreams take contexts from one another.
     bool movesContexts { false };
+    // How many requests a second an upstream handles while it is cold, 0 where none ever is;
+    // and how long it is after its start.
+    double coldPerSecond { 0 };
+    Milliseconds coldDuration { 0 };
 };
 
 struct RoutedOrganisation {
--- a/Meta/model-check.sh
+++ b/Meta/model-check.sh
@@ -63,6 +63,10 @@
 for variant in BY_ARRIVAL GRANT_OUTLIVES AGE_ON_ARRIVAL; do
     check emptiedhalls refuted EmptiedHalls assertions "$variant" &
 done
+check coldowners holds ColdOwners assertions &
+for variant in SETTLED_AT_ONCE NARROW_WINDOW EQUAL_PARTS; do
+    check coldowners refuted ColdOwners assertions "$variant" &
+done
 results=0
 for job in $(jobs -p); do
     wait "$job" || results=1
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -105,14 +105,14 @@
 void Gateway::applyUpstream(UpstreamChange const& change)
 {
     auto const before = m_board.idOf(change.instance);
-    m_board.apply(change);
+    m_board.apply(change, m_loop.now());
     if (before && change.record && change.record->id() != *before)
         m_crashes.restarted(*before);
 }
 
 void Gateway::applyHallOrder(HallOrder const& order)
 {
-    m_board.setEmptied(HallId::fromName(order.hall), order.isEmptied);
+    m_board.setEmptied(HallId::fromName(order.hall), order.isEmptied, m_loop.now());
     m_metrics.setGauge("stagepost_emptied_halls", static_cast<double>(m_emptiedHalls.state().halls.size()));
     logEvent(LogLevel::Info, order.isEmptied ? "hall-emptied" : "hall-taken-back",
         { { "hall", order.hall }, { "position", m_emptiedHalls.state().position }, { "age_ms", m_emptiedHalls.age().age(m_loop.now()).value_or(Microseconds(0)).count() / 1000 } });
@@ -227,12 +227,19 @@
     bool const isAsTold = arrival.told && arrival.told->version == m_table->version();
     m_settings.add(m_table->version(), arrival.text, isAsTold ? arrival.told : std::nullopt);
     m_server.setOptions(serverOptions(m_table->limits()));
+    applyColdBounds();
     m_metrics.setGauge("stagepost_settings_version", static_cast<double>(m_table->version()));
     logEvent(LogLevel::Info, "settings-in-force", { { "version", m_table->version() }, { "routes", m_table->routeCount() }, { "source", arrival.told ? "told" : "store" }, { "took_ms", (m_loop.now() - arrival.begunAt).count() / 1000 }, { "longest_turn_us", arrival.longestTurn.count() } });
     m_peers.changed(m_loop.now());
     return true;
 }
 
+void Gateway::applyColdBounds()
+{
+    for (auto const& service : m_table->services())
+        m_board.service(service.name).placement.setColdBound({ service.coldPerSecond, m_options.coldOvershoot, m_options.coldSlack, service.coldDuration });
+}
+
 // An answer that was long on its way may be older than what other daemons have
 // proven meanwhile, and must not take that back.
 bool Gateway::takeUpstreams(std::vector<UpstreamChange> const& changes, bool isWhole, Instant readSentAt, bool isAfterReturn)
@@ -457,6 +464,7 @@
         auto const occupancy = service->placement.occupancy();
         m_metrics.setGauge("stagepost_requests_per_place" + label, occupancy.perPlace);
         m_metrics.setGauge("stagepost_turned_away_share" + label, AdmissionGate::refusedShare(occupancy, 0));
+        m_metrics.setGauge("stagepost_cold_upstreams" + label, static_cast<double>(service->placement.coldCount(m_loop.now())));
         m_metrics.setGauge("stagepost_counts_age_seconds" + label, asSeconds(service->placement.countsAge()));
     }
 }
@@ -470,6 +478,7 @@
     m_metrics.setGauge("stagepost_control_bytes_sent", static_cast<double>(m_peers.bytesSent()));
     m_metrics.setGauge("stagepost_peer_unreadable_counts", static_cast<double>(m_peers.unreadableCounts()));
     m_metrics.setGauge("stagepost_owner_asks_unanswered", static_cast<double>(m_peers.unansweredAsks()));
+    m_metrics.setGauge("stagepost_asks_kept_from_cold_upstreams", static_cast<double>(m_peers.exhaustedAsks()));
     m_metrics.setGauge("stagepost_control_messages_sent", static_cast<double>(m_peers.messagesSent()));
     m_metrics.setGauge("stagepost_settings_age_seconds", m_tableAge.isKnown() ? asSeconds(settingsAge()) : -1);
     m_metrics.setGauge("stagepost_emptied_halls_age_seconds", m_emptiedHalls.age().isKnown() ? asSeconds(*m_emptiedHalls.age().age(m_loop.now())) : -1);
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -95,6 +95,7 @@
     bool isSettingsOverdue() const;
     Microseconds settingsAge() const;
     bool applySettings(Result<RouteTable::Parts>&& parts, SettingsIntake::Arrival const&);
+    void applyColdBounds();
     void settingsProven(Instant);
     uint64_t settingsVersion() const { return m_table ? m_table->version() : 0; }
     bool wantsState(StateSummary const&);
--- a/Services/stagepostd/GatewayDialect.h
+++ b/Services/stagepostd/GatewayDialect.h
@@ -45,6 +45,8 @@
     // count it as one.
     bool isSigned { false };
     std::optional<UpstreamLoadReport> load;
+    // How much longer the upstream stays cold, where it says so.
+    std::optional<Milliseconds> coldLeft {};
 };
 
 // How the platform, its callers and its upstreams spell what the gateway needs.
--- a/Services/stagepostd/GatewayFlow.cpp
+++ b/Services/stagepostd/GatewayFlow.cpp
@@ -77,12 +77,20 @@
     if (!maySend())
         return;
     auto const wish = this->wish();
-    if (!m_request.route->keepsContext)
-        send(m_service.placement.choose(wish, m_services.loop.now()));
-    else if (wish.context && m_services.peers.canAskOwners())
+    bool const needsOwner = wish.context || m_service.placement.hasCold(m_services.loop.now());
+    if (needsOwner && m_services.peers.canAskOwners())
         askOwners(wish);
     else
+        placeWithoutOwners(wish);
+}
+
+// Owners count what has a context; the others are counted only where one was asked.
+void GatewayFlow::placeWithoutOwners(ServicePlacement::Wish const& wish)
+{
+    if (m_request.route->keepsContext)
         placeByOwnCounts(wish);
+    else
+        send(m_service.placement.choose(wish, m_services.loop.now()));
 }
 
 bool GatewayFlow::maySend()
@@ -123,7 +131,7 @@
 {
     auto candidates = m_service.placement.candidatesForOwners(wish, m_services.loop.now());
     if (candidates.empty()) {
-        placeByOwnCounts(wish);
+        placeWithoutOwners(wish);
         return;
     }
     m_services.peers.chooseByOwners(std::move(candidates), [self = shared_from_this()](LedgerExchange::Outcome const& outcome) {
@@ -152,7 +160,7 @@
         return;
     }
     noteNotInFlight();
-    placeByOwnCounts(wish);
+    placeWithoutOwners(wish);
 }
 
 void GatewayFlow::noteNotInFlight()
@@ -179,7 +187,14 @@
     if (target)
         return forward(*choice, *target);
     noteNotInFlight();
-    refuse(m_lastFailure.value_or(Refusal { RefusalReason::NoUpstream, m_attempts.verdict(), "no upstream of the service is known", m_attempts.timeToComeBack() }));
+    refuse(m_lastFailure.value_or(noUpstream()));
+}
+
+Refusal GatewayFlow::noUpstream() const
+{
+    if (m_service.placement.hasCold(m_services.loop.now()))
+        return { RefusalReason::QueueFull, m_attempts.verdict(), "the upstreams that are left have just started and take no more by now", std::chrono::duration_cast<Milliseconds>(coldWindow) };
+    return { RefusalReason::NoUpstream, m_attempts.verdict(), "no upstream of the service is known", m_attempts.timeToComeBack() };
 }
 
 // To each upstream of the service.
@@ -281,6 +296,8 @@
     auto const head = m_services.dialect.readAnswerHead(status, headers);
     if (head.load)
         m_service.placement.reported(upstream, *head.load, now);
+    if (head.coldLeft)
+        m_services.board.noteCold(upstream, *head.coldLeft, now);
     if (head.isNotRun)
         return HeadRejection { RefusalReason::OverCapacity, Verdict::NotRun, "the upstream has not run the request" };
     if (status >= 200 && status < 300 && !head.isSigned)
--- a/Services/stagepostd/GatewayFlow.h
+++ b/Services/stagepostd/GatewayFlow.h
@@ -64,7 +64,9 @@
     void takeOwnersWord(LedgerExchange::Outcome const&);
     // It has ended, or was not sent after all.
     void noteNotInFlight();
+    void placeWithoutOwners(ServicePlacement::Wish const&);
     void placeByOwnCounts(ServicePlacement::Wish const&);
+    Refusal noUpstream() const;
     void send(std::optional<ServicePlacement::Choice> const&);
     size_t mostIdleConnections(Service const*) const;
     GatewaySend sendTo(ServicePlacement::Choice const&, ServiceBoard::Target const&, Service const*, Instant now);
--- a/Services/stagepostd/GatewayOptions.h
+++ b/Services/stagepostd/GatewayOptions.h
@@ -29,6 +29,10 @@
     Milliseconds drainAccept { 3000 };
     // From the signal to stop until the process is ended from outside.
     Milliseconds drainLimit { 8000 };
+    // Of what a cold upstream handles a second, and in requests more, what the fleet may
+    // send to it in any second.
+    double coldOvershoot { 1 };
+    double coldSlack { 0 };
     RetryBudget::Bounds retries;
     ServicePlacement::Bounds placement;
     UpstreamDirectory::Bounds directory;
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -158,7 +158,7 @@
         return;
     m_exchange->setPeers(list);
     m_crashes->setPeers(list, m_loop.now());
-    m_ledger->setPeers(std::move(list), m_exchange->relays());
+    m_ledger->setPeers(std::move(list), m_exchange->relays(), m_loop.now());
     m_metrics.setGauge("stagepost_daemons", static_cast<double>(m_exchange->peerCount() + 1));
     logEvent(LogLevel::Info, "peers", { { "others", m_exchange->peerCount() }, { "relay", m_exchange->isRelay() ? 1 : 0 } });
 }
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -83,6 +83,7 @@
     void requestBegan(UpstreamId, HallId);
     void requestEnded(UpstreamId);
     size_t unansweredAsks() const { return m_ledger ? m_ledger->unansweredAsks() : 0; }
+    size_t exhaustedAsks() const { return m_ledger ? m_ledger->exhaustedAsks() : 0; }
 
     // Of messages to other daemons, since the start, without UDP's and IP's headers.
     uint64_t bytesSent() const { return m_channel ? m_channel->socket().bytesSent() : 0; }
--- a/Services/stagepostd/ServiceBoard.cpp
+++ b/Services/stagepostd/ServiceBoard.cpp
@@ -21,7 +21,7 @@
         entry->retries.setShare(share);
 }
 
-void ServiceBoard::apply(UpstreamChange const& change)
+void ServiceBoard::apply(UpstreamChange const& change, Instant now)
 {
     if (!change.record) {
         remove(change.instance);
@@ -40,6 +40,23 @@
     m_ids[record.instance] = id;
     auto const& target = m_targets[id] = { record.instance, std::move(*endpoint), record.service, hall, record.slots, record.isLeaving };
     place(id, target);
+    noteColdRecord(record, now);
+}
+
+// A record that is told on its way through daemons is older than it says: an upstream is
+// taken for cold a little longer than it is.
+void ServiceBoard::noteColdRecord(UpstreamRecord const& record, Instant now)
+{
+    auto const until = record.coldLeft.count() ? std::optional(now + record.coldLeft) : std::nullopt;
+    service(record.service).placement.noteCold(record.id(), until);
+    if (until)
+        logEvent(LogLevel::Info, "upstream-cold", { { "instance", record.instance }, { "left_ms", record.coldLeft.count() } });
+}
+
+void ServiceBoard::noteCold(UpstreamId id, Milliseconds left, Instant now)
+{
+    if (auto const* target = this->target(id); target && left.count())
+        service(target->service).placement.noteCold(id, now + left);
 }
 
 void ServiceBoard::place(UpstreamId id, Target const& target)
@@ -48,15 +65,18 @@
     service(target.service).placement.putUpstream({ id, target.hall == HallId::fromName(m_bounds.hall), target.slots, getsNothing, target.hall });
 }
 
-void ServiceBoard::setEmptied(HallId hall, bool isEmptied)
+void ServiceBoard::setEmptied(HallId hall, bool isEmptied, Instant now)
 {
     if (isEmptied)
         m_emptiedHalls.insert(hall);
     else
         m_emptiedHalls.erase(hall);
     for (auto const& [id, target] : m_targets) {
-        if (target.hall == hall)
-            place(id, target);
+        if (target.hall != hall)
+            continue;
+        place(id, target);
+        if (!isEmptied)
+            service(target.service).placement.noteStarted(id, now);
     }
 }
 
--- a/Services/stagepostd/ServiceBoard.h
+++ b/Services/stagepostd/ServiceBoard.h
@@ -49,11 +49,14 @@
     }
 
     // Takes over that an upstream is there now, has changed or is gone.
-    void apply(UpstreamChange const&);
+    void apply(UpstreamChange const&, Instant now);
 
     // Operators empty that hall, or take that back: its upstreams get nothing further
-    // meanwhile, and still give the contexts that they hold.
-    void setEmptied(HallId, bool isEmptied);
+    // meanwhile, and still give the contexts that they hold. Those of one that was taken back
+    // count as just started: they may be cold, and their contexts would all return at once.
+    void setEmptied(HallId, bool isEmptied, Instant now);
+    // The upstream says that it stays cold for so long.
+    void noteCold(UpstreamId, Milliseconds left, Instant now);
 
     // This daemon's part of what the fleet may spend on retries, from 0 to 1.
     void setRetryShare(double);
@@ -71,6 +74,7 @@
 private:
     void remove(std::string const& instance);
     void place(UpstreamId, Target const&);
+    void noteColdRecord(UpstreamRecord const&, Instant now);
     void removeOthers(UpstreamRecord const&);
 
     Bounds m_bounds;
--- a/Tests/LibMembership/TestUpstreamDirectory.cpp
+++ b/Tests/LibMembership/TestUpstreamDirectory.cpp
@@ -212,8 +212,15 @@
     first.directory.replace({ record("a"), record("b") }, at(1));
     auto cold = record("b");
     cold.coldLeft = Milliseconds(500);
+    first.directory.put(cold, at(1));
+    cold.coldLeft = Milliseconds(300);
     second.directory.replace({ cold, record("a") }, at(2));
     BOOST_TEST(first.directory.hash() == second.directory.hash());
+    // Others have to learn that it is warm again, or that it has become cold.
+    second.directory.put(record("b"), at(2));
+    BOOST_TEST(first.directory.hash() != second.directory.hash());
+    first.directory.put(record("b"), at(2));
+    BOOST_TEST(first.directory.hash() == second.directory.hash());
     second.directory.put(record("b", true), at(2));
     BOOST_TEST(first.directory.hash() != second.directory.hash());
 }
--- a/Tests/LibRouting/TestLedgerExchange.cpp
+++ b/Tests/LibRouting/TestLedgerExchange.cpp
@@ -40,12 +40,31 @@
     {
         LedgerExchange::Hooks hooks;
         hooks.send = [this, number](VMId to, std::string const& bytes) { send(number, to, bytes); };
-        hooks.forecast = [this](UpstreamId) { return UpstreamForecast { forecast, hold }; };
+        hooks.forecast = [this](UpstreamId) { return UpstreamForecast { forecast, hold, coldBound, isCold, hasRoomForCaution }; };
         auto& daemon = m_daemons[VMId(number)];
         daemon = std::make_unique<LedgerExchange>(m_peers[number - 1], LedgerExchange::Bounds {}, hooks);
-        daemon->setPeers(m_peers, {});
+        daemon->setPeers(m_peers, {}, now);
     }
 
+    // Another process takes the daemon's place, or the daemon is gone and known to be.
+    void remove(size_t number)
+    {
+        std::erase_if(m_peers, [number](auto const& peer) { return peer.id == VMId(number); });
+        m_daemons.erase(VMId(number));
+        for (auto const& [id, each] : m_daemons)
+            each->setPeers(m_peers, {}, now);
+    }
+
+    // That daemon alone does not know the other one any more.
+    void forget(size_t number, size_t forgotten)
+    {
+        auto peers = m_peers;
+        std::erase_if(peers, [forgotten](auto const& peer) { return peer.id == VMId(forgotten); });
+        daemon(number).setPeers(peers, {}, now);
+    }
+
+    size_t size() const { return m_peers.size(); }
+
     void makeRelays(std::set<size_t> const& relays)
     {
         run(Milliseconds(5));
@@ -54,7 +73,7 @@
         for (auto const relay : relays)
             ids.emplace_back(relay);
         for (auto const& [id, each] : m_daemons)
-            each->setPeers(m_peers, ids);
+            each->setPeers(m_peers, ids, now);
     }
 
     LedgerExchange& daemon(size_t number) { return *m_daemons.at(VMId(number)); }
@@ -104,6 +123,9 @@
     Instant now { at(0) };
     std::set<size_t> silent;
     double forecast { 0 };
+    ColdBound coldBound;
+    bool isCold { false };
+    bool hasRoomForCaution { false };
 
 private:
     struct Message {
@@ -123,7 +145,8 @@
     {
         auto const messages = std::exchange(m_messages, {});
         for (auto const& message : messages) {
-            if (!silent.contains(message.from) && !silent.contains(message.to.value()))
+            bool const isDelivered = !silent.contains(message.from) && !silent.contains(message.to.value()) && m_daemons.contains(message.to);
+            if (isDelivered)
                 BOOST_REQUIRE(m_daemons.at(message.to)->receive(VMId(message.from), message.bytes, now));
         }
     }
@@ -313,6 +336,209 @@
     BOOST_TEST(fleet.ownerOf(upstream) == 0u);
 }
 
+namespace {
+
+// What the users' sheet says of one deployment.
+ColdBound const someBound { 8.9, 1.5, 5, Seconds(3) };
+// How long a request takes at the most from its grant to its upstream.
+constexpr Microseconds longestWay { 250000 };
+
+// Sends that a cold upstream saw, with the way that each took.
+class ColdUpstream {
+public:
+    // These daemons ask, each once in so long, and what is granted arrives.
+    void ask(Fleet& fleet, std::vector<size_t> const& daemons, Microseconds duration, std::vector<UpstreamId> const& upstreams = { upstream }, Microseconds pause = Milliseconds(25))
+    {
+        std::vector<LedgerExchange::Candidate> candidates;
+        candidates.reserve(upstreams.size());
+        for (auto const id : upstreams)
+            candidates.push_back({ id, north, 1000 });
+        for (auto const until = fleet.now + duration; fleet.now < until;) {
+            for (auto const daemon : daemons) {
+                fleet.daemon(daemon).choose(
+                    candidates, [&](auto const& outcome) {
+                        if (!outcome.upstream)
+                            return;
+                        fleet.daemon(daemon).ended(*outcome.upstream, fleet.now);
+                        if (*outcome.upstream != upstream)
+                            return;
+                        m_arrivals.push_back(fleet.now + Microseconds(static_cast<int64_t>(m_random() % static_cast<uint64_t>(longestWay.count()))));
+                    },
+                    fleet.now);
+            }
+            fleet.run(pause);
+        }
+    }
+
+    size_t mostInASecond()
+    {
+        std::sort(m_arrivals.begin(), m_arrivals.end());
+        size_t most = 0;
+        for (size_t first = 0, last = 0; last < m_arrivals.size(); ++last) {
+            while (m_arrivals[last] - m_arrivals[first] >= Seconds(1))
+                ++first;
+            most = std::max(most, last - first + 1);
+        }
+        return most;
+    }
+
+    size_t arrivals() const { return m_arrivals.size(); }
+
+private:
+    std::mt19937_64 m_random { 3 };
+    std::vector<Instant> m_arrivals;
+};
+
+std::vector<size_t> numbers(size_t first, size_t last)
+{
+    std::vector<size_t> result;
+    for (size_t number = first; number <= last; ++number)
+        result.push_back(number);
+    return result;
+}
+
+Fleet fleetBeforeAColdUpstream(size_t size, double loss = 0)
+{
+    Fleet fleet(size, loss);
+    fleet.coldBound = someBound;
+    fleet.isCold = true;
+    return fleet;
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(WhatDaemonsAllowAColdUpstreamFitsIntoItsBound)
+{
+    BOOST_TEST(someBound.most() == 18u);
+    BOOST_TEST(someBound.forOwner() + 3 * someBound.forNextOwner() <= someBound.most());
+    BOOST_TEST(someBound.forNextOwner() > 0u);
+    for (double perSecond : { 0.2, 1.0, 3.7, 50.0 }) {
+        for (double slack : { 0.0, 1.0, 40.0 }) {
+            ColdBound const bound { perSecond, 1, slack, Seconds(1) };
+            BOOST_TEST(bound.forOwner() + 3 * bound.forNextOwner() <= bound.most());
+            BOOST_TEST(bound.forCaution() <= bound.most());
+        }
+    }
+}
+
+// Seventy daemons that all want a cold upstream send it what it can handle, in any second.
+BOOST_AUTO_TEST_CASE(AColdUpstreamGetsWhatItCanHandleWhoeverAsks)
+{
+    auto fleet = fleetBeforeAColdUpstream(70);
+    fleet.run(Seconds(4));
+    ColdUpstream cold;
+    cold.ask(fleet, numbers(1, 70), Seconds(8));
+    BOOST_TEST_MESSAGE("most in a second " << cold.mostInASecond() << " of " << someBound.most() << ", " << cold.arrivals() << " in eight seconds");
+    BOOST_TEST(cold.mostInASecond() <= someBound.most());
+    BOOST_TEST(static_cast<double>(cold.arrivals()) >= 8 * 0.9 * someBound.perSecond);
+}
+
+// What was granted before it became cold counts as well.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatBecomesColdAmidARushKeepsItsBound)
+{
+    auto fleet = fleetBeforeAColdUpstream(70);
+    fleet.isCold = false;
+    fleet.hasRoomForCaution = true;
+    fleet.run(Seconds(4));
+    ColdUpstream cold;
+    // Fewer than the three upstreams together can take, all of them for the first of them.
+    cold.ask(fleet, numbers(1, 8), Seconds(3), { upstream, other, UpstreamId(79) }, Milliseconds(250));
+    fleet.isCold = true;
+    cold.ask(fleet, numbers(1, 70), Seconds(3));
+    BOOST_TEST(cold.mostInASecond() <= someBound.most());
+}
+
+BOOST_AUTO_TEST_CASE(AColdUpstreamKeepsItsBoundWhereOwnersAreSilentAndChange)
+{
+    for (size_t lossPercent : { 0, 5, 20 }) {
+        auto fleet = fleetBeforeAColdUpstream(40, static_cast<double>(lossPercent) / 100);
+        fleet.run(Seconds(4));
+        fleet.choose(2, 1000);
+        auto const owner = fleet.ownerOf(upstream);
+        fleet.daemon(2).ended(upstream, fleet.now);
+        auto others = numbers(1, 40);
+        std::erase(others, owner);
+        ColdUpstream cold;
+        cold.ask(fleet, others, Seconds(2));
+        fleet.silent.insert(owner);
+        cold.ask(fleet, others, Seconds(2));
+        fleet.remove(owner);
+        cold.ask(fleet, others, Seconds(6));
+        BOOST_TEST_MESSAGE(lossPercent << " in 100 lost: most in a second " << cold.mostInASecond() << ", " << cold.arrivals() << " in ten seconds");
+        BOOST_TEST(cold.mostInASecond() <= someBound.most());
+        BOOST_TEST(cold.arrivals() > 20u);
+    }
+}
+
+// Half of the daemons do not know the owner any more, and ask another one.
+BOOST_AUTO_TEST_CASE(AColdUpstreamKeepsItsBoundWhileTwoTakeThemselvesForItsOwner)
+{
+    auto fleet = fleetBeforeAColdUpstream(40);
+    fleet.run(Seconds(4));
+    fleet.choose(2, 1000);
+    auto const owner = fleet.ownerOf(upstream);
+    fleet.daemon(2).ended(upstream, fleet.now);
+    for (size_t number = 1; number <= 40; number += 2) {
+        if (number != owner)
+            fleet.forget(number, owner);
+    }
+    auto others = numbers(1, 40);
+    std::erase(others, owner);
+    ColdUpstream cold;
+    // As long as daemons' views may differ.
+    cold.ask(fleet, others, Milliseconds(2900));
+    BOOST_TEST(cold.mostInASecond() <= someBound.most());
+}
+
+// One that is cold and has its part takes nothing for being the least loaded.
+BOOST_AUTO_TEST_CASE(AnExhaustedUpstreamIsNotTheLeastLoaded)
+{
+    auto fleet = fleetBeforeAColdUpstream(20);
+    fleet.run(Seconds(4));
+    size_t granted = 0;
+    while (granted < 100 && fleet.choose(2, 1000).outcome.isGranted)
+        ++granted;
+    BOOST_TEST(granted == someBound.forOwner());
+    BOOST_TEST(!fleet.choose(2, 1000).outcome.upstream.has_value());
+}
+
+// The owner has not heard that the upstream is cold, or of the upstream at all.
+BOOST_AUTO_TEST_CASE(AnOwnerGoesByWhatAnAskerKnows)
+{
+    Fleet fleet(20);
+    fleet.run(Seconds(4));
+    ColdNotice const notice { someBound, Seconds(2) };
+    size_t granted = 0;
+    for (size_t ask = 0; ask < 40; ++ask) {
+        fleet.daemon(1 + ask % 20).choose(
+            { { upstream, north, 1000, notice } }, [&](auto const& outcome) { granted += outcome.upstream ? 1 : 0; }, fleet.now);
+        fleet.run(Milliseconds(5));
+    }
+    BOOST_TEST(granted == someBound.forOwner());
+    fleet.run(Seconds(3));
+    BOOST_TEST(fleet.choose(3, 1000).outcome.isGranted);
+}
+
+BOOST_AUTO_TEST_CASE(AnAskTellsHowColdAnUpstreamIs)
+{
+    LedgerAsk const ask { 7, upstream, 2, 9, ColdNotice { someBound, Milliseconds(1500) } };
+    auto const read = decodeLedgerMessage(encodeLedgerMessage(ask));
+    BOOST_REQUIRE(read);
+    auto const& cold = std::get<LedgerAsk>(*read).cold;
+    BOOST_REQUIRE(cold.has_value());
+    BOOST_TEST(cold->bound.most() == someBound.most());
+    BOOST_TEST(cold->bound.forOwner() == someBound.forOwner());
+    BOOST_TEST((cold->left == Milliseconds(1500)));
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerTellsThatAnUpstreamIsExhausted)
+{
+    auto const answer = decodeLedgerMessage(encodeLedgerMessage(LedgerAnswer { 7, false, 4, true }));
+    BOOST_REQUIRE(answer);
+    BOOST_TEST(std::get<LedgerAnswer>(*answer).isExhausted);
+    BOOST_TEST(!std::get<LedgerAnswer>(*decodeLedgerMessage(encodeLedgerMessage(LedgerAnswer { 7, false, 4 }))).isExhausted);
+}
+
 // 330 daemons with 14.5 requests a second each, which is the aim's size: the bytes that
 // all of them send for it, with the seal, UDP and IP.
 BOOST_AUTO_TEST_CASE(ARequestCostsAFewHundredBytes)
--- a/Tests/LoadPatterns/StreamFleet.cpp
+++ b/Tests/LoadPatterns/StreamFleet.cpp
@@ -96,6 +96,7 @@
     daemon.placement = std::make_unique<ServicePlacement>(m_bounds, m_silence, hook);
     daemon.gate = std::make_unique<AdmissionGate>(hook);
     daemon.inFlight.clear();
+    daemon.placement->setColdBound(m_pattern.coldBound);
     for (size_t engine = 0; engine < m_engines.size(); ++engine)
         daemon.placement->putUpstream({ UpstreamId(engine + 1), false, m_pattern.places, false, HallId(1) });
     if (m_pattern.asksOwners)
@@ -119,9 +120,32 @@
             m_engines[engine].contexts.clear();
             m_engines[engine].readAt.clear();
         }
+        if (m_pattern.absence->isCold)
+            m_engines[engine].coldUntil = m_now + asSeconds(m_pattern.coldBound.duration);
         for (auto& daemon : m_daemons)
             daemon.placement->putUpstream({ UpstreamId(engine + 1), false, m_pattern.places, false, HallId(1) });
     }
+    if (m_pattern.absence->isCold)
+        m_events.push({ m_now + m_pattern.absence->coldToldAfterSeconds, Event::Kind::ColdTold, 0, 0 });
+}
+
+void StreamFleet::tellCold()
+{
+    for (auto& daemon : m_daemons) {
+        for (size_t engine = 0; engine < m_pattern.absence->upstreams; ++engine)
+            daemon.placement->noteCold(UpstreamId(engine + 1), at(m_engines[engine].coldUntil));
+    }
+}
+
+void StreamFleet::noteArrival(Engine& engine, double now)
+{
+    if (now >= engine.coldUntil)
+        return;
+    auto& arrivals = engine.coldArrivals;
+    arrivals.push_back(now);
+    while (now - arrivals.front() >= 1)
+        arrivals.pop_front();
+    m_outcome.mostInAColdSecond = std::max(m_outcome.mostInAColdSecond, arrivals.size());
 }
 
 void StreamFleet::restartAll()
@@ -147,7 +171,7 @@
     std::vector<FleetPeer> peers;
     for (size_t number = 0; number < m_daemons.size(); ++number)
         peers.push_back({ VMId(number + 1), HallId(1) });
-    ledger->setPeers(std::move(peers), {});
+    ledger->setPeers(std::move(peers), {}, Instant {});
 }
 
 void StreamFleet::post(double now, Message message)
@@ -218,6 +242,9 @@
         case Event::Kind::Return:
             comeBack();
             break;
+        case Event::Kind::ColdTold:
+            tellCold();
+            break;
         case Event::Kind::Restart:
             restartAll();
             break;
@@ -349,7 +376,8 @@
             auto choice = placement.chosenByOwners(wish, outcome, at(m_now));
             if (!choice) {
                 choice = placement.choose(wish, at(m_now));
-                m_daemons[daemon].ledger->began(choice->upstream, HallId(1), at(m_now));
+                if (choice)
+                    m_daemons[daemon].ledger->began(choice->upstream, HallId(1), at(m_now));
             }
             sendTo(m_now, daemon, kind, *wish.context, choice);
         },
@@ -360,12 +388,15 @@
 
 void StreamFleet::sendTo(double now, size_t number, StreamKind const& kind, uint64_t context, std::optional<ServicePlacement::Choice> const& choice)
 {
-    if (!choice)
+    if (!choice) {
+        ++m_outcome.unplaced;
         return;
+    }
     auto& daemon = m_daemons[number];
     auto const upstream = choice->upstream.value() - 1;
     auto& engine = m_engines[upstream];
     judge(now, engine, context);
+    noteArrival(engine, now);
     ++engine.inFlight;
     ++m_inFlight;
     ++daemon.inFlight[upstream];
--- a/Tests/LoadPatterns/StreamFleet.h
+++ b/Tests/LoadPatterns/StreamFleet.h
@@ -40,6 +40,9 @@
     double fromSecond { 0 };
     double untilSecond { 0 };
     bool losesContexts { false };
+    // They come back cold, which daemons learn after that long.
+    bool isCold { false };
+    double coldToldAfterSeconds { 0 };
 };
 
 // A fleet, its upstreams and the load on them.
@@ -78,6 +81,8 @@
     Microseconds messageTime { 1000 };
     unsigned lostMessages { 0 };
     std::optional<Absence> absence;
+    // What upstreams take while they are cold.
+    ColdBound coldBound {};
     // All daemons are killed and start again; what was in flight is broken off.
     std::optional<double> restartAt;
     // Lets everybody in, as a policy to compare with.
@@ -99,6 +104,10 @@
     };
     // Of messages about requests in flight, with all that the network adds.
     double ledgerBytes { 0 };
+    // What any upstream got in any second while it was cold.
+    size_t mostInAColdSecond { 0 };
+    // No upstream took it.
+    size_t unplaced { 0 };
 
     // Of what was asked for from one second to another.
     double inTimeShare(size_t fromSecond, size_t untilSecond) const { return share(&Second::inTime, &Second::asked, fromSecond, untilSecond); }
@@ -154,6 +163,9 @@
         double readSeconds { 0 };
         std::deque<Request> waiting;
         size_t running { 0 };
+        // Until when it is cold, and what it got since.
+        double coldUntil { 0 };
+        std::deque<double> coldArrivals;
     };
     struct Event {
         double at { 0 };
@@ -166,6 +178,7 @@
             LedgerTick,
             Leave,
             Return,
+            ColdTold,
             Restart,
         } kind { Kind::Arrival };
         size_t daemon { 0 };
@@ -192,6 +205,8 @@
     void startDaemon(size_t daemon);
     void leave();
     void comeBack();
+    void tellCold();
+    void noteArrival(Engine&, double now);
     void restartAll();
     void post(double now, Message);
     void deliver(Event const&);
--- a/Tests/LoadPatterns/TestOwners.cpp
+++ b/Tests/LoadPatterns/TestOwners.cpp
@@ -63,6 +63,71 @@
     play(pattern, "large fleet, a third comes back cold", 0, tolerableAtStart);
 }
 
+namespace {
+
+// Ninety upstreams of the users' sheet that shifted, a third of which comes back cold.
+StreamPattern hallThatComesBackCold()
+{
+    StreamPattern pattern;
+    pattern.daemons = 73;
+    pattern.upstreams = 90;
+    pattern.requestsPerSecond = 435;
+    pattern.kinds = { { 0.18, 312, 1.6, 10500, 1.2, 1, 1300 }, { 0.55, 371, 1.2, 700, 0.5, 0, 130 }, { 0.27, 477, 0.15, 2000, 0.6, 2, 360 } };
+    pattern.countsInterval = Milliseconds(500);
+    pattern.countsAge = Milliseconds(600);
+    pattern.seconds = 16;
+    pattern.clumpShare = 12;
+    pattern.runsBeforeTraffic = true;
+    pattern.readsLikeEngines = true;
+    pattern.asksOwners = true;
+    pattern.coldBound = { 8.9, 1.5, 5, Seconds(3) };
+    pattern.absence = Absence { 30, 4, 8, true, true };
+    return pattern;
+}
+
+void playCold(StreamPattern const& pattern, std::string const& name)
+{
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+        auto const outcome = StreamFleet(pattern, {}, seed).play();
+        BOOST_TEST_MESSAGE(name << ", seed " << seed << ": " << outcome.mostInAColdSecond << " in a cold second, " << pattern.coldBound.most() << " allowed, " << outcome.unplaced << " not placed, in time from second 8 " << outcome.inTimeShare(8, 16) << ", reused " << outcome.reusedShare(8));
+        BOOST_TEST(outcome.mostInAColdSecond <= pattern.coldBound.most());
+        BOOST_TEST(outcome.unplaced == 0u);
+        BOOST_TEST(outcome.inTimeShare(8, 16) > 0.95);
+    }
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(AHallThatComesBackColdIsNotOverrun)
+{
+    playCold(hallThatComesBackCold(), "a third comes back cold");
+}
+
+BOOST_AUTO_TEST_CASE(AHallThatComesBackColdInABurstIsNotOverrun)
+{
+    auto pattern = hallThatComesBackCold();
+    pattern.surge = 1.7;
+    pattern.surgeFrom = 7;
+    pattern.surgeUntil = 12;
+    playCold(pattern, "a third comes back cold in a burst");
+}
+
+// Nobody knows for a second and a half that they are cold.
+BOOST_AUTO_TEST_CASE(AHallWhoseColdnessIsToldLateIsNotOverrun)
+{
+    auto pattern = hallThatComesBackCold();
+    pattern.absence->coldToldAfterSeconds = 1.5;
+    playCold(pattern, "a third comes back cold, told late");
+}
+
+BOOST_AUTO_TEST_CASE(AHallThatComesBackColdKeepsItsBoundWhereMessagesAreLost)
+{
+    auto pattern = hallThatComesBackCold();
+    pattern.messageTime = Milliseconds(4);
+    pattern.lostMessages = 5;
+    playCold(pattern, "a third comes back cold, messages lost");
+}
+
 // The context's homes are found again once all has been read: what owners turn away for
 // the sake of the bound costs hardly any reading then.
 BOOST_AUTO_TEST_CASE(ALargeFleetThatHasBeenUpPlacesByContext)
--- /dev/null
+++ b/Tests/Processes/test_cold_upstreams.py
@@ -0,0 +1,120 @@
+"""Upstreams that are cold take a few requests a second, from all daemons together."""
+
+import time
+import unittest
+
+from fleet import eventually
+from test_platform import HOST, KEY, Entry, manifest, request
+from platform_stand_ins import Store, Upstream
+
+PER_SECOND = 4
+OVERSHOOT = 1.5
+SLACK = 2
+MOST = int(PER_SECOND * OVERSHOOT + SLACK)
+# Owners that have just started are careful for three seconds.
+SETTLED_S = 3.2
+# Longer than any test runs.
+LONG_COLD_MS = 60000
+
+
+class ColdUpstreams(unittest.TestCase):
+    def setUp(self):
+        self.store = Store()
+        self.addCleanup(self.store.stop)
+        self.attempts = 0
+        self.upstreams = {service: [self.upstream(f"{service}-{number}", service) for number in (1, 2)] for service in ("book", "chat")}
+        services = [{"name": "book", "healthPath": "/healthz", "maxConns": 100, "coldS": 3.0, "coldPerS": float(PER_SECOND)},
+                    {"name": "chat", "healthPath": "/healthz", "maxConns": 300, "coldS": 3.0, "coldPerS": float(PER_SECOND),
+                     "engine": {"kvCapacityTokens": 400000, "moves": True}}]
+        self.store.put("keyed.op", "config", manifest(3, services=services))
+        self.entries = [self.start(f"entry-{number}") for number in range(3)]
+        eventually(lambda: all(any("event=peers others=2" in line for line in entry.lines) for entry in self.entries), "all know one another")
+        time.sleep(SETTLED_S)
+
+    def start(self, name):
+        entry = Entry(self.store, "--name", name, "--key-bound-ms", "60000", "--cold-overshoot", str(OVERSHOOT), "--cold-slack", str(SLACK))
+        self.addCleanup(entry.stop)
+        eventually(entry.is_ready, "ready")
+        return entry
+
+    def upstream(self, instance, service):
+        upstream = Upstream(instance, service, slots=64)
+        self.addCleanup(upstream.stop)
+        self.store.put("keyed.servers", instance, upstream.record())
+        return upstream
+
+    def become(self, upstream, left_ms):
+        self.store.put("keyed.servers", upstream.instance, upstream.record(coldLeftMs=left_ms, seq=self.attempts + 2))
+        expected = f"event=upstream-cold instance={upstream.instance}" if left_ms else ""
+        if expected:
+            eventually(lambda: all(any(expected in line for line in entry.lines) for entry in self.entries), "all know")
+        else:
+            time.sleep(1)
+
+    def call(self, path):
+        self.attempts += 1
+        fields = {"Host": HOST, "X-Attempt-Id": f"attempt-{self.attempts}", "X-Deadline-Ms": "1500", "X-Api-Key": KEY}
+        if path.startswith("/stream/"):
+            fields["X-Prompt-Prefix"] = f"aa:500,{self.attempts % 16:x}b:9000,cc:30"
+        return request(self.entries[self.attempts % len(self.entries)].endpoint, "GET", path, None, fields)
+
+    def call_for(self, path, seconds):
+        end = time.monotonic() + seconds
+        answers = []
+        while time.monotonic() < end:
+            answers.append(self.call(path))
+            time.sleep(0.005)
+        return answers
+
+    def most_in_a_second(self, upstream, since):
+        arrivals = sorted(each["at"] for each in upstream.requests if each["at"] >= since)
+        return max((sum(1 for at in arrivals if first <= at < first + 1) for first in arrivals), default=0)
+
+    def check_bound(self, path, cold, is_served):
+        since = time.monotonic()
+        answers = self.call_for(path, 4)
+        self.assertGreater(len(answers), 5 * MOST * len(cold))
+        for upstream in cold:
+            most = self.most_in_a_second(upstream, since)
+            self.assertLessEqual(most, MOST)
+            self.assertGreater(most, 0)
+        if is_served:
+            self.assertEqual({answer.status for answer in answers}, {200})
+        return answers
+
+    def test_a_cold_upstream_gets_what_it_can_take_and_the_others_the_rest(self):
+        for service, path in (("chat", "/stream/again/x"), ("book", "/lookup/x")):
+            with self.subTest(service):
+                self.become(self.upstreams[service][0], LONG_COLD_MS)
+                self.check_bound(path, self.upstreams[service][:1], True)
+
+    def test_where_all_are_cold_the_rest_is_refused_as_not_run(self):
+        for upstream in self.upstreams["chat"]:
+            self.become(upstream, LONG_COLD_MS)
+        answers = self.check_bound("/stream/again/x", self.upstreams["chat"], False)
+        self.assertEqual({answer.status for answer in answers}, {200, 503})
+        refused = [answer for answer in answers if answer.status == 503]
+        self.assertTrue(all("Retry-After" in answer.headers for answer in refused))
+
+    def test_an_upstream_that_is_warm_again_gets_its_share(self):
+        cold = self.upstreams["chat"][0]
+        self.become(cold, LONG_COLD_MS)
+        self.call_for("/stream/again/x", 1)
+        self.become(cold, 0)
+        since = time.monotonic()
+        self.call_for("/stream/again/x", 2)
+        self.assertGreater(self.most_in_a_second(cold, since), MOST)
+
+    def test_a_hall_that_is_taken_back_counts_as_just_started(self):
+        self.store.put("keyed.op", "evacuate/north", {})
+        eventually(lambda: all(any("event=hall-emptied" in line for line in entry.lines) for entry in self.entries), "all know")
+        self.store.put("keyed.op", "evacuate/north", None)
+        eventually(lambda: all(any("event=hall-taken-back" in line for line in entry.lines) for entry in self.entries), "all know")
+        since = time.monotonic()
+        self.call_for("/stream/again/x", 2)
+        for upstream in self.upstreams["chat"]:
+            self.assertLessEqual(self.most_in_a_second(upstream, since), MOST)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/Tests/platform/TestServiceBoard.cpp
+++ b/Tests/platform/TestServiceBoard.cpp
@@ -11,7 +11,7 @@
 }
 
 struct World {
-    void put(UpstreamRecord const& record) { board.apply({ record.instance, record }); }
+    void put(UpstreamRecord const& record) { board.apply({ record.instance, record }, now); }
 
     std::optional<ServicePlacement::Choice> choose(std::vector<UpstreamId> excluded = {})
     {
@@ -85,9 +85,9 @@
     world.put(record);
     BOOST_TEST(!world.choose());
     BOOST_TEST(world.board.target(record.id())->service == "chat");
-    world.board.apply({ "a", {} });
+    world.board.apply({ "a", {} }, world.now);
     BOOST_TEST(!world.board.target(record.id()));
-    world.board.apply({ "a", {} });
+    world.board.apply({ "a", {} }, world.now);
     BOOST_TEST(world.board.upstreamCount() == 0u);
 }
 
