LibRouting: Foresee a mean that falls, and learn at once how long requests stay

Two faults of the same kind, an age that was left out of a belief, and the tool that compares ways to decide.

Cause 1: what an owner grants follows the mean load, which is a second old. Change: ServiceLoad foresees the mean over the age of its counts, no faster than requests end, and only for a fall that chance does not explain.

Cause 2: how long requests stay began at an assumed second and moved by a twentieth with each own answer. One of 73 daemons sees two short calls a second: for twenty seconds after its start it took counts long over for requests that were still there. Change: the first answers count as much as the assumption and all before them.

--- a/Libraries/LibRouting/ServiceLoad.cpp
+++ b/Libraries/LibRouting/ServiceLoad.cpp
@@ -23,6 +23,8 @@
     constexpr double deviationsBelowBound = 2.8;
     // So many above the mean a load by chance is in 1 of a thousand moments.
     constexpr double deviationsOfRush = 3;
+    // So many below the mean before, loads have begun to fall.
+    constexpr double deviationsOfFall = 2;
     // The mean of the absolute value of a normal deviate.
     constexpr double meanOfNormalDeviation = 0.8;
     // A load of less is mostly none at all, which is no normal deviation.
@@ -46,9 +48,14 @@
 
 }
 
+// The first ones count as much as all before them and the assumption: a daemon that sees two short calls a second
+// would go by the assumption for its first twenty seconds, take counts that are long over for
+// requests that are still there, and refuse others for them.
 void ServiceLoad::ended(Microseconds held)
 {
-    m_hold = std::max(Microseconds(1), movedTowards(hold(), held, newestHoldWeight));
+    ++m_ended;
+    auto const weight = m_bounds.learnsHoldAtOnce ? std::max(newestHoldWeight, 1 / static_cast<double>(m_ended + 1)) : newestHoldWeight;
+    m_hold = std::max(Microseconds(1), movedTowards(hold(), held, weight));
 }
 
 // Counts are used until the next ones come, so on average for half of the time
@@ -72,11 +79,28 @@
         usual += load.usual;
     }
     noteSpread(loads);
-    m_mean = counted / static_cast<double>(loads.size());
+    auto const mean = counted / static_cast<double>(loads.size());
+    m_meanInUse = foreseen(mean, counted);
+    m_mean = mean;
+    m_foundAt = m_countedAt;
     m_growth = usual > 0 ? counted / usual : 1;
     m_target = targetOfChance();
 }
 
+// When a rush ends, the mean falls as requests end, and what is let in by the mean of a second
+// ago is beyond the bound. A fall that chance explains is none.
+double ServiceLoad::foreseen(double mean, double counted) const
+{
+    if (!m_bounds.foreseesFall || !m_foundAt || !m_countedAt || *m_countedAt <= *m_foundAt || mean <= 0)
+        return mean;
+    auto const chance = deviationsOfFall / std::sqrt(std::max(1.0, counted));
+    auto const fall = std::log(m_mean / mean);
+    if (!(fall > chance))
+        return mean;
+    auto const perSecond = std::min(fall / asSeconds(*m_countedAt - *m_foundAt), 1 / asSeconds(hold()));
+    return mean * std::exp(-perSecond * asSeconds(m_countsAge));
+}
+
 // Requests of one context come in clumps, and an upstream that reads a long prompt
 // keeps all others waiting, so loads scatter more than independent requests would.
 // By the mean deviation, which one rush does not decide, as the variance would.
@@ -123,8 +147,8 @@
 
 size_t ServiceLoad::grantable(size_t places) const
 {
-    auto const bound = (1 + m_bounds.usableExcess * (m_bounds.loadMultiple - 1)) * m_mean + m_bounds.loadSlack;
-    return static_cast<size_t>(withoutQueue(bound, m_mean, places));
+    auto const bound = (1 + m_bounds.usableExcess * (m_bounds.loadMultiple - 1)) * m_meanInUse + m_bounds.loadSlack;
+    return static_cast<size_t>(withoutQueue(bound, m_meanInUse, places));
 }
 
 double ServiceLoad::target(size_t places) const
--- a/Libraries/LibRouting/ServiceLoad.h
+++ b/Libraries/LibRouting/ServiceLoad.h
@@ -32,6 +32,10 @@
         // 8.6 in 100 requests beyond the users' bound in five seconds, with 0.3 up to
         // 1.5 (the replay of TestLoadPatterns, four seeds).
         double leastFreshness { 0.3 };
+        // Ways to decide, which experiments compare.
+        bool foreseesFall { true };
+        bool learnsHoldAtOnce { true };
+        bool isCautious { true };
         // Counts of which less than this share still holds say nothing of queues.
         double leastFreshnessOfQueues { 0.1 };
     };
@@ -48,6 +52,7 @@
     // What they tell of all upstreams that stay.
     void found(std::vector<CountedLoad> const&);
 
+    Bounds const& bounds() const { return m_bounds; }
     // How long requests stay, a moving mean.
     Microseconds hold() const;
     // How old the others' counts are when they are used, a moving mean.
@@ -75,15 +80,20 @@
     double usable(double mean) const;
     double targetOfChance() const;
     void noteSpread(std::vector<CountedLoad> const&);
+    double foreseen(double mean, double counted) const;
 
     Bounds m_bounds;
     Microseconds m_hold { 0 };
+    size_t m_ended { 0 };
     Microseconds m_countsAge { 0 };
     std::optional<Instant> m_countedAt;
     // The variance of upstreams' loads about their means, in units of that of requests
     // that come and go independently of one another; a moving mean.
     double m_spread { 1 };
     double m_mean { 0 };
+    // The mean as it is likely to be while counts of it are used.
+    double m_meanInUse { 0 };
+    std::optional<Instant> m_foundAt;
     double m_growth { 1 };
     double m_target { 0 };
 };
--- a/Meta/stagepost.sh
+++ b/Meta/stagepost.sh
@@ -23,6 +23,8 @@
   day BENCH SITE DAY  plays a day of the users' platform; BENCH is the path of their bench
   days BENCH SITE     plays all days under deploy/days, a line each
   soak FIRST LAST [SECONDS [JOBS]]  runs the fault soak with these seeds; without any, with one fresh one
+  experiment BENCH --site SITE --day DAY --variant NAME[:POLICIES] ...  compares variants on the
+                same days and seeds; see Meta/experiment.py --help
   measure WHAT  proxy, placement, once, membership, capacity or all; --quick for a short run
 TEXT
 }
@@ -303,6 +305,11 @@
     shift
     soak "$@"
     ;;
+experiment)
+    shift
+    build >/dev/null
+    exec python3 -B Meta/experiment.py "$@"
+    ;;
 measure)
     shift
     build >/dev/null
--- a/Tests/LibRouting/TestServicePlacement.cpp
+++ b/Tests/LibRouting/TestServicePlacement.cpp
@@ -56,6 +56,21 @@
     BOOST_TEST(!PromptChain().sharedKey().has_value());
 }
 
+// One of many daemons before a service of short calls: what the others had in flight a while ago
+// is over by now, and says nothing of a queue.
+BOOST_AUTO_TEST_CASE(AFewShortCallsTellThatOldCountsSayNothingOfQueues)
+{
+    auto placement = placementOf(3);
+    for (int call = 0; call < 12; ++call) {
+        placement.started(UpstreamId(1));
+        placement.finished(UpstreamId(1), SendOutcome::Succeeded, Milliseconds(40), Milliseconds(40), at(6 + call * 0.5));
+    }
+    placement.othersCounted({ { UpstreamId(1), 5 }, { UpstreamId(2), 4 }, { UpstreamId(3), 4 } }, Milliseconds(500), at(12));
+    auto const occupancy = placement.occupancy();
+    BOOST_TEST(occupancy.perPlace > 1);
+    BOOST_TEST(AdmissionGate::refusedShare(occupancy, 2) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(DaemonsAgreeOnAContextsUpstreamWithoutAsking)
 {
     auto one = placementOf(9, 0, 1);
--- a/Tests/platform/TestPlatformOptions.cpp
+++ b/Tests/platform/TestPlatformOptions.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 #include <platform/PlatformOptions.h>
+#include <stagepostd/GatewayPolicies.h>
 
 using namespace Stagepost;
 
@@ -50,4 +51,24 @@
     BOOST_TEST((*parsed({ "--key-bound-ms", "5000" }).gateway.keyFreshness == Milliseconds(4700)));
 }
 
+BOOST_AUTO_TEST_CASE(AQuickBoundOnEmptiedHallsSetsThePaceAsWell)
+{
+    BOOST_TEST((parsed({ "--empty-hall-bound-ms", "1000" }).readInterval == Milliseconds(250)));
+    BOOST_TEST((parsed({ "--empty-hall-bound-ms", "5000" }).readInterval == Milliseconds(500)));
+    BOOST_TEST((parsed({}).readInterval == Milliseconds(500)));
+}
+
+BOOST_AUTO_TEST_CASE(PoliciesAreNamedOrRefused)
+{
+    BOOST_TEST(parsed({}).gateway.placement.foreseesFall);
+    auto const changed = parsed({ "--policies", "foresee-fall=off,caution=on" }).gateway.placement;
+    BOOST_TEST(!changed.foreseesFall);
+    BOOST_TEST(changed.isCautious);
+    for (auto const* wrong : { "caution", "caution=maybe", "other=on", ",caution=on" }) {
+        auto const policies = GatewayPolicies::parse(wrong);
+        BOOST_REQUIRE(!policies);
+        BOOST_TEST(policies.error().detail.find("foresee-fall learn-hold caution") != std::string::npos);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
