LibRouting: Go to no upstream that an owner says has had its part

Cause: where nobody knows yet that an upstream is cold, its owner's no was only one of several, and the request could still go there as to the least loaded, or by the daemon's own counts.

Change: an owner's word that the upstream has had its part is final for the request; the upstreams that said so are left out when it goes without an owner's word.

--- a/Libraries/LibBase/Base.h
+++ b/Libraries/LibBase/Base.h
@@ -21,4 +21,5 @@
 #include <LibBase/Result.h>
 #include <LibBase/TextDelta.h>
 #include <LibBase/Time.h>
+#include <LibBase/TokenBucket.h>
 #include <LibBase/Verdict.h>
--- a/Libraries/LibRouting/InFlightLedger.cpp
+++ b/Libraries/LibRouting/InFlightLedger.cpp
@@ -71,8 +71,9 @@
     bool const isCold = forecast.isCold || now < account.toldColdUntil;
     if (isCold && sends >= partOf(rank, cold))
         return { false, count, true };
-    bool const isWithinCaution = !forecast.hasRoomForCaution || sends < cold.forCaution();
-    LedgerVerdict const verdict { count < ask.limit && isWithinCaution, count };
+    if (forecast.hasRoomForCaution && sends >= cold.forCaution())
+        return { false, count, true };
+    LedgerVerdict const verdict { count < ask.limit, count };
     if (verdict.isGranted) {
         account.shares[from] = { ask.ownInFlight + 1, now };
         account.sends.add(1, cold.most(), now);
--- a/Libraries/LibRouting/InFlightLedger.h
+++ b/Libraries/LibRouting/InFlightLedger.h
@@ -20,8 +20,8 @@
     // What the upstream takes while it is cold, and whether it is known to be.
     ColdBound coldBound {};
     bool isCold { false };
-    // Whether the bound leaves room for twice what upstreams of the service get: then it can
-    // be kept as well while nobody knows yet that the upstream has become cold.
+    // Whether what upstreams of the service usually get fits into the bound: then it can be
+    // kept as well while nobody knows yet that the upstream has become cold.
     bool hasRoomForCaution { false };
 };
 
@@ -30,8 +30,8 @@
     bool isGranted { false };
     // What the upstream holds besides what was asked for.
     size_t count { 0 };
-    // Whether it is cold and was sent all that it can take by now: it gets nothing further,
-    // whatever the others hold.
+    // Whether it is cold, or may be, and was sent all that it can take by now: it gets nothing
+    // further, whatever the others hold.
     bool isExhausted { false };
 };
 
--- a/Libraries/LibRouting/LedgerExchange.cpp
+++ b/Libraries/LibRouting/LedgerExchange.cpp
@@ -100,17 +100,6 @@
     }));
 }
 
-bool LedgerExchange::payForFurtherAsk(Instant now)
-{
-    if (m_creditedAt != Instant {})
-        m_credit = std::min(m_bounds.furtherAsksAtOnce, m_credit + asSeconds(now - m_creditedAt) * m_bounds.furtherAsksPerSecond);
-    m_creditedAt = now;
-    if (m_credit < 1)
-        return false;
-    --m_credit;
-    return true;
-}
-
 void LedgerExchange::choose(std::vector<Candidate> candidates, Callback callback, Instant now)
 {
     auto const number = ++m_lastNumber;
@@ -148,10 +137,12 @@
     auto const candidate = pending.candidates[pending.index];
     if (verdict.isGranted) {
         count(candidate.upstream, candidate.hall, pending.owner, now);
-        return finish(number, { candidate.upstream, true, pending.asks });
+        return finish(number, { candidate.upstream, true, pending.asks, pending.exhausted });
     }
     bool const isLeast = !pending.least || verdict.count < pending.leastCount;
-    if (isLeast && !verdict.isExhausted) {
+    if (verdict.isExhausted) {
+        pending.exhausted.push_back(candidate.upstream);
+    } else if (isLeast) {
         pending.least = pending.index;
         pending.leastCount = verdict.count;
     }
@@ -163,7 +154,7 @@
     auto& pending = m_pending.at(number);
     ++pending.index;
     pending.ownersAsked = 0;
-    if (pending.index < pending.candidates.size() && payForFurtherAsk(now))
+    if (pending.index < pending.candidates.size() && m_furtherAsks.take(m_bounds.furtherAsksPerSecond, now))
         ask(number, now);
     else
         conclude(number, now);
@@ -173,7 +164,7 @@
 void LedgerExchange::conclude(uint64_t number, Instant now)
 {
     auto& pending = m_pending.at(number);
-    Outcome outcome { {}, false, pending.asks };
+    Outcome outcome { {}, false, pending.asks, pending.exhausted };
     if (pending.least) {
         auto const candidate = pending.candidates[*pending.least];
         outcome.upstream = candidate.upstream;
--- a/Libraries/LibRouting/LedgerExchange.h
+++ b/Libraries/LibRouting/LedgerExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/FleetPeer.h>
+#include <LibBase/TokenBucket.h>
 #include <LibRouting/InFlightLedger.h>
 #include <LibRouting/LedgerMessage.h>
 #include <LibRouting/SilenceWatch.h>
@@ -57,6 +58,8 @@
         // Whether the owner has room for it there, and not only less than the others hold.
         bool isGranted { false };
         size_t asks { 0 };
+        // Upstreams that are to get nothing further by now.
+        std::vector<UpstreamId> exhausted {};
     };
     using Callback = std::function<void(Outcome const&)>;
 
@@ -70,7 +73,7 @@
         , m_bounds(bounds)
         , m_hooks(std::move(hooks))
         , m_ledger(m_hooks.forecast)
-        , m_credit(bounds.furtherAsksAtOnce)
+        , m_furtherAsks(bounds.furtherAsksAtOnce)
     {
     }
 
@@ -120,6 +123,7 @@
         // The one that holds least of those whose owners answered.
         std::optional<size_t> least;
         size_t leastCount { 0 };
+        std::vector<UpstreamId> exhausted;
         Callback callback;
     };
 
@@ -130,7 +134,6 @@
     Microseconds patience() const;
     size_t ownAt(UpstreamId) const;
     size_t askedFor(UpstreamId) const;
-    bool payForFurtherAsk(Instant now);
     void ask(uint64_t number, Instant now);
     void takeAnswer(uint64_t number, LedgerVerdict const&, Instant now);
     void goOn(uint64_t number, Instant now);
@@ -151,8 +154,7 @@
     std::map<uint64_t, Pending> m_pending;
     uint64_t m_lastNumber { 0 };
     std::map<UpstreamId, Own> m_own;
-    double m_credit;
-    Instant m_creditedAt;
+    TokenBucket m_furtherAsks;
     Instant m_repeatedAt;
     size_t m_unansweredAsks { 0 };
     size_t m_exhaustedAsks { 0 };
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -23,9 +23,6 @@
     // Of one request's upstreams, so many owners are asked: a context that a twentieth of all
     // requests ask for fills seven of 160 upstreams.
     constexpr size_t mostOwnersAsked = 8;
-    // So many times the usual sends have to fit into the bound of a cold upstream for it to be
-    // kept at all times: contexts come in clumps.
-    constexpr double cautionHeadroom = 1.5;
     // What the watch says of halls, asked once for each: some have hundreds of upstreams.
     class HallReaches {
     public:
@@ -437,11 +434,11 @@
 
 bool ServicePlacement::hasRoomForCaution() const
 {
-    if (!m_coldBound.exists())
+    if (!m_coldBound.exists() || !m_load.bounds().isCautious)
         return false;
     auto const holdSeconds = asSeconds(m_load.hold());
     auto const inWindow = holdSeconds > 0 ? m_load.mean() / holdSeconds * asSeconds(coldWindow) : 0;
-    return cautionHeadroom * inWindow <= static_cast<double>(m_coldBound.forCaution());
+    return inWindow <= static_cast<double>(m_coldBound.forCaution());
 }
 
 UpstreamId ServicePlacement::chooseByCount(std::vector<Upstream*> const& usable, uint64_t context, double mean, Instant now) const
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -103,7 +103,7 @@
     // What upstreams' owners are asked about a request with a context: the first of its
     // order, and up to how much each may hold to take it. None where it is to try an upstream
     // that did not answer, or where there is none: choose() decides then.
-    // One without a context is to be asked for only where chance has it go to a cold upstream.
+    // One without a context is asked for only where chance has it go to a cold upstream.
     std::vector<LedgerExchange::Candidate> candidatesForOwners(Wish const&, Instant now);
     // The choice that their answers made; none where the upstream is gone or leaving by now.
     std::optional<Choice> chosenByOwners(Wish const&, LedgerExchange::Outcome const&, Instant now);
--- a/Services/stagepostd/GatewayFlow.cpp
+++ b/Services/stagepostd/GatewayFlow.cpp
@@ -77,13 +77,17 @@
     if (!maySend())
         return;
     auto const wish = this->wish();
-    bool const needsOwner = wish.context || m_service.placement.hasCold(m_services.loop.now());
-    if (needsOwner && m_services.peers.canAskOwners())
+    if (needsOwner(wish) && m_services.peers.canAskOwners())
         askOwners(wish);
     else
         placeWithoutOwners(wish);
 }
 
+bool GatewayFlow::needsOwner(ServicePlacement::Wish const& wish) const
+{
+    return wish.context || m_service.placement.hasCold(m_services.loop.now());
+}
+
 // Owners count what has a context; the others are counted only where one was asked.
 void GatewayFlow::placeWithoutOwners(ServicePlacement::Wish const& wish)
 {
@@ -153,13 +157,14 @@
         noteNotInFlight();
         return;
     }
-    auto const wish = this->wish();
+    auto wish = this->wish();
     auto const choice = m_service.placement.chosenByOwners(wish, outcome, m_services.loop.now());
     if (choice) {
         send(choice);
         return;
     }
     noteNotInFlight();
+    wish.excluded.insert(wish.excluded.end(), outcome.exhausted.begin(), outcome.exhausted.end());
     placeWithoutOwners(wish);
 }
 
--- a/Services/stagepostd/GatewayFlow.h
+++ b/Services/stagepostd/GatewayFlow.h
@@ -60,6 +60,7 @@
     // Whether nothing has come in the way of a send.
     bool maySend();
     ServicePlacement::Wish wish() const;
+    bool needsOwner(ServicePlacement::Wish const&) const;
     void askOwners(ServicePlacement::Wish const&);
     void takeOwnersWord(LedgerExchange::Outcome const&);
     // It has ended, or was not sent after all.
--- a/Tests/LoadPatterns/StreamFleet.cpp
+++ b/Tests/LoadPatterns/StreamFleet.cpp
@@ -371,10 +371,11 @@
     wish.context = context;
     auto candidates = m_daemons[daemon].placement->candidatesForOwners(wish, at(now));
     m_daemons[daemon].ledger->choose(
-        std::move(candidates), [this, daemon, wish, &kind](LedgerExchange::Outcome const& outcome) {
+        std::move(candidates), [this, daemon, wish, &kind](LedgerExchange::Outcome const& outcome) mutable {
             auto& placement = *m_daemons[daemon].placement;
             auto choice = placement.chosenByOwners(wish, outcome, at(m_now));
             if (!choice) {
+                wish.excluded = outcome.exhausted;
                 choice = placement.choose(wish, at(m_now));
                 if (choice)
                     m_daemons[daemon].ledger->began(choice->upstream, HallId(1), at(m_now));
--- a/Tests/LoadPatterns/TestOwners.cpp
+++ b/Tests/LoadPatterns/TestOwners.cpp
@@ -112,6 +112,20 @@
     playCold(pattern, "a third comes back cold in a burst");
 }
 
+// Four times the traffic for eight seconds: what came in the rush is still there when the mean
+// has fallen.
+BOOST_AUTO_TEST_CASE(OwnersKeepTheBoundWhenALongRushIsOver)
+{
+    auto pattern = hallThatComesBackCold();
+    pattern.absence.reset();
+    pattern.surge = 4;
+    pattern.surgeFrom = 2;
+    pattern.surgeUntil = 10;
+    pattern.countsInterval = Milliseconds(700);
+    pattern.countsAge = Milliseconds(1000);
+    play(pattern, "a long rush that ends", 0, tolerableInCalm, 8);
+}
+
 // Nobody knows for a second and a half that they are cold.
 BOOST_AUTO_TEST_CASE(AHallWhoseColdnessIsToldLateIsNotOverrun)
 {
--- a/Tests/platform/TestServiceBoard.cpp
+++ b/Tests/platform/TestServiceBoard.cpp
@@ -38,6 +38,90 @@
 
 BOOST_AUTO_TEST_SUITE(ServiceBoardTests)
 
+// The hall is emptied before the upstream's record comes, and after it.
+BOOST_AUTO_TEST_CASE(UpstreamsOfAnEmptiedHallGetNothing)
+{
+    World world;
+    auto const north = HallId::fromName("north");
+    world.put(upstream("a", 5));
+    world.board.setEmptied(north, true, world.now);
+    world.put(upstream("b", 6));
+    BOOST_TEST(!world.choose().has_value());
+    world.board.setEmptied(north, false, world.now);
+    BOOST_TEST(world.choose().has_value());
+}
+
+// What leaves by itself stays out when its hall is taken back.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatLeavesDoesNotComeBackWithItsHall)
+{
+    World world;
+    auto leaving = upstream("a", 5);
+    leaving.isLeaving = true;
+    world.put(leaving);
+    world.board.setEmptied(HallId::fromName("north"), true, world.now);
+    world.board.setEmptied(HallId::fromName("north"), false, world.now);
+    BOOST_TEST(!world.choose().has_value());
+}
+
+// Without its owner's word nothing goes to a cold upstream: the other daemons' sends count.
+BOOST_AUTO_TEST_CASE(AColdUpstreamGetsNothingWithoutItsOwnersWord)
+{
+    World world;
+    auto& placement = world.board.service("book").placement;
+    placement.setColdBound({ 9, 1.5, 5, Seconds(3) });
+    auto cold = upstream("a", 5);
+    cold.coldLeft = Milliseconds(2000);
+    world.put(cold);
+    BOOST_TEST(!world.choose().has_value());
+    ServicePlacement::Wish wish;
+    auto const candidates = placement.candidatesForOwners(wish, world.now);
+    BOOST_REQUIRE(candidates.size() == 1u);
+    BOOST_REQUIRE(candidates.front().cold.has_value());
+    BOOST_TEST((candidates.front().cold->left == Milliseconds(2000)));
+    BOOST_TEST(placement.chosenByOwners(wish, { cold.id(), true, 1 }, world.now).has_value());
+    world.now += Seconds(3);
+    BOOST_TEST(world.choose().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AnUpstreamIsWarmWhenItsRecordSaysSo)
+{
+    World world;
+    world.board.service("book").placement.setColdBound({ 9, 1.5, 5, Seconds(3) });
+    auto cold = upstream("a", 5);
+    cold.coldLeft = Milliseconds(2000);
+    world.put(cold);
+    world.put(upstream("a", 5));
+    BOOST_TEST(world.choose().has_value());
+    world.board.noteCold(cold.id(), Milliseconds(500), world.now);
+    BOOST_TEST(!world.choose().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AHallThatIsTakenBackCountsAsJustStarted)
+{
+    World world;
+    world.board.service("book").placement.setColdBound({ 9, 1.5, 5, Seconds(3) });
+    world.put(upstream("a", 5));
+    world.board.setEmptied(HallId::fromName("north"), true, world.now);
+    world.board.setEmptied(HallId::fromName("north"), false, world.now);
+    BOOST_TEST(!world.choose().has_value());
+    world.now += Seconds(3);
+    BOOST_TEST(world.choose().has_value());
+}
+
+// An owner's leave that was given before the order is not used after it.
+BOOST_AUTO_TEST_CASE(AGrantEndsWithTheOrderToEmptyItsHall)
+{
+    World world;
+    world.put(upstream("a", 5));
+    auto& placement = world.board.service("book").placement;
+    ServicePlacement::Wish wish;
+    wish.context = 7;
+    LedgerExchange::Outcome const granted { upstream("a", 5).id(), true, 1 };
+    BOOST_TEST(placement.chosenByOwners(wish, granted, world.now).has_value());
+    world.board.setEmptied(HallId::fromName("north"), true, world.now);
+    BOOST_TEST(!placement.chosenByOwners(wish, granted, world.now).has_value());
+}
+
 // What the process before did and held says nothing of the one that has its name now:
 // its breaker, what it has in flight, its silence and the connections to it.
 BOOST_AUTO_TEST_CASE(AnUpstreamThatStartsAgainIsJudgedAnew)
