--- a/Libraries/LibMembership/RegistryHistory.h
+++ b/Libraries/LibMembership/RegistryHistory.h
@@ -20,8 +20,7 @@
 // The last changes of the registry of daemons, each with the version that it led to,
 // so that one daemon that reads the registry can tell others what they lack. If all
 // read it themselves, each daemon that comes or goes costs as many calls as there are
-// daemons: 295 of them took 1,177 calls in the first 16 s of a calm day (the store's
-// calls in the daemons' logs).
+// daemons.
 class RegistryHistory {
 public:
     // All was read anew as of that version; nothing is known of before.
--- a/Libraries/LibMembership/StateExchange.h
+++ b/Libraries/LibMembership/StateExchange.h
@@ -34,8 +34,7 @@
         // that came by two asks are as old as both and the reader's interval.
         Microseconds fallbackAge { 1600000 };
         // With one older than this it reads the registry of daemons as well: all that it
-        // knows may be gone. Sooner, a whole fleet would do so in each outage of the
-        // store: 295 daemons made 8,356 calls in one of 8 s (the daemons' logs).
+        // knows may be gone. Sooner, a whole fleet would do so in each outage of the store.
         Microseconds registryFallbackAge { 10000000 };
         // How many daemons of a hall share one relay: so many asks and answers a
         // relay can send within a daemon's few kilobytes a second.
--- a/Libraries/LibRouting/AdmissionGate.cpp
+++ b/Libraries/LibRouting/AdmissionGate.cpp
@@ -7,8 +7,7 @@
 namespace {
 
     // Upstreams are not equally full: with so many requests for each place on average,
-    // some already have a queue. From 0.9 on, 0.01 to 0.05 less of a surge is answered in
-    // time (TestSurges, four seeds of two fleets).
+    // some already have a queue.
     constexpr double firstRefusalsAt = 0.85;
     // How much earlier the less urgent are turned away: a twentieth of the
     // places for each step is left to the more urgent.
--- a/Libraries/LibRouting/LedgerExchange.h
+++ b/Libraries/LibRouting/LedgerExchange.h
@@ -15,9 +15,8 @@
 // Asks upstreams' owners before a request is sent, and answers for the upstreams that this
 // daemon owns. Each upstream has one owner, a daemon of its hall that all agree on by
 // rendezvous, and only the owner counts its requests in flight; so the count is exact
-// while others are a second old. Where what was told between daemons was gone by, 1.8 to 3.9
-// in 100 requests of a large fleet's first seconds went to upstreams beyond twice the mean
-// and three more, with owners none (TestLoadPatterns, 20 seeds).
+// while others are a second old, in which a whole fleet overruns an upstream. For the same
+// reason it is the owner who keeps the rate of an upstream that is cold.
 //
 // An owner that does not answer costs a few milliseconds: then the next one in the order
 // is asked, and after that the request goes without. Nothing here is needed to serve.
--- a/Libraries/LibRouting/LoadEstimate.h
+++ b/Libraries/LibRouting/LoadEstimate.h
@@ -17,9 +17,7 @@
 // counts, and those of all other daemons, of which it hears late, from them and
 // from the upstream's answers. A count tells of now only as far as the requests
 // that were counted are still there; for the rest, what the upstream holds in the
-// mean is the better forecast. Without the mean, a fleet of 295 daemons whose
-// counts are older than their requests last sends up to 3.7 in 100 requests to
-// upstreams beyond twice the mean load and three more (TestLoadPatterns, four seeds).
+// mean is the better forecast: a large fleet's counts are older than its requests last.
 class LoadEstimate {
 public:
     void started() { ++m_own; }
--- a/Libraries/LibRouting/ServiceLoad.cpp
+++ b/Libraries/LibRouting/ServiceLoad.cpp
@@ -17,9 +17,7 @@
     constexpr double newestCountsWeight = 0.2;
     // So many standard deviations below a bound, a load that comes and goes by
     // chance exceeds it in 1 of 400 moments. What is left is for the seconds before
-    // counts come: while all daemons read their first prompts, 2.4 of 100 requests go
-    // beyond the users' bound with it and 3.2 with 2.33 (the daemons' logs of a cold
-    // start of 295).
+    // counts come, while all daemons read their first prompts.
     constexpr double deviationsBelowBound = 2.8;
     // So many above the mean a load by chance is in 1 of a thousand moments.
     constexpr double deviationsOfRush = 3;
@@ -48,9 +46,9 @@
 
 }
 
-// The first ones count as much as all before them and the assumption: a daemon that sees two short calls a second
-// would go by the assumption for its first twenty seconds, take counts that are long over for
-// requests that are still there, and refuse others for them.
+// The first ones count as much as all before them and the assumption: else a daemon that sees
+// two short calls a second would go by the assumption for twenty seconds, take counts that are
+// long over for requests that are still there, and refuse others for them.
 void ServiceLoad::ended(Microseconds held)
 {
     ++m_ended;
--- a/Libraries/LibRouting/ServiceLoad.h
+++ b/Libraries/LibRouting/ServiceLoad.h
@@ -27,17 +27,15 @@
         // mean can fall after a request was let in.
         double usableExcess { 0.5 };
         double usableSlack { 2 };
-        // Counts of which less than this share still holds are too old to go by one
-        // by one: with 0.5, seven daemons whose counts are half a second old send up to
-        // 8.6 in 100 requests beyond the users' bound in five seconds, with 0.3 up to
-        // 1.5 (the replay of TestLoadPatterns, four seeds).
+        // Counts of which less than this share still holds are too old to go by one by one:
+        // all daemons would send to the same upstream until it shows in the next counts.
         double leastFreshness { 0.3 };
-        // Ways to decide, which experiments compare.
+        // Counts of which less than this share still holds say nothing of queues.
+        double leastFreshnessOfQueues { 0.1 };
+        // What experiments switch off one by one, see GatewayPolicies.
         bool foreseesFall { true };
         bool learnsHoldAtOnce { true };
         bool isCautious { true };
-        // Counts of which less than this share still holds say nothing of queues.
-        double leastFreshnessOfQueues { 0.1 };
     };
 
     explicit ServiceLoad(Bounds bounds)
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -78,12 +78,6 @@
     m_upstreams[facts.id].facts = facts;
 }
 
-// A bound that is given up would leave upstreams cold that were so under it.
-void ServicePlacement::setColdBound(ColdBound const& bound)
-{
-    m_coldBound = bound;
-}
-
 void ServicePlacement::noteCold(UpstreamId id, std::optional<Instant> until)
 {
     if (auto const found = m_upstreams.find(id); found != m_upstreams.end())
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -71,7 +71,7 @@
     void removeUpstream(UpstreamId id) { m_upstreams.erase(id); }
 
     // What upstreams of the service take while they are cold.
-    void setColdBound(ColdBound const&);
+    void setColdBound(ColdBound const& bound) { m_coldBound = bound; }
     // The upstream is cold until then; none where it is warm.
     void noteCold(UpstreamId, std::optional<Instant> until);
     // It is to be taken for one that has just started.
--- a/Services/stagepostd/SettingsHistory.h
+++ b/Services/stagepostd/SettingsHistory.h
@@ -34,9 +34,8 @@
 };
 
 // The newest configuration as the platform wrote it, and the last changes. Others are
-// told what leads from the one that they have. If each of 295 daemons reads every new
-// one itself, a change costs as many calls to the store: 820 of a calm day's 4,520, and
-// more than 5,000 on a day with 18 changes (the daemons' logs); and 1.1 MB on each link.
+// told what leads from the one that they have. If each daemon reads every new one itself, a
+// change costs as many calls to the store as there are daemons, and a megabyte on each link.
 class SettingsHistory {
 public:
     // The steps by which it was told are passed on as they are: only whoever has read a
@@ -56,7 +55,6 @@
     static constexpr size_t mostSteps = 8;
     // Of all steps. A relay tells seven others: this takes a link of 10 Mbit/s less than
     // a second, and the store's own text of 1.1 MB would take each of theirs as long.
-    // 1,400 routes more are 19 KB, all 4,450 routes 74 KB (stagepost-measure settings).
     static constexpr size_t mostBytes = 128u << 10;
 
     uint64_t m_version { 0 };
--- a/Services/stagepostd/SettingsIntake.cpp
+++ b/Services/stagepostd/SettingsIntake.cpp
@@ -10,8 +10,8 @@
     // How long requests wait for one turn of reading, at the most: a small part of the
     // time in which a stream's next event is still in time.
     constexpr Milliseconds longestTurn { 4 };
-    // Of one turn, where the clock does not show what it takes. A step is some 15 us of a
-    // core (stagepost-measure settings), 0.12 ms on an eighth of one.
+    // Of one turn, where the clock does not show what it takes: a step takes a tenth of a
+    // millisecond on an eighth of a core.
     constexpr size_t mostSteps = 24;
 
     bool hasVersion(std::optional<SettingsIntake::Arrival> const& arrival, uint64_t version)
