LibRouting: Let caution refuse nobody, and fill the deploy file's absent bounds in its test

test_cold_upstreams gave a caller 503 with a warm upstream there: an owner's no for caution was final, and beside cold upstreams nothing was left. Change: upstreams that had their part are avoided where there are others (Wish::avoided); one that is known to be cold still gets nothing without its owner's leave. CautionAloneRefusesNobody.

test_deploy read bounds that its deployment lacks as an error, where the platform's template stands empty for them.

--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -294,9 +294,17 @@
     return found == usable.end() ? nullptr : *found;
 }
 
+// Caution costs no answer: where it leaves none, those that are not known to be cold are used.
+std::vector<ServicePlacement::Upstream*> ServicePlacement::notAvoided(Wish const& wish, std::vector<Upstream*> const& all)
+{
+    auto result = all;
+    std::erase_if(result, [&](auto const* upstream) { return std::find(wish.avoided.begin(), wish.avoided.end(), upstream->facts.id) != wish.avoided.end(); });
+    return result.empty() ? all : result;
+}
+
 std::vector<ServicePlacement::Upstream*> ServicePlacement::candidates(Wish const& wish, Instant now)
 {
-    auto const usable = warm(reachable(staying(wish), now), now);
+    auto const usable = notAvoided(wish, warm(reachable(staying(wish), now), now));
     auto* trial = trialFor(wish, usable, now);
     if (trial && trial->health.allows(now, wish.isRepeatable))
         return { trial };
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -87,6 +87,8 @@
         std::vector<UpstreamId> excluded;
         // Whether it may be sent again if it fails.
         bool isRepeatable { false };
+        // Upstreams that are to get nothing further by now, where there are others.
+        std::vector<UpstreamId> avoided {};
     };
     struct Choice {
         UpstreamId upstream;
@@ -153,6 +155,7 @@
     std::optional<ColdNotice> coldNotice(Upstream const&, Instant now) const;
     std::vector<Upstream*> staying(Wish const&);
     std::vector<Upstream*> candidates(Wish const&, Instant now);
+    static std::vector<Upstream*> notAvoided(Wish const&, std::vector<Upstream*> const&);
     Upstream* trialFor(Wish const&, std::vector<Upstream*> const& usable, Instant now) const;
     std::vector<Upstream*> answering(std::vector<Upstream*> const& usable, Instant now) const;
     std::vector<Upstream*> reachable(std::vector<Upstream*> const&, Instant now) const;
--- a/Services/stagepostd/GatewayFlow.cpp
+++ b/Services/stagepostd/GatewayFlow.cpp
@@ -164,7 +164,7 @@
         return;
     }
     noteNotInFlight();
-    wish.excluded.insert(wish.excluded.end(), outcome.exhausted.begin(), outcome.exhausted.end());
+    wish.avoided = outcome.exhausted;
     placeWithoutOwners(wish);
 }
 
--- a/Tests/LoadPatterns/StreamFleet.cpp
+++ b/Tests/LoadPatterns/StreamFleet.cpp
@@ -375,7 +375,7 @@
             auto& placement = *m_daemons[daemon].placement;
             auto choice = placement.chosenByOwners(wish, outcome, at(m_now));
             if (!choice) {
-                wish.excluded = outcome.exhausted;
+                wish.avoided = outcome.exhausted;
                 choice = placement.choose(wish, at(m_now));
                 if (choice)
                     m_daemons[daemon].ledger->began(choice->upstream, HallId(1), at(m_now));
--- a/Tests/Processes/test_deploy.py
+++ b/Tests/Processes/test_deploy.py
@@ -30,10 +30,18 @@
     return value
 
 
+def is_given(settings, name):
+    """Whether there is such a value and it is not false: one that a deployment lacks is none."""
+    try:
+        return bool(value_of(settings, name))
+    except KeyError:
+        return False
+
+
 def fill(text, settings):
-    """Fills the gaps as the platform does: sections for what is true or false, and values."""
-    text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", lambda gap: gap[2] if value_of(settings, gap[1]) else "", text)
-    text = re.sub(r"\{\{\^([\w.]+)\}\}(.*?)\{\{/\1\}\}", lambda gap: "" if value_of(settings, gap[1]) else gap[2], text)
+    """Fills the gaps as the platform does: sections for what is given or not, and values."""
+    text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", lambda gap: gap[2] if is_given(settings, gap[1]) else "", text)
+    text = re.sub(r"\{\{\^([\w.]+)\}\}(.*?)\{\{/\1\}\}", lambda gap: "" if is_given(settings, gap[1]) else gap[2], text)
     return re.sub(r"\{\{([\w.]+)\}\}", lambda gap: json.dumps(value_of(settings, gap[1])).strip('"'), text)
 
 
@@ -55,6 +63,12 @@
         flags = flags_for(drainMs=3000, configApplyMs=700)
         self.assertEqual((flags["--leave-bound-ms"], flags["--config-bound-ms"]), ("3000", "700"))
 
+    def test_emptied_halls_and_cold_upstreams_have_bounds_where_a_deployment_gives_them(self):
+        given = flags_for(evacuateMs=5000, coldOvershoot=1.5, coldSlack=5)
+        self.assertEqual((given["--empty-hall-bound-ms"], given["--cold-overshoot"], given["--cold-slack"]), ("5000", "1.5", "5"))
+        absent = flags_for()
+        self.assertEqual((absent["--empty-hall-bound-ms"], absent["--cold-overshoot"], absent["--cold-slack"]), ("0", "1", "0"))
+
     def test_the_daemon_takes_the_flags(self):
         for is_strict in (True, False):
             words = [word for pair in flags_for(strictRevoke=is_strict).items() for word in pair]
--- a/Tests/platform/TestServiceBoard.cpp
+++ b/Tests/platform/TestServiceBoard.cpp
@@ -83,6 +83,23 @@
     BOOST_TEST(world.choose().has_value());
 }
 
+// An owner keeps the bound where the upstream might be cold: that alone refuses nobody.
+BOOST_AUTO_TEST_CASE(CautionAloneRefusesNobody)
+{
+    World world;
+    auto const only = upstream("a", 5);
+    auto cold = upstream("b", 6);
+    cold.coldLeft = Milliseconds(2000);
+    world.board.service("book").placement.setColdBound({ 9, 1.5, 5, Seconds(3) });
+    world.put(only);
+    world.put(cold);
+    ServicePlacement::Wish wish;
+    wish.avoided = { only.id(), cold.id() };
+    auto const choice = world.board.service("book").placement.choose(wish, world.now);
+    BOOST_REQUIRE(choice.has_value());
+    BOOST_TEST((choice->upstream == only.id()));
+}
+
 BOOST_AUTO_TEST_CASE(AnUpstreamIsWarmWhenItsRecordSaysSo)
 {
     World world;
