stagepost: Log each rejection with which an upstream asks for rest

A 503 of an upstream may say for how long it wants nothing more. Nothing read that, so neither a line nor a counter could tell requests that came after such a word from those after a plain rejection, which is what the reported case hangs on. The head of the answer now says it, upstream-rests is a line of its own and stagepost_upstream_rests_total counts it by service. No decision changes.

--- a/Services/stagepostd/GatewayDialect.h
+++ b/Services/stagepostd/GatewayDialect.h
@@ -47,6 +47,8 @@
     std::optional<UpstreamLoadReport> load;
     // How much longer the upstream stays cold, where it says so.
     std::optional<Milliseconds> coldLeft {};
+    // The upstream turns requests away, and wants nothing from this daemon for so long.
+    std::optional<Milliseconds> restFor {};
 };
 
 // How the platform, its callers and its upstreams spell what the gateway needs.
--- a/Services/stagepostd/GatewayFlow.cpp
+++ b/Services/stagepostd/GatewayFlow.cpp
@@ -303,6 +303,8 @@
         m_service.placement.reported(upstream, *head.load, now);
     if (head.coldLeft)
         m_services.board.noteCold(upstream, *head.coldLeft, now);
+    if (head.restFor)
+        noteRest(*head.restFor);
     if (head.isNotRun)
         return HeadRejection { RefusalReason::OverCapacity, Verdict::NotRun, "the upstream has not run the request" };
     if (status >= 200 && status < 300 && !head.isSigned)
@@ -316,6 +318,12 @@
     return {};
 }
 
+void GatewayFlow::noteRest(Milliseconds duration)
+{
+    m_services.metrics.count("stagepost_upstream_rests_total", "service=\"" + m_request.service + '"');
+    logEvent(LogLevel::Info, "upstream-rests", { { "instance", m_instance }, { "service", m_request.service }, { "id", m_request.call.id }, { "rest_ms", duration.count() } });
+}
+
 void GatewayFlow::noteOutcome(UpstreamId upstream, ForwardResult const& result)
 {
     auto const now = m_services.loop.now();
--- a/Services/stagepostd/GatewayFlow.h
+++ b/Services/stagepostd/GatewayFlow.h
@@ -75,6 +75,8 @@
     void forward(ServicePlacement::Choice const&, ServiceBoard::Target const&);
     void noteSign(UpstreamId, UpstreamSign);
     std::optional<HeadRejection> judge(UpstreamId, unsigned status, HttpFields const&);
+    // The upstream that the request was sent to wants nothing for so long.
+    void noteRest(Milliseconds);
     void forwarded(UpstreamId, ForwardResult const&);
     void noteOutcome(UpstreamId, ForwardResult const&);
     // Of an answer that broke off.
