--- a/Tests/Processes/platform_stand_ins.py
+++ b/Tests/Processes/platform_stand_ins.py
@@ -213,6 +213,10 @@
         self.fault = None
         # Faults of the next requests, one each; they go before the lasting one.
         self.next_faults = []
+        # With "refuse", for how many seconds it wants nothing; None where it does not say.
+        self.rest = None
+        # Whether its answers say that it leaves.
+        self.says_leaving = False
         self.requests = []
         self.lock = threading.Lock()
         self.events = 6
@@ -286,7 +290,8 @@
             connection.sendall(self.head(request, 421, 0))
             return True
         if fault == "refuse":
-            connection.sendall(self.head(request, 503, 0, "X-Not-Executed: 1\r\n"))
+            rest = "" if self.rest is None else f"Retry-After: {self.rest}\r\n"
+            connection.sendall(self.head(request, 503, 0, "X-Not-Executed: 1\r\n" + rest))
             return True
         request["ran"] = True
         if fault == "mute":
@@ -301,6 +306,7 @@
 
     def head(self, request, status, length, extra=""):
         identifier = request["headers"].get("x-attempt-id", "")
+        extra += "Server-Leaving: 1\r\n" if self.says_leaving else ""
         framing = "" if length is None else f"Content-Length: {length}\r\n"
         return (f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {identifier}\r\nX-Response-Signature: by-{self.instance}\r\n"
                 f"X-Server-Load: 1,0,{self.slots}\r\n{framing}{extra}\r\n").encode()
