stagepost: Send nothing to an upstream whose answers say that it leaves

An upstream that leaves says so in all its answers (Server-Leaving). Only its record was read, which comes later, may lapse while the store is away and come back as it was before.

ServiceBoard keeps which upstreams said so, by their start, and no record takes that back. It is kept for ten minutes beyond the record. The daemon's own knowledge: others learn it by the record or by an answer of their own.

--- a/Services/stagepostd/GatewayDialect.h
+++ b/Services/stagepostd/GatewayDialect.h
@@ -49,6 +49,8 @@
     std::optional<Milliseconds> coldLeft {};
     // The upstream turns requests away, and wants nothing from this daemon for so long.
     std::optional<Milliseconds> restFor {};
+    // The upstream finishes what it has and leaves.
+    bool isLeaving { false };
 };
 
 // How the platform, its callers and its upstreams spell what the gateway needs.
--- a/Services/stagepostd/GatewayFlow.cpp
+++ b/Services/stagepostd/GatewayFlow.cpp
@@ -305,6 +305,8 @@
         m_services.board.noteCold(upstream, *head.coldLeft, now);
     if (head.restFor)
         noteRest(*head.restFor);
+    if (head.isLeaving)
+        m_services.board.noteLeaving(upstream, now);
     if (head.isNotRun)
         return HeadRejection { RefusalReason::OverCapacity, Verdict::NotRun, "the upstream has not run the request" };
     if (status >= 200 && status < 300 && !head.isSigned)
--- a/Services/stagepostd/ServiceBoard.cpp
+++ b/Services/stagepostd/ServiceBoard.cpp
@@ -4,6 +4,14 @@
 
 namespace Stagepost {
 
+namespace {
+
+    // How long it is kept that an upstream leaves which is gone by its record: that may have lapsed
+    // while the store was away, and come back.
+    constexpr Seconds leavingMemory { 600 };
+
+}
+
 ServiceBoard::Entry& ServiceBoard::service(std::string const& name)
 {
     auto& entry = m_services[name];
@@ -59,9 +67,19 @@
         service(target->service).placement.noteCold(id, now + left);
 }
 
+void ServiceBoard::noteLeaving(UpstreamId id, Instant now)
+{
+    auto const* target = this->target(id);
+    if (!target || !m_saidLeaving.emplace(id, now).second)
+        return;
+    logEvent(LogLevel::Info, "upstream-says-it-leaves", { { "instance", target->instance }, { "service", target->service } });
+    place(id, *target);
+    std::erase_if(m_saidLeaving, [&](auto const& said) { return now - said.second > leavingMemory && !m_targets.contains(said.first); });
+}
+
 void ServiceBoard::place(UpstreamId id, Target const& target)
 {
-    bool const getsNothing = target.isLeaving || m_emptiedHalls.contains(target.hall);
+    bool const getsNothing = target.isLeaving || m_saidLeaving.contains(id) || m_emptiedHalls.contains(target.hall);
     service(target.service).placement.putUpstream({ id, target.hall == HallId::fromName(m_bounds.hall), target.slots, getsNothing, target.hall });
 }
 
--- a/Services/stagepostd/ServiceBoard.h
+++ b/Services/stagepostd/ServiceBoard.h
@@ -58,6 +58,10 @@
     // The upstream says that it stays cold for so long.
     void noteCold(UpstreamId, Milliseconds left, Instant now);
 
+    // The upstream's own answer says that it leaves. No record takes that back: one may be
+    // older, or come back with a store that has lost its last seconds.
+    void noteLeaving(UpstreamId, Instant now);
+
     // This daemon's part of what the fleet may spend on retries, from 0 to 1.
     void setRetryShare(double);
 
@@ -85,6 +89,8 @@
     std::map<std::string, std::unique_ptr<Entry>> m_services;
     std::map<UpstreamId, Target> m_targets;
     std::set<HallId> m_emptiedHalls;
+    // Upstreams that said in their answers that they leave, and when.
+    std::map<UpstreamId, Instant> m_saidLeaving;
     // Which start of each upstream is a target.
     std::map<std::string, UpstreamId> m_ids;
 };
--- a/Tests/platform/TestPlatformReaders.cpp
+++ b/Tests/platform/TestPlatformReaders.cpp
@@ -273,6 +273,8 @@
     for (auto const* text : { "", "0", "-1", "soon", "nan", "inf", "Wed, 21 Oct 2026 07:28:00 GMT" })
         BOOST_TEST(dialect.readAnswerHead(503, { { "Retry-After", text } }).restFor.value_or(Milliseconds(0)).count() <= 86400000);
     BOOST_TEST(!dialect.readAnswerHead(503, { { "Retry-After", "soon" } }).restFor.has_value());
+    BOOST_TEST(dialect.readAnswerHead(200, { { "Server-Leaving", "1" } }).isLeaving);
+    BOOST_TEST(!dialect.readAnswerHead(200, {}).isLeaving);
     BOOST_TEST(!dialect.readAnswerHead(429, { { "Retry-After", "2" } }).restFor.has_value());
     auto const head = dialect.readAnswerHead(200, { { "X-Response-Signature", "s" }, { "X-Server-Load", "3,1,8" } });
     BOOST_TEST(head.isSigned);
--- a/Tests/platform/TestServiceBoard.cpp
+++ b/Tests/platform/TestServiceBoard.cpp
@@ -51,6 +51,22 @@
     BOOST_TEST(world.choose().has_value());
 }
 
+// Neither what its record says later, nor that the record was gone meanwhile, takes it back.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatSaidItLeavesGetsNothingWhateverItsRecordSays)
+{
+    World world;
+    world.put(upstream("a", 5));
+    world.board.noteLeaving(upstream("a", 5).id(), world.now);
+    BOOST_TEST(!world.choose().has_value());
+    world.put(upstream("a", 5));
+    BOOST_TEST(!world.choose().has_value());
+    world.board.apply({ "a", {} }, world.now);
+    world.put(upstream("a", 5));
+    BOOST_TEST(!world.choose().has_value());
+    world.put(upstream("a", 6));
+    BOOST_TEST(world.choose().has_value());
+}
+
 // What leaves by itself stays out when its hall is taken back.
 BOOST_AUTO_TEST_CASE(AnUpstreamThatLeavesDoesNotComeBackWithItsHall)
 {
