stagepost: Leave an upstream that asks for rest alone

Callers saw nothing, upstreams did: one that answers 503 with Retry-After went on getting requests of the same daemon, 4 and 5 in rests of 3 s in the reported case (2 are allowed).

Cause: nobody read the field. A rejection was one failed answer among others, and an upstream is passed over only once a quarter more of its answers fail than the others' do.

UpstreamRest keeps until when an upstream wants nothing, ServicePlacement leaves it out wherever it chooses: by wait, by count, by owners and among the cold ones, and where an answer is waited for because nobody else could be asked. Where all that are left rest, one request a rest is tried, halfway through it; the others are refused at once as not run. The rest binds this daemon alone, so a refused caller is told the usual time to come back: another daemon may be let in.

--- a/Libraries/LibRouting/PlacementRule.cpp
+++ b/Libraries/LibRouting/PlacementRule.cpp
@@ -15,6 +15,8 @@
         return "granted";
     case PlacementRule::Least:
         return "least";
+    case PlacementRule::Resting:
+        return "resting";
     }
     return "unknown";
 }
--- a/Libraries/LibRouting/PlacementRule.h
+++ b/Libraries/LibRouting/PlacementRule.h
@@ -19,6 +19,8 @@
     Granted,
     // Of those whose owners were asked, none of which has room, the one that holds least.
     Least,
+    // All others want rest or have failed the request: a trial in an upstream's rest.
+    Resting,
 };
 
 std::string_view nameOf(PlacementRule);
--- a/Libraries/LibRouting/Routing.h
+++ b/Libraries/LibRouting/Routing.h
@@ -38,3 +38,4 @@
 #include <LibRouting/TakenShare.h>
 #include <LibRouting/UpstreamHealth.h>
 #include <LibRouting/UpstreamOwner.h>
+#include <LibRouting/UpstreamRest.h>
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -46,6 +46,11 @@
         std::map<HallId, Reach> m_reaches;
     };
 
+    bool contains(std::vector<UpstreamId> const& ids, UpstreamId id)
+    {
+        return std::find(ids.begin(), ids.end(), id) != ids.end();
+    }
+
     // The first in a context's rendezvous order of the upstreams that are offered.
     class FirstInOrder {
     public:
@@ -145,6 +150,23 @@
         found->second.load.reported(report, m_load.hold(), now);
 }
 
+void ServicePlacement::askedForRest(UpstreamId id, Microseconds duration, Instant now)
+{
+    if (auto const found = m_upstreams.find(id); found != m_upstreams.end())
+        found->second.rest.asked(duration, now);
+}
+
+Microseconds ServicePlacement::restLeft(UpstreamId id, Instant now) const
+{
+    auto const found = m_upstreams.find(id);
+    return found == m_upstreams.end() ? Microseconds(0) : found->second.rest.left(now);
+}
+
+size_t ServicePlacement::restingCount(Instant now) const
+{
+    return static_cast<size_t>(std::count_if(m_upstreams.begin(), m_upstreams.end(), [now](auto const& entry) { return entry.second.rest.isResting(now); }));
+}
+
 void ServicePlacement::othersCounted(std::map<UpstreamId, size_t> const& counts, Microseconds age, Instant now)
 {
     m_load.counted(age, now);
@@ -253,17 +275,42 @@
     }
 }
 
-std::vector<ServicePlacement::Upstream*> ServicePlacement::staying(Wish const& wish)
+bool ServicePlacement::takesRequests(Upstream const& upstream, Instant now)
+{
+    return !upstream.facts.isLeaving && !upstream.rest.isResting(now);
+}
+
+size_t ServicePlacement::sizeForRetry(std::vector<UpstreamId> const& failed, Instant now) const
+{
+    return static_cast<size_t>(std::count_if(m_upstreams.begin(), m_upstreams.end(), [&](auto const& entry) {
+        return contains(failed, entry.first) || takesRequests(entry.second, now);
+    }));
+}
+
+std::vector<ServicePlacement::Upstream*> ServicePlacement::staying(Wish const& wish, Instant now)
 {
     std::vector<Upstream*> result;
     for (auto& [id, upstream] : m_upstreams) {
-        bool const isExcluded = std::find(wish.excluded.begin(), wish.excluded.end(), id) != wish.excluded.end();
-        if (!isExcluded && !upstream.facts.isLeaving)
+        if (!contains(wish.excluded, id) && takesRequests(upstream, now))
             result.push_back(&upstream);
     }
     return result;
 }
 
+// The one that has waited longest for a trial. One that is cold is tried by its owner's leave alone.
+ServicePlacement::Upstream* ServicePlacement::restingForTrial(Wish const& wish, Instant now)
+{
+    Upstream* result = nullptr;
+    for (auto& [id, upstream] : m_upstreams) {
+        bool const mayBeTried = !upstream.facts.isLeaving && upstream.rest.isTrialDue(now) && upstream.health.isClosed() && !isCold(upstream, now);
+        if (!mayBeTried || contains(wish.excluded, id))
+            continue;
+        if (!result || upstream.rest.nextTrialAt() < result->rest.nextTrialAt())
+            result = &upstream;
+    }
+    return result;
+}
+
 // Without those in halls that are silent. Where all are, this daemon may be the
 // one that is cut off, or paused: try any.
 std::vector<ServicePlacement::Upstream*> ServicePlacement::reachable(std::vector<Upstream*> const& all, Instant now) const
@@ -298,13 +345,13 @@
 std::vector<ServicePlacement::Upstream*> ServicePlacement::notAvoided(Wish const& wish, std::vector<Upstream*> const& all)
 {
     auto result = all;
-    std::erase_if(result, [&](auto const* upstream) { return std::find(wish.avoided.begin(), wish.avoided.end(), upstream->facts.id) != wish.avoided.end(); });
+    std::erase_if(result, [&](auto const* upstream) { return contains(wish.avoided, upstream->facts.id); });
     return result.empty() ? all : result;
 }
 
 std::vector<ServicePlacement::Upstream*> ServicePlacement::candidates(Wish const& wish, Instant now)
 {
-    auto const usable = notAvoided(wish, warm(reachable(staying(wish), now), now));
+    auto const usable = notAvoided(wish, warm(reachable(staying(wish, now), now), now));
     auto* trial = trialFor(wish, usable, now);
     if (trial && trial->health.allows(now, wish.isRepeatable))
         return { trial };
@@ -328,8 +375,13 @@
 std::optional<ServicePlacement::Choice> ServicePlacement::choose(Wish const& wish, Instant now)
 {
     auto const usable = candidates(wish, now);
-    if (usable.empty())
-        return {};
+    if (usable.empty()) {
+        auto* resting = restingForTrial(wish, now);
+        if (!resting)
+            return {};
+        resting->rest.tried();
+        return finish(wish, resting->facts.id, { PlacementRule::Resting, m_load.countsAge(), m_load.hold(), 0 }, now);
+    }
     auto const rule = wish.context ? ruleForContexts() : PlacementRule::Wait;
     auto const upstream = wish.context ? chooseByContext(rule, usable, *wish.context, now) : chooseByWait(usable, now)->facts.id;
     return finish(wish, upstream, { rule, m_load.countsAge(), m_load.hold(), 0 }, now);
@@ -383,7 +435,7 @@
 
 std::vector<LedgerExchange::Candidate> ServicePlacement::candidatesForOwners(Wish const& wish, Instant now)
 {
-    auto const reached = reachable(staying(wish), now);
+    auto const reached = reachable(staying(wish, now), now);
     if (!wish.context)
         return asCandidates(coldByChance(wish, reached, now), now);
     auto const others = warm(reached, now);
@@ -413,11 +465,11 @@
     return result;
 }
 
-// What was allowed before an upstream began to leave is not used any more.
+// What was allowed before an upstream began to leave, or to rest, is not used any more.
 std::optional<ServicePlacement::Choice> ServicePlacement::chosenByOwners(Wish const& wish, LedgerExchange::Outcome const& outcome, Instant now)
 {
     auto const found = outcome.upstream ? m_upstreams.find(*outcome.upstream) : m_upstreams.end();
-    if (found == m_upstreams.end() || found->second.facts.isLeaving)
+    if (found == m_upstreams.end() || !takesRequests(found->second, now))
         return {};
     if (isCold(found->second, now) && !found->second.health.allows(now, wish.isRepeatable))
         return {};
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -11,6 +11,7 @@
 #include <LibRouting/SilenceWatch.h>
 #include <LibRouting/TakenShare.h>
 #include <LibRouting/UpstreamHealth.h>
+#include <LibRouting/UpstreamRest.h>
 #include <map>
 #include <optional>
 #include <vector>
@@ -116,6 +117,11 @@
     // How long the answer took to begin, and the request to end.
     void finished(UpstreamId, SendOutcome, Microseconds took, Microseconds held, Instant now);
     void reported(UpstreamId, UpstreamLoadReport const&, Instant now);
+    // The upstream wants nothing of this daemon for so long.
+    void askedForRest(UpstreamId, Microseconds duration, Instant now);
+    // What is left of that, where it rests.
+    Microseconds restLeft(UpstreamId, Instant now) const;
+    size_t restingCount(Instant now) const;
     // What all other daemons had in flight so long ago; nothing at upstreams that are
     // not in it.
     void othersCounted(std::map<UpstreamId, size_t> const&, Microseconds age, Instant now);
@@ -134,6 +140,8 @@
     Microseconds countsAge() const { return m_load.countsAge(); }
 
     size_t size() const { return m_upstreams.size(); }
+    // Those that take requests now, and those that have failed one that may be sent again.
+    size_t sizeForRetry(std::vector<UpstreamId> const& failed, Instant now) const;
 
 private:
     struct Upstream {
@@ -141,6 +149,7 @@
         LoadEstimate load;
         TakenShare share;
         UpstreamHealth health;
+        UpstreamRest rest;
         // How long answers take there, a moving mean; 0 until the first.
         double tookSeconds { 0 };
         Instant tookAt;
@@ -153,7 +162,9 @@
     std::vector<Upstream*> coldByChance(Wish const&, std::vector<Upstream*> const&, Instant now);
     std::vector<LedgerExchange::Candidate> asCandidates(std::vector<Upstream*> const&, Instant now) const;
     std::optional<ColdNotice> coldNotice(Upstream const&, Instant now) const;
-    std::vector<Upstream*> staying(Wish const&);
+    static bool takesRequests(Upstream const&, Instant now);
+    std::vector<Upstream*> staying(Wish const&, Instant now);
+    Upstream* restingForTrial(Wish const&, Instant now);
     std::vector<Upstream*> candidates(Wish const&, Instant now);
     static std::vector<Upstream*> notAvoided(Wish const&, std::vector<Upstream*> const&);
     Upstream* trialFor(Wish const&, std::vector<Upstream*> const& usable, Instant now) const;
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -465,6 +465,7 @@
         m_metrics.setGauge("stagepost_requests_per_place" + label, occupancy.perPlace);
         m_metrics.setGauge("stagepost_turned_away_share" + label, AdmissionGate::refusedShare(occupancy, 0));
         m_metrics.setGauge("stagepost_cold_upstreams" + label, static_cast<double>(service->placement.coldCount(m_loop.now())));
+        m_metrics.setGauge("stagepost_resting_upstreams" + label, static_cast<double>(service->placement.restingCount(m_loop.now())));
         m_metrics.setGauge("stagepost_counts_age_seconds" + label, asSeconds(service->placement.countsAge()));
     }
 }
--- a/Services/stagepostd/GatewayFlow.cpp
+++ b/Services/stagepostd/GatewayFlow.cpp
@@ -199,6 +199,8 @@
 {
     if (m_service.placement.hasCold(m_services.loop.now()))
         return { RefusalReason::QueueFull, m_attempts.verdict(), "the upstreams that are left have just started and take no more by now", std::chrono::duration_cast<Milliseconds>(coldWindow) };
+    if (m_service.placement.restingCount(m_services.loop.now()))
+        return { RefusalReason::QueueFull, m_attempts.verdict(), "the upstreams that are left want rest", m_attempts.timeToComeBack() };
     return { RefusalReason::NoUpstream, m_attempts.verdict(), "no upstream of the service is known", m_attempts.timeToComeBack() };
 }
 
@@ -227,7 +229,7 @@
 
 ForwardPlan GatewayFlow::planFor(ServicePlacement::Choice const& choice, ServiceBoard::Target const& target, Instant now)
 {
-    auto const patience = m_attempts.patience(m_service.placement.size(), m_service.placement.usualWaits(m_request.call.prompt.tokens()), now);
+    auto const patience = m_attempts.patience(sizeForRetry(now), m_service.placement.usualWaits(m_request.call.prompt.tokens()), now);
     auto const* service = m_request.table->service(m_request.service);
     ForwardPlan plan;
     plan.upstream = target.endpoint;
@@ -264,10 +266,11 @@
     // The budget that would have allowed another try may be spent by now.
     plan.waitsOn = [weak = weak_from_this()] {
         auto const flow = weak.lock();
-        return flow && !flow->m_attempts.couldSendAgain(flow->m_service.placement.size(), flow->m_services.loop.now());
+        return flow && !flow->couldSendAgain();
     };
     m_instance = target.instance;
     m_placement = choice.reason;
+    m_restLeft = m_service.placement.restLeft(upstream, now);
     m_sentAt = now;
     m_heardAt = now;
     m_service.placement.started(upstream);
@@ -304,7 +307,7 @@
     if (head.coldLeft)
         m_services.board.noteCold(upstream, *head.coldLeft, now);
     if (head.restFor)
-        noteRest(*head.restFor);
+        noteRest(upstream, *head.restFor);
     if (head.isLeaving)
         m_services.board.noteLeaving(upstream, now);
     if (head.isNotRun)
@@ -315,13 +318,25 @@
         return HeadRejection { RefusalReason::UpstreamBroken, Verdict::MayHaveRun, "the upstream's status promises what it does not say" };
     if (m_progress && m_progress->isHeadSent && status != 200)
         return HeadRejection { RefusalReason::UpstreamBroken, Verdict::MayHaveRun, "the stream could not be taken up" };
-    if (status >= firstServerError && m_attempts.couldSendAgain(m_service.placement.size(), now))
+    if (status >= firstServerError && couldSendAgain())
         return HeadRejection { RefusalReason::UpstreamBroken, Verdict::Ran, "the upstream answered " + std::to_string(status) };
     return {};
 }
 
-void GatewayFlow::noteRest(Milliseconds duration)
+size_t GatewayFlow::sizeForRetry(Instant now) const
 {
+    return m_service.placement.sizeForRetry(m_attempts.failedUpstreams(), now);
+}
+
+bool GatewayFlow::couldSendAgain() const
+{
+    auto const now = m_services.loop.now();
+    return m_attempts.couldSendAgain(sizeForRetry(now), now);
+}
+
+void GatewayFlow::noteRest(UpstreamId upstream, Milliseconds duration)
+{
+    m_service.placement.askedForRest(upstream, duration, m_services.loop.now());
     m_services.metrics.count("stagepost_upstream_rests_total", "service=\"" + m_request.service + '"');
     logEvent(LogLevel::Info, "upstream-rests", { { "instance", m_instance }, { "service", m_request.service }, { "id", m_request.call.id }, { "rest_ms", duration.count() } });
 }
@@ -428,7 +443,7 @@
         { { "id", m_request.call.id }, { "request", outcome == "answered" ? "" : hexOf(fingerprint().value()) }, { "outcome", outcome }, { "reason", reason }, { "verdict", nameOf(verdict) },
             { "status", result.status }, { "route", m_request.route->name }, { "service", m_request.service },
             { "organisation", m_request.organisation }, { "context", hexOf(m_request.call.prompt.sharedKey().value_or(0)) },
-            { "upstream", m_instance }, { "context_source", m_contextSource }, { "placed_by", nameOf(m_placement.rule) }, { "counts_age_ms", m_placement.countsAge.count() / 1000 }, { "hold_ms", m_placement.hold.count() / 1000 }, { "owners_asked", m_placement.asks }, { "sends", m_attempts.sends() },
+            { "upstream", m_instance }, { "context_source", m_contextSource }, { "placed_by", nameOf(m_placement.rule) }, { "counts_age_ms", m_placement.countsAge.count() / 1000 }, { "hold_ms", m_placement.hold.count() / 1000 }, { "owners_asked", m_placement.asks }, { "rest_left_ms", m_restLeft.count() / 1000 }, { "sends", m_attempts.sends() },
             { "rejections", m_attempts.rejections() }, { "unconnected", m_attempts.unconnected() }, { "reused_connection", result.reusedConnection ? 1 : 0 },
             { "events", m_progress ? m_progress->events : 0 }, { "bytes", result.answerBytes },
             { "settings", m_request.table->version() }, { "settings_age_ms", m_services.settingsAge().count() / 1000 },
--- a/Services/stagepostd/GatewayFlow.h
+++ b/Services/stagepostd/GatewayFlow.h
@@ -76,7 +76,9 @@
     void noteSign(UpstreamId, UpstreamSign);
     std::optional<HeadRejection> judge(UpstreamId, unsigned status, HttpFields const&);
     // The upstream that the request was sent to wants nothing for so long.
-    void noteRest(Milliseconds);
+    void noteRest(UpstreamId, Milliseconds);
+    size_t sizeForRetry(Instant now) const;
+    bool couldSendAgain() const;
     void forwarded(UpstreamId, ForwardResult const&);
     void noteOutcome(UpstreamId, ForwardResult const&);
     // Of an answer that broke off.
@@ -97,6 +99,8 @@
     // Where the upstream may take the context from; empty for none.
     std::string m_contextSource;
     PlacementReason m_placement;
+    // What was left, at the send, of the time for which the upstream wanted nothing.
+    Microseconds m_restLeft { 0 };
     // Where the upstream's owner counts it as in flight.
     std::optional<UpstreamId> m_countedAt;
     // When the request was sent last.
--- a/Tests/Processes/test_upstream_rest.py
+++ b/Tests/Processes/test_upstream_rest.py
@@ -26,6 +26,8 @@
         self.entry = Entry(self.store, "--key-bound-ms", "60000", "--retry-slack", "1000")
         self.addCleanup(self.entry.stop)
         eventually(self.entry.is_ready, "ready")
+        # Before, it has no part of the retry budget.
+        eventually(lambda: any("event=peers" in line for line in self.entry.lines), "registered")
 
     def upstream(self, instance, service):
         upstream = Upstream(instance, service, slots=64)
