--- a/Tests/LoadPatterns/StreamFleet.cpp
+++ b/Tests/LoadPatterns/StreamFleet.cpp
@@ -105,7 +105,8 @@
 
 void StreamFleet::leave()
 {
-    m_present = m_engines.size() - m_pattern.absence->upstreams;
+    if (!m_pattern.absence->countsInMean)
+        m_present = m_engines.size() - m_pattern.absence->upstreams;
     for (auto& daemon : m_daemons) {
         for (size_t engine = 0; engine < m_pattern.absence->upstreams; ++engine)
             daemon.placement->putUpstream({ UpstreamId(engine + 1), false, m_pattern.places, true, HallId(1) });
--- a/Tests/LoadPatterns/StreamFleet.h
+++ b/Tests/LoadPatterns/StreamFleet.h
@@ -43,6 +43,9 @@
     // They come back cold, which daemons learn after that long.
     bool isCold { false };
     double coldToldAfterSeconds { 0 };
+    // They stay where they are, as those of a hall that operators empty: what they still hold,
+    // and that they soon hold nothing, counts in the mean by which the users judge.
+    bool countsInMean { false };
 };
 
 // A fleet, its upstreams and the load on them.
--- a/Tests/LoadPatterns/TestOwners.cpp
+++ b/Tests/LoadPatterns/TestOwners.cpp
@@ -126,6 +126,25 @@
     play(pattern, "a long rush that ends", 0, tolerableInCalm, 8);
 }
 
+// A third gets nothing further just as a rush ends: the mean of all falls by both.
+BOOST_AUTO_TEST_CASE(OwnersKeepTheBoundWhenAHallIsEmptiedAsARushEnds)
+{
+    auto pattern = hallThatComesBackCold();
+    pattern.absence = Absence { 30, 8, 15, false, false, 0, true };
+    pattern.surge = 1.6;
+    pattern.surgeFrom = 4;
+    pattern.surgeUntil = 9;
+    play(pattern, "a hall is emptied as a rush ends", 4, tolerableInCalm, 8);
+}
+
+// Without any rush.
+BOOST_AUTO_TEST_CASE(OwnersKeepTheBoundWhenAHallIsEmptied)
+{
+    auto pattern = hallThatComesBackCold();
+    pattern.absence = Absence { 30, 5, 15, false, false, 0, true };
+    play(pattern, "a hall is emptied", 4, tolerableInCalm, 8);
+}
+
 // Nobody knows for a second and a half that they are cold.
 BOOST_AUTO_TEST_CASE(AHallWhoseColdnessIsToldLateIsNotOverrun)
 {
