LibRouting: Go by the mean of all upstreams, emptied ones included

While operators empty a hall, upstreams took more than the users' multiple of the mean load: 185 of 2,212, 202 of 2,297, 63 of 1,096 and 292 of 2,344 requests in five seconds (LIMIT, 3 in 100 are allowed).

Cause: owners went by the mean of those upstreams that take requests. The rule speaks of the mean of the service, in which the emptied ones stand with next to nothing, so that with one hall of three emptied it is two thirds of ours: we allowed 1.5 of our mean and three more, the users 1.33 and three more.

ServiceLoad takes the lower of the two means for what owners grant, for shares and for counts without an owner's word, and foresees its fall.

--- a/Libraries/LibRouting/ServiceLoad.cpp
+++ b/Libraries/LibRouting/ServiceLoad.cpp
@@ -44,6 +44,16 @@
         return std::min(bound, std::max(static_cast<double>(places), mean));
     }
 
+    CountedLoad sumOf(std::vector<CountedLoad> const& loads)
+    {
+        CountedLoad sum;
+        for (auto const& load : loads) {
+            sum.counted += load.counted;
+            sum.usual += load.usual;
+        }
+        return sum;
+    }
+
 }
 
 // The first ones count as much as all before them and the assumption: else a daemon that sees
@@ -66,22 +76,21 @@
 }
 
 // Of all upstreams together the newest counts tell enough: chance levels out.
-void ServiceLoad::found(std::vector<CountedLoad> const& loads)
+void ServiceLoad::found(std::vector<CountedLoad> const& staying, std::vector<CountedLoad> const& others)
 {
-    if (loads.empty())
+    if (staying.empty())
         return;
-    double counted = 0;
-    double usual = 0;
-    for (auto const& load : loads) {
-        counted += load.counted;
-        usual += load.usual;
-    }
-    noteSpread(loads);
-    auto const mean = counted / static_cast<double>(loads.size());
-    m_meanInUse = foreseen(mean, counted);
-    m_mean = mean;
+    auto const sum = sumOf(staying);
+    auto const all = sum.counted + sumOf(others).counted;
+    noteSpread(staying);
+    m_mean = sum.counted / static_cast<double>(staying.size());
+    // Where operators empty a hall, its upstreams soon hold nothing, and a bound by the mean of
+    // those that carry their load would be beyond the users'.
+    auto const judged = std::min(m_mean, all / static_cast<double>(staying.size() + others.size()));
+    m_meanInUse = foreseen(judged, all);
+    m_judgedMean = judged;
     m_foundAt = m_countedAt;
-    m_growth = usual > 0 ? counted / usual : 1;
+    m_growth = sum.usual > 0 ? sum.counted / sum.usual : 1;
     m_target = targetOfChance();
 }
 
@@ -92,7 +101,7 @@
     if (!m_bounds.foreseesFall || !m_foundAt || !m_countedAt || *m_countedAt <= *m_foundAt || mean <= 0)
         return mean;
     auto const chance = deviationsOfFall / std::sqrt(std::max(1.0, counted));
-    auto const fall = std::log(m_mean / mean);
+    auto const fall = std::log(m_judgedMean / mean);
     if (!(fall > chance))
         return mean;
     auto const perSecond = std::min(fall / asSeconds(*m_countedAt - *m_foundAt), 1 / asSeconds(hold()));
@@ -133,9 +142,15 @@
     return shareStillThere(m_countsAge, hold()) >= m_bounds.leastFreshnessOfQueues;
 }
 
+// Of the mean of those that stay, the part by which the users judge.
+double ServiceLoad::judgedShare() const
+{
+    return m_mean > 0 ? m_judgedMean / m_mean : 1;
+}
+
 double ServiceLoad::usable(double mean) const
 {
-    return (1 + m_bounds.usableExcess * (m_bounds.loadMultiple - 1)) * mean + m_bounds.usableSlack;
+    return (1 + m_bounds.usableExcess * (m_bounds.loadMultiple - 1)) * judgedShare() * mean + m_bounds.usableSlack;
 }
 
 double ServiceLoad::usable(double mean, size_t places) const
@@ -159,7 +174,7 @@
 // variance of as many requests.
 double ServiceLoad::targetOfChance() const
 {
-    auto const allowed = m_bounds.loadMultiple * m_mean + m_bounds.loadSlack;
+    auto const allowed = m_bounds.loadMultiple * m_judgedMean + m_bounds.loadSlack;
     auto const chance = deviationsBelowBound * std::sqrt(m_spread * (1 - shareStillThere(m_countsAge, hold())));
     auto const root = (std::sqrt(chance * chance + 4 * allowed) - chance) / 2;
     return std::min(usable(m_mean), root * root);
--- a/Libraries/LibRouting/ServiceLoad.h
+++ b/Libraries/LibRouting/ServiceLoad.h
@@ -47,8 +47,9 @@
     void ended(Microseconds held);
     // Counts have come that were so old.
     void counted(Microseconds age, Instant now);
-    // What they tell of all upstreams that stay.
-    void found(std::vector<CountedLoad> const&);
+    // What they tell of all upstreams that stay, and of those that get nothing further but are
+    // still there: the users judge by the mean of all.
+    void found(std::vector<CountedLoad> const& staying, std::vector<CountedLoad> const& others);
 
     Bounds const& bounds() const { return m_bounds; }
     // How long requests stay, a moving mean.
@@ -68,7 +69,7 @@
     // count is exact, so nothing is kept back for chance; what is kept is for the mean, which
     // is a second old and may fall.
     size_t grantable(size_t places) const;
-    // What each upstream holds in the mean of all.
+    // What each upstream that stays holds in the mean.
     double mean() const { return m_mean; }
     // What an upstream holds in the mean, as all have grown since, or more where there
     // is a rush to it.
@@ -79,6 +80,7 @@
     double targetOfChance() const;
     void noteSpread(std::vector<CountedLoad> const&);
     double foreseen(double mean, double counted) const;
+    double judgedShare() const;
 
     Bounds m_bounds;
     Microseconds m_hold { 0 };
@@ -89,7 +91,9 @@
     // that come and go independently of one another; a moving mean.
     double m_spread { 1 };
     double m_mean { 0 };
-    // The mean as it is likely to be while counts of it are used.
+    // The mean by which the users judge, or that of those that stay where it is lower.
+    double m_judgedMean { 0 };
+    // The same as it is likely to be while counts of it are used.
     double m_meanInUse { 0 };
     std::optional<Instant> m_foundAt;
     double m_growth { 1 };
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -179,12 +179,11 @@
 
 void ServicePlacement::adjustShares(Instant now)
 {
-    std::vector<CountedLoad> loads;
-    for (auto const& [id, upstream] : m_upstreams) {
-        if (!upstream.facts.isLeaving)
-            loads.push_back({ upstream.load.counted(), upstream.load.usual(now) });
-    }
-    m_load.found(loads);
+    std::vector<CountedLoad> staying;
+    std::vector<CountedLoad> others;
+    for (auto const& [id, upstream] : m_upstreams)
+        (upstream.facts.isLeaving ? others : staying).push_back({ upstream.load.counted(), upstream.load.usual(now) });
+    m_load.found(staying, others);
     auto const memory = LoadEstimate::memory(m_load.hold());
     for (auto& [id, upstream] : m_upstreams) {
         auto const standing = m_load.standing({ upstream.load.counted(), upstream.load.usual(now) });
