LibRouting: Keep owners' counts together, and turn away what few upstreams may not hold

An owner that answered after 5 ms was left out for five seconds, so up to 50 asks a second went to the next in the order. A late answer now ends the suspicion and teaches how long answers take, and whoever is asked in an owner's place goes by what all have told it as well. - Thirty upstreams of ninety that count in the mean cannot carry all load within twice that mean, whatever the placement: m < 2 m / 3 + 3 holds up to 9 each. ServiceLoad::most() is that number, for the share of upstreams that take requests, and what finds no place below it is turned away at once as not run, the most urgent last.

--- a/Libraries/LibRouting/InFlightLedger.cpp
+++ b/Libraries/LibRouting/InFlightLedger.cpp
@@ -50,26 +50,27 @@
     return total;
 }
 
-size_t InFlightLedger::believed(UpstreamForecast const& forecast, Account const& account, Instant now)
+// Whoever is asked in place of the first owner counts only what has come to itself.
+size_t InFlightLedger::believed(UpstreamForecast const& forecast, Account const& account, bool isFirstOwner, Instant now)
 {
     auto const counted = sum(account);
-    if (now - account.since > holdsUntilKnown * forecast.hold)
+    if (isFirstOwner && now - account.since > holdsUntilKnown * forecast.hold)
         return counted;
     return std::max(counted, static_cast<size_t>(std::llround(forecast.inFlight)));
 }
 
-LedgerVerdict InFlightLedger::ask(VMId from, LedgerAsk const& ask, OwnerRank rank, Instant now)
+LedgerVerdict InFlightLedger::ask(VMId from, LedgerAsk const& ask, OwnerStanding standing, Instant now)
 {
     told(from, ask.upstream, ask.ownInFlight, now);
     auto& account = m_accounts.at(ask.upstream);
     if (ask.cold)
         noteCold(account, *ask.cold, now);
     auto const forecast = m_forecast(ask.upstream);
-    auto const count = believed(forecast, account, now);
+    auto const count = believed(forecast, account, standing.isFirst, now);
     auto const& cold = forecast.coldBound.exists() ? forecast.coldBound : account.toldBound;
     auto const sends = account.sends.count(coldWindow, now);
     bool const isCold = forecast.isCold || now < account.toldColdUntil;
-    if (isCold && sends >= partOf(rank, cold))
+    if (isCold && sends >= partOf(standing.rank, cold))
         return { false, count, true };
     if (forecast.hasRoomForCaution && sends >= cold.forCaution())
         return { false, count, true };
--- a/Libraries/LibRouting/InFlightLedger.h
+++ b/Libraries/LibRouting/InFlightLedger.h
@@ -44,6 +44,13 @@
     Further,
 };
 
+// How a daemon stands to an upstream about which it is asked.
+struct OwnerStanding {
+    OwnerRank rank { OwnerRank::Further };
+    // Whether no other daemon goes before it, so that what it counts is all that there is.
+    bool isFirst { false };
+};
+
 // The exact count of requests in flight at upstreams, kept by the daemon that owns them:
 // every other one asks it before a send and tells it of the end. What a daemon says is
 // always all that it has there, so a message that was lost is made good by the next one,
@@ -60,7 +67,7 @@
     // A daemon that has so many in flight there asks whether it may send one more: it may
     // if the upstream holds fewer than the limit. What is granted is counted at once.
     // A cold upstream gets no more than it can take, by the rank of the one who answers.
-    LedgerVerdict ask(VMId from, LedgerAsk const&, OwnerRank, Instant now);
+    LedgerVerdict ask(VMId from, LedgerAsk const&, OwnerStanding, Instant now);
     // A daemon has so many in flight there.
     void told(VMId from, UpstreamId, size_t ownInFlight, Instant now);
     // Drops what is too old to be true.
@@ -86,7 +93,7 @@
     };
 
     Account& account(UpstreamId, Instant now);
-    static size_t believed(UpstreamForecast const&, Account const&, Instant now);
+    static size_t believed(UpstreamForecast const&, Account const&, bool isFirstOwner, Instant now);
     void noteSends(UpstreamId, Account&, size_t sends, Instant now);
     static size_t partOf(OwnerRank, ColdBound const&);
     static void noteCold(Account&, ColdNotice const&, Instant now);
--- a/Libraries/LibRouting/LedgerExchange.cpp
+++ b/Libraries/LibRouting/LedgerExchange.cpp
@@ -5,6 +5,13 @@
 
 namespace Stagepost {
 
+namespace {
+
+    // Later answers than to these tell of nothing that is still so.
+    constexpr size_t mostOverdueKept = 64;
+
+}
+
 void LedgerExchange::setPeers(std::vector<FleetPeer> peers, std::vector<VMId> const& relays, Instant now)
 {
     m_relays = std::set(relays.begin(), relays.end());
@@ -33,24 +40,29 @@
     return owners;
 }
 
-// While daemons come and go, each asks whom it takes for the owner by then; whoever starts
-// may know of itself alone.
-OwnerRank LedgerExchange::rankFor(UpstreamId upstream, Instant now) const
+// Of the daemons of its hall, those that are asked before this one.
+size_t LedgerExchange::ownersBefore(UpstreamId upstream) const
 {
-    if (!m_startedAt || now - *m_startedAt < m_bounds.ownersSettle)
-        return OwnerRank::Further;
     auto const place = [&](std::pair<VMId, bool> const& owner) { return std::pair(!owner.second, mixHashes(upstream.value(), owner.first.value())); };
     auto const own = place({ m_self.id, m_relays.contains(m_self.id) });
-    auto const before = std::count_if(m_hallsOwners.begin(), m_hallsOwners.end(), [&](auto const& owner) { return place(owner) > own; });
-    if (before > 1)
-        return OwnerRank::Further;
+    return static_cast<size_t>(std::count_if(m_hallsOwners.begin(), m_hallsOwners.end(), [&](auto const& owner) { return place(owner) > own; }));
+}
+
+// While daemons come and go, each asks whom it takes for the owner by then; whoever starts
+// may know of itself alone.
+OwnerStanding LedgerExchange::standingFor(UpstreamId upstream, Instant now) const
+{
+    auto const before = ownersBefore(upstream);
+    bool const isFirst = before == 0;
+    if (!m_startedAt || now - *m_startedAt < m_bounds.ownersSettle || before > 1)
+        return { OwnerRank::Further, isFirst };
     bool const isSettled = now - m_ownersSince >= m_bounds.ownersSettle;
-    return before == 0 && isSettled ? OwnerRank::First : OwnerRank::Next;
+    return { isFirst && isSettled ? OwnerRank::First : OwnerRank::Next, isFirst };
 }
 
 LedgerVerdict LedgerExchange::judge(VMId from, LedgerAsk const& ask, Instant now)
 {
-    auto const verdict = m_ledger.ask(from, ask, rankFor(ask.upstream, now), now);
+    auto const verdict = m_ledger.ask(from, ask, standingFor(ask.upstream, now), now);
     m_exhaustedAsks += verdict.isExhausted ? 1 : 0;
     return verdict;
 }
@@ -137,7 +149,7 @@
     auto const candidate = pending.candidates[pending.index];
     if (verdict.isGranted) {
         count(candidate.upstream, candidate.hall, pending.owner, now);
-        return finish(number, { candidate.upstream, true, pending.asks, pending.exhausted });
+        return finish(number, { candidate.upstream, true, pending.asks, pending.exhausted, false, verdict.count, candidate.limit });
     }
     bool const isLeast = !pending.least || verdict.count < pending.leastCount;
     if (verdict.isExhausted) {
@@ -166,13 +178,33 @@
     auto& pending = m_pending.at(number);
     Outcome outcome { {}, false, pending.asks, pending.exhausted };
     if (pending.least) {
+        auto const candidate = pending.candidates[*pending.least];
+        if (candidate.most && !pending.isLastAsk && pending.leastCount < *candidate.most)
+            return askForMost(number, candidate, now);
+        outcome.isFull = candidate.most.has_value();
+    }
+    if (pending.least && !outcome.isFull) {
         auto const candidate = pending.candidates[*pending.least];
         outcome.upstream = candidate.upstream;
+        outcome.counted = pending.leastCount;
+        outcome.limit = candidate.limit;
         began(candidate.upstream, candidate.hall, now);
     }
     finish(number, outcome);
 }
 
+// Others may have sent there since it answered, so what is bounded is granted by its owner.
+void LedgerExchange::askForMost(uint64_t number, Candidate candidate, Instant now)
+{
+    auto& pending = m_pending.at(number);
+    pending.isLastAsk = true;
+    pending.index = pending.candidates.size();
+    pending.ownersAsked = 0;
+    candidate.limit = *candidate.most;
+    pending.candidates.push_back(candidate);
+    ask(number, now);
+}
+
 void LedgerExchange::finish(uint64_t number, Outcome const& outcome)
 {
     auto pending = m_pending.extract(number);
@@ -232,15 +264,29 @@
     }
     auto const& answer = std::get<LedgerAnswer>(message);
     auto const found = m_pending.find(answer.number);
-    // One that comes too late: what it may have granted was taken back at the time-out.
-    if (found == m_pending.end() || found->second.owner != from)
+    if (found == m_pending.end() || found->second.owner != from) {
+        takeLateAnswer(answer.number, from, now);
         return {};
+    }
     m_suspectedUntil.erase(from);
     m_roundTrip.add(now - found->second.askedAt);
     takeAnswer(answer.number, { answer.isGranted, answer.count, answer.isExhausted }, now);
     return {};
 }
 
+// What it may have granted was taken back at the time-out. The owner is there all the same, and
+// slower than was thought: while some daemons ask another one in its place, neither has the
+// whole count.
+void LedgerExchange::takeLateAnswer(uint64_t number, VMId from, Instant now)
+{
+    auto const found = std::find_if(m_overdue.begin(), m_overdue.end(), [&](auto const& overdue) { return overdue.number == number && overdue.owner == from; });
+    if (found == m_overdue.end())
+        return;
+    m_roundTrip.add(now - found->askedAt);
+    m_suspectedUntil.erase(from);
+    m_overdue.erase(found);
+}
+
 // The owner may have granted what its answer did not tell in time.
 void LedgerExchange::noteTimeout(uint64_t number, Instant now)
 {
@@ -248,6 +294,11 @@
     auto const& pending = m_pending.at(number);
     auto const upstream = pending.candidates[pending.index].upstream;
     m_suspectedUntil[pending.owner] = now + m_bounds.suspicion;
+    m_overdue.push_back({ number, pending.owner, pending.askedAt });
+    if (m_overdue.size() > mostOverdueKept)
+        m_overdue.pop_front();
+    if (m_hooks.unanswered)
+        m_hooks.unanswered(pending.owner, upstream, now - pending.askedAt);
     m_hooks.send(pending.owner, encodeLedgerMessage(LedgerReport { upstream, ownAt(upstream) }));
     ask(number, now);
 }
--- a/Libraries/LibRouting/LedgerExchange.h
+++ b/Libraries/LibRouting/LedgerExchange.h
@@ -5,6 +5,7 @@
 #include <LibRouting/InFlightLedger.h>
 #include <LibRouting/LedgerMessage.h>
 #include <LibRouting/SilenceWatch.h>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <set>
@@ -49,6 +50,8 @@
         // It is granted while the upstream holds fewer than these.
         size_t limit { 1 };
         std::optional<ColdNotice> cold {};
+        // What it may hold although no other has room; none where that is not bounded.
+        std::optional<size_t> most {};
     };
 
     struct Outcome {
@@ -59,12 +62,19 @@
         size_t asks { 0 };
         // Upstreams that are to get nothing further by now.
         std::vector<UpstreamId> exhausted {};
+        // Each that answered holds as much as it may: the request is to be turned away.
+        bool isFull { false };
+        // What the owner of the chosen one counted there, and what allowed one more.
+        size_t counted { 0 };
+        size_t limit { 0 };
     };
     using Callback = std::function<void(Outcome const&)>;
 
     struct Hooks {
         std::function<void(VMId to, std::string bytes)> send;
         InFlightLedger::Forecast forecast;
+        // An owner has not answered for so long, and is not asked for a while; may be empty.
+        std::function<void(VMId owner, UpstreamId, Microseconds waited)> unanswered {};
     };
 
     LedgerExchange(FleetPeer self, Bounds bounds, Hooks hooks)
@@ -122,12 +132,15 @@
         // The one that holds least of those whose owners answered.
         std::optional<size_t> least;
         size_t leastCount { 0 };
+        // Whether that one has been asked once more, for what it may hold at most.
+        bool isLastAsk { false };
         std::vector<UpstreamId> exhausted;
         Callback callback;
     };
 
     std::optional<VMId> ownerOf(UpstreamId, HallId, Instant now) const;
-    OwnerRank rankFor(UpstreamId, Instant now) const;
+    OwnerStanding standingFor(UpstreamId, Instant now) const;
+    size_t ownersBefore(UpstreamId) const;
     std::vector<std::pair<VMId, bool>> hallsOwners() const;
     LedgerVerdict judge(VMId from, LedgerAsk const&, Instant now);
     Microseconds patience() const;
@@ -137,8 +150,10 @@
     void takeAnswer(uint64_t number, LedgerVerdict const&, Instant now);
     void goOn(uint64_t number, Instant now);
     void conclude(uint64_t number, Instant now);
+    void askForMost(uint64_t number, Candidate, Instant now);
     void finish(uint64_t number, Outcome const&);
     void noteTimeout(uint64_t number, Instant now);
+    void takeLateAnswer(uint64_t number, VMId from, Instant now);
     Own& count(UpstreamId, HallId, VMId owner, Instant now);
     void report(UpstreamId, Own&, Instant now);
 
@@ -151,6 +166,13 @@
     std::map<VMId, Instant> m_suspectedUntil;
     WaitEstimate m_roundTrip;
     std::map<uint64_t, Pending> m_pending;
+    // Asks that were not answered in time, and may still be.
+    struct Overdue {
+        uint64_t number { 0 };
+        VMId owner;
+        Instant askedAt;
+    };
+    std::deque<Overdue> m_overdue;
     uint64_t m_lastNumber { 0 };
     std::map<UpstreamId, Own> m_own;
     TokenBucket m_furtherAsks;
--- a/Libraries/LibRouting/PlacementRule.h
+++ b/Libraries/LibRouting/PlacementRule.h
@@ -34,6 +34,9 @@
     Microseconds hold { 0 };
     // How many owners were asked.
     size_t asks { 0 };
+    // What the upstream's owner counted there, and below which count it would grant one more.
+    size_t counted { 0 };
+    size_t limit { 0 };
 };
 
 }
--- a/Libraries/LibRouting/ServiceLoad.cpp
+++ b/Libraries/LibRouting/ServiceLoad.cpp
@@ -27,6 +27,8 @@
     constexpr double meanOfNormalDeviation = 0.8;
     // A load of less is mostly none at all, which is no normal deviation.
     constexpr double leastUsual = 1;
+    // Where upstreams may not hold more than so many each, what they hold in the mean of that.
+    constexpr double evenness = 0.85;
     // No steadier than independent requests; beyond the other a rush is under way.
     constexpr double leastSpread = 1;
     constexpr double mostSpread = 4;
@@ -89,6 +91,7 @@
     auto const judged = std::min(m_mean, all / static_cast<double>(staying.size() + others.size()));
     m_meanInUse = foreseen(judged, all);
     m_judgedMean = judged;
+    m_stayingShare = static_cast<double>(staying.size()) / static_cast<double>(staying.size() + others.size());
     m_foundAt = m_countedAt;
     m_growth = sum.usual > 0 ? sum.counted / sum.usual : 1;
     m_target = targetOfChance();
@@ -164,6 +167,16 @@
     return static_cast<size_t>(withoutQueue(bound, m_meanInUse, places));
 }
 
+// With so many at each that stays, filled as evenly as can be expected, the mean of all is just
+// what allows one more. A bound by counts of the mean instead would follow its own effect down.
+std::optional<size_t> ServiceLoad::most() const
+{
+    auto const raised = m_bounds.loadMultiple * evenness * m_stayingShare;
+    if (raised >= 1)
+        return {};
+    return static_cast<size_t>((m_bounds.loadSlack + 1) / (1 - raised));
+}
+
 double ServiceLoad::target(size_t places) const
 {
     return withoutQueue(m_target, m_mean, places);
--- a/Libraries/LibRouting/ServiceLoad.h
+++ b/Libraries/LibRouting/ServiceLoad.h
@@ -69,6 +69,10 @@
     // count is exact, so nothing is kept back for chance; what is kept is for the mean, which
     // is a second old and may fall.
     size_t grantable(size_t places) const;
+    // What an upstream may hold at most, whatever the mean, where so few of a service's upstreams
+    // take requests that their mean alone could come to the users' bound: then requests have to
+    // be turned away. None where spreading them is enough.
+    std::optional<size_t> most() const;
     // What each upstream that stays holds in the mean.
     double mean() const { return m_mean; }
     // What an upstream holds in the mean, as all have grown since, or more where there
@@ -96,6 +100,8 @@
     // The same as it is likely to be while counts of it are used.
     double m_meanInUse { 0 };
     std::optional<Instant> m_foundAt;
+    // Of all upstreams that count in the mean, those that stay.
+    double m_stayingShare { 1 };
     double m_growth { 1 };
     double m_target { 0 };
 };
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -23,6 +23,8 @@
     // Of one request's upstreams, so many owners are asked: a context that a twentieth of all
     // requests ask for fills seven of 160 upstreams.
     constexpr size_t mostOwnersAsked = 8;
+    // Where requests have to be turned away.
+    constexpr unsigned mostPlacesLeftToUrgent = 1;
     // What the watch says of halls, asked once for each: some have hundreds of upstreams.
     class HallReaches {
     public:
@@ -436,7 +438,7 @@
 {
     auto const reached = reachable(staying(wish, now), now);
     if (!wish.context)
-        return asCandidates(coldByChance(wish, reached, now), now);
+        return asCandidates(wish, coldByChance(wish, reached, now), now);
     auto const others = warm(reached, now);
     // An owner that does not answer would keep the trial from being made.
     if (reached.empty() || trialFor(wish, others, now))
@@ -449,21 +451,32 @@
         return rendezvousRank(context, one->facts.id.value()) > rendezvousRank(context, other->facts.id.value());
     });
     usable.resize(count);
-    return asCandidates(usable, now);
+    return asCandidates(wish, usable, now);
 }
 
-std::vector<LedgerExchange::Candidate> ServicePlacement::asCandidates(std::vector<Upstream*> const& upstreams, Instant now) const
+std::vector<LedgerExchange::Candidate> ServicePlacement::asCandidates(Wish const& wish, std::vector<Upstream*> const& upstreams, Instant now) const
 {
+    auto const most = mostFor(wish);
     std::vector<LedgerExchange::Candidate> result;
     result.reserve(std::min(mostOwnersAsked, upstreams.size()));
     for (auto const* upstream : upstreams) {
         if (result.size() == mostOwnersAsked)
             break;
-        result.push_back({ upstream->facts.id, upstream->facts.hall, 1 + m_load.grantable(upstream->facts.slots), coldNotice(*upstream, now) });
+        auto const limit = 1 + m_load.grantable(upstream->facts.slots);
+        result.push_back({ upstream->facts.id, upstream->facts.hall, std::min(limit, most.value_or(limit)), coldNotice(*upstream, now), most });
     }
     return result;
 }
 
+// The less urgent leave a place to the most urgent.
+std::optional<size_t> ServicePlacement::mostFor(Wish const& wish) const
+{
+    auto const most = m_load.most();
+    if (!most)
+        return {};
+    return *most - std::min<size_t>(*most, std::min(wish.priority, mostPlacesLeftToUrgent));
+}
+
 // What was allowed before an upstream began to leave, or to rest, is not used any more.
 std::optional<ServicePlacement::Choice> ServicePlacement::chosenByOwners(Wish const& wish, LedgerExchange::Outcome const& outcome, Instant now)
 {
@@ -473,7 +486,7 @@
     if (isCold(found->second, now) && !found->second.health.allows(now, wish.isRepeatable))
         return {};
     auto const rule = outcome.isGranted ? PlacementRule::Granted : PlacementRule::Least;
-    return finish(wish, *outcome.upstream, { rule, m_load.countsAge(), m_load.hold(), outcome.asks }, now);
+    return finish(wish, *outcome.upstream, { rule, m_load.countsAge(), m_load.hold(), outcome.asks, outcome.counted, outcome.limit }, now);
 }
 
 UpstreamForecast ServicePlacement::forecast(UpstreamId id, Instant now) const
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -88,6 +88,8 @@
         std::vector<UpstreamId> excluded;
         // Whether it may be sent again if it fails.
         bool isRepeatable { false };
+        // 0 is the most urgent.
+        unsigned priority { 0 };
         // Upstreams that are to get nothing further by now, where there are others.
         std::vector<UpstreamId> avoided {};
     };
@@ -160,7 +162,8 @@
     std::vector<Upstream*> warm(std::vector<Upstream*> const&, Instant now) const;
     std::vector<Upstream*> coldThatMayBeAsked(Wish const&, std::vector<Upstream*> const&, Instant now) const;
     std::vector<Upstream*> coldByChance(Wish const&, std::vector<Upstream*> const&, Instant now);
-    std::vector<LedgerExchange::Candidate> asCandidates(std::vector<Upstream*> const&, Instant now) const;
+    std::vector<LedgerExchange::Candidate> asCandidates(Wish const&, std::vector<Upstream*> const&, Instant now) const;
+    std::optional<size_t> mostFor(Wish const&) const;
     std::optional<ColdNotice> coldNotice(Upstream const&, Instant now) const;
     static bool takesRequests(Upstream const&, Instant now);
     std::vector<Upstream*> staying(Wish const&, Instant now);
--- a/Services/stagepostd/GatewayFlow.cpp
+++ b/Services/stagepostd/GatewayFlow.cpp
@@ -126,6 +126,7 @@
         wish.context = m_request.call.prompt.sharedKey();
     wish.excluded = m_attempts.failedUpstreams();
     wish.isRepeatable = m_request.route->isRepeatable();
+    wish.priority = m_request.priority;
     return wish;
 }
 
@@ -164,6 +165,10 @@
         return;
     }
     noteNotInFlight();
+    if (outcome.isFull) {
+        refuse(fullByBound());
+        return;
+    }
     wish.avoided = outcome.exhausted;
     placeWithoutOwners(wish);
 }
@@ -195,6 +200,12 @@
     refuse(m_lastFailure.value_or(noUpstream()));
 }
 
+Refusal GatewayFlow::fullByBound() const
+{
+    auto const pause = m_service.gate.timeToComeBack(m_service.placement.occupancy());
+    return { RefusalReason::QueueFull, m_attempts.verdict(), "the few upstreams that take requests hold what the load multiple allows", pause };
+}
+
 Refusal GatewayFlow::noUpstream() const
 {
     if (m_service.placement.hasCold(m_services.loop.now()))
@@ -443,7 +454,7 @@
         { { "id", m_request.call.id }, { "request", outcome == "answered" ? "" : hexOf(fingerprint().value()) }, { "outcome", outcome }, { "reason", reason }, { "verdict", nameOf(verdict) },
             { "status", result.status }, { "route", m_request.route->name }, { "service", m_request.service },
             { "organisation", m_request.organisation }, { "context", hexOf(m_request.call.prompt.sharedKey().value_or(0)) },
-            { "upstream", m_instance }, { "context_source", m_contextSource }, { "placed_by", nameOf(m_placement.rule) }, { "counts_age_ms", m_placement.countsAge.count() / 1000 }, { "hold_ms", m_placement.hold.count() / 1000 }, { "owners_asked", m_placement.asks }, { "rest_left_ms", m_restLeft.count() / 1000 }, { "sends", m_attempts.sends() },
+            { "upstream", m_instance }, { "context_source", m_contextSource }, { "placed_by", nameOf(m_placement.rule) }, { "counts_age_ms", m_placement.countsAge.count() / 1000 }, { "hold_ms", m_placement.hold.count() / 1000 }, { "owners_asked", m_placement.asks }, { "owner_counted", m_placement.counted }, { "owner_limit", m_placement.limit }, { "rest_left_ms", m_restLeft.count() / 1000 }, { "sends", m_attempts.sends() },
             { "rejections", m_attempts.rejections() }, { "unconnected", m_attempts.unconnected() }, { "reused_connection", result.reusedConnection ? 1 : 0 },
             { "events", m_progress ? m_progress->events : 0 }, { "bytes", result.answerBytes },
             { "settings", m_request.table->version() }, { "settings_age_ms", m_services.settingsAge().count() / 1000 },
--- a/Services/stagepostd/GatewayFlow.h
+++ b/Services/stagepostd/GatewayFlow.h
@@ -68,6 +68,7 @@
     void placeWithoutOwners(ServicePlacement::Wish const&);
     void placeByOwnCounts(ServicePlacement::Wish const&);
     Refusal noUpstream() const;
+    Refusal fullByBound() const;
     void send(std::optional<ServicePlacement::Choice> const&);
     size_t mostIdleConnections(Service const*) const;
     GatewaySend sendTo(ServicePlacement::Choice const&, ServiceBoard::Target const&, Service const*, Instant now);
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -111,6 +111,9 @@
     LedgerExchange::Hooks hooks;
     hooks.send = [this](VMId to, std::string const& body) { send(to, PeerMessageKind::Ledger, body); };
     hooks.forecast = m_hooks.forecast;
+    hooks.unanswered = [](VMId owner, UpstreamId upstream, Microseconds waited) {
+        logEvent(LogLevel::Info, "owner-silent", { { "daemon", hexOf(owner.value()) }, { "upstream_id", hexOf(upstream.value()) }, { "waited_us", waited.count() } });
+    };
     return hooks;
 }
 
--- a/Tests/LibRouting/TestLedgerExchange.cpp
+++ b/Tests/LibRouting/TestLedgerExchange.cpp
@@ -88,7 +88,7 @@
         std::vector<LedgerExchange::Candidate> list;
         list.reserve(candidates.size());
         for (auto const id : candidates)
-            list.push_back({ id, north, limit });
+            list.push_back({ id, north, limit, {}, most });
         std::optional<Answered> answered;
         auto const asked = now;
         daemon(number).choose(
@@ -122,6 +122,9 @@
 
     Instant now { at(0) };
     std::set<size_t> silent;
+    // Whose messages take longer than a step.
+    std::map<size_t, Microseconds> slow;
+    std::optional<size_t> most;
     double forecast { 0 };
     ColdBound coldBound;
     bool isCold { false };
@@ -132,19 +135,24 @@
         size_t from { 0 };
         VMId to;
         std::string bytes;
+        Instant dueAt;
     };
 
     void send(size_t from, VMId to, std::string bytes)
     {
         std::uniform_real_distribution<double> uniform(0, 1);
         if (uniform(m_random) >= m_loss)
-            m_messages.push_back({ from, to, std::move(bytes) });
+            m_messages.push_back({ from, to, std::move(bytes), now + (slow.contains(from) ? slow.at(from) : Microseconds(0)) });
     }
 
     void deliver()
     {
         auto const messages = std::exchange(m_messages, {});
         for (auto const& message : messages) {
+            if (message.dueAt > now) {
+                m_messages.push_back(message);
+                continue;
+            }
             bool const isDelivered = !silent.contains(message.from) && !silent.contains(message.to.value()) && m_daemons.contains(message.to);
             if (isDelivered)
                 BOOST_REQUIRE(m_daemons.at(message.to)->receive(VMId(message.from), message.bytes, now));
@@ -191,6 +199,55 @@
     BOOST_TEST(!fleet.choose(fleet.ownerOf(upstream), 6).outcome.isGranted);
 }
 
+// Else some daemons would ask another one for seconds, and neither would have the whole count.
+BOOST_AUTO_TEST_CASE(AnOwnerWhoseAnswerComesLateIsAskedAgain)
+{
+    Fleet fleet(6);
+    fleet.run(Seconds(4));
+    fleet.choose(2, 9);
+    auto const owner = fleet.ownerOf(upstream);
+    fleet.daemon(2).ended(upstream, fleet.now);
+    fleet.run(Milliseconds(50));
+    // It answers when its patience is over.
+    fleet.slow[owner] = Milliseconds(40);
+    BOOST_TEST(fleet.choose(2, 9).outcome.asks == 2u);
+    fleet.run(Milliseconds(100));
+    fleet.slow.clear();
+    BOOST_TEST(fleet.choose(2, 9).outcome.asks == 1u);
+    fleet.run(Milliseconds(50));
+    BOOST_TEST(fleet.daemon(owner).ledger().count(upstream) >= 1u);
+}
+
+// What came to the first owner it does not know, so it goes by what all have told it as well.
+BOOST_AUTO_TEST_CASE(WhoIsAskedInAnOwnersPlaceGrantsNoMoreThanTheRestLeaves)
+{
+    Fleet fleet(6);
+    fleet.run(Seconds(4));
+    fleet.choose(2, 9);
+    fleet.silent.insert(fleet.ownerOf(upstream));
+    fleet.forecast = 6;
+    // Long after its account began.
+    fleet.choose(2, 9);
+    fleet.run(Seconds(4));
+    BOOST_TEST(!fleet.choose(2, 6).outcome.isGranted);
+    BOOST_TEST(fleet.choose(2, 8).outcome.isGranted);
+}
+
+// Where all may hold only so many, what is left is granted by its owner and not taken.
+BOOST_AUTO_TEST_CASE(NothingGoesBeyondWhatUpstreamsMayHoldAtMost)
+{
+    Fleet fleet(6);
+    fleet.run(Seconds(4));
+    fleet.most = 3;
+    size_t granted = 0;
+    for (size_t number = 0; number < 12; ++number) {
+        auto const outcome = fleet.choose(1 + number % 6, 2, { upstream, other }).outcome;
+        granted += outcome.isGranted ? 1 : 0;
+        BOOST_TEST(outcome.isFull == !outcome.upstream.has_value());
+    }
+    BOOST_TEST(granted == 6u);
+}
+
 BOOST_AUTO_TEST_CASE(RelaysOwnOnlyWhereThereIsNobodyElse)
 {
     Fleet fleet(6);
--- a/Tests/LoadPatterns/StreamFleet.cpp
+++ b/Tests/LoadPatterns/StreamFleet.cpp
@@ -370,11 +370,16 @@
 {
     ServicePlacement::Wish wish;
     wish.context = context;
+    wish.priority = kind.priority;
     auto candidates = m_daemons[daemon].placement->candidatesForOwners(wish, at(now));
     m_daemons[daemon].ledger->choose(
         std::move(candidates), [this, daemon, wish, &kind](LedgerExchange::Outcome const& outcome) mutable {
             auto& placement = *m_daemons[daemon].placement;
             auto choice = placement.chosenByOwners(wish, outcome, at(m_now));
+            if (outcome.isFull) {
+                ++m_outcome.seconds[static_cast<size_t>(m_now)].refused;
+                return;
+            }
             if (!choice) {
                 wish.avoided = outcome.exhausted;
                 choice = placement.choose(wish, at(m_now));
--- a/Tests/LoadPatterns/TestOwners.cpp
+++ b/Tests/LoadPatterns/TestOwners.cpp
@@ -145,6 +145,19 @@
     play(pattern, "a hall is emptied", 4, tolerableInCalm, 8);
 }
 
+// Two thirds get nothing further: those that are left would be beyond the bound by their mean
+// alone, so that requests have to be turned away, the urgent ones last.
+BOOST_AUTO_TEST_CASE(OwnersKeepTheBoundWhenTwoHallsAreEmptied)
+{
+    auto pattern = hallThatComesBackCold();
+    pattern.absence = Absence { 60, 5, 12, false, false, 0, true };
+    play(pattern, "two halls are emptied", 4, tolerableInCalm, 8);
+    auto const outcome = StreamFleet(pattern, {}, 1).play();
+    BOOST_TEST_MESSAGE("two halls are emptied: turned away " << outcome.refusedShare(6, 12) << ", in time " << outcome.inTimeShare(6, 12));
+    BOOST_TEST(outcome.refusedShare(0, 5) == 0);
+    BOOST_TEST(outcome.refusedShare(13, 16) == 0);
+}
+
 // Nobody knows for a second and a half that they are cold.
 BOOST_AUTO_TEST_CASE(AHallWhoseColdnessIsToldLateIsNotOverrun)
 {
