Tests: Empty halls, cool upstreams and let them ask for rest in the soak

From seed 4000 on operators empty halls, upstreams are cold, turn requests away and ask for rest, and say in their answers that they leave. Checked: nothing for an emptied hall after its bound, at most two requests of one process in a rest, nothing for an upstream that said it leaves. Ports go by the run as well as the seed, so that two runs of one seed do not meet.

--- a/Tests/Processes/platform_stand_ins.py
+++ b/Tests/Processes/platform_stand_ins.py
@@ -279,6 +279,7 @@
         with self.lock:
             self.requests.append(request)
             fault = self.next_faults.pop(0) if self.next_faults else self.fault
+            request["says_leaving"] = self.says_leaving
         if fault == "early":
             connection.sendall(self.head(request, 503, 0, "X-Not-Executed: 1\r\n"))
             self.released.wait(0.2)
@@ -290,6 +291,7 @@
             connection.sendall(self.head(request, 421, 0))
             return True
         if fault == "refuse":
+            request["rest"] = self.rest
             rest = "" if self.rest is None else f"Retry-After: {self.rest}\r\n"
             connection.sendall(self.head(request, 503, 0, "X-Not-Executed: 1\r\n" + rest))
             return True
--- a/Tests/Soak/faults.py
+++ b/Tests/Soak/faults.py
@@ -33,6 +33,8 @@
 FIRST_WITH_RESTARTS = 1000
 # From this one on the store comes back from copies.
 FIRST_WITH_RETURNS = 3000
+# From this one on halls are emptied, upstreams are cold, ask for rest and say in answers that they leave.
+FIRST_WITH_ORDERS = 4000
 
 
 class Schedule:
@@ -68,6 +70,7 @@
         self.restarts = random.Random(f"{seed} restarts") if seed >= FIRST_WITH_RESTARTS else None
         self.suspensions = random.Random(f"{seed} suspensions") if seed >= FIRST_WITH_SUSPENSION else None
         self.returns = random.Random(f"{seed} returns") if seed >= FIRST_WITH_RETURNS else None
+        self.orders = random.Random(f"{seed} orders") if seed >= FIRST_WITH_ORDERS else None
         if self.returns:
             world.store.era = 1
         self.unplanned = [self.pause, self.pause, self.kill, self.kill_all, self.cut_from_store, self.cut_from_peers, self.reset_callers,
@@ -85,11 +88,66 @@
         if self.returns:
             for _ in range(2):
                 self.schedule.after(self.returns.uniform(0, seconds), self.copy_store)
+        self.add_orders(seconds)
         self.play(seconds, 0.25, self.unplanned * 2 + self.planned)
 
     def planned_work(self, seconds):
+        self.add_orders(seconds)
         self.play(seconds, 0.6, self.planned)
 
+    def add_orders(self, seconds):
+        if not self.orders:
+            return
+        self.schedule.after(self.orders.uniform(0, seconds / 2), self.empty_hall)
+        for _ in range(int(seconds)):
+            self.schedule.after(self.orders.uniform(0, seconds), self.orders.choice((self.ask_for_rest, self.ask_for_rest, self.cool_upstream, self.say_leaving)))
+
+    def empty_hall(self):
+        hall = self.orders.choice(("north", "south"))
+        seconds = self.orders.uniform(0.5, 8.0)
+        if self.world.emptied_halls():
+            return
+        self.note(f"hall {hall} is emptied for {seconds:.2f} s")
+        self.world.store.put("keyed.op", f"evacuate/{hall}", {})
+        self.world.orders.append([hall, time.monotonic(), None])
+        self.schedule.after(seconds, lambda: self.take_hall_back(hall))
+
+    def take_hall_back(self, hall):
+        order = next(each for each in self.world.orders if each[0] == hall and each[2] is None)
+        order[2] = time.monotonic()
+        self.world.store.put("keyed.op", f"evacuate/{hall}", None)
+
+    def ask_for_rest(self):
+        """It turns requests away, and asks each daemon for rest."""
+        upstream = self.orders.choice(self.world.living())
+        upstream.rest = round(self.orders.uniform(0.7, 4.0), 2)
+        upstream.kind, upstream.share = "refuse", self.orders.uniform(0.2, 1)
+        seconds = self.orders.uniform(0.2, 2.5)
+        self.note(f"{upstream.instance} asks for {upstream.rest} s of rest with {upstream.share:.2f}, for {seconds:.2f} s")
+        self.schedule.after(seconds, lambda: (setattr(upstream, "share", 0.0), setattr(upstream, "rest", None)))
+
+    def cool_upstream(self):
+        upstream = self.orders.choice(self.world.living())
+        milliseconds = self.orders.randrange(500, 3000)
+        self.note(f"{upstream.instance} is cold for {milliseconds} ms")
+        self.world.store.put("keyed.servers", upstream.instance, upstream.record(coldLeftMs=milliseconds, seq=milliseconds))
+        self.schedule.after(milliseconds / 1000, lambda: upstream in self.world.living() and self.world.store.put("keyed.servers", upstream.instance, upstream.record()))
+
+    def say_leaving(self):
+        """Its answers alone say so, its record later or never."""
+        service = self.orders.choice(("book", "chat"))
+        if len(self.world.living(service)) < 4:
+            return
+        upstream = self.orders.choice(self.world.living(service))
+        self.note(f"{upstream.instance} says in its answers that it leaves")
+        upstream.says_leaving = True
+        self.schedule.after(self.orders.uniform(0.5, 4.0), lambda: self.leave(upstream))
+
+    def leave(self, upstream):
+        if upstream in self.world.living():
+            self.world.left_at[upstream.instance] = time.monotonic()
+            self.world.store.put("keyed.servers", upstream.instance, None)
+
     def play(self, seconds, gap, choices):
         end = time.monotonic() + seconds
         while time.monotonic() < end:
--- a/Tests/Soak/promises.py
+++ b/Tests/Soak/promises.py
@@ -6,13 +6,16 @@
 import time
 
 from fleet import PATIENCE
-from world import EVENTS, KEY_BOUND, LEAVE_BOUND, TIMEOUT
+from world import EMPTY_BOUND, EVENTS, KEY_BOUND, LEAVE_BOUND, TIMEOUT
 
 # What a busy machine may add to a bound in time. Only the checks that end in
 # "in time" use it, and they look at calm times alone.
 SLACK = 3.0
 # What the users allow a change of the configuration.
 CONFIGURATION_BOUND = 2.0
+# What an upstream that asked for rest may get in it, and what is on its way before that.
+MOST_IN_A_REST = 2
+REST_GRACE = 0.5
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 MOST_SENDS = {"safe": 2, "mark": 2, "resumable": 2, "unsafe": 1, "once": 1}
 
@@ -35,6 +38,9 @@
                     self.report(check.__name__, problem, attempt)
         self.judge_marks()
         self.judge_leaving()
+        self.judge_emptied_halls()
+        self.judge_rests()
+        self.judge_said_leaving()
         return self.broken
 
     def report(self, promise, problem, attempt):
@@ -135,6 +141,43 @@
                     self.broken.append(f"no_work_for_leaving: {upstream.instance} left at {left_at}: {run}")
 
 
+    def judge_emptied_halls(self):
+        for hall, since, until in self.world.orders:
+            for upstream in self.world.upstreams:
+                late = [run for run in upstream.runs() if upstream.hall == hall and since + EMPTY_BOUND + SLACK < run["at"] < (until or float("inf"))]
+                for run in late:
+                    if self.is_calm(since, run["at"]):
+                        self.broken.append(f"no_work_for_emptied_halls: {hall} emptied at {since}: {upstream.instance} {run}")
+
+    def by_process(self, upstream):
+        """An upstream's requests by the daemon's process that sent them, in their order."""
+        senders = {attempt.id: (attempt.daemon, attempt.start) for attempt in self.world.attempts}
+        requests = collections.defaultdict(list)
+        with upstream.lock:
+            for request in upstream.requests:
+                requests[senders.get(request["headers"].get("x-attempt-id"))].append(request)
+        requests.pop(None, None)
+        return requests.values()
+
+    def judge_rests(self):
+        """Of one process, between half a second after an upstream asked for rest and its end."""
+        for upstream in self.world.upstreams:
+            for requests in self.by_process(upstream):
+                for asked in requests:
+                    until = asked["at"] + (asked.get("rest") or 0)
+                    got = [each["at"] for each in requests if asked["at"] + REST_GRACE < each["at"] < until]
+                    if len(got) > MOST_IN_A_REST and self.is_calm(asked["at"], until):
+                        self.broken.append(f"rest_is_kept: {upstream.instance} asked at {asked['at']} until {until} and got {got}")
+
+    def judge_said_leaving(self):
+        for upstream in self.world.upstreams:
+            for requests in self.by_process(upstream):
+                said_at = min((each["at"] for each in requests if each.get("says_leaving")), default=float("inf"))
+                late = [each["at"] for each in requests if each["at"] > said_at + LEAVE_BOUND + SLACK]
+                if late and self.is_calm(said_at, late[0]):
+                    self.broken.append(f"no_work_for_leaving: {upstream.instance} said so at {said_at} and got {late[:3]}")
+
+
 def recovers(world):
     """Once all is healed, every daemon serves again."""
     end = time.monotonic() + PATIENCE
--- a/Tests/Soak/world.py
+++ b/Tests/Soak/world.py
@@ -24,6 +24,7 @@
 # The bounds that the daemons are started with, in seconds.
 KEY_BOUND = 3.0
 LEAVE_BOUND = 1.5
+EMPTY_BOUND = 2.0
 STOP_LIMIT = 6.0
 # From this seed on daemons' VMs are suspended as well.
 FIRST_WITH_SUSPENSION = 2000
@@ -81,13 +82,13 @@
 
 class Ports:
     """Ports that no outgoing connection can have taken while a daemon is away:
-    those below the kernel's range for these. Runs beside one another begin at
-    different ones."""
+    those below the kernel's range for these. Runs beside one another, of one seed
+    too, begin at different ones."""
 
     FIRST, LAST, STEP = 10240, 32000, 40
 
     def __init__(self, seed):
-        self.next = self.FIRST + seed * self.STEP % (self.LAST - self.FIRST)
+        self.next = self.FIRST + (seed + os.getpid()) * self.STEP % (self.LAST - self.FIRST)
 
     def take(self):
         while True:
@@ -123,7 +124,7 @@
             [SUSPENDABLE if self.suspended_time else PROGRAM, "--name", self.name, "--hall", self.hall, "--listen", self.listen, "--ready-listen", self.ready,
              "--peer-listen", self.peer, "--peer-address", self.to_peers.endpoint, "--store", self.to_store.endpoint,
              "--key-bound-ms", str(int(KEY_BOUND * 1000)), "--leave-bound-ms", str(int(LEAVE_BOUND * 1000)),
-             "--drain-s", str(STOP_LIMIT), "--retry-slack", "50"], stdout=self.log, stderr=self.log,
+             "--empty-hall-bound-ms", str(int(EMPTY_BOUND * 1000)), "--cold-overshoot", "1.5", "--cold-slack", "5", "--drain-s", str(STOP_LIMIT), "--retry-slack", "50"], stdout=self.log, stderr=self.log,
             env=self.suspended_time.environment if self.suspended_time else None)
 
     def signal(self, number):
@@ -270,6 +271,8 @@
         self.accepted = {}
         # When the store accepted that an upstream leaves.
         self.left_at = {}
+        # Halls that operators empty: which, since when, and when it was taken back.
+        self.orders = []
         self.lock = threading.Lock()
         self.publish()
         for service in ("book", "chat"):
@@ -307,7 +310,7 @@
                            route("draft", "/stream/once/", "streaming", "chat", sticky=True, targetGapMs=200),
                            route("mark", f"/mark/{self.version}/", "safe", "book", public=True)],
                 "services": [{"name": "book", "healthPath": "/healthz", "maxConns": 200},
-                             {"name": "chat", "healthPath": "/healthz", "maxConns": 300, "engine": {"kvCapacityTokens": 400000, "moves": True}}],
+                             {"name": "chat", "healthPath": "/healthz", "maxConns": 300, "coldS": 1.0, "coldPerS": 8.0, "engine": {"kvCapacityTokens": 400000, "moves": True}}],
                 "limits": {"maxHeaderBytes": 8192, "maxBodyBytes": 100000, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
                 "tenants": [{"name": "club", "apiKeys": list(self.keys), "priority": 3}]}
 
@@ -338,6 +341,9 @@
         self.store.put("keyed.servers", upstream.instance, upstream.record())
         return upstream
 
+    def emptied_halls(self):
+        return [hall for hall, _, until in self.orders if until is None]
+
     def living(self, service=None):
         return [upstream for upstream in self.upstreams
                 if upstream.instance not in self.left_at and not upstream.released.is_set() and service in (None, upstream.service)]
