LibRouting: Ask who holds a context that is new to its upstream

An owner now says in its answer whether the context is new to its upstream, as it grants all that goes there. For such a request alone the context's home, one daemon of the fleet by rendezvous, is told of the new place and answers which upstreams had the context before (HolderExchange, ContextHolders). RecentMap is ContextTable's map made a type of its own.

--- a/Libraries/LibRouting/ContextTable.h
+++ b/Libraries/LibRouting/ContextTable.h
@@ -1,10 +1,9 @@
 #pragma once
 
 #include <LibBase/Ids.h>
+#include <LibRouting/RecentMap.h>
 #include <cstdint>
-#include <list>
 #include <optional>
-#include <unordered_map>
 
 namespace Stagepost {
 
@@ -31,51 +30,8 @@
     size_t movedSize() const { return m_moved.size(); }
 
 private:
-    // A map with a bound that forgets what was put in the longest time ago.
-    template <typename Value>
-    class Recent {
-    public:
-        explicit Recent(size_t most)
-            : m_most(most)
-        {
-        }
-
-        void put(ChatId chat, Value value)
-        {
-            erase(chat);
-            m_order.push_front({ chat, value });
-            m_index[chat] = m_order.begin();
-            if (m_order.size() > m_most)
-                erase(m_order.back().first);
-        }
-
-        void erase(ChatId chat)
-        {
-            auto const found = m_index.find(chat);
-            if (found == m_index.end())
-                return;
-            m_order.erase(found->second);
-            m_index.erase(found);
-        }
-
-        std::optional<Value> find(ChatId chat) const
-        {
-            auto const found = m_index.find(chat);
-            return found == m_index.end() ? std::nullopt : std::optional(found->second->second);
-        }
-
-        bool contains(ChatId chat) const { return m_index.contains(chat); }
-        size_t size() const { return m_order.size(); }
-
-    private:
-        using Order = std::list<std::pair<ChatId, Value>>;
-        size_t m_most;
-        Order m_order;
-        std::unordered_map<ChatId, typename Order::iterator> m_index;
-    };
-
-    Recent<uint32_t> m_held;
-    Recent<UpstreamId> m_moved;
+    RecentMap<ChatId, uint32_t> m_held;
+    RecentMap<ChatId, UpstreamId> m_moved;
 };
 
 }
--- /dev/null
+++ b/Libraries/LibRouting/HolderExchange.cpp
@@ -0,0 +1,87 @@
+#include <LibRouting/HolderExchange.h>
+
+#include <LibBase/Hash.h>
+
+namespace Stagepost {
+
+void HolderExchange::setPeers(std::vector<FleetPeer> peers)
+{
+    m_peers = std::move(peers);
+    std::erase_if(m_peers, [this](auto const& peer) { return peer.id == m_self.id; });
+}
+
+VMId HolderExchange::homeOf(uint64_t context) const
+{
+    auto home = m_self.id;
+    auto highest = mixHashes(context, home.value());
+    for (auto const& peer : m_peers) {
+        auto const rank = mixHashes(context, peer.id.value());
+        if (rank <= highest)
+            continue;
+        home = peer.id;
+        highest = rank;
+    }
+    return home;
+}
+
+void HolderExchange::placed(uint64_t context, UpstreamId upstream, Callback callback, Instant now)
+{
+    auto const home = homeOf(context);
+    if (home == m_self.id)
+        return callback(m_holders.placed(context, upstream));
+    auto const number = ++m_lastNumber;
+    auto const suspected = m_suspectedUntil.find(home);
+    bool const isSuspected = suspected != m_suspectedUntil.end() && now < suspected->second;
+    if (!isSuspected)
+        m_pending.emplace(number, Pending { home, now + m_bounds.patience, std::move(callback) });
+    m_hooks.send(home, encodeHolderMessage(HolderAsk { number, context, upstream }));
+    if (isSuspected)
+        callback({});
+}
+
+void HolderExchange::finish(uint64_t number, std::vector<UpstreamId> const& holders)
+{
+    auto pending = m_pending.extract(number);
+    pending.mapped().callback(holders);
+}
+
+Result<void> HolderExchange::receive(VMId from, std::string_view bytes, Instant)
+{
+    auto const message = TRY(decodeHolderMessage(bytes));
+    if (auto const* ask = std::get_if<HolderAsk>(&message)) {
+        m_hooks.send(from, encodeHolderMessage(HolderAnswer { ask->number, m_holders.placed(ask->context, ask->upstream) }));
+        return {};
+    }
+    auto const& answer = std::get<HolderAnswer>(message);
+    m_suspectedUntil.erase(from);
+    auto const found = m_pending.find(answer.number);
+    if (found != m_pending.end() && found->second.home == from)
+        finish(answer.number, answer.holders);
+    return {};
+}
+
+std::optional<Instant> HolderExchange::nextTimeout() const
+{
+    std::optional<Instant> next;
+    for (auto const& [number, pending] : m_pending)
+        next = std::min(next.value_or(pending.dueAt), pending.dueAt);
+    return next;
+}
+
+void HolderExchange::tick(Instant now)
+{
+    std::vector<uint64_t> overdue;
+    for (auto const& [number, pending] : m_pending) {
+        if (now >= pending.dueAt)
+            overdue.push_back(number);
+    }
+    for (auto const number : overdue) {
+        auto const pending = m_pending.find(number);
+        if (pending == m_pending.end())
+            continue;
+        m_suspectedUntil[pending->second.home] = now + m_bounds.suspicion;
+        finish(number, {});
+    }
+}
+
+}
--- a/Libraries/LibRouting/InFlightLedger.cpp
+++ b/Libraries/LibRouting/InFlightLedger.cpp
@@ -74,10 +74,13 @@
         return { false, count, true };
     if (forecast.hasRoomForCaution && sends >= cold.forCaution())
         return { false, count, true };
-    LedgerVerdict const verdict { count < ask.limit, count };
+    LedgerVerdict verdict { count < ask.limit, count };
+    verdict.isNewThere = ask.context && !account.contexts.contains(*ask.context);
     if (verdict.isGranted) {
         account.shares[from] = { ask.ownInFlight + 1, now };
         account.sends.add(1, cold.most(), now);
+        if (ask.context)
+            account.contexts.put(*ask.context, true);
     }
     return verdict;
 }
--- a/Libraries/LibRouting/InFlightLedger.h
+++ b/Libraries/LibRouting/InFlightLedger.h
@@ -4,6 +4,7 @@
 #include <LibBase/Time.h>
 #include <LibRouting/ColdBound.h>
 #include <LibRouting/LedgerMessage.h>
+#include <LibRouting/RecentMap.h>
 #include <LibRouting/SendWindow.h>
 #include <cstddef>
 #include <functional>
@@ -33,6 +34,8 @@
     // Whether it is cold, or may be, and was sent all that it can take by now: it gets nothing
     // further, whatever the others hold.
     bool isExhausted { false };
+    // The context is new to the upstream.
+    bool isNewThere { false };
 };
 
 // What a daemon is to an upstream about which it is asked.
@@ -80,6 +83,8 @@
         size_t count { 0 };
         Instant heardAt;
     };
+    // Of one upstream: a few are as many as its memory has room for.
+    static constexpr size_t mostContextsKnown = 16384;
     struct Account {
         std::map<VMId, Share> shares;
         // Where the upstream may be cold.
@@ -87,6 +92,8 @@
         // What an asker knew before this daemon did.
         ColdBound toldBound;
         Instant toldColdUntil;
+        // Which contexts went there.
+        RecentMap<uint64_t, bool> contexts { mostContextsKnown };
         // When this daemon was first asked, or told, about the upstream.
         Instant since;
         Instant heardAt;
--- a/Libraries/LibRouting/LedgerExchange.cpp
+++ b/Libraries/LibRouting/LedgerExchange.cpp
@@ -112,11 +112,12 @@
     }));
 }
 
-void LedgerExchange::choose(std::vector<Candidate> candidates, Callback callback, Instant now)
+void LedgerExchange::choose(Wish wish, Callback callback, Instant now)
 {
     auto const number = ++m_lastNumber;
     Pending pending;
-    pending.candidates = std::move(candidates);
+    pending.context = wish.context;
+    pending.candidates = std::move(wish.candidates);
     pending.callback = std::move(callback);
     m_pending.emplace(number, std::move(pending));
     ask(number, now);
@@ -137,7 +138,7 @@
     ++pending.asks;
     ++pending.ownersAsked;
     auto const own = ownAt(candidate.upstream) + askedFor(candidate.upstream) - 1;
-    LedgerAsk const ask { number, candidate.upstream, own, candidate.limit, candidate.cold };
+    LedgerAsk const ask { number, candidate.upstream, own, candidate.limit, candidate.cold, pending.context };
     if (*owner == m_self.id)
         return takeAnswer(number, judge(m_self.id, ask, now), now);
     m_hooks.send(*owner, encodeLedgerMessage(ask));
@@ -149,7 +150,7 @@
     auto const candidate = pending.candidates[pending.index];
     if (verdict.isGranted) {
         count(candidate.upstream, candidate.hall, pending.owner, now);
-        return finish(number, { candidate.upstream, true, pending.asks, pending.exhausted, false, verdict.count, candidate.limit });
+        return finish(number, { candidate.upstream, true, pending.asks, pending.exhausted, false, verdict.count, candidate.limit, verdict.isNewThere });
     }
     bool const isLeast = !pending.least || verdict.count < pending.leastCount;
     if (verdict.isExhausted) {
@@ -157,6 +158,7 @@
     } else if (isLeast) {
         pending.least = pending.index;
         pending.leastCount = verdict.count;
+        pending.isNewAtLeast = verdict.isNewThere;
     }
     goOn(number, now);
 }
@@ -187,6 +189,7 @@
         auto const candidate = pending.candidates[*pending.least];
         outcome.upstream = candidate.upstream;
         outcome.counted = pending.leastCount;
+        outcome.isNewThere = pending.isNewAtLeast;
         outcome.limit = candidate.limit;
         began(candidate.upstream, candidate.hall, now);
     }
@@ -255,7 +258,7 @@
     auto const message = TRY(decodeLedgerMessage(bytes));
     if (auto const* ask = std::get_if<LedgerAsk>(&message)) {
         auto const verdict = judge(from, *ask, now);
-        m_hooks.send(from, encodeLedgerMessage(LedgerAnswer { ask->number, verdict.isGranted, verdict.count, verdict.isExhausted }));
+        m_hooks.send(from, encodeLedgerMessage(LedgerAnswer { ask->number, verdict.isGranted, verdict.count, verdict.isExhausted, verdict.isNewThere }));
         return {};
     }
     if (auto const* told = std::get_if<LedgerReport>(&message)) {
@@ -270,7 +273,7 @@
     }
     m_suspectedUntil.erase(from);
     m_roundTrip.add(now - found->second.askedAt);
-    takeAnswer(answer.number, { answer.isGranted, answer.count, answer.isExhausted }, now);
+    takeAnswer(answer.number, { answer.isGranted, answer.count, answer.isExhausted, answer.isNewThere }, now);
     return {};
 }
 
--- a/Libraries/LibRouting/LedgerExchange.h
+++ b/Libraries/LibRouting/LedgerExchange.h
@@ -54,6 +54,12 @@
         std::optional<size_t> most {};
     };
 
+    // The context, where there is one, and the upstreams, in its order.
+    struct Wish {
+        std::optional<uint64_t> context;
+        std::vector<Candidate> candidates;
+    };
+
     struct Outcome {
         // Where it is to go; none where no owner has answered.
         std::optional<UpstreamId> upstream;
@@ -67,6 +73,8 @@
         // What the owner of the chosen one counted there, and what allowed one more.
         size_t counted { 0 };
         size_t limit { 0 };
+        // The context is new to the chosen one, as far as its owner knows.
+        bool isNewThere { false };
     };
     using Callback = std::function<void(Outcome const&)>;
 
@@ -94,7 +102,8 @@
     // Asks the candidates' owners, in their order, until one has room. What is granted or
     // chosen counts as in flight from then on. Calls back at once where all owners are this
     // daemon.
-    void choose(std::vector<Candidate>, Callback, Instant now);
+    void choose(std::vector<Candidate> candidates, Callback callback, Instant now) { choose({ {}, std::move(candidates) }, std::move(callback), now); }
+    void choose(Wish, Callback, Instant now);
     // A request has gone there without the owner's word.
     void began(UpstreamId, HallId, Instant now);
     // A request that was chosen for, or began, is over, or was not sent after all.
@@ -121,6 +130,7 @@
         Instant toldAt;
     };
     struct Pending {
+        std::optional<uint64_t> context;
         std::vector<Candidate> candidates;
         size_t index { 0 };
         // Of the candidate's owners, how many have been asked.
@@ -132,6 +142,7 @@
         // The one that holds least of those whose owners answered.
         std::optional<size_t> least;
         size_t leastCount { 0 };
+        bool isNewAtLeast { false };
         // Whether that one has been asked once more, for what it may hold at most.
         bool isLastAsk { false };
         std::vector<UpstreamId> exhausted;
--- a/Libraries/LibRouting/LedgerMessage.cpp
+++ b/Libraries/LibRouting/LedgerMessage.cpp
@@ -14,8 +14,13 @@
         Ask,
         Answer,
         Report,
+        AskWithContext,
     };
 
+    // Of the number at the end of an answer; daemons of earlier versions send the first alone.
+    constexpr uint64_t exhaustedFlag = 1;
+    constexpr uint64_t newThereFlag = 2;
+
     // Of a rate, what is told: thousandths of a request a second.
     constexpr double rateUnit = 1000;
 
@@ -43,6 +48,8 @@
         writer.id(ask.upstream);
         writer.number(ask.ownInFlight);
         writer.number(ask.limit);
+        if (ask.context)
+            writer.number(*ask.context);
         if (ask.cold)
             write(writer, *ask.cold);
     }
@@ -52,8 +59,9 @@
         writer.number(answer.number);
         writer.number(answer.isGranted ? 1 : 0);
         writer.number(answer.count);
-        if (answer.isExhausted)
-            writer.number(1);
+        auto const flags = (answer.isExhausted ? exhaustedFlag : 0) | (answer.isNewThere ? newThereFlag : 0);
+        if (flags)
+            writer.number(flags);
     }
 
     void write(MessageWriter& writer, LedgerReport const& report)
@@ -62,13 +70,15 @@
         writer.number(report.ownInFlight);
     }
 
-    LedgerAsk readAsk(MessageReader& reader)
+    LedgerAsk readAsk(MessageReader& reader, bool hasContext)
     {
         LedgerAsk ask;
         ask.number = reader.number();
         ask.upstream = reader.id<UpstreamId>();
         ask.ownInFlight = reader.number();
         ask.limit = reader.number();
+        if (hasContext)
+            ask.context = reader.number();
         if (!reader.finished())
             ask.cold = readColdNotice(reader);
         return ask;
@@ -80,7 +90,9 @@
         answer.number = reader.number();
         answer.isGranted = reader.number() != 0;
         answer.count = reader.number();
-        answer.isExhausted = !reader.finished() && reader.number() != 0;
+        auto const flags = reader.finished() ? 0 : reader.number();
+        answer.isExhausted = (flags & exhaustedFlag) != 0;
+        answer.isNewThere = (flags & newThereFlag) != 0;
         return answer;
     }
 
@@ -96,7 +108,9 @@
     {
         switch (static_cast<Kind>(reader.number())) {
         case Kind::Ask:
-            return readAsk(reader);
+            return readAsk(reader, false);
+        case Kind::AskWithContext:
+            return readAsk(reader, true);
         case Kind::Answer:
             return readAnswer(reader);
         case Kind::Report:
@@ -110,7 +124,8 @@
 std::string encodeLedgerMessage(LedgerMessage const& message)
 {
     MessageWriter writer;
-    writer.number(message.index());
+    auto const* ask = std::get_if<LedgerAsk>(&message);
+    writer.number(ask && ask->context ? static_cast<uint64_t>(Kind::AskWithContext) : message.index());
     std::visit([&writer](auto const& each) { write(writer, each); }, message);
     return writer.release();
 }
--- a/Libraries/LibRouting/LedgerMessage.h
+++ b/Libraries/LibRouting/LedgerMessage.h
@@ -23,6 +23,9 @@
     // The asker knows that the upstream is cold; the owner may not know yet. Daemons of
     // earlier versions do not understand such an ask, and it is as if they were gone.
     std::optional<ColdNotice> cold {};
+    // The context that goes there, where the request has one. Daemons of earlier versions do not
+    // understand such an ask either.
+    std::optional<uint64_t> context {};
 };
 
 struct LedgerAnswer {
@@ -33,6 +36,8 @@
     // The upstream is cold and gets nothing further by now. Daemons of earlier versions do
     // not understand such an answer, and go on as if none had come.
     bool isExhausted { false };
+    // The upstream has not had the context, as far as its owner knows.
+    bool isNewThere { false };
 };
 
 // What the sender has in flight at an upstream of the receiver's.
--- a/Libraries/LibRouting/Routing.h
+++ b/Libraries/LibRouting/Routing.h
@@ -9,11 +9,14 @@
 #include <LibRouting/AdmissionNode.h>
 #include <LibRouting/CircuitBreaker.h>
 #include <LibRouting/ColdBound.h>
+#include <LibRouting/ContextHolders.h>
 #include <LibRouting/ContextTable.h>
 #include <LibRouting/CrashExchange.h>
 #include <LibRouting/CrashSuspects.h>
 #include <LibRouting/EntryRole.h>
 #include <LibRouting/FairQueue.h>
+#include <LibRouting/HolderExchange.h>
+#include <LibRouting/HolderMessage.h>
 #include <LibRouting/InFlightLedger.h>
 #include <LibRouting/LedgerExchange.h>
 #include <LibRouting/LedgerMessage.h>
@@ -25,6 +28,7 @@
 #include <LibRouting/PlacementRule.h>
 #include <LibRouting/PoolPolicy.h>
 #include <LibRouting/PromptChain.h>
+#include <LibRouting/RecentMap.h>
 #include <LibRouting/Rendezvous.h>
 #include <LibRouting/RequestAttempts.h>
 #include <LibRouting/RetryBudget.h>
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -416,6 +416,20 @@
     return first.id();
 }
 
+std::optional<UpstreamId> ServicePlacement::sourceAmong(std::vector<UpstreamId> const& holders, UpstreamId chosen, Instant now) const
+{
+    auto const found = std::find_if(holders.begin(), holders.end(), [&](UpstreamId id) {
+        auto const known = m_upstreams.find(id);
+        return id != chosen && known != m_upstreams.end() && canGive(id, known->second, now);
+    });
+    return found == holders.end() ? std::nullopt : std::optional(*found);
+}
+
+bool ServicePlacement::canGive(UpstreamId id, Upstream const& upstream, Instant now) const
+{
+    return upstream.health.isClosed() && m_silence.reach(upstream.facts.hall, now) == Reach::Heard && !m_silence.isSilent(id, now);
+}
+
 PlacementRule ServicePlacement::ruleForContexts() const
 {
     return m_load.areCountsFresh() ? PlacementRule::Count : PlacementRule::Share;
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -112,6 +112,8 @@
     std::vector<LedgerExchange::Candidate> candidatesForOwners(Wish const&, Instant now);
     // The choice that their answers made; none where the upstream is gone or leaving by now.
     std::optional<Choice> chosenByOwners(Wish const&, LedgerExchange::Outcome const&, Instant now);
+    // The first of those that can be reached and is not the chosen one.
+    std::optional<UpstreamId> sourceAmong(std::vector<UpstreamId> const& holders, UpstreamId chosen, Instant now) const;
     // What an upstream is likely to hold, as far as this daemon can tell by itself.
     UpstreamForecast forecast(UpstreamId, Instant now) const;
 
@@ -185,6 +187,7 @@
     size_t widthOfSpill(Upstream const& home, size_t others) const;
     void noteWait(SendOutcome, Microseconds took, Microseconds held);
     void adjustShares(Instant now);
+    bool canGive(UpstreamId, Upstream const&, Instant now) const;
     std::optional<UpstreamId> contextSource(uint64_t context, UpstreamId chosen, Instant now) const;
     Upstream* chooseByWait(std::vector<Upstream*> const&, Instant now) const;
     double expectedWait(Upstream const&, double usual, Instant now) const;
--- a/Services/stagepostd/GatewayFlow.cpp
+++ b/Services/stagepostd/GatewayFlow.cpp
@@ -139,27 +139,22 @@
         placeWithoutOwners(wish);
         return;
     }
-    m_services.peers.chooseByOwners(std::move(candidates), [self = shared_from_this()](LedgerExchange::Outcome const& outcome) {
+    m_services.peers.chooseByOwners({ wish.context, std::move(candidates) }, [self = shared_from_this()](LedgerExchange::Outcome const& outcome) {
         self->takeOwnersWord(outcome);
     });
 }
 
-// Some milliseconds have passed, in which all that allows a send may have changed.
 void GatewayFlow::takeOwnersWord(LedgerExchange::Outcome const& outcome)
 {
     m_countedAt = outcome.upstream;
-    if (m_exchange->isCallerGone()) {
-        noteNotInFlight();
-        m_services.metrics.countRefusal({ RefusalReason::CallerGone, m_attempts.verdict(), "the caller left before its request was sent", {} });
-        log("caller-gone", {}, nameOf(RefusalReason::CallerGone), m_attempts.verdict());
-        return;
-    }
-    if (!maySend()) {
-        noteNotInFlight();
+    if (isOverMeanwhile())
         return;
-    }
     auto wish = this->wish();
     auto const choice = m_service.placement.chosenByOwners(wish, outcome, m_services.loop.now());
+    if (choice && outcome.isNewThere && wish.context) {
+        findHolders(*wish.context, *choice);
+        return;
+    }
     if (choice) {
         send(choice);
         return;
@@ -173,6 +168,40 @@
     placeWithoutOwners(wish);
 }
 
+// The upstream would read the context anew, which takes longer than to ask who holds it.
+void GatewayFlow::findHolders(uint64_t context, ServicePlacement::Choice const& choice)
+{
+    m_services.peers.contextPlaced(context, choice.upstream, [self = shared_from_this(), choice](std::vector<UpstreamId> const& holders) {
+        self->sendFromHolders(choice, holders);
+    });
+}
+
+void GatewayFlow::sendFromHolders(ServicePlacement::Choice choice, std::vector<UpstreamId> const& holders)
+{
+    if (isOverMeanwhile())
+        return;
+    auto const source = m_service.placement.sourceAmong(holders, choice.upstream, m_services.loop.now());
+    if (source)
+        choice.contextSource = source;
+    send(choice);
+}
+
+// Some milliseconds have passed, in which all that allows a send may have changed.
+bool GatewayFlow::isOverMeanwhile()
+{
+    if (m_exchange->isCallerGone()) {
+        noteNotInFlight();
+        m_services.metrics.countRefusal({ RefusalReason::CallerGone, m_attempts.verdict(), "the caller left before its request was sent", {} });
+        log("caller-gone", {}, nameOf(RefusalReason::CallerGone), m_attempts.verdict());
+        return true;
+    }
+    if (!maySend()) {
+        noteNotInFlight();
+        return true;
+    }
+    return false;
+}
+
 void GatewayFlow::noteNotInFlight()
 {
     if (m_countedAt)
--- a/Services/stagepostd/GatewayFlow.h
+++ b/Services/stagepostd/GatewayFlow.h
@@ -63,6 +63,9 @@
     bool needsOwner(ServicePlacement::Wish const&) const;
     void askOwners(ServicePlacement::Wish const&);
     void takeOwnersWord(LedgerExchange::Outcome const&);
+    void findHolders(uint64_t context, ServicePlacement::Choice const&);
+    void sendFromHolders(ServicePlacement::Choice, std::vector<UpstreamId> const& holders);
+    bool isOverMeanwhile();
     // It has ended, or was not sent after all.
     void noteNotInFlight();
     void placeWithoutOwners(ServicePlacement::Wish const&);
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -53,7 +53,7 @@
     , m_server(
           loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { exchange->respond(answerState(exchange->call())); }, plainRefusal)
     , m_ticker(loop)
-    , m_ownersTimer(loop)
+    , m_answersTimer(loop)
 {
 }
 
@@ -76,10 +76,13 @@
     // One that joins again by another key has requests that wait for owners' answers.
     if (!m_ledger)
         m_ledger = std::make_unique<LedgerExchange>(peer, LedgerExchange::Bounds {}, ledgerHooks());
+    if (!m_holders)
+        m_holders = std::make_unique<HolderExchange>(peer, HolderExchange::Bounds {}, HolderExchange::Hooks { [this](VMId to, std::string const& body) { send(to, PeerMessageKind::Holders, body); } });
     m_ticker.every(tickInterval, [this] {
         m_exchange->tick(m_loop.now());
         m_crashes->tick(m_loop.now());
         m_ledger->tick(m_loop.now());
+        m_holders->tick(m_loop.now());
     });
     logEvent(LogLevel::Info, "joined", { { "name", self.name }, { "hall", self.hall }, { "peer_listen", m_endpoint.toString() }, { "incarnation", incarnation.value() } });
     return {};
@@ -117,21 +120,30 @@
     return hooks;
 }
 
-void GatewayPeers::chooseByOwners(std::vector<LedgerExchange::Candidate> candidates, LedgerExchange::Callback callback)
+void GatewayPeers::chooseByOwners(LedgerExchange::Wish wish, LedgerExchange::Callback callback)
 {
-    m_ledger->choose(std::move(candidates), std::move(callback), m_loop.now());
-    awaitOwners();
+    m_ledger->choose(std::move(wish), std::move(callback), m_loop.now());
+    awaitAnswers();
+}
+
+void GatewayPeers::contextPlaced(uint64_t context, UpstreamId upstream, HolderExchange::Callback callback)
+{
+    m_holders->placed(context, upstream, std::move(callback), m_loop.now());
+    awaitAnswers();
 }
 
 // The ticker is too coarse for a request that waits.
-void GatewayPeers::awaitOwners()
+void GatewayPeers::awaitAnswers()
 {
-    auto const due = m_ledger->nextTimeout();
+    auto due = m_ledger->nextTimeout();
+    if (auto const other = m_holders->nextTimeout())
+        due = std::min(due.value_or(*other), *other);
     if (!due)
         return;
-    m_ownersTimer.once(std::max<Microseconds>(Microseconds(0), *due - m_loop.now()), [this] {
+    m_answersTimer.once(std::max<Microseconds>(Microseconds(0), *due - m_loop.now()), [this] {
         m_ledger->tick(m_loop.now());
-        awaitOwners();
+        m_holders->tick(m_loop.now());
+        awaitAnswers();
     });
 }
 
@@ -161,6 +173,7 @@
         return;
     m_exchange->setPeers(list);
     m_crashes->setPeers(list, m_loop.now());
+    m_holders->setPeers(list);
     m_ledger->setPeers(std::move(list), m_exchange->relays(), m_loop.now());
     m_metrics.setGauge("stagepost_daemons", static_cast<double>(m_exchange->peerCount() + 1));
     logEvent(LogLevel::Info, "peers", { { "others", m_exchange->peerCount() }, { "relay", m_exchange->isRelay() ? 1 : 0 } });
@@ -223,6 +236,8 @@
             return takeCrashes(from, body);
         case PeerMessageKind::Ledger:
             return m_ledger && m_ledger->receive(from, body, m_loop.now());
+        case PeerMessageKind::Holders:
+            return m_holders && m_holders->receive(from, body, m_loop.now());
         default:
             return false;
         }
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -6,6 +6,7 @@
 #include <LibProxy/HttpServer.h>
 #include <LibProxy/Timer.h>
 #include <LibRouting/CrashExchange.h>
+#include <LibRouting/HolderExchange.h>
 #include <LibRouting/LedgerExchange.h>
 #include <memory>
 #include <stagepostd/GatewayState.h>
@@ -79,7 +80,9 @@
     // Whether upstreams' owners can be asked.
     bool canAskOwners() const { return m_ledger != nullptr; }
     // As LedgerExchange has it.
-    void chooseByOwners(std::vector<LedgerExchange::Candidate>, LedgerExchange::Callback);
+    void chooseByOwners(LedgerExchange::Wish, LedgerExchange::Callback);
+    // As HolderExchange has it.
+    void contextPlaced(uint64_t context, UpstreamId, HolderExchange::Callback);
     void requestBegan(UpstreamId, HallId);
     void requestEnded(UpstreamId);
     size_t unansweredAsks() const { return m_ledger ? m_ledger->unansweredAsks() : 0; }
@@ -94,7 +97,7 @@
     StateExchange::Hooks exchangeHooks();
     CrashExchange::Hooks crashHooks();
     LedgerExchange::Hooks ledgerHooks();
-    void awaitOwners();
+    void awaitAnswers();
     bool takeCrashes(VMId from, std::string_view body);
     void receive(PeerMessageKind, VMId from, Endpoint const& source, std::string_view body);
     Endpoint const* endpointOf(VMId) const;
@@ -122,9 +125,10 @@
     std::unique_ptr<StateExchange> m_exchange;
     std::unique_ptr<CrashExchange> m_crashes;
     std::unique_ptr<LedgerExchange> m_ledger;
+    std::unique_ptr<HolderExchange> m_holders;
     Timer m_ticker;
-    // For answers of owners that are overdue.
-    Timer m_ownersTimer;
+    // For answers of owners and homes that are overdue.
+    Timer m_answersTimer;
     bool m_isFetching { false };
 };
 
--- a/Services/stagepostd/PeerChannel.h
+++ b/Services/stagepostd/PeerChannel.h
@@ -15,6 +15,7 @@
     State = 's',
     Crashes = 'c',
     Ledger = 'l',
+    Holders = 'h',
 };
 
 // Sends and receives sealed datagrams; forged, damaged and replayed ones are
--- a/Tests/LibRouting/TestLedgerExchange.cpp
+++ b/Tests/LibRouting/TestLedgerExchange.cpp
@@ -182,6 +182,12 @@
     BOOST_REQUIRE(answer);
     BOOST_TEST(std::get<LedgerAnswer>(*answer).isGranted);
     BOOST_TEST(std::get<LedgerAnswer>(*answer).count == 4u);
+    auto const placed = decodeLedgerMessage(encodeLedgerMessage(LedgerAsk { 7, upstream, 2, 9, {}, 123 }));
+    BOOST_REQUIRE(placed);
+    BOOST_TEST((std::get<LedgerAsk>(*placed).context == 123u && !std::get<LedgerAsk>(*placed).cold));
+    auto const isNew = decodeLedgerMessage(encodeLedgerMessage(LedgerAnswer { 7, true, 4, false, true }));
+    BOOST_REQUIRE(isNew);
+    BOOST_TEST((std::get<LedgerAnswer>(*isNew).isNewThere && !std::get<LedgerAnswer>(*isNew).isExhausted));
     auto const report = decodeLedgerMessage(encodeLedgerMessage(LedgerReport { upstream, 3 }));
     BOOST_REQUIRE(report);
     BOOST_TEST(std::get<LedgerReport>(*report).ownInFlight == 3u);
@@ -189,6 +195,21 @@
     BOOST_TEST(!decodeLedgerMessage(encodeLedgerMessage(LedgerAsk {}) + "x"));
 }
 
+BOOST_AUTO_TEST_CASE(AnOwnerSaysWhichContextsAreNewToItsUpstream)
+{
+    Fleet fleet(6);
+    auto const choose = [&](size_t daemon, uint64_t context) {
+        bool isNew = false;
+        fleet.daemon(daemon).choose(
+            { context, { { upstream, north, 9 } } }, [&](auto const& outcome) { isNew = outcome.isNewThere; }, fleet.now);
+        fleet.run(Milliseconds(20));
+        return isNew;
+    };
+    BOOST_TEST(choose(2, 5));
+    BOOST_TEST(!choose(4, 5));
+    BOOST_TEST(choose(4, 6));
+}
+
 BOOST_AUTO_TEST_CASE(AnUpstreamTakesAsManyAsTheLimitWhoeverAsks)
 {
     Fleet fleet(20);
--- a/Tests/LoadPatterns/StreamFleet.cpp
+++ b/Tests/LoadPatterns/StreamFleet.cpp
@@ -172,9 +172,20 @@
     std::vector<FleetPeer> peers;
     for (size_t number = 0; number < m_daemons.size(); ++number)
         peers.push_back({ VMId(number + 1), HallId(1) });
+    addHolders(daemon, peers);
     ledger->setPeers(std::move(peers), {}, Instant {});
 }
 
+void StreamFleet::addHolders(size_t daemon, std::vector<FleetPeer> const& peers)
+{
+    if (!m_pattern.asksHolders)
+        return;
+    HolderExchange::Hooks const hooks { [this, daemon](VMId to, std::string const& bytes) { post(m_now, { daemon, to.value() - 1, bytes, true }); } };
+    auto& holders = m_daemons[daemon].holders;
+    holders = std::make_unique<HolderExchange>(FleetPeer { VMId(daemon + 1), HallId(1) }, HolderExchange::Bounds {}, hooks);
+    holders->setPeers(peers);
+}
+
 void StreamFleet::post(double now, Message message)
 {
     m_outcome.ledgerBytes += headerBytes + static_cast<double>(message.bytes.size());
@@ -191,12 +202,18 @@
     if (!found)
         return;
     auto const message = std::move(found.mapped());
-    (void)m_daemons[message.to].ledger->receive(VMId(message.from + 1), message.bytes, at(event.at));
+    auto& daemon = m_daemons[message.to];
+    if (message.isOfHolders)
+        (void)daemon.holders->receive(VMId(message.from + 1), message.bytes, at(event.at));
+    else
+        (void)daemon.ledger->receive(VMId(message.from + 1), message.bytes, at(event.at));
 }
 
 void StreamFleet::tickLedger(Event const& event)
 {
     m_daemons[event.daemon].ledger->tick(at(event.at));
+    if (auto const& holders = m_daemons[event.daemon].holders)
+        holders->tick(at(event.at));
     if (event.isRegular)
         m_events.push({ event.at + ledgerTickSeconds, Event::Kind::LedgerTick, event.daemon, 0, 0, 0, 0, 0, true });
 }
@@ -306,11 +323,16 @@
     bool const wasEverRead = !m_everRead.insert(request.context).second;
     if (!m_pattern.readsLikeEngines)
         return wasEverRead ? reading / copySpeedup : reading;
-    if (!request.contextSource)
-        return reading;
-    auto const& source = m_engines[request.contextSource->value() - 1].readAt;
-    auto const found = source.find(request.context);
-    return found != source.end() && found->second <= now ? reading / copySpeedup : reading;
+    auto const hasRead = [&](Engine const& each) {
+        auto const found = each.readAt.find(request.context);
+        return found != each.readAt.end() && found->second <= now;
+    };
+    if (request.contextSource && hasRead(m_engines[request.contextSource->value() - 1])) {
+        ++m_outcome.copied;
+        return reading / copySpeedup;
+    }
+    m_outcome.readThoughHeld += std::any_of(m_engines.begin(), m_engines.end(), hasRead) ? 1 : 0;
+    return reading;
 }
 
 // What is read before the answer begins, behind what the engine reads already.
@@ -373,13 +395,17 @@
     wish.priority = kind.priority;
     auto candidates = m_daemons[daemon].placement->candidatesForOwners(wish, at(now));
     m_daemons[daemon].ledger->choose(
-        std::move(candidates), [this, daemon, wish, &kind](LedgerExchange::Outcome const& outcome) mutable {
+        { wish.context, std::move(candidates) }, [this, daemon, wish, &kind](LedgerExchange::Outcome const& outcome) mutable {
             auto& placement = *m_daemons[daemon].placement;
             auto choice = placement.chosenByOwners(wish, outcome, at(m_now));
             if (outcome.isFull) {
                 ++m_outcome.seconds[static_cast<size_t>(m_now)].refused;
                 return;
             }
+            if (choice && outcome.isNewThere && m_daemons[daemon].holders) {
+                sendFromHolders(daemon, kind, *wish.context, *choice);
+                return;
+            }
             if (!choice) {
                 wish.avoided = outcome.exhausted;
                 choice = placement.choose(wish, at(m_now));
@@ -393,6 +419,21 @@
         m_events.push({ now + longestPatienceSeconds, Event::Kind::LedgerTick, daemon, 0 });
 }
 
+void StreamFleet::sendFromHolders(size_t daemon, StreamKind const& kind, uint64_t context, ServicePlacement::Choice const& chosen)
+{
+    auto& holders = *m_daemons[daemon].holders;
+    holders.placed(
+        context, chosen.upstream, [this, daemon, chosen, &kind, context](auto const& known) {
+            auto choice = chosen;
+            if (auto const source = m_daemons[daemon].placement->sourceAmong(known, choice.upstream, at(m_now)))
+                choice.contextSource = source;
+            sendTo(m_now, daemon, kind, context, choice);
+        },
+        at(m_now));
+    if (holders.nextTimeout())
+        m_events.push({ m_now + longestPatienceSeconds, Event::Kind::LedgerTick, daemon, 0 });
+}
+
 void StreamFleet::sendTo(double now, size_t number, StreamKind const& kind, uint64_t context, std::optional<ServicePlacement::Choice> const& choice)
 {
     if (!choice) {
--- a/Tests/LoadPatterns/StreamFleet.h
+++ b/Tests/LoadPatterns/StreamFleet.h
@@ -81,6 +81,8 @@
     // Upstreams' owners are asked before each send; messages take so long, and of a
     // hundred so many are lost.
     bool asksOwners { false };
+    // Who holds a context that is new to its upstream is asked as well.
+    bool asksHolders { false };
     Microseconds messageTime { 1000 };
     unsigned lostMessages { 0 };
     std::optional<Absence> absence;
@@ -109,6 +111,9 @@
     double ledgerBytes { 0 };
     // What any upstream got in any second while it was cold.
     size_t mostInAColdSecond { 0 };
+    // Contexts that were read again though an upstream held them, and those that were copied.
+    size_t readThoughHeld { 0 };
+    size_t copied { 0 };
     // No upstream took it.
     size_t unplaced { 0 };
 
@@ -141,12 +146,15 @@
         std::unique_ptr<AdmissionGate> gate;
         std::map<size_t, size_t> inFlight;
         std::unique_ptr<LedgerExchange> ledger;
+        std::unique_ptr<HolderExchange> holders;
     };
     // Between two daemons.
     struct Message {
         size_t from { 0 };
         size_t to { 0 };
         std::string bytes;
+        // Of the exchange about holders, and not of the ledger.
+        bool isOfHolders { false };
     };
     // A request at an engine.
     struct Request {
@@ -203,8 +211,10 @@
     void arrive(double now);
     void place(double now, StreamKind const&, uint64_t context);
     void askOwners(double now, size_t daemon, StreamKind const&, uint64_t context);
+    void sendFromHolders(size_t daemon, StreamKind const&, uint64_t context, ServicePlacement::Choice const&);
     void sendTo(double now, size_t daemon, StreamKind const&, uint64_t context, std::optional<ServicePlacement::Choice> const&);
     void addLedger(size_t daemon);
+    void addHolders(size_t daemon, std::vector<FleetPeer> const&);
     void startDaemon(size_t daemon);
     void leave();
     void comeBack();
--- a/Tests/LoadPatterns/TestOwners.cpp
+++ b/Tests/LoadPatterns/TestOwners.cpp
@@ -158,6 +158,23 @@
     BOOST_TEST(outcome.refusedShare(13, 16) == 0);
 }
 
+// A third comes back with nothing: what its contexts' requests went to meanwhile holds them.
+BOOST_AUTO_TEST_CASE(ContextsOfAHallThatComesBackAreCopiedFromWhoHoldsThem)
+{
+    auto pattern = hallThatComesBackCold();
+    pattern.absence->losesContexts = true;
+    auto const play = [&](bool asksHolders, uint64_t seed) {
+        pattern.asksHolders = asksHolders;
+        return StreamFleet(pattern, {}, seed).play();
+    };
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+        auto const guessed = play(false, seed);
+        auto const asked = play(true, seed);
+        BOOST_TEST_MESSAGE("a third comes back, seed " << seed << ": read again though held " << guessed.readThoughHeld << " (" << guessed.copied << " copied) where the source is guessed, " << asked.readThoughHeld << " (" << asked.copied << ") where holders are asked");
+        BOOST_TEST(2 * asked.readThoughHeld < guessed.readThoughHeld);
+    }
+}
+
 // Nobody knows for a second and a half that they are cold.
 BOOST_AUTO_TEST_CASE(AHallWhoseColdnessIsToldLateIsNotOverrun)
 {
