LibBase: Keep lines of decisions from being crowded out by those of requests

test_store_return's case of an older configuration failed once with "never: version 6 is in force". It looks for the daemon's line of that version after two seconds of calls as fast as they go. The line of version 6 is then missing, and the test waits for it in vain.

It is a fault of the daemon, too: in a surge on-call would miss what explains it. Lines of requests now leave 200 of the burst to all others, and of these 64 are kept until the output takes them.

test_log failed before ("never: the line of version 9") and passes, as does LinesOfRequestsLeaveRoomForWhatExplainsThem.

--- a/Libraries/LibBase/Log.cpp
+++ b/Libraries/LibBase/Log.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/LogBudget.h>
 #include <algorithm>
+#include <deque>
 #include <poll.h>
 #include <spdlog/details/null_mutex.h>
 #include <spdlog/sinks/base_sink.h>
@@ -12,57 +13,86 @@
 
 namespace {
 
+    constexpr char const* requestsLogger = "requests";
+
     // Writes to the standard output and never waits for whoever reads it: a pipe
     // that poll() calls writable takes PIPE_BUF bytes at once, and a line is cut to
-    // fit. What does not fit in or goes over the budget is left out and counted.
+    // fit. What goes over the budget is left out and counted, and so are lines of requests that
+    // do not fit in; of the others some are kept until they do.
     class StandardOutputSink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
     public:
         static constexpr size_t longestLine = 4096;
+        static constexpr size_t mostKept = 64;
 
     private:
         void sink_it_(spdlog::details::log_msg const& message) override
         {
-            if (!m_budget.allows(MonotonicClock::now()))
+            bool const isOfRequest = std::string_view(message.logger_name.data(), message.logger_name.size()) == requestsLogger;
+            if (!m_budget.allows(MonotonicClock::now(), isOfRequest ? LogBudget::keptFromRequests : 0))
+                return;
+            flush_();
+            if (m_kept.empty() && write(formatted(message)))
                 return;
-            if (!canWrite()) {
+            if (isOfRequest || m_kept.size() == mostKept)
                 m_budget.leaveOut();
+            else
+                m_kept.push_back(formatted(message));
+        }
+
+        void flush_() override
+        {
+            while (!m_kept.empty() && write(m_kept.front()))
+                m_kept.pop_front();
+            if (!m_budget.hasLeftOut() || !canWrite())
                 return;
-            }
-            if (m_budget.hasLeftOut())
-                write("level=warning event=log-left-out lines=" + std::to_string(m_budget.takeLeftOut()) + '\n');
+            write("level=warning event=log-left-out lines=" + std::to_string(m_budget.takeLeftOut()) + '\n');
+        }
+
+        std::string formatted(spdlog::details::log_msg const& message)
+        {
             spdlog::memory_buf_t line;
             formatter_->format(message, line);
             if (line.size() > longestLine) {
                 line.resize(longestLine);
                 line[longestLine - 1] = '\n';
             }
-            if (!canWrite() || !write({ line.data(), line.size() }))
-                m_budget.leaveOut();
+            return { line.data(), line.size() };
         }
 
-        void flush_() override { }
-
         static bool canWrite()
         {
             pollfd output { STDOUT_FILENO, POLLOUT, 0 };
             return ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT);
         }
 
-        static bool write(std::string_view text) { return ::write(STDOUT_FILENO, text.data(), text.size()) == static_cast<ssize_t>(text.size()); }
+        static bool write(std::string_view text) { return canWrite() && ::write(STDOUT_FILENO, text.data(), text.size()) == static_cast<ssize_t>(text.size()); }
 
         LogBudget m_budget;
+        std::deque<std::string> m_kept;
     };
 
-    spdlog::logger& logger()
+    std::shared_ptr<spdlog::logger> makeLogger(char const* name, spdlog::sink_ptr sink)
     {
-        static auto const instance = [] {
-            auto created = std::make_shared<spdlog::logger>("stagepost", std::make_shared<StandardOutputSink>());
-            created->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
-            return created;
-        }();
-        return *instance;
+        auto created = std::make_shared<spdlog::logger>(name, std::move(sink));
+        created->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
+        return created;
     }
 
+    // Both write to the one output, by its one budget.
+    struct Loggers {
+        spdlog::sink_ptr sink { std::make_shared<StandardOutputSink>() };
+        std::shared_ptr<spdlog::logger> events { makeLogger("stagepost", sink) };
+        std::shared_ptr<spdlog::logger> requests { makeLogger(requestsLogger, sink) };
+    };
+
+    Loggers& loggers()
+    {
+        static Loggers instance;
+        return instance;
+    }
+
+    spdlog::logger& logger() { return *loggers().events; }
+
     bool isPrintable(unsigned char letter)
     {
         return letter >= ' ' && letter < 0x7f;
@@ -139,12 +169,25 @@
         logger().log(levelOf(level), formatEvent(event, fields));
 }
 
+void logRequest(std::initializer_list<LogField> fields)
+{
+    auto& requests = *loggers().requests;
+    if (requests.should_log(spdlog::level::info))
+        requests.info(formatEvent("request", fields));
+}
+
+void flushLog()
+{
+    loggers().sink->flush();
+}
+
 bool setLogLevel(std::string_view name)
 {
     for (auto level : { LogLevel::Debug, LogLevel::Info, LogLevel::Warning, LogLevel::Error }) {
         auto const text = spdlog::level::to_string_view(levelOf(level));
         if (name == std::string_view(text.data(), text.size())) {
             logger().set_level(levelOf(level));
+            loggers().requests->set_level(levelOf(level));
             return true;
         }
     }
--- a/Libraries/LibBase/Log.h
+++ b/Libraries/LibBase/Log.h
@@ -45,10 +45,17 @@
 std::string formatEvent(std::string_view event, std::initializer_list<LogField> fields = {});
 
 // Writes that line to the standard output. Never waits for a reader:
-// lines that the output does not take, or that go over the budget of LogBudget,
-// are left out, and the next line that is written tells how many.
+// lines that go over the budget of LogBudget are left out, and the next line that is written
+// tells how many. Some lines that the output does not take are kept until it does.
 void logEvent(LogLevel, std::string_view event, std::initializer_list<LogField> fields = {});
 
+// The same for what became of one request. In a surge such lines leave room to the others: what
+// a process came to believe explains many requests.
+void logRequest(std::initializer_list<LogField>);
+
+// Writes lines that the output did not take before, as far as it does now.
+void flushLog();
+
 // Sets the least level that is written; "debug", "info", "warning" or "error".
 // Returns false on another name.
 bool setLogLevel(std::string_view name);
--- a/Libraries/LibBase/LogBudget.h
+++ b/Libraries/LibBase/LogBudget.h
@@ -16,11 +16,15 @@
     // What a surge or a change of many beliefs at once may write in one go.
     static constexpr double burst = 1000;
 
-    bool allows(Instant now)
+    // Of the burst, what lines of single requests leave to those of decisions and beliefs.
+    static constexpr double keptFromRequests = 200;
+
+    // A line is allowed while that many more are left after it.
+    bool allows(Instant now, double kept = 0)
     {
         m_lines = std::min(burst, m_lines + asSeconds(now - m_countedAt) * linesPerSecond);
         m_countedAt = now;
-        if (m_lines < 1) {
+        if (m_lines < 1 + kept) {
             leaveOut();
             return false;
         }
--- a/Services/stagepostd/Daemon.cpp
+++ b/Services/stagepostd/Daemon.cpp
@@ -257,7 +257,7 @@
     }
     auto request = readRequest(exchange->call(), *settings, m_loop.now());
     if (auto const* refusal = std::get_if<Refusal>(&request)) {
-        logEvent(LogLevel::Info, "request",
+        logRequest(
             { { "path", exchange->call().path() }, { "reason", nameOf(refusal->reason) }, { "verdict", nameOf(refusal->verdict) },
                 { "settings", m_settings.revision().value() }, { "detail", refusal->detail } });
         exchange->respond(refuse(*refusal));
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -436,6 +436,7 @@
     noteUpstreams("not-written-again", upstreamsBefore);
     m_crashes.tick();
     noteReadiness();
+    flushLog();
 }
 
 // While it is not ready, its answers close their connections: callers that keep
@@ -505,7 +506,7 @@
     noteReadiness();
     auto routed = route(exchange->call());
     if (auto const* refusal = std::get_if<Refusal>(&routed)) {
-        logEvent(LogLevel::Info, "request",
+        logRequest(
             { { "id", m_dialect.readCall(exchange->call()).id }, { "outcome", "refused" }, { "reason", nameOf(refusal->reason) },
                 { "settings", settingsVersion() }, { "settings_age_ms", settingsAge().count() / 1000 } });
         exchange->respond(refuse(*refusal));
--- a/Services/stagepostd/GatewayFlow.cpp
+++ b/Services/stagepostd/GatewayFlow.cpp
@@ -479,7 +479,7 @@
 void GatewayFlow::log(std::string_view outcome, ForwardResult const& result, std::string_view reason, Verdict verdict) const
 {
     auto const now = m_services.loop.now();
-    logEvent(LogLevel::Info, "request",
+    logRequest(
         { { "id", m_request.call.id }, { "request", outcome == "answered" ? "" : hexOf(fingerprint().value()) }, { "outcome", outcome }, { "reason", reason }, { "verdict", nameOf(verdict) },
             { "status", result.status }, { "route", m_request.route->name }, { "service", m_request.service },
             { "organisation", m_request.organisation }, { "context", hexOf(m_request.call.prompt.sharedKey().value_or(0)) },
--- a/Tests/LibBase/TestBeliefs.cpp
+++ b/Tests/LibBase/TestBeliefs.cpp
@@ -47,6 +47,18 @@
     BOOST_TEST(written == static_cast<size_t>(LogBudget::linesPerSecond));
 }
 
+BOOST_AUTO_TEST_CASE(LinesOfRequestsLeaveRoomForWhatExplainsThem)
+{
+    LogBudget budget;
+    size_t written = 0;
+    for (size_t line = 0; line < 3000; ++line)
+        written += budget.allows(at(1), LogBudget::keptFromRequests) ? 1 : 0;
+    BOOST_TEST(written == static_cast<size_t>(LogBudget::burst - LogBudget::keptFromRequests));
+    for (size_t line = 0; line < static_cast<size_t>(LogBudget::keptFromRequests); ++line)
+        BOOST_TEST(budget.allows(at(1)));
+    BOOST_TEST(!budget.allows(at(1)));
+}
+
 BOOST_AUTO_TEST_CASE(ALogLineIsPrintableWhateverItsValuesHold)
 {
     BOOST_TEST(formatEvent("started", { { "name", "e-1" }, { "open", 3 } }) == "event=started name=e-1 open=3");
--- /dev/null
+++ b/Tests/Processes/test_log.py
@@ -0,0 +1,55 @@
+"""What a daemon writes explains what it did, also when nobody reads it for a while."""
+
+import subprocess
+import threading
+import time
+import unittest
+
+from fleet import eventually
+from test_platform import HOST, KEY, PROGRAM, manifest, request
+from platform_stand_ins import Store, Upstream
+
+# More lines than the output holds while it is not read.
+CALLS = 600
+
+
+class TheLog(unittest.TestCase):
+    def setUp(self):
+        self.store = Store()
+        self.addCleanup(self.store.stop)
+        self.upstream = Upstream("book-1", "book")
+        self.addCleanup(self.upstream.stop)
+        self.store.put("keyed.servers", "book-1", self.upstream.record())
+        self.store.put("keyed.op", "config", manifest(3))
+        self.process = subprocess.Popen(
+            [PROGRAM, "--name", "entry-1", "--hall", "north", "--listen", "127.0.0.1:0", "--ready-listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0",
+             "--store", self.store.endpoint], stdout=subprocess.PIPE, text=True)
+        self.addCleanup(self.stop)
+        started = next(line for line in self.process.stdout if "event=started" in line)
+        fields = dict(field.split("=", 1) for field in started.split() if "=" in field)
+        self.endpoint, self.ready = fields["listen"], fields["ready_listen"]
+        eventually(lambda: request(self.ready, "GET", "/readyz").status == 200, "ready")
+
+    def stop(self):
+        self.process.kill()
+        self.process.wait()
+        self.process.stdout.close()
+
+    def version_in_force(self):
+        metrics = request(self.ready, "GET", "/metrics").body
+        return next((line.split()[1] for line in metrics.splitlines() if line.startswith("stagepost_settings_version ")), None)
+
+    def test_a_configuration_that_came_while_nobody_read_is_told(self):
+        for number in range(CALLS):
+            request(self.endpoint, "GET", "/lookup/x", None, {"Host": HOST, "X-Attempt-Id": f"attempt-{number}", "X-Api-Key": KEY})
+        self.store.put("keyed.op", "config", manifest(9))
+        eventually(lambda: self.version_in_force() in ("9", "9.0", "9.000000"), "in force")
+        lines = []
+        threading.Thread(target=lambda: lines.extend(iter(self.process.stdout.readline, "")), daemon=True).start()
+        eventually(lambda: any("event=settings-in-force version=9 " in line for line in lines), "the line of version 9")
+        eventually(lambda: any("event=log-left-out" in line for line in lines), "how many lines were left out")
+        self.assertLess(sum("event=request" in line for line in lines), CALLS)
+
+
+if __name__ == "__main__":
+    unittest.main()
