--- a/Libraries/LibRouting/HolderExchange.cpp
+++ b/Libraries/LibRouting/HolderExchange.cpp
@@ -32,11 +32,13 @@
     auto const number = ++m_lastNumber;
     auto const suspected = m_suspectedUntil.find(home);
     bool const isSuspected = suspected != m_suspectedUntil.end() && now < suspected->second;
-    if (!isSuspected)
-        m_pending.emplace(number, Pending { home, now + m_bounds.patience, std::move(callback) });
-    m_hooks.send(home, encodeHolderMessage(HolderAsk { number, context, upstream }));
-    if (isSuspected)
-        callback({});
+    auto const ask = encodeHolderMessage(HolderAsk { number, context, upstream });
+    if (isSuspected) {
+        m_hooks.send(home, ask);
+        return callback({});
+    }
+    m_pending.emplace(number, Pending { home, now + m_bounds.patience, std::move(callback) });
+    m_hooks.send(home, ask);
 }
 
 void HolderExchange::finish(uint64_t number, std::vector<UpstreamId> const& holders)
