--- a/Libraries/LibRouting/HolderExchange.cpp
+++ b/Libraries/LibRouting/HolderExchange.cpp
@@ -1,27 +1,30 @@
 #include <LibRouting/HolderExchange.h>
 
 #include <LibBase/Hash.h>
+#include <algorithm>
 
 namespace Stagepost {
 
-void HolderExchange::setPeers(std::vector<FleetPeer> peers)
+void HolderExchange::setPeers(std::vector<FleetPeer> const& peers, std::vector<VMId> const& relays)
 {
-    m_peers = std::move(peers);
-    std::erase_if(m_peers, [this](auto const& peer) { return peer.id == m_self.id; });
+    std::vector<VMId> all { m_self.id };
+    for (auto const& peer : peers) {
+        if (peer.id != m_self.id)
+            all.push_back(peer.id);
+    }
+    m_homes = all;
+    std::erase_if(m_homes, [&](VMId id) { return std::find(relays.begin(), relays.end(), id) != relays.end(); });
+    if (m_homes.empty())
+        m_homes = std::move(all);
 }
 
 VMId HolderExchange::homeOf(uint64_t context) const
 {
-    auto home = m_self.id;
-    auto highest = mixHashes(context, home.value());
-    for (auto const& peer : m_peers) {
-        auto const rank = mixHashes(context, peer.id.value());
-        if (rank <= highest)
-            continue;
-        home = peer.id;
-        highest = rank;
-    }
-    return home;
+    if (m_homes.empty())
+        return m_self.id;
+    return *std::max_element(m_homes.begin(), m_homes.end(), [context](VMId one, VMId other) {
+        return mixHashes(context, one.value()) < mixHashes(context, other.value());
+    });
 }
 
 void HolderExchange::placed(uint64_t context, UpstreamId upstream, Callback callback, Instant now)
--- a/Libraries/LibRouting/HolderExchange.h
+++ b/Libraries/LibRouting/HolderExchange.h
@@ -44,8 +44,9 @@
     {
     }
 
-    // All other daemons that are registered.
-    void setPeers(std::vector<FleetPeer>);
+    // All other daemons that are registered, and who of all are relays: those are homes only where
+    // there is nobody else, since what they tell takes most of what a daemon may send.
+    void setPeers(std::vector<FleetPeer> const&, std::vector<VMId> const& relays);
     // The context goes to an upstream that has not had it. Calls back at once where this daemon
     // is its home, or the home does not answer at present.
     void placed(uint64_t context, UpstreamId, Callback, Instant now);
@@ -70,7 +71,8 @@
     Bounds m_bounds;
     Hooks m_hooks;
     ContextHolders m_holders;
-    std::vector<FleetPeer> m_peers;
+    // Who may be a home, this daemon among them.
+    std::vector<VMId> m_homes;
     std::map<VMId, Instant> m_suspectedUntil;
     std::map<uint64_t, Pending> m_pending;
     uint64_t m_lastNumber { 0 };
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -18,6 +18,8 @@
     // Fine against the interval of asks.
     constexpr Milliseconds tickInterval { 50 };
     constexpr unsigned statusForbidden = 403;
+    // In a larger fleet what a relay tells others takes all that a daemon may send.
+    constexpr size_t mostPeersOfAskingRelay = 128;
 
     std::string requestFor(StateSummary const& known)
     {
@@ -122,6 +124,8 @@
 
 void GatewayPeers::chooseByOwners(LedgerExchange::Wish wish, LedgerExchange::Callback callback)
 {
+    if (m_exchange->isRelay() && m_exchange->peerCount() > mostPeersOfAskingRelay)
+        wish.context.reset();
     m_ledger->choose(std::move(wish), std::move(callback), m_loop.now());
     awaitAnswers();
 }
@@ -173,7 +177,7 @@
         return;
     m_exchange->setPeers(list);
     m_crashes->setPeers(list, m_loop.now());
-    m_holders->setPeers(list);
+    m_holders->setPeers(list, m_exchange->relays());
     m_ledger->setPeers(std::move(list), m_exchange->relays(), m_loop.now());
     m_metrics.setGauge("stagepost_daemons", static_cast<double>(m_exchange->peerCount() + 1));
     logEvent(LogLevel::Info, "peers", { { "others", m_exchange->peerCount() }, { "relay", m_exchange->isRelay() ? 1 : 0 } });
--- a/Tests/LibRouting/TestHolderExchange.cpp
+++ b/Tests/LibRouting/TestHolderExchange.cpp
@@ -22,7 +22,7 @@
         for (auto const& peer : peers) {
             HolderExchange::Hooks hooks { [this, from = peer.id](VMId to, std::string const& bytes) { deliver(from, to, bytes); } };
             daemons[peer.id] = std::make_unique<HolderExchange>(peer, HolderExchange::Bounds {}, hooks);
-            daemons[peer.id]->setPeers(peers);
+            daemons[peer.id]->setPeers(peers, {});
         }
     }
 
@@ -88,6 +88,25 @@
     BOOST_TEST(holders.placed(context, first).empty());
 }
 
+// What they tell otherwise takes all that a daemon may send.
+BOOST_AUTO_TEST_CASE(RelaysAreHomesOnlyWhereThereIsNobodyElse)
+{
+    Fleet fleet(3);
+    std::vector<FleetPeer> const peers { { VMId(1), HallId(1) }, { VMId(2), HallId(1) }, { VMId(3), HallId(1) } };
+    for (auto const& [id, daemon] : fleet.daemons)
+        daemon->setPeers(peers, { VMId(1), VMId(2) });
+    for (uint64_t each = 0; each < 20; ++each) {
+        fleet.messages = 0;
+        fleet.daemons.at(VMId(3))->placed(
+            each, first, [](auto const&) {}, fleet.now);
+        BOOST_TEST(fleet.messages == 0u);
+    }
+    for (auto const& [id, daemon] : fleet.daemons)
+        daemon->setPeers(peers, { VMId(1), VMId(2), VMId(3) });
+    fleet.place(1, first);
+    BOOST_TEST((fleet.place(2, second).value() == std::vector { first }));
+}
+
 // The request goes on with a guess, and the next one does not wait at all.
 BOOST_AUTO_TEST_CASE(AHomeThatDoesNotAnswerCostsAFewMillisecondsOnce)
 {
--- a/Tests/LoadPatterns/StreamFleet.cpp
+++ b/Tests/LoadPatterns/StreamFleet.cpp
@@ -183,7 +183,7 @@
     HolderExchange::Hooks const hooks { [this, daemon](VMId to, std::string const& bytes) { post(m_now, { daemon, to.value() - 1, bytes, true }); } };
     auto& holders = m_daemons[daemon].holders;
     holders = std::make_unique<HolderExchange>(FleetPeer { VMId(daemon + 1), HallId(1) }, HolderExchange::Bounds {}, hooks);
-    holders->setPeers(peers);
+    holders->setPeers(peers, {});
 }
 
 void StreamFleet::post(double now, Message message)
