--- a/Libraries/LibRouting/InFlightLedger.h
+++ b/Libraries/LibRouting/InFlightLedger.h
@@ -83,7 +83,7 @@
         size_t count { 0 };
         Instant heardAt;
     };
-    // Of one upstream: a few are as many as its memory has room for.
+    // Of one upstream, whose own memory has room for fewer.
     static constexpr size_t mostContextsKnown = 16384;
     struct Account {
         std::map<VMId, Share> shares;
--- a/Libraries/LibRouting/LedgerExchange.cpp
+++ b/Libraries/LibRouting/LedgerExchange.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    // Later answers than to these tell of nothing that is still so.
+    // An answer to an older ask tells nothing of how the owner does now.
     constexpr size_t mostOverdueKept = 64;
 
 }
