--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -408,9 +408,7 @@
     HallReaches halls(m_silence, now);
     FirstInOrder first(context);
     for (auto const& [id, upstream] : m_upstreams) {
-        if (id == chosen || !upstream.health.isClosed())
-            continue;
-        if (halls.of(upstream.facts.hall) == Reach::Heard && !m_silence.isSilent(id, now))
+        if (id != chosen && canGive(upstream, halls.of(upstream.facts.hall), now))
             first.offer(id);
     }
     return first.id();
@@ -420,14 +418,15 @@
 {
     auto const found = std::find_if(holders.begin(), holders.end(), [&](UpstreamId id) {
         auto const known = m_upstreams.find(id);
-        return id != chosen && known != m_upstreams.end() && canGive(id, known->second, now);
+        return id != chosen && known != m_upstreams.end() && canGive(known->second, m_silence.reach(known->second.facts.hall, now), now);
     });
     return found == holders.end() ? std::nullopt : std::optional(*found);
 }
 
-bool ServicePlacement::canGive(UpstreamId id, Upstream const& upstream, Instant now) const
+// Whether a context may be copied from there.
+bool ServicePlacement::canGive(Upstream const& upstream, Reach hall, Instant now) const
 {
-    return upstream.health.isClosed() && m_silence.reach(upstream.facts.hall, now) == Reach::Heard && !m_silence.isSilent(id, now);
+    return upstream.health.isClosed() && hall == Reach::Heard && !m_silence.isSilent(upstream.facts.id, now);
 }
 
 PlacementRule ServicePlacement::ruleForContexts() const
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -187,7 +187,7 @@
     size_t widthOfSpill(Upstream const& home, size_t others) const;
     void noteWait(SendOutcome, Microseconds took, Microseconds held);
     void adjustShares(Instant now);
-    bool canGive(UpstreamId, Upstream const&, Instant now) const;
+    bool canGive(Upstream const&, Reach hall, Instant now) const;
     std::optional<UpstreamId> contextSource(uint64_t context, UpstreamId chosen, Instant now) const;
     Upstream* chooseByWait(std::vector<Upstream*> const&, Instant now) const;
     double expectedWait(Upstream const&, double usual, Instant now) const;
