Tests: Show load beyond the bound while daemons restart

A third of the daemons is killed, or stopped, and started again every four seconds; at each arrival the upstream's load is compared with twice the mean of its service plus three.

--- a/Tests/LoadPatterns/FleetSimulation.cpp
+++ b/Tests/LoadPatterns/FleetSimulation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Stagepost::LoadPatterns {
 
@@ -85,6 +86,8 @@
     }
     if (m_pattern.restartAtSecond)
         m_events.push({ *m_pattern.restartAtSecond, Event::Kind::Restart, 0, 0 });
+    if (m_pattern.daemonOutages)
+        m_events.push({ m_pattern.daemonOutages->fromSecond, Event::Kind::DaemonOutageBegin, 0, 0 });
     m_result.seconds.resize(static_cast<size_t>(std::ceil(m_pattern.seconds)));
 }
 
@@ -150,15 +153,76 @@
 
 void FleetSimulation::restartDaemons()
 {
-    ++m_generation;
     m_messages.clear();
-    for (auto& engine : m_engines) {
-        m_inFlight -= engine.inFlight;
-        engine.inFlight = engine.running = 0;
-        engine.waiting.clear();
-    }
-    for (size_t daemon = 0; daemon < m_daemons.size(); ++daemon)
+    for (size_t daemon = 0; daemon < m_daemons.size(); ++daemon) {
+        abortRequests(daemon);
         startDaemon(daemon);
+    }
+}
+
+void FleetSimulation::abortRequests(size_t number)
+{
+    auto& daemon = m_daemons[number];
+    ++daemon.generation;
+    for (auto const& [upstream, count] : daemon.inFlight) {
+        auto& engine = m_engines[upstream];
+        auto const waiting = std::erase_if(engine.waiting, [number](Request const& request) { return request.daemon == number; });
+        engine.running -= count - waiting;
+        engine.inFlight -= count;
+        m_inFlight -= count;
+        startWaiting(upstream, m_now);
+    }
+    daemon.inFlight.clear();
+}
+
+void FleetSimulation::beginDaemonOutage()
+{
+    auto const& outages = *m_pattern.daemonOutages;
+    m_events.push({ m_now + outages.durationSeconds, Event::Kind::DaemonOutageEnd, 0, 0 });
+    m_events.push({ m_now + outages.intervalSeconds, Event::Kind::DaemonOutageBegin, 0, 0 });
+    auto const count = static_cast<size_t>(outages.share * static_cast<double>(m_daemons.size()));
+    for (size_t index = 0; index < count; ++index) {
+        auto const number = drawAvailableDaemon();
+        m_daemons[number].isAvailable = false;
+        if (outages.kind == DaemonOutages::Kind::Restart)
+            abortRequests(number);
+    }
+}
+
+void FleetSimulation::endDaemonOutage()
+{
+    for (size_t number = 0; number < m_daemons.size(); ++number) {
+        auto& daemon = m_daemons[number];
+        if (daemon.isAvailable)
+            continue;
+        daemon.isAvailable = true;
+        if (m_pattern.daemonOutages->kind == DaemonOutages::Kind::Restart)
+            startDaemon(number);
+        for (auto const& event : std::exchange(daemon.waitingEvents, {}))
+            event.kind == Event::Kind::Message ? deliverMessage(event) : finishAtDaemon(event);
+        if (daemon.permitExchange)
+            daemon.permitExchange->tick(at(m_now));
+    }
+}
+
+// Returns whether the daemon is unavailable. If it is only paused, it handles the event later.
+bool FleetSimulation::waitsForDaemon(Event const& event, size_t number)
+{
+    auto& daemon = m_daemons[number];
+    if (daemon.isAvailable)
+        return false;
+    if (m_pattern.daemonOutages->kind == DaemonOutages::Kind::Pause)
+        daemon.waitingEvents.push_back(event);
+    return true;
+}
+
+size_t FleetSimulation::drawAvailableDaemon()
+{
+    while (true) {
+        auto const number = m_random() % m_daemons.size();
+        if (m_daemons[number].isAvailable)
+            return number;
+    }
 }
 
 void FleetSimulation::createPermitExchange(size_t daemon)
@@ -172,7 +236,7 @@
     for (size_t number = 0; number < m_daemons.size(); ++number)
         peers.push_back({ VMId(number + 1), HallId(1) });
     createHolderExchange(daemon, peers);
-    permitExchange->setPeers(std::move(peers), {}, Instant {});
+    permitExchange->setPeers(std::move(peers), {}, m_now > 0 ? at(m_now) : Instant {});
 }
 
 void FleetSimulation::createHolderExchange(size_t daemon, std::vector<FleetPeer> const& peers)
@@ -197,24 +261,27 @@
 
 void FleetSimulation::deliverMessage(Event const& event)
 {
-    auto found = m_messages.extract(event.message);
-    if (!found)
+    auto const waiting = m_messages.find(event.message);
+    if (waiting == m_messages.end() || waitsForDaemon(event, waiting->second.to))
         return;
-    auto const message = std::move(found.mapped());
+    auto const message = std::move(m_messages.extract(waiting).mapped());
     auto& daemon = m_daemons[message.to];
     if (message.isForHolderExchange)
-        (void)daemon.holderExchange->receive(VMId(message.from + 1), message.bytes, at(event.at));
+        (void)daemon.holderExchange->receive(VMId(message.from + 1), message.bytes, at(m_now));
     else
-        (void)daemon.permitExchange->receive(VMId(message.from + 1), message.bytes, at(event.at));
+        (void)daemon.permitExchange->receive(VMId(message.from + 1), message.bytes, at(m_now));
 }
 
 void FleetSimulation::tickExchanges(Event const& event)
 {
-    m_daemons[event.daemon].permitExchange->tick(at(event.at));
-    if (auto const& holderExchange = m_daemons[event.daemon].holderExchange)
-        holderExchange->tick(at(event.at));
     if (event.isPeriodic)
         m_events.push({ event.at + exchangeTickSeconds, Event::Kind::ExchangeTick, event.daemon, 0, 0, 0, 0, 0, true });
+    auto& daemon = m_daemons[event.daemon];
+    if (!daemon.isAvailable)
+        return;
+    daemon.permitExchange->tick(at(event.at));
+    if (daemon.holderExchange)
+        daemon.holderExchange->tick(at(event.at));
 }
 
 SimulationResult FleetSimulation::simulate()
@@ -265,6 +332,12 @@
         case Event::Kind::Restart:
             restartDaemons();
             break;
+        case Event::Kind::DaemonOutageBegin:
+            beginDaemonOutage();
+            break;
+        case Event::Kind::DaemonOutageEnd:
+            endDaemonOutage();
+            break;
         }
     }
     return std::move(m_result);
@@ -373,7 +446,7 @@
 {
     ServicePlacement::Request placementRequest;
     placementRequest.context = context;
-    auto const number = m_random() % m_daemons.size();
+    auto const number = drawAvailableDaemon();
     auto& daemon = m_daemons[number];
     auto& second = m_result.seconds[static_cast<size_t>(now)];
     ++second.arrived;
@@ -468,7 +541,7 @@
     auto const startsAt = now + slowdownFactor * prefillDelay(request, engine, now);
     if (startsAt - request.arrivedAt <= request.kind->startObjectiveSeconds)
         ++m_result.seconds[static_cast<size_t>(request.arrivedAt)].inTime;
-    m_events.push({ startsAt + slowdownFactor * drawAnswerSeconds(*request.kind), Event::Kind::End, request.daemon, upstream, request.arrivedAt, engine.totalPrefillSeconds, 0, m_generation });
+    m_events.push({ startsAt + slowdownFactor * drawAnswerSeconds(*request.kind), Event::Kind::End, request.daemon, upstream, request.arrivedAt, engine.totalPrefillSeconds, 0, m_daemons[request.daemon].generation });
 }
 
 // Postpones the end of a request if the engine has started other prefills since it was scheduled.
@@ -486,22 +559,34 @@
 
 void FleetSimulation::end(Event const& event)
 {
-    if (event.generation != m_generation || rescheduleIfDelayed(event))
+    if (event.generation != m_daemons[event.daemon].generation || rescheduleIfDelayed(event))
         return;
     auto& engine = m_engines[event.upstream];
     --engine.inFlight;
     --engine.running;
     --m_inFlight;
-    if (!engine.waiting.empty()) {
+    startWaiting(event.upstream, event.at);
+    if (!waitsForDaemon(event, event.daemon))
+        finishAtDaemon(event);
+}
+
+void FleetSimulation::startWaiting(size_t upstream, double now)
+{
+    auto& engine = m_engines[upstream];
+    while (!engine.waiting.empty() && engine.running < m_pattern.slots) {
         auto const next = engine.waiting.front();
         engine.waiting.pop_front();
-        startRequest(event.upstream, next, event.at);
+        startRequest(upstream, next, now);
     }
+}
+
+void FleetSimulation::finishAtDaemon(Event const& event)
+{
     auto& daemon = m_daemons[event.daemon];
     --daemon.inFlight[event.upstream];
-    daemon.placement->finished(UpstreamId(event.upstream + 1), SendOutcome::Succeeded, Milliseconds(40), Microseconds(static_cast<int64_t>((event.at - event.startedAt) * 1e6)), at(event.at));
+    daemon.placement->finished(UpstreamId(event.upstream + 1), SendOutcome::Succeeded, Milliseconds(40), Microseconds(static_cast<int64_t>((event.at - event.startedAt) * 1e6)), at(m_now));
     if (daemon.permitExchange)
-        daemon.permitExchange->requestFinished(UpstreamId(event.upstream + 1), at(event.at));
+        daemon.permitExchange->requestFinished(UpstreamId(event.upstream + 1), at(m_now));
 }
 
 void FleetSimulation::sample(double now)
@@ -520,6 +605,8 @@
     if (then < 0 && !m_pattern.startsBeforeTraffic)
         return;
     auto& daemon = m_daemons[event.daemon];
+    if (!daemon.isAvailable)
+        return;
     std::map<UpstreamId, size_t> counts;
     for (size_t upstream = 0; upstream < m_engines.size(); ++upstream) {
         auto const all = then < 0 ? 0 : m_history[static_cast<size_t>(then)][upstream];
--- a/Tests/LoadPatterns/FleetSimulation.h
+++ b/Tests/LoadPatterns/FleetSimulation.h
@@ -49,6 +49,22 @@
     bool countsInMean { false };
 };
 
+// Random daemons become unavailable together, again and again. Callers send to the others meanwhile.
+struct DaemonOutages {
+    enum class Kind : uint8_t {
+        // The daemons lose their state, and their requests in flight are aborted.
+        Restart,
+        // The daemons stop processing, and messages to them wait.
+        Pause,
+    };
+    Kind kind { Kind::Restart };
+    // As a fraction of all daemons.
+    double share { 0 };
+    double fromSecond { 0 };
+    double durationSeconds { 0 };
+    double intervalSeconds { 0 };
+};
+
 // A fleet, its upstreams and the load on them.
 struct LoadPattern {
     size_t daemons { 295 };
@@ -91,6 +107,7 @@
     ColdStartLimit coldStartLimit {};
     // All daemons are killed and restarted, which aborts all requests in flight.
     std::optional<double> restartAtSecond;
+    std::optional<DaemonOutages> daemonOutages;
     // Disables the admission gate, as a baseline.
     bool admitsAll { false };
 };
@@ -142,7 +159,13 @@
     SimulationResult simulate();
 
 private:
+    struct Event;
     struct Daemon {
+        bool isAvailable { true };
+        // Incremented by each restart of this daemon, which aborts its requests.
+        size_t generation { 0 };
+        // The messages and ends of requests that arrived while the daemon was paused.
+        std::vector<Event> waitingEvents;
         std::unique_ptr<ServicePlacement> placement;
         std::unique_ptr<AdmissionGate> gate;
         std::map<size_t, size_t> inFlight;
@@ -192,6 +215,8 @@
             OutageEnd,
             ColdReport,
             Restart,
+            DaemonOutageBegin,
+            DaemonOutageEnd,
         } kind { Kind::Arrival };
         size_t daemon { 0 };
         size_t upstream { 0 };
@@ -201,7 +226,7 @@
         double totalPrefillSeconds { 0 };
         // Of a message: its number.
         uint64_t message { 0 };
-        // Of an end: the generation of the daemons, which each restart increments.
+        // Of an end: the generation of its daemon when the request was sent.
         size_t generation { 0 };
         // Of an exchange tick: whether it repeats.
         bool isPeriodic { false };
@@ -222,10 +247,17 @@
     void reportCold();
     void recordColdArrival(Engine&, double now);
     void restartDaemons();
+    void abortRequests(size_t daemon);
+    void beginDaemonOutage();
+    void endDaemonOutage();
+    bool waitsForDaemon(Event const&, size_t daemon);
+    size_t drawAvailableDaemon();
     void sendMessage(double now, Message);
     void deliverMessage(Event const&);
     void tickExchanges(Event const&);
     void end(Event const&);
+    void finishAtDaemon(Event const&);
+    void startWaiting(size_t upstream, double now);
     void deliverCounts(Event const&);
     void sample(double now);
     uint64_t drawContext(double now, RequestClass const*& kind);
@@ -250,7 +282,6 @@
     std::set<uint64_t> m_prefilledContexts;
     std::map<uint64_t, double> m_contextTokens;
     ServicePlacement::Bounds m_bounds;
-    size_t m_generation { 0 };
     // Number of upstreams in the mean of requests in flight.
     size_t m_upstreamsInMean { 0 };
     size_t m_inFlight { 0 };
--- a/Tests/LoadPatterns/TestOwners.cpp
+++ b/Tests/LoadPatterns/TestOwners.cpp
@@ -87,4 +87,38 @@
     checkBound(pattern, "small fleet, owners", 0, maxBeyondBoundAtStart, 20);
 }
 
+namespace {
+
+LoadPattern fleetWithOutages(LoadPattern pattern, DaemonOutages::Kind kind)
+{
+    pattern.seconds = 24;
+    pattern.kinds = { { 1, 30, 0.7, 900, 1 } };
+    pattern.startsBeforeTraffic = true;
+    pattern.asksOwners = true;
+    auto const isPause = kind == DaemonOutages::Kind::Pause;
+    pattern.daemonOutages = DaemonOutages { kind, 1.0 / 3, 4, isPause ? 2.0 : 0.3, 4 };
+    return pattern;
+}
+
+LoadPattern mediumFleet()
+{
+    auto pattern = smallFleet();
+    pattern.daemons = 24;
+    pattern.upstreams = 12;
+    pattern.requestsPerSecond = 95;
+    return pattern;
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(OwnersKeepTheBoundWhileAThirdOfTheDaemonsIsRestarted)
+{
+    checkBound(fleetWithOutages(mediumFleet(), DaemonOutages::Kind::Restart), "a third is restarted", 0, maxBeyondBoundInCalm, 20);
+}
+
+BOOST_AUTO_TEST_CASE(OwnersKeepTheBoundWhileAThirdOfTheDaemonsIsPaused)
+{
+    checkBound(fleetWithOutages(mediumFleet(), DaemonOutages::Kind::Pause), "a third is paused", 0, maxBeyondBoundInCalm, 20);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Processes/fleet.py
+++ b/Tests/Processes/fleet.py
@@ -69,6 +69,26 @@
         self.process.stdout.close()
 
 
+class Ports:
+    """Allocates ports below the kernel's ephemeral range, so that no outgoing connection takes a
+    daemon's port while the daemon is down. Concurrent runs, also of the same seed, start at
+    different ports."""
+
+    FIRST, LAST, STEP = 10240, 32000, 40
+
+    def __init__(self, seed):
+        self.next = self.FIRST + (seed + os.getpid()) * self.STEP % (self.LAST - self.FIRST)
+
+    def take(self):
+        while True:
+            self.next = self.next + 1 if self.next < self.LAST else self.FIRST
+            try:
+                with socket.create_server(("127.0.0.1", self.next)):
+                    return f"127.0.0.1:{self.next}"
+            except OSError:
+                pass  # in use
+
+
 class LoggedProcess:
     """A daemon whose log is read while it runs. Its addresses are parsed from the log line of its start."""
 
--- a/Tests/Soak/world.py
+++ b/Tests/Soak/world.py
@@ -13,7 +13,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "Processes"))
 # pylint: disable=wrong-import-position
-from fleet import BUILD  # noqa: E402
+from fleet import BUILD, Ports  # noqa: E402
 from platform_stand_ins import Store, Upstream  # noqa: E402
 from test_platform import HOST, route  # noqa: E402
 from test_suspension import SUSPENDABLE, SuspendedTime  # noqa: E402
@@ -80,26 +80,6 @@
         self.link.reset_connections()
 
 
-class Ports:
-    """Allocates ports below the kernel's ephemeral range, so that no outgoing connection takes a
-    daemon's port while the daemon is down. Concurrent runs, also of the same seed, start at
-    different ports."""
-
-    FIRST, LAST, STEP = 10240, 32000, 40
-
-    def __init__(self, seed):
-        self.next = self.FIRST + (seed + os.getpid()) * self.STEP % (self.LAST - self.FIRST)
-
-    def take(self):
-        while True:
-            self.next = self.next + 1 if self.next < self.LAST else self.FIRST
-            try:
-                with socket.create_server(("127.0.0.1", self.next)):
-                    return f"127.0.0.1:{self.next}"
-            except OSError:
-                pass  # in use
-
-
 class Daemon:
     """One daemon. Its ports and links persist across restarts of its process."""
 
