--- a/Tests/LoadPatterns/FleetSimulation.cpp
+++ b/Tests/LoadPatterns/FleetSimulation.cpp
@@ -251,6 +251,9 @@
 
 void FleetSimulation::sendMessage(double now, Message message)
 {
+    // The daemons have been running for a while when the simulation begins.
+    if (!m_isRunning)
+        return;
     m_result.controlBytes += messageOverheadBytes + static_cast<double>(message.bytes.size());
     if (m_pattern.messageLossPercent && m_random() % 100 < m_pattern.messageLossPercent)
         return;
@@ -274,18 +277,19 @@
 
 void FleetSimulation::tickExchanges(Event const& event)
 {
+    auto& daemon = m_daemons[event.daemon];
+    if (daemon.isAvailable) {
+        daemon.permitExchange->tick(at(event.at));
+        if (daemon.holderExchange)
+            daemon.holderExchange->tick(at(event.at));
+    }
     if (event.isPeriodic)
         m_events.push({ event.at + exchangeTickSeconds, Event::Kind::ExchangeTick, event.daemon, 0, 0, 0, 0, 0, true });
-    auto& daemon = m_daemons[event.daemon];
-    if (!daemon.isAvailable)
-        return;
-    daemon.permitExchange->tick(at(event.at));
-    if (daemon.holderExchange)
-        daemon.holderExchange->tick(at(event.at));
 }
 
 SimulationResult FleetSimulation::simulate()
 {
+    m_isRunning = true;
     auto const interval = asSeconds(m_pattern.countsInterval);
     std::uniform_real_distribution<double> phase(0, interval);
     for (size_t daemon = 0; daemon < m_daemons.size(); ++daemon) {
--- a/Tests/LoadPatterns/FleetSimulation.h
+++ b/Tests/LoadPatterns/FleetSimulation.h
@@ -279,6 +279,7 @@
     std::map<uint64_t, Message> m_messages;
     uint64_t m_lastMessageNumber { 0 };
     double m_now { 0 };
+    bool m_isRunning { false };
     std::set<uint64_t> m_prefilledContexts;
     std::map<uint64_t, double> m_contextTokens;
     ServicePlacement::Bounds m_bounds;
