LibRouting: Tell all daemons at once which owner counts an upstream

Callers' requests were sent to upstreams with up to 23 requests in flight where the bound was 9 to 13, for up to five seconds after daemons had been killed and started again.

Cause: an owner's count is exact only while every daemon reports to it. A restarted owner began with no counts; daemons that had got no response used the next owner for five seconds while the others went on with the first, so that each granted requests up to the limit; and only the daemons that asked the next owner reported to it. Of 63 requests beyond the bound, 60 were granted by an owner that counted at least two fewer than were there, half of them by a first owner that had joined less than four seconds before, half by its replacement.

A daemon that starts now announces itself, and all daemons report to it what they have in flight at its upstreams. A daemon that is asked in place of an owner asks that owner whether it is available, and if it does not answer within 25 ms announces that it replaces it; an owner that hears this refutes it. Counts also go to the first owner while it is suspected, so that it has them when it was only paused. An announcement is one message of some 60 bytes to each daemon, 20 KB at 330 daemons, once per start or lost owner.

--- a/Libraries/LibRouting/PermitExchange.cpp
+++ b/Libraries/LibRouting/PermitExchange.cpp
@@ -20,13 +20,19 @@
     std::erase_if(m_suspectedUntil, [this](auto const& suspected) {
         return std::none_of(m_peers.begin(), m_peers.end(), [&](auto const& peer) { return peer.id == suspected.first; });
     });
+    std::erase_if(m_replacedOwners, [this](auto const& replaced) {
+        return std::none_of(m_peers.begin(), m_peers.end(), [&](auto const& peer) { return peer.id == replaced.first; });
+    });
     auto owners = ownerCandidates();
     if (!m_startedAt)
         m_startedAt = now;
-    if (owners == m_ownerCandidates)
-        return;
-    m_ownerCandidates = std::move(owners);
-    m_ownersSince = now;
+    if (owners != m_ownerCandidates) {
+        m_ownerCandidates = std::move(owners);
+        m_ownersSince = now;
+    }
+    if (!m_announcedAt && !m_peers.empty())
+        announceAvailable(now);
+    reportToNewOwners(now);
 }
 
 std::vector<std::pair<VMId, bool>> PermitExchange::ownerCandidates() const
@@ -62,6 +68,7 @@
 
 PermitDecision PermitExchange::decide(VMId from, PermitRequest const& request, Instant now)
 {
+    askPrecedingOwners(request.upstream, now);
     auto const decision = m_inFlightCounter.requestPermit(from, request, ownerStatusFor(request.upstream, now), now);
     m_deniedColdRequests += decision.isExhausted ? 1 : 0;
     return decision;
@@ -70,14 +77,19 @@
 // Returns the first daemon in the rendezvous order of the upstream's hall that is not suspected. An
 // owner in the same hall is partitioned from the fleet only together with its upstream.
 std::optional<VMId> PermitExchange::ownerOf(UpstreamId upstream, HallId hall, Instant now) const
+{
+    return firstOwnerOf(upstream, hall, [&](VMId id) {
+        auto const suspected = m_suspectedUntil.find(id);
+        return suspected != m_suspectedUntil.end() && now < suspected->second;
+    });
+}
+
+std::optional<VMId> PermitExchange::firstOwnerOf(UpstreamId upstream, HallId hall, std::function<bool(VMId)> const& isExcluded) const
 {
     std::optional<VMId> owner;
     std::pair<bool, uint64_t> highest;
     auto const offer = [&](FleetPeer const& peer) {
-        if (peer.hall != hall)
-            return;
-        auto const suspected = m_suspectedUntil.find(peer.id);
-        if (suspected != m_suspectedUntil.end() && now < suspected->second)
+        if (peer.hall != hall || isExcluded(peer.id))
             return;
         std::pair const rank { !m_relays.contains(peer.id), mixHashes(upstream.value(), peer.id.value()) };
         if (owner && rank <= highest)
@@ -150,6 +162,7 @@
     auto const candidate = pending.candidates[pending.candidateIndex];
     if (decision.isGranted) {
         addLocalRequest(candidate.upstream, candidate.hall, pending.owner, now);
+        reportToSuspectedOwner(candidate.upstream, now);
         return complete(requestId, { candidate.upstream, true, pending.requests, pending.exhausted, false, decision.count, candidate.limit, decision.isContextNew, pending.owner });
     }
     bool const isLeast = !pending.leastLoaded || decision.count < pending.leastLoadedCount;
@@ -250,10 +263,114 @@
 void PermitExchange::sendReport(UpstreamId upstream, LocalCount& local, Instant now)
 {
     local.reportedAt = now;
-    if (local.reportedTo == m_self.id)
-        m_inFlightCounter.report(m_self.id, upstream, local.count, now);
+    sendReportTo(local.reportedTo, upstream, local.count, now);
+    reportToSuspectedOwner(upstream, now);
+}
+
+void PermitExchange::sendReportTo(VMId owner, UpstreamId upstream, size_t count, Instant now)
+{
+    if (owner == m_self.id)
+        m_inFlightCounter.report(m_self.id, upstream, count, now);
     else
-        m_hooks.send(local.reportedTo, encodePermitMessage(InFlightReport { upstream, local.count }));
+        m_hooks.send(owner, encodePermitMessage(InFlightReport { upstream, count }));
+}
+
+// The first owner may be available after all, or only paused. It receives the counts as well, since
+// other daemons may still use it or use it again at any time.
+void PermitExchange::reportToSuspectedOwner(UpstreamId upstream, Instant now)
+{
+    auto const& local = m_localCounts.at(upstream);
+    auto const first = firstOwnerOf(upstream, local.hall, [](VMId) { return false; });
+    if (first && *first != local.reportedTo)
+        sendReportTo(*first, upstream, local.count, now);
+}
+
+// Moves the counts of upstreams whose owner has changed.
+void PermitExchange::reportToNewOwners(Instant now)
+{
+    for (auto& [upstream, local] : m_localCounts) {
+        auto const owner = ownerOf(upstream, local.hall, now);
+        if (!owner || *owner == local.reportedTo)
+            continue;
+        sendReportTo(local.reportedTo, upstream, 0, now);
+        local.reportedTo = *owner;
+        sendReport(upstream, local, now);
+    }
+}
+
+void PermitExchange::reportAllTo(VMId owner, Instant now)
+{
+    for (auto& [upstream, local] : m_localCounts) {
+        if (local.reportedTo == owner)
+            sendReport(upstream, local, now);
+    }
+}
+
+void PermitExchange::broadcast(PermitMessage const& message)
+{
+    auto const bytes = encodePermitMessage(message);
+    for (auto const& peer : m_peers)
+        m_hooks.send(peer.id, bytes);
+}
+
+void PermitExchange::announceAvailable(Instant now)
+{
+    m_announcedAt = now;
+    broadcast(OwnerAvailable {});
+}
+
+// This daemon is asked for permits although others precede it as owners of the upstream, so a daemon
+// has got no response from them.
+void PermitExchange::askPrecedingOwners(UpstreamId upstream, Instant now)
+{
+    auto const rankOf = [&](std::pair<VMId, bool> const& owner) { return std::pair(!owner.second, mixHashes(upstream.value(), owner.first.value())); };
+    auto const self = rankOf({ m_self.id, m_relays.contains(m_self.id) });
+    for (auto const& owner : m_ownerCandidates) {
+        if (rankOf(owner) <= self)
+            continue;
+        auto const [entry, isNew] = m_replacedOwners.try_emplace(owner.first);
+        if (!isNew && now - entry->second.askedAt < m_bounds.suspectDuration)
+            continue;
+        entry->second = { now, true };
+        m_hooks.send(owner.first, encodePermitMessage(OwnerReplacement { owner.first, false }));
+    }
+}
+
+void PermitExchange::confirmReplacements(Instant now)
+{
+    for (auto& [owner, replaced] : m_replacedOwners) {
+        if (!replaced.isAnswerPending || now - replaced.askedAt < m_bounds.maxResponseTimeout)
+            continue;
+        replaced.isAnswerPending = false;
+        m_suspectedUntil[owner] = now + m_bounds.suspectDuration;
+        if (m_hooks.replaces)
+            m_hooks.replaces(owner);
+        broadcast(OwnerReplacement { owner, true });
+        reportToNewOwners(now);
+    }
+}
+
+void PermitExchange::handleAvailable(VMId from, Instant now)
+{
+    m_suspectedUntil.erase(from);
+    if (auto const replaced = m_replacedOwners.find(from); replaced != m_replacedOwners.end())
+        replaced->second.isAnswerPending = false;
+    reportToNewOwners(now);
+    reportAllTo(from, now);
+}
+
+void PermitExchange::handleReplacement(VMId from, OwnerReplacement const& replacement, Instant now)
+{
+    if (replacement.owner != m_self.id) {
+        m_suspectedUntil[replacement.owner] = now + m_bounds.suspectDuration;
+        reportToNewOwners(now);
+        return;
+    }
+    // Daemons may have been told that this one is silent, so all of them have to hear that it isn't.
+    if (replacement.isConfirmed && (!m_announcedAt || now - *m_announcedAt >= m_bounds.minAnnouncementInterval))
+        announceAvailable(now);
+    else
+        m_hooks.send(from, encodePermitMessage(OwnerAvailable {}));
 }
 
 Result<void> PermitExchange::receive(VMId from, std::string_view bytes, Instant now)
@@ -268,6 +385,14 @@
         m_inFlightCounter.report(from, report->upstream, report->ownInFlight, now);
         return {};
     }
+    if (std::holds_alternative<OwnerAvailable>(message)) {
+        handleAvailable(from, now);
+        return {};
+    }
+    if (auto const* replacement = std::get_if<OwnerReplacement>(&message)) {
+        handleReplacement(from, *replacement, now);
+        return {};
+    }
     auto const& response = std::get<PermitResponse>(message);
     auto const found = m_pending.find(response.requestId);
     if (found == m_pending.end() || found->second.owner != from) {
@@ -315,6 +440,11 @@
     std::optional<Instant> next;
     for (auto const& [requestId, pending] : m_pending)
         next = std::min(next.value_or(pending.deadline), pending.deadline);
+    for (auto const& [owner, replaced] : m_replacedOwners) {
+        auto const deadline = replaced.askedAt + m_bounds.maxResponseTimeout;
+        if (replaced.isAnswerPending)
+            next = std::min(next.value_or(deadline), deadline);
+    }
     return next;
 }
 
@@ -329,6 +459,7 @@
         if (m_pending.contains(requestId))
             handleTimeout(requestId, now);
     }
+    confirmReplacements(now);
     if (now - m_housekeepingAt < m_bounds.housekeepingInterval)
         return;
     m_housekeepingAt = now;
--- a/Libraries/LibRouting/PermitExchange.h
+++ b/Libraries/LibRouting/PermitExchange.h
@@ -21,6 +21,11 @@
 //
 // If an owner does not respond within a few milliseconds, the next daemon in the order is asked. If
 // that fails too, the request is placed without a permit, so serving does not depend on this class.
+//
+// A daemon that becomes the owner lacks the counts of requests that are already in flight, and while
+// some daemons use the previous owner and some the next one, neither has all counts. So a daemon
+// that starts announces itself, and one that is asked in place of an owner which doesn't respond to
+// it either announces that. All daemons then use the same owner, and report their counts to it.
 class PermitExchange {
 public:
     struct Bounds {
@@ -28,8 +33,11 @@
         // takes 16 ms between regions and 1 ms between halls.
         Microseconds minResponseTimeout { 5000 };
         Microseconds maxResponseTimeout { 25000 };
-        // How long no requests are sent to an owner that has timed out.
+        // How long no requests are sent to an owner that has timed out, and the interval at which
+        // its replacement asks whether it is available again.
         Microseconds suspectDuration { 5000000 };
+        // The minimum interval between announcements by which an owner refutes its replacement.
+        Microseconds minAnnouncementInterval { 1000000 };
         // How many owners of one upstream are tried before the candidate search ends.
         size_t maxOwnersPerUpstream { 2 };
         // The token bucket for permit requests beyond the first candidate. During a load spike,
@@ -86,6 +94,8 @@
         InFlightCounter::Forecast forecast;
         // Optional. An owner has timed out and is suspected for a while.
         std::function<void(VMId owner, UpstreamId, Microseconds waited)> unanswered {};
+        // Optional. This daemon has announced that it replaces an owner.
+        std::function<void(VMId owner)> replaces {};
     };
 
     PermitExchange(FleetPeer self, Bounds bounds, Hooks hooks)
@@ -155,6 +165,7 @@
     };
 
     std::optional<VMId> ownerOf(UpstreamId, HallId, Instant now) const;
+    std::optional<VMId> firstOwnerOf(UpstreamId, HallId, std::function<bool(VMId)> const& isExcluded) const;
     OwnerStatus ownerStatusFor(UpstreamId, Instant now) const;
     size_t precedingOwnerCount(UpstreamId) const;
     std::vector<std::pair<VMId, bool>> ownerCandidates() const;
@@ -172,6 +183,16 @@
     void handleLateResponse(uint64_t requestId, VMId from, Instant now);
     LocalCount& addLocalRequest(UpstreamId, HallId, VMId owner, Instant now);
     void sendReport(UpstreamId, LocalCount&, Instant now);
+    void sendReportTo(VMId owner, UpstreamId, size_t count, Instant now);
+    void reportToSuspectedOwner(UpstreamId, Instant now);
+    void reportToNewOwners(Instant now);
+    void reportAllTo(VMId owner, Instant now);
+    void broadcast(PermitMessage const&);
+    void announceAvailable(Instant now);
+    void askPrecedingOwners(UpstreamId, Instant now);
+    void confirmReplacements(Instant now);
+    void handleAvailable(VMId from, Instant now);
+    void handleReplacement(VMId from, OwnerReplacement const&, Instant now);
 
     FleetPeer m_self;
     Bounds m_bounds;
@@ -182,6 +203,14 @@
     std::map<VMId, Instant> m_suspectedUntil;
     WaitEstimate m_roundTrip;
     std::map<uint64_t, Pending> m_pending;
+    // An owner that this daemon is asked in place of.
+    struct ReplacedOwner {
+        // When it was last asked whether it is available, and whether the answer is pending.
+        Instant askedAt;
+        bool isAnswerPending { false };
+    };
+    std::map<VMId, ReplacedOwner> m_replacedOwners;
+    std::optional<Instant> m_announcedAt;
     // Permit requests that have timed out but may still receive a response.
     struct TimedOutRequest {
         uint64_t requestId { 0 };
--- a/Libraries/LibRouting/PermitMessage.cpp
+++ b/Libraries/LibRouting/PermitMessage.cpp
@@ -9,15 +9,22 @@
 
 namespace {
 
-    // Encoded in front of each message. Up to Report, the values are the indices of the variant's
-    // alternatives, so the order is part of the wire format.
+    // Encoded in front of each message.
     enum class Kind : uint8_t {
         Request,
         Response,
         Report,
         RequestWithContext,
+        Available,
+        Replacement,
     };
 
+    Kind kindOf(PermitRequest const& request) { return request.context ? Kind::RequestWithContext : Kind::Request; }
+    Kind kindOf(PermitResponse const&) { return Kind::Response; }
+    Kind kindOf(InFlightReport const&) { return Kind::Report; }
+    Kind kindOf(OwnerAvailable const&) { return Kind::Available; }
+    Kind kindOf(OwnerReplacement const&) { return Kind::Replacement; }
+
     // Bits of the optional last number of a response. Daemons of earlier versions only send the first.
     constexpr uint64_t exhaustedFlag = 1;
     constexpr uint64_t contextNewFlag = 2;
@@ -71,6 +78,14 @@
         writer.number(report.ownInFlight);
     }
 
+    void write(MessageWriter&, OwnerAvailable const&) { }
+
+    void write(MessageWriter& writer, OwnerReplacement const& replacement)
+    {
+        writer.id(replacement.owner);
+        writer.number(replacement.isConfirmed ? 1 : 0);
+    }
+
     PermitRequest readRequest(MessageReader& reader, bool hasContext)
     {
         PermitRequest request;
@@ -105,6 +120,14 @@
         return report;
     }
 
+    OwnerReplacement readReplacement(MessageReader& reader)
+    {
+        OwnerReplacement replacement;
+        replacement.owner = reader.id<VMId>();
+        replacement.isConfirmed = reader.number() != 0;
+        return replacement;
+    }
+
     std::optional<PermitMessage> readMessage(MessageReader& reader)
     {
         switch (static_cast<Kind>(reader.number())) {
@@ -116,6 +139,10 @@
             return readResponse(reader);
         case Kind::Report:
             return readReport(reader);
+        case Kind::Available:
+            return OwnerAvailable {};
+        case Kind::Replacement:
+            return readReplacement(reader);
         }
         return {};
     }
@@ -125,9 +152,11 @@
 std::string encodePermitMessage(PermitMessage const& message)
 {
     MessageWriter writer;
-    auto const* request = std::get_if<PermitRequest>(&message);
-    writer.number(request && request->context ? static_cast<uint64_t>(Kind::RequestWithContext) : message.index());
-    std::visit([&writer](auto const& each) { write(writer, each); }, message);
+    auto const encode = [&writer](auto const& each) {
+        writer.number(static_cast<uint64_t>(kindOf(each)));
+        write(writer, each);
+    };
+    std::visit(encode, message);
     return writer.release();
 }
 
--- a/Libraries/LibRouting/PermitMessage.h
+++ b/Libraries/LibRouting/PermitMessage.h
@@ -46,7 +46,22 @@
     uint64_t ownInFlight { 0 };
 };
 
-using PermitMessage = std::variant<PermitRequest, PermitResponse, InFlightReport>;
+// The sender is available as an owner but lacks counts: it has just started or was paused. The
+// receiver reports its requests in flight at the sender's upstreams. Daemons of earlier versions
+// reject this message and the next one.
+struct OwnerAvailable {
+};
+
+// The sender grants permits in place of an owner.
+struct OwnerReplacement {
+    VMId owner;
+    // Whether that owner has not responded to the sender. If so, the receiver uses the sender in its
+    // place and reports the requests in flight at that owner's upstreams. Otherwise this is the
+    // question to the owner itself whether it is available.
+    bool isConfirmed { false };
+};
+
+using PermitMessage = std::variant<PermitRequest, PermitResponse, InFlightReport, OwnerAvailable, OwnerReplacement>;
 
 std::string encodePermitMessage(PermitMessage const&);
 // Error: Malformed.
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -119,6 +119,7 @@
     hooks.unanswered = [](VMId owner, UpstreamId upstream, Microseconds waited) {
         logEvent(LogLevel::Info, "owner-silent", { { "daemon", toHex(owner.value()) }, { "upstream_id", toHex(upstream.value()) }, { "waited_us", waited.count() } });
     };
+    hooks.replaces = [](VMId owner) { logEvent(LogLevel::Info, "owner-replaced", { { "daemon", toHex(owner.value()) } }); };
     return hooks;
 }
 
--- a/Tests/LibRouting/TestPermitExchange.cpp
+++ b/Tests/LibRouting/TestPermitExchange.cpp
@@ -195,6 +195,17 @@
     BOOST_TEST(!decodePermitMessage(encodePermitMessage(PermitRequest {}) + "x"));
 }
 
+BOOST_AUTO_TEST_CASE(OwnerMessagesRoundTrip)
+{
+    auto const available = decodePermitMessage(encodePermitMessage(OwnerAvailable {}));
+    BOOST_REQUIRE(available);
+    BOOST_TEST(std::holds_alternative<OwnerAvailable>(*available));
+    auto const replacement = decodePermitMessage(encodePermitMessage(OwnerReplacement { VMId(7), true }));
+    BOOST_REQUIRE(replacement);
+    BOOST_TEST((std::get<OwnerReplacement>(*replacement).owner == VMId(7)));
+    BOOST_TEST(std::get<OwnerReplacement>(*replacement).isConfirmed);
+}
+
 BOOST_AUTO_TEST_CASE(AnOwnerReportsWhetherAContextIsNew)
 {
     Fleet fleet(6);
@@ -255,6 +266,78 @@
     BOOST_TEST(fleet.choose(2, 8).outcome.isGranted);
 }
 
+namespace {
+
+// Places one request of each daemon at the upstream, and returns the upstream's owner.
+size_t placeFromAll(Fleet& fleet)
+{
+    fleet.run(Seconds(4));
+    for (size_t number = 1; number <= fleet.size(); ++number)
+        BOOST_TEST(fleet.choose(number, 99).outcome.isGranted);
+    return fleet.ownerOf(upstream);
+}
+
+// Returns a daemon that doesn't own the upstream.
+size_t anyOtherThan(size_t owner)
+{
+    return owner == 2 ? 4 : 2;
+}
+
+}
+
+// Otherwise it would grant as many requests again as are in flight already.
+BOOST_AUTO_TEST_CASE(ARestartedOwnerLearnsOfRequestsInFlight)
+{
+    Fleet fleet(12);
+    auto const owner = placeFromAll(fleet);
+    fleet.start(owner);
+    fleet.run(Milliseconds(5));
+    BOOST_TEST(fleet.daemon(owner).inFlightCounter().count(upstream) == fleet.size() - 1);
+}
+
+// The daemons that haven't noticed that the owner is gone report their requests to its replacement.
+BOOST_AUTO_TEST_CASE(AReplacementLearnsOfRequestsInFlight)
+{
+    Fleet fleet(12);
+    auto const owner = placeFromAll(fleet);
+    auto const asker = anyOtherThan(owner);
+    fleet.unresponsive.insert(owner);
+    fleet.choose(asker, 99);
+    fleet.run(Milliseconds(50));
+    auto const result = fleet.choose(asker, 99).outcome;
+    BOOST_TEST(result.requests == 1u);
+    BOOST_TEST(result.inFlight == fleet.size());
+}
+
+// Two owners at the same time would each grant requests up to the limit.
+BOOST_AUTO_TEST_CASE(AllDaemonsUseTheReplacementOfASilentOwner)
+{
+    Fleet fleet(12);
+    auto const owner = placeFromAll(fleet);
+    fleet.unresponsive.insert(owner);
+    fleet.choose(anyOtherThan(owner), 99);
+    fleet.run(Milliseconds(50));
+    for (size_t number = 1; number <= fleet.size(); ++number) {
+        if (number != owner)
+            BOOST_TEST(fleet.choose(number, 99).outcome.requests == 1u);
+    }
+}
+
+// An owner that was only paused for a moment hears that it is replaced.
+BOOST_AUTO_TEST_CASE(AllDaemonsReturnToAnOwnerThatRefutesItsReplacement)
+{
+    Fleet fleet(12);
+    auto const owner = placeFromAll(fleet);
+    fleet.responseDelays[owner] = Milliseconds(40);
+    fleet.choose(anyOtherThan(owner), 99);
+    fleet.run(Milliseconds(100));
+    fleet.responseDelays.clear();
+    for (size_t number = 1; number <= fleet.size(); ++number)
+        BOOST_TEST(fleet.choose(number, 99).outcome.requests == 1u);
+    fleet.run(Milliseconds(5));
+    BOOST_TEST(fleet.daemon(owner).inFlightCounter().count(upstream) == 2 * fleet.size() + 1);
+}
+
 // Below the hard limit, the remaining capacity needs a permit from the owner as well.
 BOOST_AUTO_TEST_CASE(TheHardLimitIsNeverExceeded)
 {
