LibMembership: Count no load twice while a relay is paused

Cause: the daemons of a silent relay send their counts to another relay after a second, while others keep the silent relay's last sum for three seconds. When it resumes, it reads the counts that its daemons sent before they left, takes them for new, and sends their sum again.

A daemon now tells the relay that it leaves, which a paused one reads after the counts; waits half a second before it reports to the next one if the previous one was silent; and sums expire with the response timeout after which a relay's daemons leave it. Where sums come rarely, five of their periods still decide.

--- a/Libraries/LibMembership/LoadAggregator.h
+++ b/Libraries/LibMembership/LoadAggregator.h
@@ -52,6 +52,8 @@
     }
 
     void setFromGroup(VMId from, PackedCounts counts, Instant now) { set(m_group[from], std::move(counts), now); }
+    // The daemon sends its counts to another relay now.
+    void removeFromGroup(VMId id) { m_group.erase(id); }
     void setFromRelay(VMId from, PackedCounts counts, Instant now) { set(m_relays[from], std::move(counts), now); }
     void setFromHall(HallId hall, PackedCounts counts, Instant now) { set(m_halls[hall], std::move(counts), now); }
 
--- a/Libraries/LibMembership/StateExchange.cpp
+++ b/Libraries/LibMembership/StateExchange.cpp
@@ -9,7 +9,9 @@
 
     // Older counts are dropped: their sender is gone or sends to another relay now.
     constexpr Microseconds groupLoadsTimeout { 1500000 };
-    constexpr Microseconds minRelayLoadsTimeout { 3000000 };
+    // The daemons of a relay that has become silent report to another one after the response timeout.
+    // Their counts in the sums of both relays would count twice, so they pause this long before.
+    constexpr Microseconds relayChangePause { 500000 };
     // In every round with a multiple of this number, a hall's sum goes to the backup
     // counterparts instead of the regular ones.
     constexpr size_t backupRoundInterval { 4 };
@@ -195,8 +197,11 @@
     auto const peer = selectPeerToQuery(now);
     if (!peer)
         return;
-    if (m_queriedPeer != peer)
+    if (m_queriedPeer != peer) {
+        if (m_queriedPeer && m_suspectRetryAt.contains(*m_queriedPeer))
+            m_nextOwnLoadsAt = now + relayChangePause;
         m_unansweredSince.reset();
+    }
     m_queriedPeer = peer;
     if (!m_unansweredSince)
         m_unansweredSince = now;
@@ -218,7 +223,8 @@
     std::erase_if(m_requesters, [now](auto const& requester) { return now - requester.second > pendingQueryTimeout; });
     // Other relays send about as rarely as this one. The timeout allows for a sum that comes
     // only from a backup counterpart, plus one round.
-    m_loads.expire(now, groupLoadsTimeout, std::max<Microseconds>(minRelayLoadsTimeout, (backupRoundInterval + 1) * m_relayLoadsPeriod));
+    m_loads.expire(now, groupLoadsTimeout, std::max<Microseconds>(m_bounds.responseTimeout, (backupRoundInterval + 1) * m_relayLoadsPeriod));
+    leavePreviousRelay();
     if (m_isRelay) {
         sendLoadsToRelays(now);
         sendLoadsToGroup(now);
@@ -246,11 +252,23 @@
     return message.encode();
 }
 
+// Counts that a relay keeps would be counted twice once they are sent to another one. If the relay is
+// paused, it finds this message when it resumes.
+void StateExchange::leavePreviousRelay()
+{
+    if (!m_loadsRelay || (!m_isRelay && m_loadsRelay == m_queriedPeer))
+        return;
+    StateMessage const message { StateMessage::Kind::OwnLoads, 0, 0, m_hooks.localState.summary(), {}, {}, {}, {} };
+    m_hooks.send(*m_loadsRelay, message.encode());
+    m_loadsRelay.reset();
+}
+
 // Sends to the relay that is queried, because that one responds.
 void StateExchange::sendOwnLoads(Instant now)
 {
     if (now < m_nextOwnLoadsAt || !m_queriedPeer)
         return;
+    m_loadsRelay = m_queriedPeer;
     m_nextOwnLoadsAt = now + m_bounds.minLoadsInterval;
     m_hooks.send(*m_queriedPeer, encodeLoads(StateMessage::Kind::OwnLoads, withOwnLoads({})));
 }
@@ -325,7 +343,9 @@
 void StateExchange::handleLoads(VMId from, StateMessage&& message, Instant now)
 {
     PackedCounts counts { message.summary.upstreamsHash, std::move(message.inFlight), message.inFlightAge };
-    if (message.kind == StateMessage::Kind::OwnLoads) {
+    if (message.kind == StateMessage::Kind::OwnLoads && counts.bytes.empty()) {
+        m_loads.removeFromGroup(from);
+    } else if (message.kind == StateMessage::Kind::OwnLoads) {
         m_groupListHashes[from] = counts.listHash;
         m_loads.setFromGroup(from, std::move(counts), now);
     } else if (message.kind == StateMessage::Kind::GroupLoads) {
--- a/Libraries/LibMembership/StateExchange.h
+++ b/Libraries/LibMembership/StateExchange.h
@@ -156,6 +156,7 @@
     void handleRegistryChanges(StateMessage const&);
     void handleOthersLoads(StateMessage const&);
     void handleNotification(VMId from, StateMessage const&);
+    void leavePreviousRelay();
     void sendOwnLoads(Instant now);
     void sendLoadsToRelays(Instant now);
     void sendLoadsToGroup(Instant now);
@@ -186,6 +187,8 @@
     // The recent requesters and the time of their last queries.
     std::map<VMId, Instant> m_requesters;
     std::optional<VMId> m_queriedPeer;
+    // The relay whose group this daemon has joined by sending its counts.
+    std::optional<VMId> m_loadsRelay;
     Instant m_lastQueryAt;
     // The time of the first tick. The state's age counts from it until the state is confirmed,
     // so a daemon that has just joined waits for a confirmation before it reads the store.
--- a/Tests/LibMembership/TestStateExchange.cpp
+++ b/Tests/LibMembership/TestStateExchange.cpp
@@ -384,6 +384,36 @@
     }
 }
 
+// Every daemon has the same number of requests in flight all the time, so no sum may be higher.
+void checkNoLoadIsCountedTwice(size_t perHall, Seconds pause)
+{
+    Fleet fleet(3, perHall, 17);
+    for (auto& daemon : fleet.daemons)
+        daemon->own = { { UpstreamId(77), 2 } };
+    fleet.run(Seconds(6));
+    auto const setRelayPaused = [&](bool isPaused) {
+        auto const relay = std::find_if(fleet.daemons.begin(), fleet.daemons.end(), [](auto const& daemon) { return daemon->hall == HallId(1) && daemon->exchange->isRelay(); });
+        (*relay)->isPaused = isPaused;
+    };
+    uint64_t highest = 0;
+    for (int round = 0; round < 200; ++round) {
+        setRelayPaused(round * Milliseconds(50) < pause);
+        fleet.run(Milliseconds(50));
+        for (auto const& daemon : fleet.daemons)
+            highest = std::max(highest, countAt(daemon->others, UpstreamId(77)));
+    }
+    BOOST_TEST(highest <= 2 * (fleet.daemons.size() - 1), "paused for " << pause.count() << " s, " << perHall << " daemons per hall: " << highest << " requests counted");
+}
+
+// Its daemons report to another relay meanwhile.
+BOOST_AUTO_TEST_CASE(NoLoadIsCountedTwiceWhileARelayIsPaused)
+{
+    for (auto const perHall : { 8, 20 }) {
+        for (auto const pause : { Seconds(2), Seconds(4), Seconds(8) })
+            checkNoLoadIsCountedTwice(perHall, pause);
+    }
+}
+
 // With many relays and upstreams, sums are sent rarely. They must not expire before the next
 // ones arrive.
 BOOST_AUTO_TEST_CASE(RareSumsOfOtherRelaysDoNotExpireBeforeTheNext)
