Tests/Processes: Accept the connections of daemons that start together

The stand-ins' servers queued five connections, the default. Where eight daemons started at once, the kernel dropped some, and those daemons joined the fleet only 1.0 to 1.6 s after their start, when their connections were retried; the others took 0.05 to 0.1 s. They placed requests without owners meanwhile, which no store of the users makes them do. The queue now holds 128.

--- a/Tests/Processes/platform_stand_ins.py
+++ b/Tests/Processes/platform_stand_ins.py
@@ -17,6 +17,8 @@
 class Server(http.server.ThreadingHTTPServer):
     daemon_threads = True
     allow_reuse_address = True
+    # With a shorter queue, connections of daemons that start together are retried only after a second.
+    request_queue_size = 128
 
     def __init__(self, handler):
         super().__init__(("127.0.0.1", 0), handler)
