stagepostd: Let daemons announce that they start and stop

Callers' requests went to upstreams beyond their bound for some seconds after daemons had been stopped and started in a planned way, and less often after others had been added.

Cause: daemons agree on an upstream's owner, and on the relays, only while they have the same list of daemons. The registry is read every three seconds, and its changes reach daemons at different times.

A daemon that drains now says so before anything else, and the announcement of a start names the hall. FleetRoster corrects the registry's list with what daemons have announced in the last 15 s, for all that depends on the list; a daemon's share of the retry budget still goes by the registry where that lists more daemons.

--- a/Libraries/LibBase/FleetPeer.h
+++ b/Libraries/LibBase/FleetPeer.h
@@ -8,6 +8,8 @@
 struct FleetPeer {
     VMId id;
     HallId hall;
+
+    bool operator==(FleetPeer const&) const = default;
 };
 
 }
--- a/Libraries/LibMembership/Members.h
+++ b/Libraries/LibMembership/Members.h
@@ -4,6 +4,7 @@
 // as the local daemon sees them.
 
 #include <LibMembership/EmptiedHalls.h>
+#include <LibMembership/FleetRoster.h>
 #include <LibMembership/HallReachability.h>
 #include <LibMembership/MemberState.h>
 #include <LibMembership/Membership.h>
--- a/Libraries/LibRouting/PermitExchange.cpp
+++ b/Libraries/LibRouting/PermitExchange.cpp
@@ -30,7 +30,7 @@
         m_ownerCandidates = std::move(owners);
         m_ownersSince = now;
     }
-    if (!m_announcedAt && !m_peers.empty())
+    if (!m_announcedAt && !m_peers.empty() && !m_isLeaving)
         announceAvailable(now);
     reportToNewOwners(now);
 }
@@ -97,7 +97,8 @@
         owner = peer.id;
         highest = rank;
     };
-    offer(m_self);
+    if (!m_isLeaving)
+        offer(m_self);
     for (auto const& peer : m_peers)
         offer(peer);
     return owner;
@@ -316,7 +317,14 @@
 void PermitExchange::announceAvailable(Instant now)
 {
     m_announcedAt = now;
-    broadcast(OwnerAvailable {});
+    broadcast(OwnerAvailable { m_self.hall });
+}
+
+void PermitExchange::announceLeaving(Instant now)
+{
+    m_isLeaving = true;
+    broadcast(OwnerLeaving {});
+    reportToNewOwners(now);
 }
 
 // This daemon is asked for permits although others precede it as owners of the upstream, so a daemon
@@ -350,17 +358,29 @@
     }
 }
 
-void PermitExchange::handleAvailable(VMId from, Instant now)
+void PermitExchange::handleAvailable(FleetPeer from, Instant now)
 {
-    m_suspectedUntil.erase(from);
-    if (auto const replaced = m_replacedOwners.find(from); replaced != m_replacedOwners.end())
+    if (m_hooks.arrived)
+        m_hooks.arrived(from);
+    m_suspectedUntil.erase(from.id);
+    if (auto const replaced = m_replacedOwners.find(from.id); replaced != m_replacedOwners.end())
         replaced->second.isAnswerPending = false;
     reportToNewOwners(now);
-    reportAllTo(from, now);
+    reportAllTo(from.id, now);
+}
+
+void PermitExchange::handleLeaving(VMId from, Instant now)
+{
+    if (m_hooks.left)
+        m_hooks.left(from);
+    m_suspectedUntil[from] = now + m_bounds.suspectDuration;
+    reportToNewOwners(now);
 }
 
 void PermitExchange::handleReplacement(VMId from, OwnerReplacement const& replacement, Instant now)
 {
+    if (replacement.owner == m_self.id && m_isLeaving)
+        return;
     if (replacement.owner != m_self.id) {
         m_suspectedUntil[replacement.owner] = now + m_bounds.suspectDuration;
         reportToNewOwners(now);
@@ -370,7 +390,7 @@
     if (replacement.isConfirmed && (!m_announcedAt || now - *m_announcedAt >= m_bounds.minAnnouncementInterval))
         announceAvailable(now);
     else
-        m_hooks.send(from, encodePermitMessage(OwnerAvailable {}));
+        m_hooks.send(from, encodePermitMessage(OwnerAvailable { m_self.hall }));
 }
 
 Result<void> PermitExchange::receive(VMId from, std::string_view bytes, Instant now)
@@ -385,8 +405,12 @@
         m_inFlightCounter.report(from, report->upstream, report->ownInFlight, now);
         return {};
     }
-    if (std::holds_alternative<OwnerAvailable>(message)) {
-        handleAvailable(from, now);
+    if (auto const* available = std::get_if<OwnerAvailable>(&message)) {
+        handleAvailable({ from, available->hall }, now);
+        return {};
+    }
+    if (std::holds_alternative<OwnerLeaving>(message)) {
+        handleLeaving(from, now);
         return {};
     }
     if (auto const* replacement = std::get_if<OwnerReplacement>(&message)) {
--- a/Libraries/LibRouting/PermitExchange.h
+++ b/Libraries/LibRouting/PermitExchange.h
@@ -96,6 +96,10 @@
         std::function<void(VMId owner, UpstreamId, Microseconds waited)> unanswered {};
         // Optional. This daemon has announced that it replaces an owner.
         std::function<void(VMId owner)> replaces {};
+        // Optional. Another daemon has announced that it is available, or that it is about to stop.
+        // Returns after an updated list was set with setPeers(), if the list has changed.
+        std::function<void(FleetPeer)> arrived {};
+        std::function<void(VMId)> left {};
     };
 
     PermitExchange(FleetPeer self, Bounds bounds, Hooks hooks)
@@ -123,6 +127,9 @@
     // not sent.
     void requestFinished(UpstreamId, Instant now);
 
+    // This daemon is about to stop: others own its upstreams from now on.
+    void announceLeaving(Instant now);
+
     // Error: Malformed.
     Result<void> receive(VMId from, std::string_view bytes, Instant now);
     void tick(Instant now);
@@ -191,7 +198,8 @@
     void announceAvailable(Instant now);
     void askPrecedingOwners(UpstreamId, Instant now);
     void confirmReplacements(Instant now);
-    void handleAvailable(VMId from, Instant now);
+    void handleAvailable(FleetPeer from, Instant now);
+    void handleLeaving(VMId from, Instant now);
     void handleReplacement(VMId from, OwnerReplacement const&, Instant now);
 
     FleetPeer m_self;
@@ -211,6 +219,7 @@
     };
     std::map<VMId, ReplacedOwner> m_replacedOwners;
     std::optional<Instant> m_announcedAt;
+    bool m_isLeaving { false };
     // Permit requests that have timed out but may still receive a response.
     struct TimedOutRequest {
         uint64_t requestId { 0 };
--- a/Libraries/LibRouting/PermitMessage.cpp
+++ b/Libraries/LibRouting/PermitMessage.cpp
@@ -17,12 +17,14 @@
         RequestWithContext,
         Available,
         Replacement,
+        Leaving,
     };
 
     Kind kindOf(PermitRequest const& request) { return request.context ? Kind::RequestWithContext : Kind::Request; }
     Kind kindOf(PermitResponse const&) { return Kind::Response; }
     Kind kindOf(InFlightReport const&) { return Kind::Report; }
     Kind kindOf(OwnerAvailable const&) { return Kind::Available; }
+    Kind kindOf(OwnerLeaving const&) { return Kind::Leaving; }
     Kind kindOf(OwnerReplacement const&) { return Kind::Replacement; }
 
     // Bits of the optional last number of a response. Daemons of earlier versions only send the first.
@@ -78,7 +80,8 @@
         writer.number(report.ownInFlight);
     }
 
-    void write(MessageWriter&, OwnerAvailable const&) { }
+    void write(MessageWriter& writer, OwnerAvailable const& available) { writer.id(available.hall); }
+    void write(MessageWriter&, OwnerLeaving const&) { }
 
     void write(MessageWriter& writer, OwnerReplacement const& replacement)
     {
@@ -140,7 +143,9 @@
         case Kind::Report:
             return readReport(reader);
         case Kind::Available:
-            return OwnerAvailable {};
+            return OwnerAvailable { reader.id<HallId>() };
+        case Kind::Leaving:
+            return OwnerLeaving {};
         case Kind::Replacement:
             return readReplacement(reader);
         }
--- a/Libraries/LibRouting/PermitMessage.h
+++ b/Libraries/LibRouting/PermitMessage.h
@@ -48,8 +48,14 @@
 
 // The sender is available as an owner but lacks counts: it has just started or was paused. The
 // receiver reports its requests in flight at the sender's upstreams. Daemons of earlier versions
-// reject this message and the next one.
+// reject this message and the next ones.
 struct OwnerAvailable {
+    // The receiver may not know the sender yet.
+    HallId hall;
+};
+
+// The sender is about to stop. The receiver uses the next owners in its place.
+struct OwnerLeaving {
 };
 
 // The sender grants permits in place of an owner.
@@ -61,7 +67,7 @@
     bool isConfirmed { false };
 };
 
-using PermitMessage = std::variant<PermitRequest, PermitResponse, InFlightReport, OwnerAvailable, OwnerReplacement>;
+using PermitMessage = std::variant<PermitRequest, PermitResponse, InFlightReport, OwnerAvailable, OwnerLeaving, OwnerReplacement>;
 
 std::string encodePermitMessage(PermitMessage const&);
 // Error: Malformed.
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -581,6 +581,7 @@
     if (m_isDraining)
         return;
     m_isDraining = true;
+    m_peers.announceLeaving();
     updateReadiness();
     logEvent(LogLevel::Info, "draining", { { "open", m_server.openExchanges() } });
     auto const limit = m_loop.now() + m_options.drainLimit - drainReserve;
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -81,6 +81,8 @@
     if (!m_holderExchange)
         m_holderExchange = std::make_unique<HolderExchange>(peer, HolderExchange::Bounds {}, HolderExchange::Hooks { [this](VMId to, std::string const& body) { send(to, PeerMessageKind::Holders, body); } });
     m_ticker.every(tickInterval, [this] {
+        if (m_roster.expire(m_loop.now()))
+            applyRoster();
         m_stateExchange->tick(m_loop.now());
         m_crashExchange->tick(m_loop.now());
         m_permitExchange->tick(m_loop.now());
@@ -119,6 +121,8 @@
     hooks.unanswered = [](VMId owner, UpstreamId upstream, Microseconds waited) {
         logEvent(LogLevel::Info, "owner-silent", { { "daemon", toHex(owner.value()) }, { "upstream_id", toHex(upstream.value()) }, { "waited_us", waited.count() } });
     };
+    hooks.arrived = [this](FleetPeer peer) { updateRoster([&] { m_roster.arrived(peer, m_loop.now()); }); };
+    hooks.left = [this](VMId id) { updateRoster([&] { m_roster.left(id, m_loop.now()); }); };
     hooks.replaces = [](VMId owner) { logEvent(LogLevel::Info, "owner-replaced", { { "daemon", toHex(owner.value()) } }); };
     return hooks;
 }
@@ -167,15 +171,29 @@
 void GatewayPeers::setPeers(std::vector<GatewayPeer> const& peers)
 {
     m_peers.clear();
-    m_unregisteredPeers.clear();
     std::vector<FleetPeer> list;
     list.reserve(peers.size());
     for (auto const& peer : peers) {
         m_peers[peer.id()] = peer;
         list.push_back({ peer.id(), HallId::fromName(peer.hall) });
     }
-    if (!m_stateExchange)
-        return;
+    m_roster.setRegistered(list);
+    std::erase_if(m_unregisteredPeers, [this](auto const& peer) { return m_peers.contains(peer.first); });
+    if (m_stateExchange)
+        applyRoster();
+}
+
+void GatewayPeers::updateRoster(std::function<void()> const& change)
+{
+    auto const before = m_roster.peers();
+    change();
+    if (m_roster.peers() != before)
+        applyRoster();
+}
+
+void GatewayPeers::applyRoster()
+{
+    auto list = m_roster.peers();
     m_stateExchange->setPeers(list);
     m_crashExchange->setPeers(list, m_loop.now());
     m_holderExchange->setPeers(list, m_stateExchange->relays());
@@ -184,6 +202,12 @@
     logEvent(LogLevel::Info, "peers", { { "others", m_stateExchange->peerCount() }, { "relay", m_stateExchange->isRelay() ? 1 : 0 } });
 }
 
+void GatewayPeers::announceLeaving()
+{
+    if (m_permitExchange)
+        m_permitExchange->announceLeaving(m_loop.now());
+}
+
 void GatewayPeers::stateConfirmed(Instant now)
 {
     if (m_stateExchange)
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Hooks.h>
+#include <LibMembership/FleetRoster.h>
 #include <LibMembership/StateExchange.h>
 #include <LibProxy/HttpClient.h>
 #include <LibProxy/HttpServer.h>
@@ -8,6 +9,7 @@
 #include <LibRouting/CrashExchange.h>
 #include <LibRouting/HolderExchange.h>
 #include <LibRouting/PermitExchange.h>
+#include <algorithm>
 #include <memory>
 #include <stagepostd/GatewayState.h>
 #include <stagepostd/PeerChannel.h>
@@ -61,6 +63,8 @@
     // the same name. Error: Unreachable.
     Result<void> join(GatewayPeer const& self, std::string const& key, Incarnation);
     void setPeers(std::vector<GatewayPeer> const&);
+    // Tells the others that this daemon is about to stop.
+    void announceLeaving();
 
     bool hasJoined() const { return m_stateExchange != nullptr; }
     // A daemon that has not joined reads the store itself.
@@ -70,7 +74,7 @@
     bool isRelay() const { return !m_stateExchange || m_stateExchange->isRelay(); }
     bool needsRegistry(Instant now) const { return !m_stateExchange || m_stateExchange->needsRegistry(now); }
     // This daemon's share of the fleet, from 0 to 1; 0 before it has joined.
-    double share() const { return m_stateExchange ? 1.0 / static_cast<double>(m_stateExchange->peerCount() + 1) : 0; }
+    double share() const { return m_stateExchange ? 1.0 / static_cast<double>(std::max(m_roster.registeredCount(), m_stateExchange->peerCount()) + 1) : 0; }
     void stateConfirmed(Instant now);
     void stateChanged(Instant now);
     // Sends this daemon's crash evidence about the request to others.
@@ -98,6 +102,8 @@
     CrashExchange::Hooks crashHooks();
     PermitExchange::Hooks permitHooks();
     void scheduleResponseTimeout();
+    void updateRoster(std::function<void()> const& change);
+    void applyRoster();
     bool handleCrashMessage(VMId from, std::string_view body);
     void handleMessage(PeerMessageKind, VMId from, Endpoint const& source, std::string_view body);
     Endpoint const* endpointOf(VMId) const;
@@ -116,6 +122,7 @@
     HttpServer m_server;
     Endpoint m_endpoint;
     std::map<VMId, GatewayPeer> m_peers;
+    FleetRoster m_roster;
     // Source addresses of daemons whose registration is not known here yet. When a whole fleet
     // starts at once, daemons that register late ask those that registered before.
     std::map<VMId, Endpoint> m_unregisteredPeers;
--- a/Tests/LibRouting/TestPermitExchange.cpp
+++ b/Tests/LibRouting/TestPermitExchange.cpp
@@ -197,9 +197,12 @@
 
 BOOST_AUTO_TEST_CASE(OwnerMessagesRoundTrip)
 {
-    auto const available = decodePermitMessage(encodePermitMessage(OwnerAvailable {}));
+    auto const available = decodePermitMessage(encodePermitMessage(OwnerAvailable { north }));
     BOOST_REQUIRE(available);
-    BOOST_TEST(std::holds_alternative<OwnerAvailable>(*available));
+    BOOST_TEST((std::get<OwnerAvailable>(*available).hall == north));
+    auto const leaving = decodePermitMessage(encodePermitMessage(OwnerLeaving {}));
+    BOOST_REQUIRE(leaving);
+    BOOST_TEST(std::holds_alternative<OwnerLeaving>(*leaving));
     auto const replacement = decodePermitMessage(encodePermitMessage(OwnerReplacement { VMId(7), true }));
     BOOST_REQUIRE(replacement);
     BOOST_TEST((std::get<OwnerReplacement>(*replacement).owner == VMId(7)));
@@ -323,6 +326,20 @@
     }
 }
 
+// The owners in the registry change on each daemon at another time.
+BOOST_AUTO_TEST_CASE(ALeavingOwnerHandsOverToTheNext)
+{
+    Fleet fleet(12);
+    auto const owner = placeFromAll(fleet);
+    fleet.daemon(owner).announceLeaving(fleet.now);
+    fleet.run(Milliseconds(5));
+    for (size_t number = 1; number <= fleet.size(); ++number) {
+        auto const result = fleet.choose(number, 99).outcome;
+        BOOST_TEST(result.requests == 1u);
+        BOOST_TEST(result.inFlight == fleet.size() + number - 1);
+    }
+}
+
 // An owner that was only paused for a moment hears that it is replaced.
 BOOST_AUTO_TEST_CASE(AllDaemonsReturnToAnOwnerThatRefutesItsReplacement)
 {
