stagepostd: Count requests at owners that were sent before joining

A daemon serves callers as soon as it has the configuration and the upstreams, and joins the fleet when it has registered.

It now counts them and reports them to the owners when it joins. test_requests_sent_before_joining_are_counted_afterwards failed before: the owner counted 0.

--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -76,8 +76,10 @@
     m_stateExchange = std::make_unique<StateExchange>(peer, m_random(), m_bounds, stateHooks());
     m_crashExchange = std::make_unique<CrashExchange>(peer, m_suspects, CrashExchange::Bounds {}, crashHooks());
     // Kept when the daemon joins again with another key, since requests may wait for answers.
-    if (!m_permitExchange)
+    if (!m_permitExchange) {
         m_permitExchange = std::make_unique<PermitExchange>(peer, PermitExchange::Bounds {}, permitHooks());
+        countEarlierRequests();
+    }
     if (!m_holderExchange)
         m_holderExchange = std::make_unique<HolderExchange>(peer, HolderExchange::Bounds {}, HolderExchange::Hooks { [this](VMId to, std::string const& body) { send(to, PeerMessageKind::Holders, body); } });
     m_ticker.every(tickInterval, [this] {
@@ -158,14 +160,33 @@
 
 void GatewayPeers::requestStarted(UpstreamId upstream, HallId hall)
 {
-    if (m_permitExchange)
+    if (m_permitExchange) {
         m_permitExchange->requestStarted(upstream, hall, m_loop.now());
+        return;
+    }
+    auto& uncounted = m_uncountedRequests[upstream];
+    uncounted.hall = hall;
+    ++uncounted.count;
 }
 
 void GatewayPeers::requestEnded(UpstreamId upstream)
 {
-    if (m_permitExchange)
+    if (m_permitExchange) {
         m_permitExchange->requestFinished(upstream, m_loop.now());
+        return;
+    }
+    auto const uncounted = m_uncountedRequests.find(upstream);
+    if (uncounted != m_uncountedRequests.end() && !--uncounted->second.count)
+        m_uncountedRequests.erase(uncounted);
+}
+
+void GatewayPeers::countEarlierRequests()
+{
+    for (auto const& [upstream, uncounted] : m_uncountedRequests) {
+        for (size_t request = 0; request < uncounted.count; ++request)
+            m_permitExchange->requestStarted(upstream, uncounted.hall, m_loop.now());
+    }
+    m_uncountedRequests.clear();
 }
 
 void GatewayPeers::setPeers(std::vector<GatewayPeer> const& peers)
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -102,6 +102,7 @@
     CrashExchange::Hooks crashHooks();
     PermitExchange::Hooks permitHooks();
     void scheduleResponseTimeout();
+    void countEarlierRequests();
     void updateRoster(std::function<void()> const& change);
     void applyRoster();
     bool handleCrashMessage(VMId from, std::string_view body);
@@ -132,6 +133,12 @@
     std::unique_ptr<StateExchange> m_stateExchange;
     std::unique_ptr<CrashExchange> m_crashExchange;
     std::unique_ptr<PermitExchange> m_permitExchange;
+    // Requests in flight that no owner counts yet, since they were sent before this daemon joined.
+    struct UncountedRequests {
+        HallId hall;
+        size_t count { 0 };
+    };
+    std::map<UpstreamId, UncountedRequests> m_uncountedRequests;
     std::unique_ptr<HolderExchange> m_holderExchange;
     Timer m_ticker;
     // Expires at the earliest deadline of the pending permit requests and context lookups.
--- a/Tests/Processes/test_owners.py
+++ b/Tests/Processes/test_owners.py
@@ -72,6 +72,24 @@
         self.assertLessEqual(in_flight[-1], 2 * 6 + 3)
         self.assertGreater(in_flight[0], 0)
 
+    # Without the registry, a daemon serves requests but has not joined the fleet.
+    def test_requests_sent_before_joining_are_counted_afterwards(self):
+        for chat in self.chats:
+            chat.event_pause = 0.25
+        self.store.topics_down.add("keyed.stagepost")
+        late = self.start("entry-late")
+        callers = [threading.Thread(target=self.stream, args=(late,)) for _ in range(6)]
+        for caller in callers:
+            caller.start()
+        eventually(lambda: sum(len(chat.runs()) for chat in self.chats) == 6, "the streams run")
+        self.store.topics_down.clear()
+        eventually(lambda: any("event=joined" in line for line in late.lines), "the daemon joins")
+        self.assertEqual(self.stream(self.entries[0]).status, 200)
+        line = eventually(lambda: next(iter(self.lines(self.entries[0])), None), "the request is logged")
+        self.assertGreater(int(re.search(r"owner_counted=(\d+)", line)[1]), 0)
+        for caller in callers:
+            caller.join()
+
     def check_latency(self, entry):
         for number in range(9):
             since = time.monotonic()
