LoadPatterns: Share the pattern of a fleet of three halls

The replays of orders and those of a hot context wrote it out twice. A comment on PermitExchange's hooks says when they are called.

--- a/Libraries/LibRouting/PermitExchange.h
+++ b/Libraries/LibRouting/PermitExchange.h
@@ -97,7 +97,7 @@
         // Optional. This daemon has announced that it replaces an owner.
         std::function<void(VMId owner)> replaces {};
         // Optional. Another daemon has announced that it is available, or that it is about to stop.
-        // Returns after an updated list was set with setPeers(), if the list has changed.
+        // Called before the announcement is handled, so that a hook can call setPeers() first.
         std::function<void(FleetPeer)> arrived {};
         std::function<void(VMId)> left {};
     };
--- a/Tests/LoadPatterns/Patterns.cpp
+++ b/Tests/LoadPatterns/Patterns.cpp
@@ -26,6 +26,22 @@
     return pattern;
 }
 
+LoadPattern fleetOfThreeHalls()
+{
+    LoadPattern pattern;
+    pattern.daemons = 73;
+    pattern.upstreams = 90;
+    pattern.requestsPerSecond = 435;
+    pattern.kinds = { { 0.18, 312, 1.6, 10500, 1.2, 1, 1300 }, { 0.55, 371, 1.2, 700, 0.5, 0, 130 }, { 0.27, 477, 0.15, 2000, 0.6, 2, 360 } };
+    pattern.countsInterval = Milliseconds(500);
+    pattern.countsAge = Milliseconds(600);
+    pattern.batchPercent = 12;
+    pattern.startsBeforeTraffic = true;
+    pattern.modelsPrefill = true;
+    pattern.asksOwners = true;
+    return pattern;
+}
+
 LoadPattern largeFleetAtStart()
 {
     auto pattern = largeFleet();
--- a/Tests/LoadPatterns/Patterns.h
+++ b/Tests/LoadPatterns/Patterns.h
@@ -17,6 +17,9 @@
 // from other daemons and is known one or two seconds late, which is longer than an answer takes.
 LoadPattern largeFleet();
 
+// 73 daemons and 90 upstreams in three halls.
+LoadPattern fleetOfThreeHalls();
+
 // Six daemons with counts that are half a second old.
 LoadPattern smallFleet();
 
--- a/Tests/LoadPatterns/TestOrders.cpp
+++ b/Tests/LoadPatterns/TestOrders.cpp
@@ -8,21 +8,11 @@
 
 namespace {
 
-// Ninety upstreams, as in the users' sheet that shifted, a third of which returns cold.
+// A third of the upstreams returns cold.
 LoadPattern hallReturningCold()
 {
-    LoadPattern pattern;
-    pattern.daemons = 73;
-    pattern.upstreams = 90;
-    pattern.requestsPerSecond = 435;
-    pattern.kinds = { { 0.18, 312, 1.6, 10500, 1.2, 1, 1300 }, { 0.55, 371, 1.2, 700, 0.5, 0, 130 }, { 0.27, 477, 0.15, 2000, 0.6, 2, 360 } };
-    pattern.countsInterval = Milliseconds(500);
-    pattern.countsAge = Milliseconds(600);
+    auto pattern = fleetOfThreeHalls();
     pattern.seconds = 16;
-    pattern.batchPercent = 12;
-    pattern.startsBeforeTraffic = true;
-    pattern.modelsPrefill = true;
-    pattern.asksOwners = true;
     pattern.coldStartLimit = { 8.9, 1.5, 5, Seconds(3) };
     pattern.outage = UpstreamOutage { 30, 4, 8, true, true };
     return pattern;
--- a/Tests/LoadPatterns/TestOwners.cpp
+++ b/Tests/LoadPatterns/TestOwners.cpp
@@ -109,16 +109,10 @@
     return pattern;
 }
 
-// As in the users' sheet that shifted, with one context that gets a tenth of the requests.
+// One context gets a tenth of the requests.
 LoadPattern fleetWithAHotContext()
 {
-    auto pattern = largeFleetAtStart();
-    pattern.daemons = 73;
-    pattern.upstreams = 90;
-    pattern.requestsPerSecond = 435;
-    pattern.kinds = { { 0.18, 312, 1.6, 10500, 1.2, 1, 1300 }, { 0.55, 371, 1.2, 700, 0.5, 0, 130 }, { 0.27, 477, 0.15, 2000, 0.6, 2, 360 } };
-    pattern.countsInterval = Milliseconds(500);
-    pattern.countsAge = Milliseconds(600);
+    auto pattern = fleetOfThreeHalls();
     pattern.seconds = 24;
     pattern.hot = HotContext { 0.1, 2, 24 };
     return pattern;
