LibRouting: Announce owners to daemons that are draining as well

Cause: a draining daemon goes on sending requests, but once it has said that it leaves, the others do not list it and send it no announcement. It reported to owners that had left, or been replaced, since.

--- a/Libraries/LibRouting/PermitExchange.cpp
+++ b/Libraries/LibRouting/PermitExchange.cpp
@@ -310,8 +310,11 @@
 void PermitExchange::broadcast(PermitMessage const& message)
 {
     auto const bytes = encodePermitMessage(message);
+    auto receivers = m_leavingPeers;
     for (auto const& peer : m_peers)
-        m_hooks.send(peer.id, bytes);
+        receivers.insert(peer.id);
+    for (auto const receiver : receivers)
+        m_hooks.send(receiver, bytes);
 }
 
 void PermitExchange::announceAvailable(Instant now)
@@ -360,6 +363,7 @@
 
 void PermitExchange::handleAvailable(FleetPeer from, Instant now)
 {
+    m_leavingPeers.erase(from.id);
     if (m_hooks.arrived)
         m_hooks.arrived(from);
     m_suspectedUntil.erase(from.id);
@@ -371,6 +375,7 @@
 
 void PermitExchange::handleLeaving(VMId from, Instant now)
 {
+    m_leavingPeers.insert(from);
     if (m_hooks.left)
         m_hooks.left(from);
     m_suspectedUntil[from] = now + m_bounds.suspectDuration;
--- a/Libraries/LibRouting/PermitExchange.h
+++ b/Libraries/LibRouting/PermitExchange.h
@@ -220,6 +220,8 @@
     std::map<VMId, ReplacedOwner> m_replacedOwners;
     std::optional<Instant> m_announcedAt;
     bool m_isLeaving { false };
+    // Daemons that are about to stop. They are not in m_peers any more but still send requests.
+    std::set<VMId> m_leavingPeers;
     // Permit requests that have timed out but may still receive a response.
     struct TimedOutRequest {
         uint64_t requestId { 0 };
