stagepostd: Let only the choice of owners depend on announcements

Cause: a daemon that the registry drops becomes its own reader.

Relays and readers go by the registry alone again, and an arrival ends when the registry has listed the daemon.

--- a/Libraries/LibMembership/FleetRoster.cpp
+++ b/Libraries/LibMembership/FleetRoster.cpp
@@ -5,8 +5,11 @@
 void FleetRoster::setRegistered(std::vector<FleetPeer> const& registered)
 {
     m_registered.clear();
-    for (auto const& peer : registered)
+    for (auto const& peer : registered) {
         m_registered[peer.id] = peer.hall;
+        // From now on, the registry knows of the arrival, and of a later removal.
+        m_arrivals.erase(peer.id);
+    }
 }
 
 void FleetRoster::arrived(FleetPeer peer, Instant now)
--- a/Libraries/LibMembership/FleetRoster.h
+++ b/Libraries/LibMembership/FleetRoster.h
@@ -9,7 +9,7 @@
 
 // The other daemons of the fleet: those that the registry lists, corrected by what daemons announce
 // themselves. Daemons read the registry at different times, seconds after a change, and would
-// disagree meanwhile on who relays loads and who owns an upstream.
+// disagree meanwhile on who owns an upstream.
 class FleetRoster {
 public:
     // By then, every daemon has read the registry.
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -200,8 +200,14 @@
     }
     m_roster.setRegistered(list);
     std::erase_if(m_unregisteredPeers, [this](auto const& peer) { return m_peers.contains(peer.first); });
-    if (m_stateExchange)
-        applyRoster();
+    if (!m_stateExchange)
+        return;
+    m_stateExchange->setPeers(list);
+    m_crashExchange->setPeers(list, m_loop.now());
+    m_holderExchange->setPeers(list, m_stateExchange->relays());
+    applyRoster();
+    m_metrics.setGauge("stagepost_daemons", static_cast<double>(m_stateExchange->peerCount() + 1));
+    logEvent(LogLevel::Info, "peers", { { "others", m_stateExchange->peerCount() }, { "relay", m_stateExchange->isRelay() ? 1 : 0 } });
 }
 
 void GatewayPeers::updateRoster(std::function<void()> const& change)
@@ -212,15 +218,11 @@
         applyRoster();
 }
 
+// Only the choice of owners depends on the announcements. Who reads the store must follow the
+// registry, which a restored store may have lost.
 void GatewayPeers::applyRoster()
 {
-    auto list = m_roster.peers();
-    m_stateExchange->setPeers(list);
-    m_crashExchange->setPeers(list, m_loop.now());
-    m_holderExchange->setPeers(list, m_stateExchange->relays());
-    m_permitExchange->setPeers(std::move(list), m_stateExchange->relays(), m_loop.now());
-    m_metrics.setGauge("stagepost_daemons", static_cast<double>(m_stateExchange->peerCount() + 1));
-    logEvent(LogLevel::Info, "peers", { { "others", m_stateExchange->peerCount() }, { "relay", m_stateExchange->isRelay() ? 1 : 0 } });
+    m_permitExchange->setPeers(m_roster.peers(), m_stateExchange->relays(), m_loop.now());
 }
 
 void GatewayPeers::announceLeaving()
--- a/Tests/LibMembership/TestFleetRoster.cpp
+++ b/Tests/LibMembership/TestFleetRoster.cpp
@@ -58,6 +58,16 @@
     BOOST_TEST(contains(roster, 2));
 }
 
+// A store that was restored from a copy may list no daemon any more, and each has to read it then.
+BOOST_AUTO_TEST_CASE(ADaemonThatTheRegistryHasListedAndDropsIsGone)
+{
+    auto roster = rosterOfTwo();
+    roster.arrived({ VMId(3), hall }, at(0));
+    roster.setRegistered({ { VMId(1), hall }, { VMId(2), hall }, { VMId(3), hall } });
+    roster.setRegistered({});
+    BOOST_TEST(roster.peers().empty());
+}
+
 BOOST_AUTO_TEST_CASE(TheRegistryDecidesOnceAnnouncementsExpire)
 {
     auto roster = rosterOfTwo();
