LibRouting: Look up the preceding owners once for each permit

A permit request computed this daemon's rank among its hall's daemons twice, once to decide and once to find the owners that it replaces, by two copies of the rank.

--- a/Libraries/LibMembership/FleetRoster.h
+++ b/Libraries/LibMembership/FleetRoster.h
@@ -24,7 +24,6 @@
 
     // In the order of their ids.
     std::vector<FleetPeer> peers() const;
-    size_t registeredCount() const { return m_registered.size(); }
 
 private:
     struct Arrival {
--- a/Libraries/LibRouting/PermitExchange.cpp
+++ b/Libraries/LibRouting/PermitExchange.cpp
@@ -46,19 +46,23 @@
     return owners;
 }
 
-// Returns how many daemons of this hall precede this one in the upstream's rendezvous order.
-size_t PermitExchange::precedingOwnerCount(UpstreamId upstream) const
+// Returns the daemons of this hall that precede this one in the upstream's rendezvous order.
+std::vector<VMId> PermitExchange::precedingOwners(UpstreamId upstream) const
 {
     auto const rankOf = [&](std::pair<VMId, bool> const& owner) { return std::pair(!owner.second, mixHashes(upstream.value(), owner.first.value())); };
     auto const self = rankOf({ m_self.id, m_relays.contains(m_self.id) });
-    return static_cast<size_t>(std::count_if(m_ownerCandidates.begin(), m_ownerCandidates.end(), [&](auto const& owner) { return rankOf(owner) > self; }));
+    std::vector<VMId> preceding;
+    for (auto const& owner : m_ownerCandidates) {
+        if (rankOf(owner) > self)
+            preceding.push_back(owner.first);
+    }
+    return preceding;
 }
 
 // While the hall's daemons change, the others may disagree on the owner. A daemon that has just
 // started may not know of any other.
-OwnerStatus PermitExchange::ownerStatusFor(UpstreamId upstream, Instant now) const
+OwnerStatus PermitExchange::ownerStatus(size_t precedingCount, Instant now) const
 {
-    auto const precedingCount = precedingOwnerCount(upstream);
     bool const isFirstChoice = precedingCount == 0;
     if (!m_startedAt || now - *m_startedAt < m_bounds.ownershipSettleTime || precedingCount > 1)
         return { OwnerRank::Other, isFirstChoice };
@@ -68,8 +72,9 @@
 
 PermitDecision PermitExchange::decide(VMId from, PermitRequest const& request, Instant now)
 {
-    askPrecedingOwners(request.upstream, now);
-    auto const decision = m_inFlightCounter.requestPermit(from, request, ownerStatusFor(request.upstream, now), now);
+    auto const preceding = precedingOwners(request.upstream);
+    askPrecedingOwners(preceding, now);
+    auto const decision = m_inFlightCounter.requestPermit(from, request, ownerStatus(preceding.size(), now), now);
     m_deniedColdRequests += decision.isExhausted ? 1 : 0;
     return decision;
 }
@@ -332,18 +337,14 @@
 
 // This daemon is asked for permits although others precede it as owners of the upstream, so a daemon
 // has got no response from them.
-void PermitExchange::askPrecedingOwners(UpstreamId upstream, Instant now)
+void PermitExchange::askPrecedingOwners(std::vector<VMId> const& preceding, Instant now)
 {
-    auto const rankOf = [&](std::pair<VMId, bool> const& owner) { return std::pair(!owner.second, mixHashes(upstream.value(), owner.first.value())); };
-    auto const self = rankOf({ m_self.id, m_relays.contains(m_self.id) });
-    for (auto const& owner : m_ownerCandidates) {
-        if (rankOf(owner) <= self)
-            continue;
-        auto const [entry, isNew] = m_replacedOwners.try_emplace(owner.first);
+    for (auto const owner : preceding) {
+        auto const [entry, isNew] = m_replacedOwners.try_emplace(owner);
         if (!isNew && now - entry->second.askedAt < m_bounds.suspectDuration)
             continue;
         entry->second = { now, true };
-        m_hooks.send(owner.first, encodePermitMessage(OwnerReplacement { owner.first, false }));
+        m_hooks.send(owner, encodePermitMessage(OwnerReplacement { owner, false }));
     }
 }
 
--- a/Libraries/LibRouting/PermitExchange.h
+++ b/Libraries/LibRouting/PermitExchange.h
@@ -173,8 +173,8 @@
 
     std::optional<VMId> ownerOf(UpstreamId, HallId, Instant now) const;
     std::optional<VMId> firstOwnerOf(UpstreamId, HallId, std::function<bool(VMId)> const& isExcluded) const;
-    OwnerStatus ownerStatusFor(UpstreamId, Instant now) const;
-    size_t precedingOwnerCount(UpstreamId) const;
+    OwnerStatus ownerStatus(size_t precedingCount, Instant now) const;
+    std::vector<VMId> precedingOwners(UpstreamId) const;
     std::vector<std::pair<VMId, bool>> ownerCandidates() const;
     PermitDecision decide(VMId from, PermitRequest const&, Instant now);
     Microseconds responseTimeout() const;
@@ -196,7 +196,7 @@
     void reportAllTo(VMId owner, Instant now);
     void broadcast(PermitMessage const&);
     void announceAvailable(Instant now);
-    void askPrecedingOwners(UpstreamId, Instant now);
+    void askPrecedingOwners(std::vector<VMId> const& preceding, Instant now);
     void confirmReplacements(Instant now);
     void handleAvailable(FleetPeer from, Instant now);
     void handleLeaving(VMId from, Instant now);
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -9,7 +9,6 @@
 #include <LibRouting/CrashExchange.h>
 #include <LibRouting/HolderExchange.h>
 #include <LibRouting/PermitExchange.h>
-#include <algorithm>
 #include <memory>
 #include <stagepostd/GatewayState.h>
 #include <stagepostd/PeerChannel.h>
@@ -74,7 +73,7 @@
     bool isRelay() const { return !m_stateExchange || m_stateExchange->isRelay(); }
     bool needsRegistry(Instant now) const { return !m_stateExchange || m_stateExchange->needsRegistry(now); }
     // This daemon's share of the fleet, from 0 to 1; 0 before it has joined.
-    double share() const { return m_stateExchange ? 1.0 / static_cast<double>(std::max(m_roster.registeredCount(), m_stateExchange->peerCount()) + 1) : 0; }
+    double share() const { return m_stateExchange ? 1.0 / static_cast<double>(m_stateExchange->peerCount() + 1) : 0; }
     void stateConfirmed(Instant now);
     void stateChanged(Instant now);
     // Sends this daemon's crash evidence about the request to others.
