--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -373,6 +373,7 @@
     switch (activity) {
     case UpstreamActivity::Connected:
         silence.connected(upstream, now);
+        m_services.metrics.count("stagepost_upstream_connects_total", "outcome=\"connected\"");
         break;
     case UpstreamActivity::ResponseStarted:
         silence.answerStarted(upstream, now - m_lastActivityAt, now);
@@ -445,8 +446,10 @@
             return SendOutcome::ConnectFailed;
         return result.verdict == Verdict::Ran ? SendOutcome::Failed : SendOutcome::NoUsableAnswer;
     }();
-    if (outcome == SendOutcome::ConnectFailed)
+    if (outcome == SendOutcome::ConnectFailed) {
         m_services.serviceTable.silence().connectFailed(upstream);
+        m_services.metrics.count("stagepost_upstream_connects_total", "outcome=\"failed\"");
+    }
     // The time to the first byte measures the upstream. The total time of a stream measures only the
     // length of the answer.
     m_service.placement.finished(upstream, outcome, result.timeToResponseHeader, now - m_sentAt, now);
