--- a/Tests/Processes/platform_stand_ins.py
+++ b/Tests/Processes/platform_stand_ins.py
@@ -275,6 +275,8 @@
     is reset).
     """
 
+    ADDRESS = "127.0.0.1"
+
     def __init__(self, instance, service, hall="north", slots=8, version="v1"):
         self.instance, self.service, self.hall, self.slots, self.version = instance, service, hall, slots, version
         self.fault = None
@@ -292,8 +294,8 @@
         self.cancelled = 0
         self.connections_open = 0
         self.released = threading.Event()
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.endpoint = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.listener = socket.create_server((self.ADDRESS, 0), backlog=128)
+        self.endpoint = "%s:%d" % self.listener.getsockname()
         threading.Thread(target=self.accept, daemon=True).start()
 
     def record(self, **fields):
