--- a/Libraries/LibProxy/Detail/Session.cpp
+++ b/Libraries/LibProxy/Detail/Session.cpp
@@ -136,7 +136,7 @@
         auto* forward = std::get_if<SessionExchange::ForwardAction>(&action);
         if (!forward)
             co_return false;
-        Forwarder forwarder(m_server->context, m_server->upstreams, *exchange, { m_stream, version >= 11, keepAlive, isHead }, forward->plan);
+        Forwarder forwarder(m_server->context, *m_server->upstreams, *exchange, { m_stream, version >= 11, keepAlive, isHead }, forward->plan);
         auto const result = co_await forwarder.run();
         forward->callback(result);
         bool const canContinue = result.failure && forward->plan.progress;
--- a/Libraries/LibProxy/Detail/Session.h
+++ b/Libraries/LibProxy/Detail/Session.h
@@ -26,7 +26,7 @@
     ExchangeHandler handler;
     RefusalHook refusalHook;
     Tcp::acceptor acceptor;
-    UpstreamConnections upstreams;
+    std::shared_ptr<UpstreamConnections> upstreams { std::make_shared<UpstreamConnections>() };
     std::set<Session*> sessions;
     size_t openExchanges { 0 };
     bool closeAfterResponse { false };
--- a/Libraries/LibProxy/ForwardResult.h
+++ b/Libraries/LibProxy/ForwardResult.h
@@ -30,6 +30,11 @@
     bool reusedConnection { false };
     // Whether the forward was cancelled at the plan's deadline.
     bool deadlineReached { false };
+
+    // Whether nothing of the request was sent.
+    bool isUnconnected() const { return failure && verdict == Verdict::NotRun && failure != RefusalReason::OverCapacity; }
+    // Whether it failed because the client has disconnected or does not read the response.
+    bool isCallerLost() const { return failure == RefusalReason::CallerGone || failure == RefusalReason::SlowCaller; }
 };
 
 }
--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -22,12 +22,17 @@
     stopListening();
     for (auto* session : m_state->sessions)
         session->close();
-    m_state->upstreams.clear();
+    m_state->upstreams->clear();
+}
+
+void HttpServer::shareUpstreamConnections(HttpServer const& other)
+{
+    m_state->upstreams = other.m_state->upstreams;
 }
 
 void HttpServer::dropIdleConnections(Endpoint const& upstream)
 {
-    m_state->upstreams.drop(upstream);
+    m_state->upstreams->drop(upstream);
 }
 
 Result<Endpoint> HttpServer::listen(Endpoint const& endpoint)
--- a/Libraries/LibProxy/HttpServer.h
+++ b/Libraries/LibProxy/HttpServer.h
@@ -42,6 +42,9 @@
     // Accepts no more connections and closes the idle ones.
     void stopListening();
 
+    // Uses the other server's idle connections to upstreams from now on, and returns connections to it.
+    void shareUpstreamConnections(HttpServer const&);
+
     // Closes the idle connections to an upstream. Used when another process has taken over
     // the address.
     void dropIdleConnections(Endpoint const& upstream);
--- a/Libraries/LibRouting/RequestAttempts.cpp
+++ b/Libraries/LibRouting/RequestAttempts.cpp
@@ -52,11 +52,16 @@
     return m_limits.isRepeatable && m_sends < m_limits.maxSends && upstreams > m_failed.size() + 1 && m_budget.mayRetry(now);
 }
 
+Milliseconds RequestAttempts::connectTimeout() const
+{
+    return std::clamp<Milliseconds>(m_limits.objective / connectTimeoutDivisor, minConnectTimeout, maxConnectTimeout);
+}
+
 // The last attempt gets all the remaining time.
 AttemptTimeouts RequestAttempts::timeouts(size_t upstreams, WaitBounds const& usual, Instant now) const
 {
     AttemptTimeouts result;
-    result.connect = std::clamp<Milliseconds>(m_limits.objective / connectTimeoutDivisor, minConnectTimeout, maxConnectTimeout);
+    result.connect = connectTimeout();
     result.firstByte = timeLeft(now);
     result.betweenParts = timeLeft(now);
     if (!couldSendAgain(upstreams, now))
--- a/Libraries/LibRouting/RequestAttempts.h
+++ b/Libraries/LibRouting/RequestAttempts.h
@@ -69,6 +69,8 @@
     bool couldSendAgain(size_t upstreams, Instant now) const;
     // Returns the timeouts of the current attempt.
     AttemptTimeouts timeouts(size_t upstreams, WaitBounds const&, Instant now) const;
+    // Returns how long to wait for a connection.
+    Milliseconds connectTimeout() const;
     // Whether the request must use a new connection. A reused one may already be closed or
     // broken, which would leave it unclear whether the request was executed.
     bool needsFreshConnection(ServicePlacement::Choice const&) const;
@@ -77,6 +79,8 @@
     // That counts against the budget, unless no connection was established.
     bool recordFailure(UpstreamId, FailedAttempt const&, Instant now);
     void recordResponse() { m_verdict = Verdict::Ran; }
+    // Records how another daemon's attempts at the request have ended.
+    void recordDetour(Verdict verdict) { m_verdict = combine(m_verdict, verdict); }
 
     // Returns the delay after which the caller should retry. It is short enough for the
     // second response to still meet the objective.
--- a/Libraries/LibRouting/Routing.h
+++ b/Libraries/LibRouting/Routing.h
@@ -15,12 +15,15 @@
 #include <LibRouting/ContextTable.h>
 #include <LibRouting/CrashExchange.h>
 #include <LibRouting/CrashSuspects.h>
+#include <LibRouting/DetourExchange.h>
+#include <LibRouting/DetourMessage.h>
 #include <LibRouting/FairQueue.h>
 #include <LibRouting/HolderExchange.h>
 #include <LibRouting/HolderMessage.h>
 #include <LibRouting/InFlightCounter.h>
 #include <LibRouting/LeaseClient.h>
 #include <LibRouting/LeaseServer.h>
+#include <LibRouting/LinkFailureDetector.h>
 #include <LibRouting/LoadEstimate.h>
 #include <LibRouting/LoadExchange.h>
 #include <LibRouting/OrganisationLimiter.h>
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -94,6 +94,14 @@
         found->second.coldUntil = until;
 }
 
+void ServicePlacement::forgetUnreachable()
+{
+    for (auto& [id, upstream] : m_upstreams) {
+        if (!upstream.health.isClosed())
+            upstream.health = {};
+    }
+}
+
 bool ServicePlacement::isCold(Upstream const& upstream, Instant now) const
 {
     return m_coldStartLimit.exists() && upstream.coldUntil && now < *upstream.coldUntil;
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -78,6 +78,9 @@
     void setColdUntil(UpstreamId, std::optional<Instant> until);
     // Treats the upstream as just started.
     void markStarted(UpstreamId id, Instant now) { setColdUntil(id, now + m_coldStartLimit.duration); }
+    // This daemon could not reach any upstream for a while, which was no fault of theirs: upstreams
+    // that took no requests for want of answers are tried again.
+    void forgetUnreachable();
     // Whether any upstream is cold; cold ones receive only requests granted by an owner.
     bool hasCold(Instant now) const { return coldCount(now) > 0; }
     size_t coldCount(Instant now) const;
--- a/Libraries/LibRouting/SilenceDetector.cpp
+++ b/Libraries/LibRouting/SilenceDetector.cpp
@@ -83,6 +83,22 @@
         state.waitingSince += duration;
 }
 
+void SilenceDetector::forgetSilence(Instant now)
+{
+    std::erase_if(m_upstreams, [](auto const& entry) { return !entry.second.open; });
+    for (auto& [upstream, state] : m_upstreams) {
+        state.hasConnectFailed = false;
+        state.waitingSince = now;
+    }
+}
+
+bool SilenceDetector::areAllSilent(Microseconds limit, Instant now) const
+{
+    auto const bound = std::min(limit, timeout());
+    bool const isAnyOverdue = std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](auto const& entry) { return entry.second.open && now - entry.second.waitingSince > bound; });
+    return isAnyOverdue && std::none_of(m_halls.begin(), m_halls.end(), [&](auto const& hall) { return now - hall.second.lastActivityAt <= bound; });
+}
+
 void SilenceDetector::connectFailed(UpstreamId upstream)
 {
     if (auto const found = m_upstreams.find(upstream); found != m_upstreams.end())
--- a/Libraries/LibRouting/SilenceDetector.h
+++ b/Libraries/LibRouting/SilenceDetector.h
@@ -69,6 +69,8 @@
     void ended(UpstreamId, Instant now);
     // This daemon was suspended or stalled for the duration, which doesn't count as waiting time.
     void excludePause(Microseconds duration);
+    // This daemon's own links were lost and are back, so the silence was not the upstreams' own.
+    void forgetSilence(Instant now);
     // The upstream has been removed from the fleet.
     void remove(UpstreamId upstream) { m_upstreams.erase(upstream); }
 
@@ -76,6 +78,9 @@
     Reach reach(HallId, Instant now) const;
     // Returns whether an answer of this upstream is overdue, or connecting to it failed.
     bool isSilent(UpstreamId, Instant now) const;
+    // Returns whether an answer has been due for longer than the timeout or that limit, and no
+    // upstream of any hall has sent anything in that time.
+    bool areAllSilent(Microseconds limit, Instant now) const;
     // The time without any data from an upstream after which it is silent.
     Microseconds timeout() const;
 
--- /dev/null
+++ b/Services/stagepostd/DetourClient.cpp
@@ -0,0 +1,138 @@
+#include <stagepostd/DetourClient.h>
+
+#include <charconv>
+#include <stagepostd/DetourServer.h>
+
+namespace Stagepost {
+
+namespace {
+
+    // Each refusal costs a round trip between daemons.
+    constexpr size_t maxDaemonsTried = 3;
+    constexpr size_t maxHeldAnswerBytes = 64u << 10;
+
+    std::optional<Milliseconds> parseRetryAfter(std::string_view seconds)
+    {
+        double value = 0;
+        auto const [end, failure] = std::from_chars(seconds.data(), seconds.data() + seconds.size(), value);
+        if (failure != std::errc() || seconds.empty())
+            return {};
+        return std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(value));
+    }
+
+    Verdict verdictFromName(std::string_view name)
+    {
+        return name == nameOf(Verdict::NotRun) ? Verdict::NotRun : name == nameOf(Verdict::Ran) ? Verdict::Ran
+                                                                                                : Verdict::MayHaveRun;
+    }
+
+}
+
+DetourClient::DetourClient(EventLoop& loop, Metrics& metrics, GatewayDialect const& dialect, LinkMonitor const& links, GatewayPeers& peers)
+    : m_loop(loop)
+    , m_metrics(metrics)
+    , m_dialect(dialect)
+    , m_links(links)
+    , m_peers(peers)
+{
+}
+
+void DetourClient::start(Request request)
+{
+    chooseDaemon(std::make_shared<Detour>(Detour { std::move(request), {}, {}, false }));
+}
+
+void DetourClient::chooseDaemon(std::shared_ptr<Detour> const& detour)
+{
+    m_peers.chooseDetour(detour->tried, [this, detour](std::optional<VMId> chosen) {
+        if (!detour->request.maySend())
+            return;
+        if (chosen && m_peers.endpointOf(*chosen))
+            send(detour, *chosen);
+        else
+            finish(*detour, detour->tried.empty() ? "no-daemon" : "refused");
+    });
+}
+
+ForwardPlan DetourClient::makePlan(Detour& detour, Endpoint const& endpoint)
+{
+    auto const& request = detour.request;
+    auto const& attempts = request.attempts;
+    auto const now = m_loop.now();
+    auto const lastEvent = request.progress && request.progress->lastForwardedId ? request.progress->lastForwardedId : request.routed.call.lastEvent;
+    auto const limits = attemptLimitsOf(request.routed);
+    DetourTerms terms;
+    terms.settingsVersion = request.routed.table->version();
+    terms.sendsLeft = limits.maxSends - std::min(limits.maxSends, attempts.sends());
+    terms.isCounted = request.isCounted;
+    terms.service = request.routed.service;
+    terms.id = request.routed.call.id;
+    ForwardPlan plan;
+    plan.upstream = endpoint;
+    plan.request = m_dialect.writeDetour(request.exchange->request(), attempts.timeLeft(now), lastEvent);
+    plan.request.headers.set(DetourServer::termsHeader, m_peers.signDetour(terms));
+    plan.requestIdField = m_dialect.idField;
+    plan.requestId = terms.id;
+    plan.preserveHost = true;
+    // The other daemon may already have closed an idle connection, which would leave it unclear
+    // whether the request was run.
+    plan.requireNewConnection = !limits.isRepeatable;
+    plan.connectTimeout = attempts.connectTimeout();
+    plan.responseHeaderTimeout = attempts.timeLeft(now);
+    plan.idleTimeout = attempts.timeLeft(now);
+    plan.maxBufferedBytes = maxHeldAnswerBytes;
+    plan.progress = request.progress;
+    plan.sendErrorEvent = false;
+    plan.deadline = attempts.deadline();
+    return plan;
+}
+
+std::optional<ResponseRejection> DetourClient::checkResponseHeader(Detour& detour, unsigned status, HttpFields const& headers) const
+{
+    auto const& progress = detour.request.progress;
+    if (!headers.contains(DetourServer::refusalHeader)) {
+        if (progress && progress->isHeaderSent && status != 200)
+            return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::MayHaveRun, "the stream could not be taken up" };
+        return {};
+    }
+    auto const verdict = verdictFromName(headers.find("Stagepost-Verdict"));
+    auto const reason = std::string(headers.find("Stagepost-Reason"));
+    // Reasons that this daemon would answer with another status than 5xx do not concern the caller,
+    // whose request this daemon has accepted.
+    detour.mayTryElsewhere = headers.find(DetourServer::refusalHeader) == DetourServer::refusedHere;
+    detour.outcome.refusal = Refusal { verdict == Verdict::NotRun ? RefusalReason::NoUpstream : RefusalReason::UpstreamBroken, verdict, "the other daemon answered " + reason, parseRetryAfter(headers.find("Retry-After")) };
+    return ResponseRejection { RefusalReason::OverCapacity, verdict, detour.outcome.refusal->detail };
+}
+
+void DetourClient::send(std::shared_ptr<Detour> const& detour, VMId daemon)
+{
+    detour->tried.push_back(daemon);
+    detour->outcome.daemon = m_peers.nameOf(daemon);
+    detour->outcome.refusal.reset();
+    auto plan = makePlan(*detour, *m_peers.endpointOf(daemon));
+    plan.responseFilter = [this, detour](unsigned status, HttpFields const& headers) { return checkResponseHeader(*detour, status, headers); };
+    m_peers.detourStarted(daemon);
+    detour->request.exchange->forward(std::move(plan), [this, detour, daemon](ForwardResult const& result) { finishSend(detour, daemon, result); });
+}
+
+void DetourClient::finishSend(std::shared_ptr<Detour> const& detour, VMId daemon, ForwardResult const& result)
+{
+    bool const isFailure = result.failure && !result.isCallerLost();
+    bool const isDaemonAtFault = isFailure && (!detour->outcome.refusal || detour->mayTryElsewhere);
+    m_peers.detourEnded(daemon, isDaemonAtFault);
+    detour->outcome.result = result;
+    if (isDaemonAtFault && result.verdict == Verdict::NotRun && !result.deadlineReached && detour->tried.size() < maxDaemonsTried) {
+        chooseDaemon(detour);
+        return;
+    }
+    finish(*detour, !result.failure ? "answered" : isFailure ? "failed"
+                                                             : "caller-gone");
+}
+
+void DetourClient::finish(Detour& detour, std::string_view outcome)
+{
+    m_metrics.count("stagepost_detours_total", "outcome=\"" + std::string(outcome) + '"');
+    detour.request.ended(detour.outcome);
+}
+
+}
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -13,10 +13,9 @@
     constexpr Milliseconds drainReserve { 300 };
     // Short compared with the bounds for expired records and for readiness, which are seconds.
     constexpr Milliseconds tickInterval { 100 };
-    // Retry delay for callers if only the platform can resolve the refusal.
-    constexpr Milliseconds platformRetryDelay { 250 };
     // Connections usually succeed or are refused within a few milliseconds, or not at all.
     constexpr Milliseconds portTimeout { 500 };
+    constexpr Milliseconds linkProbeTimeout { 100 };
     constexpr unsigned statusUnready = 503;
     // For this long after a failed read, the whole fleet may be behind the store.
     constexpr Seconds storeFailureMemory { 4 };
@@ -58,16 +57,21 @@
     , m_peers(loop, m_metrics, m_options.exchange, m_suspects, m_random, peerHooks())
     , m_rollouts(makeRollouts(std::move(rolloutRecords)))
     , m_portProbe(loop)
+    , m_links(m_options.maxDetoured > 0, loop, m_metrics, m_serviceTable, linkHooks())
+    , m_detourServer(m_options.maxDetoured, m_dialect.idField, m_metrics, detourHooks())
+    , m_detourClient(loop, m_metrics, m_dialect, m_links, m_peers)
+    , m_router(m_dialect, { [this] { return m_table; }, [this] { return areKeysFresh(); }, [this] { return m_loop.now(); }, m_random })
     , m_crashDetector(loop, m_metrics, m_suspects, crashDetectorHooks())
-    , m_services { loop, m_metrics, m_serviceTable, m_crashDetector, m_peers, m_dialect, [this] { return areKeysFresh(); }, [this] { return needsRevalidation(); }, [this] { return settingsAge(); }, [this] { return m_peers.share(); }, [this](FingerprintInput const& input) { return m_fingerprintKey.fingerprintOf(input); }, m_rollouts.get() }
+    , m_services { loop, m_metrics, m_serviceTable, m_crashDetector, m_peers, m_links, m_detourClient, m_dialect, [this] { return areKeysFresh(); }, [this] { return needsRevalidation(); }, [this] { return settingsAge(); }, [this] { return m_peers.share(); }, [this](FingerprintInput const& input) { return m_fingerprintKey.fingerprintOf(input); }, m_rollouts.get() }
     , m_server(
           loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handle(exchange); }, [this](Refusal const& refusal) { return refuse(refusal); })
     , m_readyServer(
           loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handleReady(*exchange); }, [this](Refusal const& refusal) { return refuse(refusal); })
     , m_ticker(loop)
     , m_stallDetector(m_metrics, { tickInterval, m_options.directory.outageThreshold })
-    , m_drain(loop, m_server)
+    , m_drain(loop, m_server, [this] { return m_detourServer.load(); })
 {
+    m_peers.shareUpstreamConnections(m_server);
 }
 
 GatewayPeers::Hooks Gateway::peerHooks()
@@ -90,6 +94,9 @@
     hooks.needsStateFrom = [this](StateSummary const& other) { return needsStateFrom(other); };
     hooks.mergeState = [this](GatewayState const& state, std::optional<Instant> provenAt) { mergeState(state, provenAt); };
     hooks.forecast = [this](UpstreamId upstream) { return forecast(upstream); };
+    hooks.takesDetours = [this] { return m_detourServer.isAvailable(); };
+    hooks.detourLoad = [this] { return m_detourServer.load(); };
+    hooks.handleDetour = [this](auto exchange, auto const& terms) { m_detourServer.serve(std::move(exchange), terms); };
     if (m_options.rollouts.isEnabled())
         addRolloutHooks(hooks);
     return hooks;
@@ -129,6 +136,24 @@
     return hooks;
 }
 
+LinkMonitor::Hooks Gateway::linkHooks()
+{
+    LinkMonitor::Hooks hooks;
+    hooks.probe = [this](Endpoint const& endpoint, PortProbe::Callback callback) { m_portProbe.probe(endpoint, linkProbeTimeout, std::move(callback)); };
+    hooks.stateChanged = [this](LinkState state) { m_peers.setSearchingDetours(state != LinkState::Up); };
+    hooks.random = m_random;
+    return hooks;
+}
+
+DetourServer::Hooks Gateway::detourHooks()
+{
+    DetourServer::Hooks hooks;
+    hooks.canServe = [this] { return isReady() && !m_links.isLost(); };
+    hooks.settingsVersion = [this] { return settingsVersion(); };
+    hooks.handle = [this](auto const& exchange, auto const& terms) { handle(exchange, terms); };
+    return hooks;
+}
+
 void Gateway::applyUpstream(UpstreamChange const& change)
 {
     auto const before = m_serviceTable.currentId(change.instance);
@@ -318,6 +343,7 @@
     bool const isAsReceived = loaded.update && loaded.update->version == m_table->version();
     m_settingsHistory.add(m_table->version(), loaded.text, isAsReceived ? loaded.update : std::nullopt);
     m_server.setOptions(serverOptions(m_table->limits()));
+    m_peers.setCallerLimits(serverOptions(m_table->limits()));
     applyColdStartLimits();
     m_metrics.setGauge("stagepost_settings_version", static_cast<double>(m_table->version()));
     logEvent(LogLevel::Info, "settings-in-force", { { "version", m_table->version() }, { "routes", m_table->routeCount() }, { "source", loaded.update ? "told" : "store" }, { "took_ms", (m_loop.now() - loaded.startedAt).count() / 1000 }, { "longest_turn_us", loaded.longestSlice.count() } });
@@ -544,6 +570,7 @@
     m_directory.tick(m_loop.now());
     m_emptiedHalls.tick(m_loop.now());
     logUpstreamsIfChanged("not-written-again", upstreamsBefore);
+    m_links.tick();
     m_crashDetector.tick();
     if (m_rollouts)
         m_rollouts->tick();
@@ -589,6 +616,7 @@
 {
     setServiceGauges();
     m_metrics.setGauge("stagepost_open_requests", static_cast<double>(m_server.openExchanges()));
+    m_metrics.setGauge("stagepost_detoured_open", static_cast<double>(m_detourServer.load()));
     m_metrics.setGauge("stagepost_upstreams", static_cast<double>(m_serviceTable.upstreamCount()));
     m_metrics.setGauge("stagepost_suspect_requests", static_cast<double>(m_suspects.suspects().size()));
     m_metrics.setGauge("stagepost_control_bytes_sent", static_cast<double>(m_peers.bytesSent()));
@@ -617,12 +645,12 @@
         exchange.respond(makeTextResponse(404, "only /readyz and /metrics are here\n"));
 }
 
-void Gateway::handle(std::shared_ptr<Exchange> const& exchange)
+void Gateway::handle(std::shared_ptr<Exchange> const& exchange, std::optional<DetourTerms> const& detour)
 {
     // State can also become too old between two ticks.
     handleStall(m_stallDetector.check(m_loop.now(), m_server.openExchanges()));
     updateReadiness();
-    auto routed = route(exchange->request());
+    auto routed = m_router.route(exchange->request(), detour);
     if (auto const* refusal = std::get_if<Refusal>(&routed)) {
         logRequest(
             { { "id", m_dialect.readCall(exchange->request()).id }, { "outcome", "refused" }, { "reason", nameOf(refusal->reason) },
@@ -633,60 +661,6 @@
     std::make_shared<GatewayRequestHandler>(m_services, exchange, std::move(std::get<RoutedRequest>(routed)))->start();
 }
 
-std::variant<RoutedRequest, Refusal> Gateway::route(HttpRequest const& call) const
-{
-    if (!m_table)
-        return Refusal { RefusalReason::NoSettings, Verdict::NotRun, "this daemon has no configuration yet", platformRetryDelay };
-    RoutedRequest request;
-    request.table = m_table;
-    request.receivedAt = m_loop.now();
-    request.route = m_table->find(call.headers.find("Host"), call.path());
-    if (!request.route)
-        return Refusal { RefusalReason::NoSuchRoute, Verdict::NotRun, "no route serves this host and path", {} };
-    request.call = m_dialect.readCall(call);
-    if (request.call.id.empty())
-        return Refusal { RefusalReason::BadRequest, Verdict::NotRun, "the request has no id", {} };
-    request.priority = request.route->priority;
-    request.needsKey = m_table->needsKeys() && !request.route->isPublic;
-    if (request.needsKey) {
-        if (auto refusal = authorise(request))
-            return std::move(*refusal);
-    }
-    request.service = serviceOf(*request.route, request.call.prompt);
-    return request;
-}
-
-std::optional<Refusal> Gateway::authorise(RoutedRequest& request) const
-{
-    auto const* organisation = m_table->organisationOf(request.call.key);
-    if (!areKeysFresh())
-        return Refusal { RefusalReason::SettingsTooOld, Verdict::NotRun, "the configuration is too old to tell whether the key is good", platformRetryDelay };
-    if (!organisation)
-        return Refusal { RefusalReason::UnknownKey, Verdict::NotRun, "no organisation has this key", {} };
-    request.organisation = organisation->name;
-    request.priority = organisation->priority.value_or(request.priority);
-    return {};
-}
-
-// Requests with the same context go to the same service, so that a route that is split between
-// services does not move contexts between them.
-std::string Gateway::serviceOf(Route const& route, PromptChain const& prompt) const
-{
-    uint64_t sum = 0;
-    for (auto const& share : route.shares)
-        sum += share.weight;
-    if (!sum)
-        return route.shares.empty() ? std::string() : route.shares.front().service;
-    auto const context = prompt.sharedKey();
-    auto point = (context ? mixHashes(*context, hashOf(route.name)) : m_random()) % sum;
-    for (auto const& share : route.shares) {
-        if (point < share.weight)
-            return share.service;
-        point -= share.weight;
-    }
-    return route.shares.back().service;
-}
-
 void Gateway::drain(std::function<void()> drained)
 {
     if (m_isDraining)
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -5,14 +5,16 @@
 #include <LibMembership/UpstreamDirectory.h>
 #include <LibProxy/HttpServer.h>
 #include <LibProxy/Timer.h>
+#include <stagepostd/DetourServer.h>
 #include <stagepostd/GatewayOptions.h>
 #include <stagepostd/GatewayPeers.h>
 #include <stagepostd/GatewayRequestHandler.h>
+#include <stagepostd/GatewayServices.h>
+#include <stagepostd/RequestRouter.h>
 #include <stagepostd/RolloutController.h>
 #include <stagepostd/ServerDrain.h>
 #include <stagepostd/SettingsLoader.h>
 #include <stagepostd/StallDetector.h>
-#include <variant>
 
 namespace Stagepost {
 
@@ -95,11 +97,11 @@
     void applyUpstream(UpstreamChange const&);
     void applyHallOrder(HallOrder const&);
     void mergeEmptiedHalls(EmptiedHallsState const&, std::optional<Instant> provenAt);
-    void handle(std::shared_ptr<Exchange> const&);
+    LinkMonitor::Hooks linkHooks();
+    DetourServer::Hooks detourHooks();
+    // The terms are set for a request that another daemon has passed on.
+    void handle(std::shared_ptr<Exchange> const&, std::optional<DetourTerms> const& = {});
     void handleReady(Exchange&);
-    std::variant<RoutedRequest, Refusal> route(HttpRequest const&) const;
-    std::optional<Refusal> authorise(RoutedRequest&) const;
-    std::string serviceOf(Route const&, PromptChain const&) const;
     HttpResponse refuse(Refusal const&);
     HttpResponse renderMetrics();
     void setServiceGauges();
@@ -164,6 +166,10 @@
     // Null if roll-outs are switched off.
     std::unique_ptr<RolloutController> m_rollouts;
     PortProbe m_portProbe;
+    LinkMonitor m_links;
+    DetourServer m_detourServer;
+    DetourClient m_detourClient;
+    RequestRouter m_router;
     CrashDetector m_crashDetector;
     GatewayServices m_services;
     HttpServer m_server;
--- a/Services/stagepostd/GatewayDialect.h
+++ b/Services/stagepostd/GatewayDialect.h
@@ -61,6 +61,9 @@
     std::string idField;
     std::function<GatewayCall(HttpRequest const&)> readCall;
     std::function<HttpRequest(HttpRequest const&, GatewaySend const&)> writeCall;
+    // Passes a caller's request on to another daemon, with the time that the caller still waits and
+    // the last event that it has received.
+    std::function<HttpRequest(HttpRequest const&, Milliseconds timeLeft, std::optional<uint64_t> lastEvent)> writeDetour;
     std::function<UpstreamResponseInfo(unsigned status, HttpFields const&)> readResponseHeader;
 };
 
--- a/Services/stagepostd/GatewayOptions.h
+++ b/Services/stagepostd/GatewayOptions.h
@@ -38,6 +38,10 @@
     ServicePlacement::Bounds placement;
     UpstreamDirectory::Bounds directory;
     StateExchange::Bounds exchange;
+    // The requests that this daemon takes from other daemons at a time while these have lost their
+    // links to the upstreams. Without any, which is the default, the links are not monitored and no
+    // request is passed on.
+    size_t maxDetoured { 0 };
     // Without a share, which is the default, versions are not told apart and orders are ignored.
     RolloutSchedule rollouts;
 };
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -3,6 +3,7 @@
 #include <LibBase/Hex.h>
 #include <LibBase/Log.h>
 #include <charconv>
+#include <stagepostd/DetourServer.h>
 
 namespace Stagepost {
 
@@ -17,6 +18,8 @@
     // Short compared with the interval at which daemons ask for state.
     constexpr Milliseconds tickInterval { 50 };
     constexpr unsigned statusForbidden = 403;
+    // For the terms of a request, besides the header fields of its caller.
+    constexpr size_t detourHeaderSize = 2048;
     // In a larger fleet, a relay needs its whole bandwidth budget for the state that it sends, so it
     // leaves contexts out of its permit requests and does not ask which upstreams hold them.
     constexpr size_t maxPeersForRelayContextQueries = 128;
@@ -53,7 +56,7 @@
     , m_hooks(std::move(hooks))
     , m_client(loop)
     , m_server(
-          loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { exchange->respond(answerState(exchange->request())); }, plainRefusal)
+          loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handleRequest(exchange); }, plainRefusal)
     , m_ticker(loop)
     , m_responseTimer(loop)
 {
@@ -65,11 +68,19 @@
     return m_endpoint;
 }
 
+void GatewayPeers::setCallerLimits(HttpServerOptions const& limits)
+{
+    auto options = limits;
+    options.maxHeaderSize += detourHeaderSize;
+    m_server.setOptions(options);
+}
+
 Result<void> GatewayPeers::join(GatewayPeer const& self, std::string const& key, Incarnation incarnation)
 {
     m_datagramAuthenticator.emplace(key, self.id(), incarnation);
-    // Datagrams and HTTP state have separate sequence numbers, so their keys must differ.
+    // Datagrams, HTTP state and requests have separate sequence numbers, so their keys must differ.
     m_stateAuthenticator.emplace(key + "/state", self.id(), incarnation);
+    m_detourAuthenticator.emplace(key + "/detour", self.id(), incarnation);
     m_channel = std::make_unique<PeerChannel>(m_loop, *m_datagramAuthenticator, m_metrics, [this](PeerMessageKind kind, VMId from, Endpoint const& source, std::string_view body) { handleMessage(kind, from, source, body); });
     TRY(m_channel->bind(m_endpoint));
     FleetPeer const peer { self.id(), HallId::fromName(self.hall) };
@@ -82,6 +93,8 @@
     }
     if (!m_holderExchange)
         m_holderExchange = std::make_unique<HolderExchange>(peer, HolderExchange::Bounds {}, HolderExchange::Hooks { [this](VMId to, std::string const& body) { send(to, PeerMessageKind::Holders, body); } });
+    if (!m_detourExchange)
+        m_detourExchange = std::make_unique<DetourExchange>(peer, DetourExchange::Bounds {}, detourHooks());
     m_ticker.every(tickInterval, [this] {
         if (m_roster.expire(m_loop.now()))
             applyRoster();
@@ -89,6 +102,7 @@
         m_crashExchange->tick(m_loop.now());
         m_permitExchange->tick(m_loop.now());
         m_holderExchange->tick(m_loop.now());
+        m_detourExchange->tick(m_loop.now());
     });
     logEvent(LogLevel::Info, "joined", { { "name", self.name }, { "daemon", toHex(self.id().value()) }, { "hall", self.hall }, { "peer_listen", m_endpoint.toString() }, { "incarnation", incarnation.value() } });
     return {};
@@ -129,6 +143,38 @@
     return hooks;
 }
 
+DetourExchange::Hooks GatewayPeers::detourHooks()
+{
+    DetourExchange::Hooks hooks;
+    hooks.send = [this](VMId to, std::string const& body) { send(to, PeerMessageKind::Detours, body); };
+    hooks.isAvailable = m_hooks.takesDetours;
+    hooks.load = m_hooks.detourLoad;
+    hooks.random = m_random;
+    return hooks;
+}
+
+void GatewayPeers::setSearchingDetours(bool isSearching)
+{
+    if (m_detourExchange)
+        m_detourExchange->setSearching(isSearching, m_loop.now());
+}
+
+void GatewayPeers::chooseDetour(std::vector<VMId> const& excluded, DetourExchange::Callback callback)
+{
+    m_detourExchange->choose(excluded, std::move(callback), m_loop.now());
+}
+
+std::string GatewayPeers::signDetour(DetourTerms const& terms)
+{
+    return bytesToHex(m_detourAuthenticator->signMessage(terms.encode()));
+}
+
+std::string GatewayPeers::nameOf(VMId id) const
+{
+    auto const peer = m_peers.find(id);
+    return peer == m_peers.end() ? std::string() : peer->second.name;
+}
+
 void GatewayPeers::requestPermit(PermitExchange::CandidateList candidates, PermitExchange::Callback callback)
 {
     if (m_stateExchange->isRelay() && m_stateExchange->peerCount() > maxPeersForRelayContextQueries)
@@ -205,6 +251,7 @@
     m_stateExchange->setPeers(list);
     m_crashExchange->setPeers(list, m_loop.now());
     m_holderExchange->setPeers(list, m_stateExchange->relays());
+    m_detourExchange->setPeers(list);
     applyRoster();
     m_metrics.setGauge("stagepost_daemons", static_cast<double>(m_stateExchange->peerCount() + 1));
     logEvent(LogLevel::Info, "peers", { { "others", m_stateExchange->peerCount() }, { "relay", m_stateExchange->isRelay() ? 1 : 0 } });
@@ -306,6 +353,8 @@
             return m_permitExchange && m_permitExchange->receive(from, body, m_loop.now());
         case PeerMessageKind::Holders:
             return m_holderExchange && m_holderExchange->receive(from, body, m_loop.now());
+        case PeerMessageKind::Detours:
+            return m_detourExchange && m_detourExchange->receive(from, body, m_loop.now());
         case PeerMessageKind::Rollouts:
             return m_hooks.handleRolloutMessage(from, body);
         default:
@@ -333,7 +382,7 @@
 {
     auto const refuse = [&](std::string const& reason) {
         m_metrics.count("stagepost_peer_states_total", "outcome=\"refused\"");
-        logEvent(LogLevel::Warning, "peer-state-refused", { { "peer", m_peers.contains(from) ? m_peers.at(from).name : "" }, { "reason", reason } });
+        logEvent(LogLevel::Warning, "peer-state-refused", { { "peer", nameOf(from) }, { "reason", reason } });
     };
     if (!reply)
         return refuse(reply.error().message());
@@ -349,6 +398,20 @@
     m_hooks.mergeState(*state, provenAt);
 }
 
+void GatewayPeers::handleRequest(std::shared_ptr<Exchange> const& exchange)
+{
+    auto const signedTerms = exchange->request().headers.find(DetourServer::termsHeader);
+    if (signedTerms.empty() || !m_detourAuthenticator)
+        return exchange->respond(answerState(exchange->request()));
+    auto const verified = m_detourAuthenticator->verifyMessage(hexToBytes(signedTerms));
+    auto const terms = verified ? DetourTerms::decode(verified->sender, verified->body) : Result<DetourTerms>(verified.error());
+    if (!terms) {
+        m_metrics.count("stagepost_detoured_requests_total", "outcome=\"not-authenticated\"");
+        return exchange->respond(makeTextResponse(statusForbidden, "for daemons of this fleet only\n"));
+    }
+    m_hooks.handleDetour(exchange, *terms);
+}
+
 HttpResponse GatewayPeers::answerState(HttpRequest const& call)
 {
     if (!m_stateAuthenticator || call.path() != statePath)
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -7,9 +7,11 @@
 #include <LibProxy/HttpServer.h>
 #include <LibProxy/Timer.h>
 #include <LibRouting/CrashExchange.h>
+#include <LibRouting/DetourExchange.h>
 #include <LibRouting/HolderExchange.h>
 #include <LibRouting/PermitExchange.h>
 #include <memory>
+#include <stagepostd/DetourTerms.h>
 #include <stagepostd/GatewayState.h>
 #include <stagepostd/PeerChannel.h>
 
@@ -49,6 +51,11 @@
         std::function<void(GatewayState const&, std::optional<Instant> provenAt)> mergeState;
         // This daemon's own forecast for an upstream.
         InFlightCounter::Forecast forecast;
+        // Whether this daemon takes requests of other daemons, and how many are under way.
+        std::function<bool()> takesDetours { [] { return false; } };
+        std::function<size_t()> detourLoad { [] { return size_t { 0 }; } };
+        // Handles a request that another daemon has passed on.
+        std::function<void(std::shared_ptr<Exchange>, DetourTerms const&)> handleDetour;
         // Handles another daemon's message about a roll-out. Returns false if it is malformed.
         std::function<bool(VMId from, std::string_view body)> handleRolloutMessage { [](VMId, std::string_view) { return false; } };
     };
@@ -60,6 +67,11 @@
     // Listens for other gateways. Error: Unreachable.
     Result<Endpoint> listen(Endpoint const&);
 
+    // Limits of the requests that other daemons pass on. Their answers come over the connections to
+    // upstreams of the given server.
+    void setCallerLimits(HttpServerOptions const&);
+    void shareUpstreamConnections(HttpServer const& server) { m_server.shareUpstreamConnections(server); }
+
     // Starts to exchange messages. The incarnation must be higher than at any earlier start under
     // the same name. Error: Unreachable.
     Result<void> join(GatewayPeer const& self, std::string const& key, Incarnation);
@@ -98,6 +110,18 @@
     // Permit requests that this daemon denied as owner because the quota of a cold upstream was used up.
     size_t deniedColdRequests() const { return m_permitExchange ? m_permitExchange->deniedColdRequests() : 0; }
 
+    // See DetourExchange. Searching before this daemon has joined has no effect.
+    void setSearchingDetours(bool);
+    void chooseDetour(std::vector<VMId> const& excluded, DetourExchange::Callback);
+    void detourStarted(VMId daemon) { m_detourExchange->started(daemon); }
+    void detourEnded(VMId daemon, bool hasFailed) { m_detourExchange->ended(daemon, hasFailed, m_loop.now()); }
+    // The signed terms, as the value of a header field.
+    std::string signDetour(DetourTerms const&);
+    // Null if the daemon is not known.
+    Endpoint const* endpointOf(VMId) const;
+    // Empty if the daemon is not registered.
+    std::string nameOf(VMId) const;
+
     // Bytes sent in datagrams since the start, without UDP and IP headers.
     uint64_t bytesSent() const { return m_channel ? m_channel->socket().bytesSent() : 0; }
     size_t unreadableCounts() const { return m_stateExchange ? m_stateExchange->unreadableCounts() : 0; }
@@ -107,17 +131,18 @@
     StateExchange::Hooks stateHooks();
     CrashExchange::Hooks crashHooks();
     PermitExchange::Hooks permitHooks();
+    DetourExchange::Hooks detourHooks();
     void scheduleResponseTimeout();
     void countEarlierRequests();
     void updateRoster(std::function<void()> const& change);
     void applyRoster();
     bool handleCrashMessage(VMId from, std::string_view body);
     void handleMessage(PeerMessageKind, VMId from, Endpoint const& source, std::string_view body);
-    Endpoint const* endpointOf(VMId) const;
     void send(VMId to, PeerMessageKind, std::string const& body);
     void fetch(VMId from, std::optional<Instant> provenAt);
     void handleFetchedState(VMId from, Result<HttpResponse> const&, std::optional<Instant> provenAt);
     HttpResponse answerState(HttpRequest const&);
+    void handleRequest(std::shared_ptr<Exchange> const&);
 
     EventLoop& m_loop;
     Metrics& m_metrics;
@@ -135,6 +160,7 @@
     std::map<VMId, Endpoint> m_unregisteredPeers;
     std::optional<Authenticator> m_datagramAuthenticator;
     std::optional<Authenticator> m_stateAuthenticator;
+    std::optional<Authenticator> m_detourAuthenticator;
     std::unique_ptr<PeerChannel> m_channel;
     std::unique_ptr<StateExchange> m_stateExchange;
     std::unique_ptr<CrashExchange> m_crashExchange;
@@ -146,6 +172,7 @@
     };
     std::map<UpstreamId, UncountedRequests> m_uncountedRequests;
     std::unique_ptr<HolderExchange> m_holderExchange;
+    std::unique_ptr<DetourExchange> m_detourExchange;
     Timer m_ticker;
     // Expires at the earliest deadline of the pending permit requests and context lookups.
     Timer m_responseTimer;
--- a/Services/stagepostd/GatewayReply.cpp
+++ b/Services/stagepostd/GatewayReply.cpp
@@ -29,6 +29,11 @@
     return status == statusUnavailable ? statusBadGateway : status;
 }
 
+bool promisesNotRun(unsigned status)
+{
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
 HttpResponse gatewayReply(Refusal const& refusal)
 {
     auto reply = refusalReply(refusal);
--- a/Services/stagepostd/GatewayReply.h
+++ b/Services/stagepostd/GatewayReply.h
@@ -9,6 +9,9 @@
 // request that may have run never gets 503.
 unsigned gatewayStatusOf(Refusal const&);
 
+// Whether the status tells the caller that its request has not run.
+bool promisesNotRun(unsigned status);
+
 // The answer for a refusal, with its reason and verdict. For a request that has not run, Retry-After
 // is given in seconds with three decimals.
 HttpResponse gatewayReply(Refusal const&);
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -18,40 +18,10 @@
     // left for requests in flight, which no daemon counts for the whole fleet.
     constexpr double idleConnectionsShare = 0.5;
 
-    AttemptLimits attemptLimitsOf(RoutedRequest const& request)
-    {
-        auto const& route = *request.route;
-        AttemptLimits limits;
-        limits.isRepeatable = route.isRepeatable();
-        limits.isStream = route.kind == RequestKind::Stream;
-        limits.maxSends = route.maxAttempts;
-        limits.objective = route.latencyObjective;
-        limits.gapObjective = route.gapObjective;
-        limits.deadline = request.receivedAt + std::min(route.timeout, request.call.timeLeft.value_or(route.timeout));
-        return limits;
-    }
-
     // While upstreams change their roles during the placement of a request, it is placed again at most
     // so often. Roles change a few times in a roll-out.
     constexpr size_t maxRoleChanges = 4;
 
-    bool isCallerLost(ForwardResult const& result)
-    {
-        return result.failure == RefusalReason::CallerGone || result.failure == RefusalReason::SlowCaller;
-    }
-
-    // Whether nothing of the request was sent.
-    bool isUnconnected(ForwardResult const& result)
-    {
-        return result.verdict == Verdict::NotRun && result.failure != RefusalReason::OverCapacity;
-    }
-
-    // Statuses that tell the caller that its request has not run.
-    bool promisesNotRun(unsigned status)
-    {
-        return status == 503 || status == 429 || status == 408 || status == 421;
-    }
-
 }
 
 GatewayRequestHandler::GatewayRequestHandler(GatewayServices const& services, std::shared_ptr<Exchange> exchange, RoutedRequest request)
@@ -67,8 +37,11 @@
 
 void GatewayRequestHandler::start()
 {
-    auto const now = m_services.loop.now();
-    m_service.retries.recordRequest(now);
+    m_isCounted = m_request.detour && m_request.detour->isCounted;
+    if (m_services.detours.isNeeded() && (!checkMaySend() || startDetour()))
+        return;
+    if (!std::exchange(m_isCounted, true))
+        m_service.retries.recordRequest(m_services.loop.now());
     auto const occupancy = m_service.placement.occupancy();
     if (!m_service.gate.admits(occupancy, m_request.priority)) {
         refuse({ RefusalReason::QueueFull, Verdict::NotRun, "the service has fewer places than requests", m_service.gate.retryDelay(occupancy) });
@@ -95,10 +68,49 @@
     return true;
 }
 
+// A request that another daemon has passed on is not passed on again, so that it cannot circulate
+// among daemons without links.
+bool GatewayRequestHandler::startDetour()
+{
+    if (!m_services.detours.isNeeded())
+        return false;
+    if (m_request.detour) {
+        refuse({ RefusalReason::NoUpstream, m_attempts.verdict(), "this daemon has just lost its links to the upstreams", m_attempts.retryAfter() });
+        return true;
+    }
+    m_services.detours.start({ m_exchange, m_request, m_attempts, m_progress, m_isCounted, [self = shared_from_this()] { return !self->endedWhileWaiting(); }, [self = shared_from_this()](DetourOutcome const& outcome) { self->handleDetourOutcome(outcome); } });
+    return true;
+}
+
+void GatewayRequestHandler::handleDetourOutcome(DetourOutcome const& outcome)
+{
+    m_detour = outcome.daemon;
+    auto const& result = outcome.result;
+    if (m_detour.empty() && m_attempts.connectFailures()) {
+        refuse({ RefusalReason::NoUpstream, m_attempts.verdict(), "this daemon reaches no upstream and no daemon that does", m_attempts.retryAfter() });
+    } else if (m_detour.empty()) {
+        placeHere();
+    } else if (!result.failure) {
+        m_attempts.recordResponse();
+        m_services.metrics.count("stagepost_answers_total");
+        log("answered", result, "none", m_attempts.verdict());
+    } else {
+        m_attempts.recordDetour(result.verdict);
+        if (outcome.refusal && !result.isCallerLost() && !result.responseStarted)
+            refuse({ outcome.refusal->reason, m_attempts.verdict(), result.detail, outcome.refusal->retryAfter });
+        else
+            failRequest(result);
+    }
+}
+
 void GatewayRequestHandler::placeRequest()
 {
-    if (!checkMaySend())
-        return;
+    if (checkMaySend() && !startDetour())
+        placeHere();
+}
+
+void GatewayRequestHandler::placeHere()
+{
     m_isContextNew = false;
     auto const placementRequest = makePlacementRequest();
     if (needsPermit(placementRequest) && m_services.peers.canRequestPermits())
@@ -261,7 +273,7 @@
     // The role of the chosen upstream has changed since it was chosen.
     if (target && m_roleChanges++ < maxRoleChanges)
         return placeRequest();
-    refuse(m_lastFailure.value_or(noUpstreamRefusal()));
+    refuseUnreachable(m_lastFailure.value_or(noUpstreamRefusal()));
 }
 
 bool GatewayRequestHandler::startVersionedSend(UpstreamId upstream)
@@ -373,7 +385,7 @@
     switch (activity) {
     case UpstreamActivity::Connected:
         silence.connected(upstream, now);
-        m_services.metrics.count("stagepost_upstream_connects_total", "outcome=\"connected\"");
+        m_services.links.connected();
         break;
     case UpstreamActivity::ResponseStarted:
         silence.answerStarted(upstream, now - m_lastActivityAt, now);
@@ -436,19 +448,22 @@
 {
     auto const now = m_services.loop.now();
     auto const outcome = [&] {
-        if (isCallerLost(result))
+        if (result.isCallerLost())
             return SendOutcome::Unknown;
         if (!result.failure)
             return result.status >= firstServerError ? SendOutcome::Failed : SendOutcome::Succeeded;
         if (result.failure == RefusalReason::OverCapacity)
             return SendOutcome::Refused;
-        if (isUnconnected(result))
+        if (result.isUnconnected())
             return SendOutcome::ConnectFailed;
-        return result.verdict == Verdict::Ran ? SendOutcome::Failed : SendOutcome::NoUsableAnswer;
+        if (result.verdict == Verdict::Ran)
+            return SendOutcome::Failed;
+        return m_services.links.wasLostSince(m_sentAt) ? SendOutcome::Unknown : SendOutcome::NoUsableAnswer;
     }();
     if (outcome == SendOutcome::ConnectFailed) {
         m_services.serviceTable.silence().connectFailed(upstream);
-        m_services.metrics.count("stagepost_upstream_connects_total", "outcome=\"failed\"");
+        if (!result.deadlineReached)
+            m_services.links.connectFailed(upstream);
     }
     // The time to the first byte measures the upstream. The total time of a stream measures only the
     // length of the answer.
@@ -481,11 +496,13 @@
 {
     if (!result.failure)
         return result.status >= firstServerError ? AnswerOutcome::Failed : AnswerOutcome::Answered;
-    if (isCallerLost(result) || isUnconnected(result) || result.failure == RefusalReason::OverCapacity)
+    if (result.isCallerLost() || result.isUnconnected() || result.failure == RefusalReason::OverCapacity)
         return AnswerOutcome::Irrelevant;
     if (result.status >= firstServerError)
         return AnswerOutcome::Failed;
-    // Such a request may break off answers of any version.
+    // Such a request may break off answers of any version, and so does the loss of this daemon's links.
+    if (m_services.links.wasLostSince(m_sentAt))
+        return AnswerOutcome::Irrelevant;
     if (m_services.crashDetector.hasSuspects() && m_services.crashDetector.isSuspect(fingerprint()))
         return AnswerOutcome::Irrelevant;
     if (result.deadlineReached || result.failure == RefusalReason::UpstreamSlow)
@@ -516,10 +533,10 @@
         reportBrokenAnswer(upstream);
     FailedAttempt attempt;
     attempt.verdict = result.verdict;
-    attempt.isUnconnected = isUnconnected(result);
+    attempt.isUnconnected = result.isUnconnected();
     attempt.isRejected = result.verdict == Verdict::NotRun && result.failure == RefusalReason::OverCapacity;
     attempt.deadlinePassed = result.deadlineReached;
-    attempt.isCallerLost = isCallerLost(result);
+    attempt.isCallerLost = result.isCallerLost();
     if (m_attempts.recordFailure(upstream, attempt, m_services.loop.now())) {
         log("sent-again", result, nameOf(*result.failure), m_attempts.verdict());
         m_services.metrics.countRetry(nameOf(*result.failure));
@@ -533,9 +550,9 @@
 
 void GatewayRequestHandler::failRequest(ForwardResult const& result)
 {
-    bool const isCallerGone = isCallerLost(result);
+    bool const isCallerGone = result.isCallerLost();
     if (!isCallerGone && !result.responseStarted) {
-        refuse({ *result.failure, m_attempts.verdict(), result.detail, m_attempts.retryAfter() });
+        refuseUnreachable({ *result.failure, m_attempts.verdict(), result.detail, m_attempts.retryAfter() });
         return;
     }
     m_services.metrics.countRefusal({ *result.failure, m_attempts.verdict(), result.detail, {} });
@@ -543,6 +560,17 @@
     m_exchange->abort();
 }
 
+// After failures to connect, it may not be known yet whether the upstreams or this daemon's links are at fault.
+void GatewayRequestHandler::refuseUnreachable(Refusal const& refusal)
+{
+    if (refusal.verdict != Verdict::NotRun || !m_attempts.connectFailures() || m_request.detour || !m_detour.empty())
+        return refuse(refusal);
+    m_services.links.whenDecided([self = shared_from_this(), refusal] {
+        if (!self->endedWhileWaiting() && !self->startDetour())
+            self->refuse(refusal);
+    });
+}
+
 void GatewayRequestHandler::refuse(Refusal const& refusal)
 {
     m_services.metrics.countRefusal(refusal);
@@ -581,7 +609,7 @@
         { { "id", m_request.call.id }, { "request", outcome == "answered" ? "" : toHex(fingerprint().value()) }, { "outcome", outcome }, { "reason", reason }, { "verdict", nameOf(verdict) },
             { "status", result.status }, { "route", m_request.route->name }, { "service", m_request.service },
             { "organisation", m_request.organisation }, { "context", toHex(m_request.call.prompt.sharedKey().value_or(0)) },
-            { "upstream", m_instance }, { "context_source", m_contextSource }, { "placed_by", nameOf(m_placementReason.rule) }, { "counts_age_ms", m_placementReason.countsAge.count() / 1000 }, { "hold_ms", m_placementReason.hold.count() / 1000 }, { "owners_asked", m_placementReason.asks }, { "owner_counted", m_placementReason.counted }, { "owner_limit", m_placementReason.limit }, { "owner", m_placementReason.owner == VMId {} ? "" : toHex(m_placementReason.owner.value()) }, { "mean_load", m_placementReason.mean }, { "rest_left_ms", m_remainingBackoff.count() / 1000 }, { "sends", m_attempts.sends() },
+            { "upstream", m_instance }, { "context_source", m_contextSource }, { "placed_by", nameOf(m_placementReason.rule) }, { "counts_age_ms", m_placementReason.countsAge.count() / 1000 }, { "hold_ms", m_placementReason.hold.count() / 1000 }, { "owners_asked", m_placementReason.asks }, { "owner_counted", m_placementReason.counted }, { "owner_limit", m_placementReason.limit }, { "owner", m_placementReason.owner == VMId {} ? "" : toHex(m_placementReason.owner.value()) }, { "mean_load", m_placementReason.mean }, { "rest_left_ms", m_remainingBackoff.count() / 1000 }, { "sends", m_attempts.sends() }, { "detour", m_detour }, { "detour_from", m_request.detour ? toHex(m_request.detour->from.value()) : "" },
             { "rejections", m_attempts.rejections() }, { "unconnected", m_attempts.connectFailures() }, { "reused_connection", result.reusedConnection ? 1 : 0 },
             { "events", m_progress ? m_progress->eventCount : 0 }, { "bytes", result.responseBytes },
             { "settings", m_request.table->version() }, { "settings_age_ms", m_services.settingsAge().count() / 1000 },
--- a/Services/stagepostd/GatewayRequestHandler.h
+++ b/Services/stagepostd/GatewayRequestHandler.h
@@ -1,56 +1,14 @@
 #pragma once
 
-#include <LibBase/FingerprintKey.h>
 #include <LibBase/Log.h>
-#include <LibBase/Metrics.h>
-#include <LibBase/StalenessBound.h>
-#include <LibProxy/EventLoop.h>
 #include <LibProxy/Exchange.h>
 #include <LibRouting/RequestAttempts.h>
-#include <LibSettings/RouteTable.h>
 #include <memory>
-#include <stagepostd/CrashDetector.h>
-#include <stagepostd/GatewayDialect.h>
-#include <stagepostd/GatewayPeers.h>
-#include <stagepostd/RolloutController.h>
-#include <stagepostd/ServiceTable.h>
+#include <stagepostd/GatewayServices.h>
+#include <stagepostd/RoutedRequest.h>
 
 namespace Stagepost {
 
-// The parts of a gateway that handling a request needs.
-struct GatewayServices {
-    EventLoop& loop;
-    Metrics& metrics;
-    ServiceTable& serviceTable;
-    CrashDetector& crashDetector;
-    GatewayPeers& peers;
-    GatewayDialect const& dialect;
-    // Whether the configuration in force is recent enough to accept keys.
-    std::function<bool()> areKeysFresh;
-    // Whether the daemon's state must be confirmed after a long stall before it may be used.
-    std::function<bool()> needsRevalidation;
-    // The proven age of the configuration, which is only logged.
-    std::function<Microseconds()> settingsAge;
-    // This daemon's share of the fleet, from 0 to 1.
-    std::function<double()> share;
-    std::function<RequestFingerprint(FingerprintInput const&)> fingerprintOf;
-    // Null where roll-outs are switched off.
-    RolloutController* rollouts { nullptr };
-};
-
-// A caller's request together with its route and organisation.
-struct RoutedRequest {
-    GatewayCall call;
-    // Keeps the route alive when a newer configuration replaces the table.
-    std::shared_ptr<RouteTable const> table;
-    Route const* route { nullptr };
-    std::string service;
-    std::string organisation;
-    unsigned priority { 5 };
-    bool needsKey { false };
-    Instant receivedAt;
-};
-
 // Handles one request: chooses an upstream, forwards the request, and retries it at another upstream
 // if it fails and may be repeated.
 class GatewayRequestHandler : public std::enable_shared_from_this<GatewayRequestHandler> {
@@ -62,7 +20,12 @@
 private:
     // Decides whether the first send goes to a version that is being tried.
     void chooseRole();
+    // Passes the request on to another daemon if this one has lost its links to the upstreams, or
+    // refuses it if that is not possible. Returns false if it is to be placed here.
+    bool startDetour();
+    void handleDetourOutcome(DetourOutcome const&);
     void placeRequest();
+    void placeHere();
     // Places the request at the serving upstreams, after a candidate was not available. Returns false
     // if it was not meant for a candidate.
     bool placeAtServingInstead();
@@ -104,6 +67,8 @@
     // Reports an answer that broke off to the crash detector.
     void reportBrokenAnswer(UpstreamId);
     void failRequest(ForwardResult const&);
+    // Refuses a request that reached no upstream, or passes it on if this daemon's links are at fault.
+    void refuseUnreachable(Refusal const&);
     void refuse(Refusal const&);
     RequestFingerprint fingerprint() const;
     std::vector<LogField> versionLogFields() const;
@@ -133,6 +98,10 @@
     UpstreamRole m_role { UpstreamRole::Serving };
     // The current or latest send, where roll-outs are switched on.
     std::optional<VersionedSend> m_versionedSend;
+    // Whether the request counts for the retry budget.
+    bool m_isCounted { false };
+    // The daemon that the request was passed on to.
+    std::string m_detour;
     // How many times the role of an upstream has changed before the request was sent there.
     size_t m_roleChanges { 0 };
     bool m_hasBeenAnswered { false };
--- /dev/null
+++ b/Services/stagepostd/GatewayServices.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <LibBase/FingerprintKey.h>
+#include <LibBase/Metrics.h>
+#include <LibProxy/EventLoop.h>
+#include <stagepostd/CrashDetector.h>
+#include <stagepostd/DetourClient.h>
+#include <stagepostd/GatewayDialect.h>
+#include <stagepostd/GatewayPeers.h>
+#include <stagepostd/LinkMonitor.h>
+#include <stagepostd/RolloutController.h>
+#include <stagepostd/ServiceTable.h>
+
+namespace Stagepost {
+
+// The parts of a gateway that handling a request needs.
+struct GatewayServices {
+    EventLoop& loop;
+    Metrics& metrics;
+    ServiceTable& serviceTable;
+    CrashDetector& crashDetector;
+    GatewayPeers& peers;
+    LinkMonitor& links;
+    DetourClient& detours;
+    GatewayDialect const& dialect;
+    // Whether the configuration in force is recent enough to accept keys.
+    std::function<bool()> areKeysFresh;
+    // Whether the daemon's state must be confirmed after a long stall before it may be used.
+    std::function<bool()> needsRevalidation;
+    // The proven age of the configuration, which is only logged.
+    std::function<Microseconds()> settingsAge;
+    // This daemon's share of the fleet, from 0 to 1.
+    std::function<double()> share;
+    std::function<RequestFingerprint(FingerprintInput const&)> fingerprintOf;
+    // Null where roll-outs are switched off.
+    RolloutController* rollouts { nullptr };
+};
+
+}
--- a/Services/stagepostd/PeerChannel.h
+++ b/Services/stagepostd/PeerChannel.h
@@ -17,6 +17,7 @@
     Permits = 'l',
     Holders = 'h',
     Rollouts = 'v',
+    Detours = 'd',
 };
 
 // Sends and receives authenticated datagrams. Forged, malformed and replayed datagrams are dropped
--- /dev/null
+++ b/Services/stagepostd/RoutedRequest.cpp
@@ -0,0 +1,20 @@
+#include <stagepostd/RoutedRequest.h>
+
+#include <algorithm>
+
+namespace Stagepost {
+
+AttemptLimits attemptLimitsOf(RoutedRequest const& request)
+{
+    auto const& route = *request.route;
+    AttemptLimits limits;
+    limits.isRepeatable = route.isRepeatable();
+    limits.isStream = route.kind == RequestKind::Stream;
+    limits.maxSends = request.detour ? std::min<size_t>(route.maxAttempts, request.detour->sendsLeft) : route.maxAttempts;
+    limits.objective = route.latencyObjective;
+    limits.gapObjective = route.gapObjective;
+    limits.deadline = request.receivedAt + std::min(route.timeout, request.call.timeLeft.value_or(route.timeout));
+    return limits;
+}
+
+}
--- a/Services/stagepostd/ServerDrain.cpp
+++ b/Services/stagepostd/ServerDrain.cpp
@@ -10,9 +10,10 @@
 
 }
 
-ServerDrain::ServerDrain(EventLoop& loop, HttpServer& server)
+ServerDrain::ServerDrain(EventLoop& loop, HttpServer& server, std::function<size_t()> otherRequests)
     : m_loop(loop)
     , m_server(server)
+    , m_otherRequests(std::move(otherRequests))
     , m_timer(loop)
 {
 }
@@ -27,12 +28,12 @@
 
 void ServerDrain::waitForOpenRequests(Instant limit, std::function<void()> const& drained)
 {
-    bool const isFinished = m_server.openExchanges() == 0 || m_loop.now() >= limit;
+    bool const isFinished = openRequests() == 0 || m_loop.now() >= limit;
     if (!isFinished) {
         m_timer.once(pollInterval, [this, limit, drained] { waitForOpenRequests(limit, drained); });
         return;
     }
-    logEvent(LogLevel::Info, "drained", { { "cut_off", m_server.openExchanges() } });
+    logEvent(LogLevel::Info, "drained", { { "cut_off", openRequests() } });
     drained();
 }
 
--- a/Services/stagepostd/ServerDrain.h
+++ b/Services/stagepostd/ServerDrain.h
@@ -10,16 +10,20 @@
 // notices, then stops listening and finishes the open requests.
 class ServerDrain {
 public:
-    ServerDrain(EventLoop&, HttpServer&);
+    // The count is of requests that another server has open, which are finished as well.
+    ServerDrain(
+        EventLoop&, HttpServer&, std::function<size_t()> otherRequests = [] { return size_t { 0 }; });
 
     // Calls back when no request is open after the grace period, or at the limit.
     void start(Milliseconds gracePeriod, Instant limit, std::function<void()> drained);
 
 private:
+    size_t openRequests() const { return m_server.openExchanges() + m_otherRequests(); }
     void waitForOpenRequests(Instant limit, std::function<void()> const& drained);
 
     EventLoop& m_loop;
     HttpServer& m_server;
+    std::function<size_t()> m_otherRequests;
     Timer m_timer;
 };
 
--- a/Services/stagepostd/ServiceTable.cpp
+++ b/Services/stagepostd/ServiceTable.cpp
@@ -74,6 +74,22 @@
         service(target->service).placement.setColdUntil(id, now + left);
 }
 
+void ServiceTable::forgetUnreachable(Instant now)
+{
+    m_silence.forgetSilence(now);
+    for (auto const& [name, entry] : m_services)
+        entry->placement.forgetUnreachable();
+}
+
+std::vector<UpstreamId> ServiceTable::upstreamIds() const
+{
+    std::vector<UpstreamId> ids;
+    ids.reserve(m_targets.size());
+    for (auto const& [id, target] : m_targets)
+        ids.push_back(id);
+    return ids;
+}
+
 void ServiceTable::markLeaving(UpstreamId id, Instant now)
 {
     auto const* target = this->target(id);
--- a/Services/stagepostd/ServiceTable.h
+++ b/Services/stagepostd/ServiceTable.h
@@ -83,6 +83,10 @@
     // The upstream reports that it stays cold for this long.
     void markCold(UpstreamId, Milliseconds left, Instant now);
 
+    // This daemon's own links to the upstreams were lost and are back: what was held against the
+    // upstreams for want of answers is forgotten.
+    void forgetUnreachable(Instant now);
+
     // The upstream announces in an answer that it is leaving. A record never revokes this, since it
     // may be older than the answer, or restored by a store that has lost its last seconds.
     void markLeaving(UpstreamId, Instant now);
@@ -108,6 +112,7 @@
     // Tracks which upstreams and halls no longer answer.
     SilenceDetector& silence() { return m_silence; }
     std::map<std::string, std::unique_ptr<Entry>> const& services() const { return m_services; }
+    std::vector<UpstreamId> upstreamIds() const;
     size_t upstreamCount() const { return m_targets.size(); }
 
 private:
--- a/Tests/Processes/test_lost_links.py
+++ b/Tests/Processes/test_lost_links.py
@@ -155,6 +155,7 @@
         self.name, self.hall = f"entry-{number}", HALLS[number % len(HALLS)]
         self.address = f"127.0.2.{number + 1}"
         self.links = tempfile.NamedTemporaryFile()
+        test.addCleanup(self.links.close)
         self.set_links(b"o")
         self.ports = [test.ports.take() for _ in range(3)]
         self.entry = None
