CrashDetector: Blame no request for a port that this daemon cannot reach

A closed port now proves the end of a process only once a connection to another upstream has succeeded after the answer broke off; if the links turn out to be lost, the check is dropped.

Two cases of TestCrashDetector.

--- a/Services/stagepostd/CrashDetector.cpp
+++ b/Services/stagepostd/CrashDetector.cpp
@@ -55,8 +55,21 @@
         return;
     found->second.isProbing = false;
     found->second.nextProbeAt = m_loop.now() + probeInterval;
-    if (state == PortState::Closed)
+    found->second.isPortClosed = found->second.isPortClosed || state == PortState::Closed;
+    finishIfPortClosed(upstream, found->second);
+}
+
+// The links are judged from the moment at which the answer broke off.
+bool CrashDetector::finishIfPortClosed(UpstreamId upstream, PendingCheck const& check)
+{
+    if (!check.isPortClosed)
+        return false;
+    auto const links = m_hooks.linksSince(check.since);
+    if (links == LinkState::Up)
         confirmCrash(upstream, "port-closed");
+    else if (links == LinkState::Lost)
+        m_pendingChecks.erase(upstream);
+    return links != LinkState::Suspected;
 }
 
 void CrashDetector::upstreamRestarted(UpstreamId upstream)
@@ -92,8 +105,11 @@
 {
     auto const now = m_loop.now();
     std::erase_if(m_pendingChecks, [now](auto const& entry) { return !entry.second.isProbing && now - entry.second.since > pendingCheckTimeout; });
-    for (auto& [upstream, check] : m_pendingChecks) {
-        if (!check.isProbing && check.probes < maxProbes && now >= check.nextProbeAt)
+    for (auto entry = m_pendingChecks.begin(); entry != m_pendingChecks.end();) {
+        auto& [upstream, check] = *entry++;
+        if (finishIfPortClosed(upstream, check))
+            continue;
+        if (!check.isProbing && !check.isPortClosed && check.probes < maxProbes && now >= check.nextProbeAt)
             probe(upstream, check);
     }
 }
--- a/Services/stagepostd/CrashDetector.h
+++ b/Services/stagepostd/CrashDetector.h
@@ -3,6 +3,7 @@
 #include <LibBase/Metrics.h>
 #include <LibProxy/PortProbe.h>
 #include <LibRouting/CrashSuspects.h>
+#include <LibRouting/LinkFailureDetector.h>
 #include <set>
 
 namespace Stagepost {
@@ -18,6 +19,9 @@
         std::function<void(Endpoint const&, PortProbe::Callback)> probe;
         // There is new evidence about the request, to be shared with other daemons.
         std::function<void(RequestFingerprint)> evidenceChanged;
+        // The state of this daemon's own links since then. Unless they are up, a closed port may be
+        // their fault.
+        std::function<LinkState(Instant)> linksSince { [](Instant) { return LinkState::Up; } };
     };
 
     // A request whose answer broke off.
@@ -56,10 +60,13 @@
         size_t probes { 0 };
         Instant nextProbeAt;
         bool isProbing { false };
+        bool isPortClosed { false };
     };
 
     void probe(UpstreamId, PendingCheck&);
     void handleProbeResult(UpstreamId, PortState);
+    // Ends the check if the port is closed and the state of the links is known.
+    bool finishIfPortClosed(UpstreamId, PendingCheck const&);
     void confirmCrash(UpstreamId, std::string_view evidence);
 
     EventLoop& m_loop;
--- a/Services/stagepostd/LinkMonitor.cpp
+++ b/Services/stagepostd/LinkMonitor.cpp
@@ -52,13 +52,15 @@
     update();
 }
 
-bool LinkMonitor::isUpSince(Instant time)
+LinkState LinkMonitor::stateSince(Instant time)
 {
+    if (m_detector.wasLostSince(time))
+        return LinkState::Lost;
     if (!m_isEnabled || m_detector.hasConnectedSince(time) || m_serviceTable.upstreamCount() <= 1)
-        return true;
+        return LinkState::Up;
     m_detector.suspect(m_loop.now());
     update();
-    return false;
+    return LinkState::Suspected;
 }
 
 void LinkMonitor::update()
--- a/Services/stagepostd/LinkMonitor.h
+++ b/Services/stagepostd/LinkMonitor.h
@@ -32,9 +32,10 @@
 
     bool isLost() const { return m_detector.isLost(); }
     bool wasLostSince(Instant time) const { return m_detector.wasLostSince(time); }
-    // Whether a failure at an upstream at the given time was the upstream's own: this daemon has
-    // reached an upstream since, or knows only one. If that is not known yet, upstreams are probed.
-    bool isUpSince(Instant);
+    // Whether a failure at an upstream at the given time was the upstream's own: the links are up if
+    // this daemon has reached an upstream since, or knows only one. If that is not known yet, upstreams
+    // are probed.
+    LinkState stateSince(Instant);
     // Calls back once it is known whether the links or single upstreams are at fault: at once, or after
     // the probes that are under way.
     void whenDecided(std::function<void()>);
--- a/Tests/Processes/test_lost_links.py
+++ b/Tests/Processes/test_lost_links.py
@@ -310,6 +310,9 @@
             self.assertLessEqual(len(runs[attempt.id]), limit, f"{attempt.id} {attempt.path} ran at {runs[attempt.id]}")
             if attempt.is_promised_not_run and limit == 1:
                 self.assertEqual(runs[attempt.id], [], f"{attempt.id} was refused as not run")
+        # No upstream's process has ended, so no request may be suspected of ending it.
+        blamed = [line for member in self.members for line in member.entry.lines if "event=upstream-ended" in line]
+        self.assertEqual(blamed, [])
         arrivals = sorted(request["at"] for upstream in self.upstreams for request in upstream.requests)
         repeats = len(arrivals) - len({request["headers"]["x-attempt-id"] for upstream in self.upstreams for request in upstream.requests})
         sent = len(self.attempts)
--- a/Tests/platform/TestCrashDetector.cpp
+++ b/Tests/platform/TestCrashDetector.cpp
@@ -15,8 +15,9 @@
     CrashSuspects suspects { VMId(1) };
     std::vector<PortProbe::Callback> probes;
     std::vector<RequestFingerprint> seen;
+    LinkState links { LinkState::Up };
     CrashDetector detector { loop, metrics, suspects,
-        { [this](Endpoint const&, PortProbe::Callback callback) { probes.push_back(std::move(callback)); }, [this](RequestFingerprint fingerprint) { seen.push_back(fingerprint); } } };
+        { [this](Endpoint const&, PortProbe::Callback callback) { probes.push_back(std::move(callback)); }, [this](RequestFingerprint fingerprint) { seen.push_back(fingerprint); }, [this](Instant) { return links; } } };
 
     void breakOff(RequestFingerprint fingerprint) { detector.requestBroken({ fingerprint, upstream, "book-1", { "127.0.0.1", 1 } }); }
     void answerProbe(PortState state) { std::exchange(probes, {}).front()(state); }
@@ -49,6 +50,38 @@
     }
 }
 
+// A daemon that has lost its own links finds all ports closed.
+BOOST_AUTO_TEST_CASE(ClosedPortRecordsNoCrashUntilTheLinksAreKnownToWork)
+{
+    World world;
+    world.links = LinkState::Suspected;
+    world.breakOff(request);
+    world.answerProbe(PortState::Closed);
+    world.detector.tick();
+    BOOST_TEST(!world.detector.hasSuspects());
+    BOOST_TEST(world.seen.empty());
+    // A connection to another upstream shows that this one is gone.
+    world.links = LinkState::Up;
+    world.detector.tick();
+    BOOST_TEST(world.suspects.crashCount(request) == 1u);
+    BOOST_TEST(world.seen.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(ClosedPortRecordsNoCrashAfterTheLinksWereLost)
+{
+    World world;
+    world.links = LinkState::Suspected;
+    world.breakOff(request);
+    world.answerProbe(PortState::Closed);
+    world.links = LinkState::Lost;
+    world.detector.tick();
+    // The links are back, which proves nothing of the time before.
+    world.links = LinkState::Up;
+    world.detector.tick();
+    BOOST_TEST(!world.detector.hasSuspects());
+    BOOST_TEST(world.seen.empty());
+}
+
 // The port may be closed a moment later than the connections.
 BOOST_AUTO_TEST_CASE(OpenPortIsProbedAgain)
 {
