GatewayRequestHandler: Pass repeatable requests on after a broken answer

A repeatable request whose connection was reset with the links went to another upstream, failed to connect there and was then refused as may-have-run, although it had a send and retry budget left: only requests that had not run waited for the decision about the links.

Such a request is now passed on where it might also be sent again here.

--- a/Libraries/LibRouting/RequestAttempts.cpp
+++ b/Libraries/LibRouting/RequestAttempts.cpp
@@ -52,6 +52,11 @@
     return m_limits.isRepeatable && m_sends < m_limits.maxSends && upstreams > m_failed.size() + 1 && m_budget.mayRetry(now);
 }
 
+bool RequestAttempts::mayDetour(Instant now) const
+{
+    return m_verdict == Verdict::NotRun || (m_limits.isRepeatable && m_sends < m_limits.maxSends && m_budget.mayRetry(now));
+}
+
 Milliseconds RequestAttempts::connectTimeout() const
 {
     return std::clamp<Milliseconds>(m_limits.objective / connectTimeoutDivisor, minConnectTimeout, maxConnectTimeout);
--- a/Libraries/LibRouting/RequestAttempts.h
+++ b/Libraries/LibRouting/RequestAttempts.h
@@ -67,6 +67,8 @@
     // the current attempt fails. Also used when a response is overdue: if there is no
     // alternative, waiting longer costs nothing.
     bool couldSendAgain(size_t upstreams, Instant now) const;
+    // Whether another daemon may send the request after all attempts of this one have ended.
+    bool mayDetour(Instant now) const;
     // Returns the timeouts of the current attempt.
     AttemptTimeouts timeouts(size_t upstreams, WaitBounds const&, Instant now) const;
     // Returns how long to wait for a connection.
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -563,7 +563,7 @@
 // After failures to connect, it may not be known yet whether the upstreams or this daemon's links are at fault.
 void GatewayRequestHandler::refuseUnreachable(Refusal const& refusal)
 {
-    if (refusal.verdict != Verdict::NotRun || !m_attempts.connectFailures() || m_request.detour || !m_detour.empty())
+    if (!m_attempts.mayDetour(m_services.loop.now()) || !m_attempts.connectFailures() || m_request.detour || !m_detour.empty())
         return refuse(refusal);
     m_services.links.whenDecided([self = shared_from_this(), refusal] {
         if (!self->endedWhileWaiting() && !self->startDetour())
--- a/Tests/LibRouting/TestRequestAttempts.cpp
+++ b/Tests/LibRouting/TestRequestAttempts.cpp
@@ -187,4 +187,25 @@
     BOOST_TEST(fixture.attempts(false, 1).needsFreshConnection(sound));
 }
 
+// A request that may have run goes to another daemon only where it might also be sent again here.
+BOOST_AUTO_TEST_CASE(AnotherDaemonGetsOnlyWhatMayStillBeSent)
+{
+    Fixture fixture;
+    auto unsent = fixture.attempts(false, 1);
+    unsent.recordSend();
+    unsent.recordFailure(UpstreamId(1), unconnected(), at(0));
+    BOOST_TEST(unsent.mayDetour(at(0)));
+    auto unsafe = fixture.attempts(false, 2);
+    unsafe.recordSend();
+    unsafe.recordFailure(UpstreamId(1), broken(Verdict::MayHaveRun), at(0));
+    BOOST_TEST(!unsafe.mayDetour(at(0)));
+    auto safe = fixture.attempts(true, 2);
+    safe.recordSend();
+    safe.recordFailure(UpstreamId(1), broken(Verdict::MayHaveRun), at(0));
+    BOOST_TEST(safe.mayDetour(at(0)));
+    safe.recordSend();
+    safe.recordFailure(UpstreamId(2), broken(Verdict::MayHaveRun), at(0));
+    BOOST_TEST(!safe.mayDetour(at(0)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
