ServicePlacement: Fill brittle upstreams up to their slots only

Upstreams that announce to be brittle let fewer requests wait and end if they have to reject more than a few in a second. Daemons placed by counts that are a second old, filled the same upstreams, were rejected, and the falls broke off what ran; the load moved to the others, which fell too. The broken requests were suspected of ending upstreams and then refused as may-have-run.

While upstreams of a service say so, owners are asked for each request and grant up to the slots; what finds no room is refused at once as not run. A daemon whose request is rejected sends nothing there for a second. A brittle upstream's end is not held against requests. Follows the answers, nothing is set.

Also the cases of DetourServer, which found that a request without sends left was answered 400 instead of a refusal for another daemon, and the linter's finding in the shim of test_lost_links.

--- a/Libraries/LibRouting/Routing.h
+++ b/Libraries/LibRouting/Routing.h
@@ -9,6 +9,7 @@
 #include <LibRouting/AdmissionController.h>
 #include <LibRouting/AdmissionGate.h>
 #include <LibRouting/BoundedMap.h>
+#include <LibRouting/BrittleLimit.h>
 #include <LibRouting/CircuitBreaker.h>
 #include <LibRouting/ColdStartLimit.h>
 #include <LibRouting/ContextHolders.h>
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -28,6 +28,9 @@
     constexpr size_t maxOwnersFactor = 2;
     // Slots reserved for requests of priority 0 while requests have to be refused.
     constexpr unsigned slotsReservedForUrgent = 1;
+    // How long a daemon sends nothing to a brittle upstream that has rejected its request, besides single
+    // trials: an upstream tolerates few rejections in a second of all daemons together.
+    constexpr Microseconds brittleRejectionPause { 1000000 };
     // Caches the reachability of halls, since a hall can have hundreds of upstreams.
     class HallReachCache {
     public:
@@ -161,8 +164,32 @@
 
 void ServicePlacement::reported(UpstreamId id, UpstreamLoadReport const& report, Instant now)
 {
-    if (auto const found = m_upstreams.find(id); found != m_upstreams.end())
+    if (auto const found = m_upstreams.find(id); found != m_upstreams.end()) {
         found->second.load.reported(report, m_load.hold(), now);
+        found->second.brittle.reported(report, now);
+    }
+}
+
+void ServicePlacement::brittlenessAnnounced(UpstreamId id, bool isBrittle, Instant now)
+{
+    auto const found = m_upstreams.find(id);
+    if (found == m_upstreams.end())
+        return;
+    if (isBrittle)
+        found->second.brittle.announced(now);
+    else
+        found->second.brittle.revoked();
+}
+
+bool ServicePlacement::isBrittle(Instant now) const
+{
+    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [now](auto const& entry) { return entry.second.brittle.isActive(now); });
+}
+
+bool ServicePlacement::isWithinBrittleLimit(Upstream const& upstream, Instant now) const
+{
+    auto const load = std::max(static_cast<double>(upstream.load.own()), upstream.load.expected(m_load.hold(), now));
+    return load < static_cast<double>(upstream.brittle.limit(upstream.properties.slots, now));
 }
 
 void ServicePlacement::backoffRequested(UpstreamId id, Microseconds duration, Instant now)
@@ -255,6 +282,10 @@
         break;
     case SendOutcome::Refused:
         upstream.health.answeredWithFailure(now);
+        if (isBrittle(now)) {
+            upstream.brittle.rejected(now);
+            upstream.backoff.requested(brittleRejectionPause, now);
+        }
         return;
     case SendOutcome::NoUsableAnswer:
         upstream.health.failedToAnswer(now);
@@ -397,6 +428,8 @@
     auto result = answering(usable, now);
     if (request.role == UpstreamRole::Candidate)
         std::erase_if(result, [&](auto const* upstream) { return !isWithinCandidateLimit(*upstream, now); });
+    if (isBrittle(now))
+        std::erase_if(result, [&](auto const* upstream) { return !isWithinBrittleLimit(*upstream, now); });
     return result;
 }
 
@@ -505,6 +538,8 @@
 std::vector<PermitExchange::Candidate> ServicePlacement::candidatesForOwners(Request const& request, Instant now)
 {
     auto const reached = reachable(available(request, now), now);
+    if (!request.context && isBrittle(now))
+        return ownerCandidates(request, orderedByWait(answering(warm(reached, now), now), now), now);
     if (!request.context)
         return ownerCandidates(request, randomCold(request, reached, now), now);
     auto const others = warm(reached, now);
@@ -522,6 +557,20 @@
     return ownerCandidates(request, usable, now);
 }
 
+// The upstream with the shortest expected wait comes first, and the others in random order: all daemons would
+// ask for the same second one.
+std::vector<ServicePlacement::Upstream*> ServicePlacement::orderedByWait(std::vector<Upstream*> upstreams, Instant now)
+{
+    if (upstreams.empty())
+        return upstreams;
+    auto* const first = chooseByWait(upstreams, now);
+    std::erase(upstreams, first);
+    for (size_t index = 0; index < upstreams.size(); ++index)
+        std::swap(upstreams[index], upstreams[index + randomBelow(m_random, upstreams.size() - index)]);
+    upstreams.insert(upstreams.begin(), first);
+    return upstreams;
+}
+
 // Idle upstreams of another version halve the mean that the load limit follows, so a context in high demand
 // fills more upstreams: with a context in a tenth of the requests, up to 2.5 % of the arrivals of five
 // seconds exceeded the users' limit with 8 owners, and none with 16.
@@ -543,13 +592,20 @@
     // up to the hard limit.
     auto const hardLimit = request.role == UpstreamRole::Candidate ? std::nullopt : most;
     std::vector<PermitExchange::Candidate> result;
+    bool const areBrittle = isBrittle(now);
     auto const ownerCount = ownersToAsk();
     result.reserve(std::min(ownerCount, upstreams.size()));
     for (auto const* upstream : upstreams) {
         if (result.size() == ownerCount)
             break;
-        auto const limit = 1 + m_load.ownerGrantLimit(upstream->properties.slots);
-        result.push_back({ upstream->properties.id, upstream->properties.hall, std::min(limit, most.value_or(limit)), coldNotice(*upstream, now), hardLimit });
+        auto limit = 1 + m_load.ownerGrantLimit(upstream->properties.slots);
+        auto ownHardLimit = hardLimit;
+        if (areBrittle) {
+            auto const brittleLimit = upstream->brittle.limit(upstream->properties.slots, now);
+            limit = std::min(limit, brittleLimit);
+            ownHardLimit = std::min(hardLimit.value_or(brittleLimit), brittleLimit);
+        }
+        result.push_back({ upstream->properties.id, upstream->properties.hall, std::min(limit, most.value_or(limit)), coldNotice(*upstream, now), ownHardLimit });
     }
     return result;
 }
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -4,6 +4,7 @@
 #include <LibBase/Ids.h>
 #include <LibRouting/AcceptedShare.h>
 #include <LibRouting/AdmissionGate.h>
+#include <LibRouting/BrittleLimit.h>
 #include <LibRouting/LoadEstimate.h>
 #include <LibRouting/PermitExchange.h>
 #include <LibRouting/PlacementRule.h>
@@ -129,6 +130,13 @@
     // A request has ended; its answer started after `took`, and the request ended after `held`.
     void finished(UpstreamId, SendOutcome, Microseconds took, Microseconds held, Instant now);
     void reported(UpstreamId, UpstreamLoadReport const&, Instant now);
+    // An answer of the upstream announces that it is brittle, or not; see BrittleLimit.
+    void brittlenessAnnounced(UpstreamId, bool isBrittle, Instant now);
+    // Whether any upstream is brittle. All of the service then keep within the load limits of brittle
+    // ones.
+    bool isBrittle(Instant now) const;
+    // Whether requests without a context need permits too, if an owner responds.
+    bool needsPermits(Instant now) const { return hasCold(now) || isBrittle(now); }
     // The upstream has asked this daemon to send no requests for the duration.
     void backoffRequested(UpstreamId, Microseconds duration, Instant now);
     // The remaining back-off of the upstream; zero if there is none.
@@ -163,6 +171,7 @@
         AcceptedShare share;
         UpstreamHealth health;
         UpstreamBackoff backoff;
+        BrittleLimit brittle;
         // Moving mean of the time until an answer starts; 0 until the first answer.
         double meanAnswerSeconds { 0 };
         Instant lastAnswerAt;
@@ -179,6 +188,8 @@
     std::vector<PermitExchange::Candidate> ownerCandidates(Request const&, std::vector<Upstream*> const&, Instant now) const;
     size_t ownersToAsk() const;
     std::optional<size_t> maxLoadFor(Request const&) const;
+    std::vector<Upstream*> orderedByWait(std::vector<Upstream*>, Instant now);
+    bool isWithinBrittleLimit(Upstream const&, Instant now) const;
     std::optional<ColdStartNotice> coldNotice(Upstream const&, Instant now) const;
     static bool isServing(Upstream const&);
     static bool takesRequests(Upstream const&, UpstreamRole, Instant now);
--- a/Services/stagepostd/DetourServer.cpp
+++ b/Services/stagepostd/DetourServer.cpp
@@ -76,7 +76,7 @@
         if (m_hooks.settingsVersion() < terms.settingsVersion)
             return Refusal { RefusalReason::SettingsTooOld, Verdict::NotRun, "this daemon has an older configuration", {} };
         if (!terms.sendsLeft)
-            return Refusal { RefusalReason::BadRequest, Verdict::NotRun, "the request may be sent to no more upstreams", {} };
+            return Refusal { RefusalReason::NoUpstream, Verdict::NotRun, "the request may be sent to no more upstreams", {} };
         return {};
     }();
     auto const detoured = std::make_shared<DetouredExchange>(std::move(exchange), m_requestIdField, m_open);
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -608,6 +608,7 @@
         m_metrics.setGauge("stagepost_turned_away_share" + label, AdmissionGate::refusedShare(occupancy, 0));
         m_metrics.setGauge("stagepost_cold_upstreams" + label, static_cast<double>(service->placement.coldCount(m_loop.now())));
         m_metrics.setGauge("stagepost_resting_upstreams" + label, static_cast<double>(service->placement.backingOffCount(m_loop.now())));
+        m_metrics.setGauge("stagepost_brittle" + label, service->placement.isBrittle(m_loop.now()) ? 1 : 0);
         m_metrics.setGauge("stagepost_counts_age_seconds" + label, asSeconds(service->placement.countsAge()));
         m_metrics.setGauge("stagepost_mean_load" + label, service->placement.meanLoad());
     }
--- a/Services/stagepostd/GatewayDialect.h
+++ b/Services/stagepostd/GatewayDialect.h
@@ -48,6 +48,8 @@
     std::optional<Milliseconds> coldLeft {};
     // The upstream rejects requests and asks for a backoff of this length.
     std::optional<Milliseconds> backoff {};
+    // The upstream ends if it has to reject more than a few requests in a second.
+    bool isBrittle { false };
     // The upstream finishes its open requests and then leaves.
     bool isLeaving { false };
 };
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -121,7 +121,7 @@
 
 bool GatewayRequestHandler::needsPermit(ServicePlacement::Request const& placementRequest) const
 {
-    return placementRequest.context || m_service.placement.hasCold(m_services.loop.now());
+    return placementRequest.context || m_service.placement.needsPermits(m_services.loop.now());
 }
 
 // Requests on routes that keep contexts are always reported to the upstream's owner; other requests
@@ -236,11 +236,10 @@
         log("caller-gone", {}, nameOf(RefusalReason::CallerGone), m_attempts.verdict());
         return true;
     }
-    if (!checkMaySend()) {
-        releaseInFlight();
-        return true;
-    }
-    return false;
+    if (checkMaySend())
+        return false;
+    releaseInFlight();
+    return true;
 }
 
 void GatewayRequestHandler::releaseInFlight()
@@ -295,6 +294,8 @@
 
 Refusal GatewayRequestHandler::noUpstreamRefusal() const
 {
+    if (m_service.placement.isBrittle(m_services.loop.now()))
+        return loadBoundRefusal();
     if (m_service.placement.hasCold(m_services.loop.now()))
         return { RefusalReason::QueueFull, m_attempts.verdict(), "the upstreams that are left have just started and take no more by now", std::chrono::duration_cast<Milliseconds>(coldStartWindow) };
     if (m_service.placement.backingOffCount(m_services.loop.now()))
@@ -409,6 +410,7 @@
         m_services.serviceTable.markCold(upstream, *response.coldLeft, now);
     if (response.backoff)
         handleBackoffRequest(upstream, *response.backoff);
+    m_service.placement.brittlenessAnnounced(upstream, response.isBrittle, now);
     if (response.isLeaving)
         m_services.serviceTable.markLeaving(upstream, now);
     if (response.isNotRun)
@@ -513,7 +515,7 @@
 void GatewayRequestHandler::reportBrokenAnswer(UpstreamId upstream)
 {
     auto const* target = m_services.serviceTable.target(upstream);
-    if (target)
+    if (target && !m_service.placement.isBrittle(m_services.loop.now()))
         m_services.crashDetector.requestBroken({ fingerprint(), upstream, target->instance, target->endpoint });
 }
 
--- a/Services/stagepostd/GatewayRequestHandler.h
+++ b/Services/stagepostd/GatewayRequestHandler.h
@@ -3,7 +3,6 @@
 #include <LibBase/Log.h>
 #include <LibProxy/Exchange.h>
 #include <LibRouting/RequestAttempts.h>
-#include <memory>
 #include <stagepostd/GatewayServices.h>
 #include <stagepostd/RoutedRequest.h>
 
@@ -20,8 +19,7 @@
 private:
     // Decides whether the first send goes to a version that is being tried.
     void chooseRole();
-    // Passes the request on to another daemon if this one has lost its links to the upstreams, or
-    // refuses it if that is not possible. Returns false if it is to be placed here.
+    // Passes the request on if this daemon has lost its links. Returns false if it is to be placed here.
     bool startDetour();
     void handleDetourOutcome(DetourOutcome const&);
     void placeRequest();
--- a/Tests/StandIns/LinkShim.cpp
+++ b/Tests/StandIns/LinkShim.cpp
@@ -72,6 +72,7 @@
     sockaddr_in local {};
     local.sin_family = AF_INET;
     local.sin_addr.s_addr = source;
-    ::bind(socket, reinterpret_cast<sockaddr const*>(&local), sizeof local);
+    if (::bind(socket, reinterpret_cast<sockaddr const*>(&local), sizeof local) != 0)
+        return -1;
     return systemConnect(socket, address, size);
 }
