GatewayPeers: Keep the time limits of the peers' server

The limits of callers, which now also bound what other daemons pass on, set the peers' server's time limit for a message to the callers' header time-out, a second on the users' sites. A whole state of 400 KB may take seconds to send over a slow link and would have been cut off. Only the sizes are taken over now.

Idle connections to daemons that took requests are kept only two each, since nothing uses them once the links are back.

--- a/Services/stagepostd/DetourClient.cpp
+++ b/Services/stagepostd/DetourClient.cpp
@@ -10,6 +10,8 @@
     // Each refusal costs a round trip between daemons.
     constexpr size_t maxDaemonsTried = 3;
     constexpr size_t maxHeldAnswerBytes = 64u << 10;
+    // To each daemon. They are only needed while the links are lost.
+    constexpr size_t maxIdleConnections = 2;
 
     std::optional<Milliseconds> parseRetryAfter(std::string_view seconds)
     {
@@ -80,6 +82,7 @@
     plan.connectTimeout = attempts.connectTimeout();
     plan.responseHeaderTimeout = attempts.timeLeft(now);
     plan.idleTimeout = attempts.timeLeft(now);
+    plan.maxIdleConnections = maxIdleConnections;
     plan.maxBufferedBytes = maxHeldAnswerBytes;
     plan.progress = request.progress;
     plan.sendErrorEvent = false;
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -70,8 +70,10 @@
 
 void GatewayPeers::setCallerLimits(HttpServerOptions const& limits)
 {
-    auto options = limits;
-    options.maxHeaderSize += detourHeaderSize;
+    // The time limits of callers do not apply: sending the state to another daemon may take longer.
+    HttpServerOptions options;
+    options.maxBodySize = limits.maxBodySize;
+    options.maxHeaderSize = std::max(options.maxHeaderSize, limits.maxHeaderSize + detourHeaderSize);
     m_server.setOptions(options);
 }
 
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -67,9 +67,9 @@
     // Listens for other gateways. Error: Unreachable.
     Result<Endpoint> listen(Endpoint const&);
 
-    // Limits of the requests that other daemons pass on. Their answers come over the connections to
-    // upstreams of the given server.
+    // Limits the sizes of the requests that other daemons pass on to those of callers.
     void setCallerLimits(HttpServerOptions const&);
+    // Sends these requests over the given server's connections to upstreams.
     void shareUpstreamConnections(HttpServer const& server) { m_server.shareUpstreamConnections(server); }
 
     // Starts to exchange messages. The incarnation must be higher than at any earlier start under
