--- a/Tests/LibRouting/TestSilenceDetector.cpp
+++ b/Tests/LibRouting/TestSilenceDetector.cpp
@@ -219,4 +219,50 @@
     BOOST_TEST(trial->needsNewConnection);
 }
 
+// As after a partition of this daemon from all upstreams, on connections that were open before.
+BOOST_AUTO_TEST_CASE(AllAreSilentOnlyWhileNoUpstreamSendsAnything)
+{
+    SilenceDetector detector;
+    Milliseconds const limit { 400 };
+    addNormalAnswers(detector, UpstreamId(1), north, 10);
+    BOOST_TEST(!detector.areAllSilent(limit, at(20)));
+    detector.sent(UpstreamId(1), north, at(20));
+    detector.sent(UpstreamId(2), south, at(20));
+    BOOST_TEST(!detector.areAllSilent(limit, at(20.1)));
+    BOOST_TEST(detector.areAllSilent(limit, at(20.5)));
+    detector.answerStarted(UpstreamId(2), Milliseconds(500), at(20.5));
+    BOOST_TEST(!detector.areAllSilent(limit, at(20.51)));
+}
+
+BOOST_AUTO_TEST_CASE(SilenceByLostLinksIsForgotten)
+{
+    SilenceDetector detector;
+    addNormalAnswers(detector, UpstreamId(1), north, 10);
+    addFailedConnection(detector, UpstreamId(2), south, 10, 10.04);
+    addFailedConnection(detector, UpstreamId(3), south, 10, 10.04);
+    detector.sent(UpstreamId(1), north, at(10));
+    BOOST_TEST((detector.reach(south, at(11)) != Reach::Reachable));
+    BOOST_TEST(detector.isSilent(UpstreamId(1), at(11)));
+    detector.forgetSilence(at(11));
+    BOOST_TEST((detector.reach(south, at(11)) == Reach::Reachable));
+    BOOST_TEST(!detector.isSilent(UpstreamId(1), at(11)));
+}
+
+// Otherwise the callers of a daemon whose links are back would wait for the breakers' trials.
+BOOST_AUTO_TEST_CASE(UpstreamsTakeRequestsAtOnceWhenTheLinksAreBack)
+{
+    SilenceDetector const detector;
+    auto placement = placementWith(detector);
+    for (uint64_t number = 1; number <= 2; ++number) {
+        placement.putUpstream({ UpstreamId(number), false, 4, false, north });
+        for (int failure = 0; failure < 4; ++failure) {
+            placement.started(UpstreamId(number));
+            placement.finished(UpstreamId(number), SendOutcome::ConnectFailed, Microseconds(0), Microseconds(0), at(10));
+        }
+    }
+    BOOST_TEST(placement.choose({}, at(10.1))->needsNewConnection);
+    placement.forgetUnreachable();
+    BOOST_TEST(!placement.choose({}, at(10.1))->needsNewConnection);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
