LinkMonitor: Go on probing until the links are decided

A resumable stream whose upstream's connection was reset with the links was cut: the probes after the reset hit the same upstreams as the stream's own attempts to connect, so three of the four failures that decide were known, the next round was 100 ms away, and the stream did not wait for it.

When all probes of a round have failed, the next one follows at once, so requests wait for a decision instead of a timer. ARoundThatDecidesNothingIsFollowedAtOnce.

--- a/Libraries/LibRouting/LinkFailureDetector.h
+++ b/Libraries/LibRouting/LinkFailureDetector.h
@@ -65,6 +65,8 @@
 
     // The upstreams to probe now, out of all known ones; usually none.
     std::vector<UpstreamId> takeProbes(std::vector<UpstreamId> const& upstreams, RandomHook const&, Instant now);
+    // All probes of a round have failed. If that decides nothing yet, the next round need not wait.
+    void probesFailed(Instant now) { m_nextProbeAt = now; }
     bool isProbeDue(Instant now) const { return state(now) != LinkState::Up && now >= m_nextProbeAt; }
 
 private:
--- a/Services/stagepostd/LinkMonitor.cpp
+++ b/Services/stagepostd/LinkMonitor.cpp
@@ -115,6 +115,8 @@
         m_detector.probeConnected(m_loop.now());
     else if (m_serviceTable.target(upstream))
         m_detector.connectFailed(upstream, m_serviceTable.upstreamCount(), m_loop.now());
+    if (!m_openProbes && state != PortState::Open)
+        m_detector.probesFailed(m_loop.now());
     update();
     if (m_state == LinkState::Suspected && m_openProbes)
         return;
--- a/Tests/LibRouting/TestLinkFailureDetector.cpp
+++ b/Tests/LibRouting/TestLinkFailureDetector.cpp
@@ -101,6 +101,23 @@
     BOOST_TEST(detector.links.isLost());
 }
 
+// The probed upstreams may be those at which requests fail as well.
+BOOST_AUTO_TEST_CASE(ARoundThatDecidesNothingIsFollowedAtOnce)
+{
+    Detector detector;
+    detector.links.suspect(start);
+    auto const probes = detector.takeProbes(start);
+    for (auto const id : probes)
+        detector.fail(id.value(), start);
+    BOOST_TEST(!detector.links.isLost());
+    BOOST_TEST(detector.takeProbes(start).empty());
+    detector.links.probesFailed(start);
+    auto const others = detector.takeProbes(start);
+    BOOST_REQUIRE(!others.empty());
+    detector.fail(others.front().value(), start);
+    BOOST_TEST(detector.links.isLost());
+}
+
 BOOST_AUTO_TEST_CASE(ProbesOfAServiceThatIsGoneAreLimited)
 {
     Detector detector;
