Tests: Cut daemons off from all upstreams in the soak

Also: a detour whose daemon is no longer registered keeps its id as a name, since an empty name stood for a request that was sent to no daemon and would have been placed here again.

--- a/Services/stagepostd/DetourClient.cpp
+++ b/Services/stagepostd/DetourClient.cpp
@@ -1,5 +1,6 @@
 #include <stagepostd/DetourClient.h>
 
+#include <LibBase/Hex.h>
 #include <charconv>
 #include <stagepostd/DetourServer.h>
 
@@ -24,8 +25,11 @@
 
     Verdict verdictFromName(std::string_view name)
     {
-        return name == nameOf(Verdict::NotRun) ? Verdict::NotRun : name == nameOf(Verdict::Ran) ? Verdict::Ran
-                                                                                                : Verdict::MayHaveRun;
+        for (auto const verdict : { Verdict::NotRun, Verdict::Ran }) {
+            if (name == nameOf(verdict))
+                return verdict;
+        }
+        return Verdict::MayHaveRun;
     }
 
 }
@@ -100,8 +104,8 @@
     }
     auto const verdict = verdictFromName(headers.find("Stagepost-Verdict"));
     auto const reason = std::string(headers.find("Stagepost-Reason"));
-    // Reasons that this daemon would answer with another status than 5xx do not concern the caller,
-    // whose request this daemon has accepted.
+    // This daemon has accepted the request, so the other one's reason, such as an unknown key, is not
+    // the caller's.
     detour.mayTryElsewhere = headers.find(DetourServer::refusalHeader) == DetourServer::refusedHere;
     detour.outcome.refusal = Refusal { verdict == Verdict::NotRun ? RefusalReason::NoUpstream : RefusalReason::UpstreamBroken, verdict, "the other daemon answered " + reason, parseRetryAfter(headers.find("Retry-After")) };
     return ResponseRejection { RefusalReason::OverCapacity, verdict, detour.outcome.refusal->detail };
@@ -110,8 +114,10 @@
 void DetourClient::send(std::shared_ptr<Detour> const& detour, VMId daemon)
 {
     detour->tried.push_back(daemon);
-    detour->outcome.daemon = m_peers.nameOf(daemon);
+    auto const name = m_peers.nameOf(daemon);
+    detour->outcome.daemon = name.empty() ? toHex(daemon.value()) : name;
     detour->outcome.refusal.reset();
+    detour->mayTryElsewhere = false;
     auto plan = makePlan(*detour, *m_peers.endpointOf(daemon));
     plan.responseFilter = [this, detour](unsigned status, HttpFields const& headers) { return checkResponseHeader(*detour, status, headers); };
     m_peers.detourStarted(daemon);
@@ -128,8 +134,10 @@
         chooseDaemon(detour);
         return;
     }
-    finish(*detour, !result.failure ? "answered" : isFailure ? "failed"
-                                                             : "caller-gone");
+    if (!result.failure)
+        finish(*detour, "answered");
+    else
+        finish(*detour, isFailure ? "failed" : "caller-gone");
 }
 
 void DetourClient::finish(Detour& detour, std::string_view outcome)
--- a/Services/stagepostd/DetourClient.h
+++ b/Services/stagepostd/DetourClient.h
@@ -10,7 +10,7 @@
 
 // How the detour of a request has ended.
 struct DetourOutcome {
-    // The daemon that was tried last; empty if none is known to reach upstreams.
+    // The daemon that the request was sent to last; empty if it was sent to none.
     std::string daemon;
     ForwardResult result;
     // Set if that daemon answered itself, instead of an upstream.
--- a/Tests/Soak/faults.py
+++ b/Tests/Soak/faults.py
@@ -6,7 +6,7 @@
 import time
 
 from rollouts import Rollouts
-from world import FIRST_WITH_ROLLOUTS, FIRST_WITH_SUSPENSION, STOP_LIMIT
+from world import FIRST_WITH_LINK_CUTS, FIRST_WITH_ROLLOUTS, FIRST_WITH_SUSPENSION, STOP_LIMIT
 
 # Seconds after a fault within which a disturbed daemon is connected again.
 SETTLE = 3.0
@@ -73,6 +73,7 @@
         self.returns = random.Random(f"{seed} returns") if seed >= FIRST_WITH_RETURNS else None
         self.orders = random.Random(f"{seed} orders") if seed >= FIRST_WITH_ORDERS else None
         self.rollouts = Rollouts(world, random.Random(f"{seed} rollouts"), self.schedule, note) if seed >= FIRST_WITH_ROLLOUTS else None
+        self.links = random.Random(f"{seed} links") if seed >= FIRST_WITH_LINK_CUTS else None
         if self.returns:
             world.store.era = 1
         self.unplanned = [self.pause, self.pause, self.kill, self.kill_all, self.cut_from_store, self.impair_peer_link, self.reset_callers,
@@ -90,6 +91,9 @@
         if self.returns:
             for _ in range(2):
                 self.schedule.after(self.returns.uniform(0, seconds), self.copy_store)
+        if self.links:
+            for _ in range(int(seconds)):
+                self.schedule.after(self.links.uniform(0, seconds), self.lose_links)
         self.add_orders(seconds)
         self.add_rollout(seconds)
         self.run_phase(seconds, 0.25, self.unplanned * 2 + self.planned)
@@ -266,6 +270,18 @@
         link.delay = self.random.uniform(0.01, 0.4)
         self.disturb(f"delay a link by {link.delay:.2f} s", link.heal)
 
+    def lose_links(self):
+        """Cuts some daemons off from all upstreams; sometimes all of them."""
+        daemons = self.links.sample(self.world.daemons, self.links.choice((1, 1, 2, len(self.world.daemons) - 1, len(self.world.daemons))))
+        mode, seconds = self.links.choice(("reset", "hang", "live")), self.links.uniform(0.1, 4.0)
+        names = ", ".join(daemon.name for daemon in daemons)
+        self.note(f"cut {names} off from all upstreams ({mode}) for {seconds:.2f} s")
+        start = time.monotonic()
+        self.disturbances.add(f"cut {names} off from all upstreams", start, start + seconds + 0.5)
+        for daemon in daemons:
+            daemon.cut_links(mode)
+            self.schedule.after(seconds, daemon.heal_links)
+
     def cut_upstream(self):
         upstream = self.random.choice(self.world.living())
         upstream.link.is_forward_open = upstream.link.is_backward_open = False
--- a/Tests/Soak/links.py
+++ b/Tests/Soak/links.py
@@ -32,28 +32,33 @@
     """Forwards TCP connections to an endpoint. Data in a closed direction is held back and forwarded
     when the direction reopens, as after a network partition."""
 
-    def __init__(self, network, target, port=0):
+    def __init__(self, network, target, port=0, host="127.0.0.1", held=()):
         self.network = network
         self.target = target
+        # Addresses of clients whose traffic is held back.
+        self.held = held
         self.delay = 0.0
         self.is_forward_open = True
         self.is_backward_open = True
         self.refuses = False
-        self.transports = set()
-        self.server = network.call(asyncio.start_server(self.serve, "127.0.0.1", port))
-        self.endpoint = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        # By transport, the address of the client.
+        self.transports = {}
+        self.server = network.call(asyncio.start_server(self.serve, host, port))
+        self.endpoint = "%s:%d" % self.server.sockets[0].getsockname()
 
     def heal(self):
         self.delay = 0.0
         self.is_forward_open = self.is_backward_open = True
         self.refuses = False
 
-    def reset_connections(self):
-        self.network.loop.call_soon_threadsafe(self._reset_all)
+    def reset_connections(self, address=None):
+        """Resets the connections of the client with that address, or all."""
+        self.network.loop.call_soon_threadsafe(self._reset, address)
 
-    def _reset_all(self):
-        for transport in list(self.transports):
-            reset(transport)
+    def _reset(self, address):
+        for transport, client in list(self.transports.items()):
+            if address in (None, client):
+                reset(transport)
 
     async def serve(self, reader, writer):
         if self.refuses:
@@ -66,22 +71,24 @@
             reset(writer.transport)
             return
         ends = {writer.transport, target_writer.transport}
-        self.transports |= ends
+        client = writer.get_extra_info("peername")[0]
+        self.transports.update((transport, client) for transport in ends)
         try:
-            await asyncio.gather(self.pump(reader, target_writer, "is_forward_open"), self.pump(target_reader, writer, "is_backward_open"))
+            await asyncio.gather(self.pump(reader, target_writer, "is_forward_open", client), self.pump(target_reader, writer, "is_backward_open", client))
         except OSError:
             for transport in ends:
                 reset(transport)
         finally:
-            self.transports -= ends
+            for transport in ends:
+                del self.transports[transport]
             writer.close()
             target_writer.close()
 
-    async def pump(self, reader, writer, direction_flag):
+    async def pump(self, reader, writer, direction_flag, client):
         while data := await reader.read(65536):
             if self.delay:
                 await asyncio.sleep(self.delay)
-            while not getattr(self, direction_flag):
+            while not getattr(self, direction_flag) or client in self.held:
                 await asyncio.sleep(0.02)
             writer.write(data)
             await writer.drain()
--- a/Tests/Soak/world.py
+++ b/Tests/Soak/world.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 
@@ -16,6 +17,7 @@
 from fleet import BUILD, Ports  # noqa: E402
 from platform_stand_ins import Store, Upstream  # noqa: E402
 from rollout_checks import supported_flags  # noqa: E402
+from test_lost_links import CUTTABLE, UPSTREAM_ADDRESS, BlackHole, detour_flags  # noqa: E402
 from test_platform import HOST, route  # noqa: E402
 from test_suspension import SUSPENDABLE, SuspendedTime  # noqa: E402
 from version_stand_ins import SoftwareVersion, VersionedAnswers  # noqa: E402
@@ -33,6 +35,8 @@
 # The lowest seed whose schedule includes roll-outs, and the service that moves.
 FIRST_WITH_ROLLOUTS = 5000
 ROLLOUT_SERVICE = "chat"
+# The lowest seed whose schedule cuts daemons off from all upstreams.
+FIRST_WITH_LINK_CUTS = 6000
 TIMEOUT = 2.0
 EVENTS = 12
 
@@ -40,7 +44,7 @@
 class SoakUpstream(Upstream):
     """An upstream behind a link. It can fail a fraction of its requests, crash and restart."""
 
-    def __init__(self, network, instance, service, hall, version="v1"):
+    def __init__(self, network, instance, service, hall, version="v1", address="127.0.0.1", held=()):
         self.kind, self.share = None, 0.0
         self.random = random.Random(instance)
         self.connections = []
@@ -48,7 +52,7 @@
         self.born = None
         super().__init__(instance, service, hall, version=version)
         self.events, self.event_pause, self.stop_after = EVENTS, 0.02, 4
-        self.link = TcpLink(network, self.endpoint)
+        self.link = TcpLink(network, self.endpoint, host=address, held=held)
 
     @property
     def fault(self):
@@ -101,20 +105,51 @@
         self.callers = TcpLink(world.network, self.listen)
         self.log = open(os.path.join(world.directory, self.name + ".log"), "a", encoding="utf-8")
         self.suspended_time = SuspendedTime() if world.seed >= FIRST_WITH_SUSPENSION else None
+        self.address = f"127.0.2.{number + 1}"
+        self.links_file = tempfile.NamedTemporaryFile() if world.seed >= FIRST_WITH_LINK_CUTS else None
+        if self.links_file:
+            self.set_links(b"o")
         self.process = None
         self.starts = 0
         self.is_expected = False
         self.misses = 2
 
+    def set_links(self, state):
+        os.pwrite(self.links_file.fileno(), state, 0)
+
+    def cut_links(self, mode):
+        """Cuts the links to all upstreams. mode: "reset", "hang", or "live": open connections live on."""
+        self.set_links(b"h" if mode == "hang" else b"r")
+        if mode == "hang":
+            self.world.held_addresses.add(self.address)
+        elif mode == "reset":
+            for upstream in self.world.upstreams:
+                upstream.link.reset_connections(self.address)
+
+    def heal_links(self):
+        self.set_links(b"o")
+        self.world.held_addresses.discard(self.address)
+
+    def program(self):
+        if self.links_file:
+            return CUTTABLE
+        return SUSPENDABLE if self.suspended_time else PROGRAM
+
+    def environment(self):
+        if not self.links_file:
+            return self.suspended_time.environment if self.suspended_time else None
+        return dict(self.suspended_time.environment, STAGEPOST_LINK_FILE=self.links_file.name, STAGEPOST_LINK_SOURCE=self.address,
+                    STAGEPOST_UPSTREAM_ADDRESS=UPSTREAM_ADDRESS, STAGEPOST_BLACK_HOLE_PORT=str(self.world.black_hole.port))
+
     def start(self):
         self.starts += 1
         self.is_expected = True
         self.process = subprocess.Popen(
-            [SUSPENDABLE if self.suspended_time else PROGRAM, "--name", self.name, "--hall", self.hall, "--listen", self.listen, "--ready-listen", self.ready,
+            [self.program(), "--name", self.name, "--hall", self.hall, "--listen", self.listen, "--ready-listen", self.ready,
              "--peer-listen", self.peer, "--peer-address", self.to_peers.endpoint, "--store", self.to_store.endpoint,
              "--key-bound-ms", str(int(KEY_BOUND * 1000)), "--leave-bound-ms", str(int(LEAVE_BOUND * 1000)),
              "--empty-hall-bound-ms", str(int(EMPTY_BOUND * 1000)), "--cold-overshoot", "1.5", "--cold-slack", "5", "--drain-s", str(STOP_LIMIT), "--retry-slack", "50", *self.world.daemon_flags], stdout=self.log, stderr=self.log,
-            env=self.suspended_time.environment if self.suspended_time else None)
+            env=self.environment())
 
     def signal(self, number):
         if self.process.poll() is None:
@@ -138,6 +173,8 @@
             self.process.kill()
         if self.process:
             self.process.wait()
+        if self.links_file:
+            self.links_file.close()
         self.log.close()
 
     def check_readiness(self):
@@ -252,6 +289,11 @@
         self.version, self.marks = 0, []
         self.software = SoftwareVersion("v1")
         self.daemon_flags = supported_flags() if seed >= FIRST_WITH_ROLLOUTS else ()
+        self.cuts_links = seed >= FIRST_WITH_LINK_CUTS
+        self.held_addresses = set()
+        self.black_hole = BlackHole() if self.cuts_links else None
+        if self.cuts_links:
+            self.daemon_flags += detour_flags()
         self.keys = ["key-0"]
         # By key: when the store accepted a configuration with the key, and one without it.
         self.added_at = {"key-0": time.monotonic()}
@@ -330,7 +372,8 @@
         """Adds an upstream of the version that serves, or of another one."""
         arguments = self.network, f"{service}-{len(self.upstreams)}", service, ("north", "south")[len(self.upstreams) % 2]
         is_versioned = self.seed >= FIRST_WITH_ROLLOUTS and service == ROLLOUT_SERVICE
-        upstream = VersionedSoakUpstream(software or self.software, *arguments) if is_versioned else SoakUpstream(*arguments)
+        link = {"address": UPSTREAM_ADDRESS, "held": self.held_addresses} if self.cuts_links else {}
+        upstream = VersionedSoakUpstream(software or self.software, *arguments, **link) if is_versioned else SoakUpstream(*arguments, **link)
         self.upstreams.append(upstream)
         self.store.put("keyed.servers", upstream.instance, upstream.record())
         return upstream
@@ -356,3 +399,5 @@
             upstream.stop()
         self.store.stop()
         self.network.stop()
+        if self.black_hole:
+            self.black_hole.close()
--- a/Tests/platform/TestDetourServer.cpp
+++ b/Tests/platform/TestDetourServer.cpp
@@ -32,7 +32,7 @@
 
     std::shared_ptr<FakeExchange> serve(DetourTerms const& terms)
     {
-        auto const exchange = std::make_shared<FakeExchange>();
+        auto exchange = std::make_shared<FakeExchange>();
         server.serve(exchange, terms);
         return exchange;
     }
