--- a/Services/stagepostd/RolloutController.cpp
+++ b/Services/stagepostd/RolloutController.cpp
@@ -280,11 +280,15 @@
     return VersionedSend { target->service, target->version, role };
 }
 
-void RolloutController::finishSend(VersionedSend const& send, AnswerSample const& sample, bool isFirstAnswer)
+void RolloutController::finishSend(VersionedSend const& send)
 {
     auto& running = m_running[send.service];
     if (auto const count = running.find(send.version); count != running.end() && !--count->second)
         running.erase(count);
+}
+
+void RolloutController::recordAnswer(VersionedSend const& send, AnswerSample const& sample, bool isFirstAnswer)
+{
     auto* rollout = find(send.service);
     if (rollout && isFirstAnswer)
         rollout->exposure().answered();
@@ -298,7 +302,7 @@
         return;
     rollout->recordAnswer(send.version, sample, verdict, m_now());
     if (verdict == AnswerClassifier::Verdict::Failed || verdict == AnswerClassifier::Verdict::Slow)
-        m_metrics.count("stagepost_rollout_bad_answers_total", labels(send.service, send.version));
+        m_metrics.count("stagepost_rollout_bad_answers_total", labels(send.service, send.version) + (verdict == AnswerClassifier::Verdict::Slow ? ",reason=\"slow\"" : ",reason=\"failed\""));
     applyChanges();
 }
 
--- a/Services/stagepostd/RolloutController.h
+++ b/Services/stagepostd/RolloutController.h
@@ -63,8 +63,10 @@
     // Returns none if the upstream must not get a request of the role now: its role has changed since it
     // was chosen, or the version has got its share. Otherwise the send is counted.
     std::optional<VersionedSend> startSend(UpstreamId, UpstreamRole, RouteId);
-    // The answer is the first of its request if no earlier send of the request was answered.
-    void finishSend(VersionedSend const&, AnswerSample const&, bool isFirstAnswer);
+    void finishSend(VersionedSend const&);
+    // Judges the version by the answer to a send that has been finished. The answer is the first of its
+    // request if no earlier send of the request was answered.
+    void recordAnswer(VersionedSend const&, AnswerSample const&, bool isFirstAnswer);
 
     std::map<std::string, std::unique_ptr<ServiceRollout>> const& rollouts() const { return m_rollouts; }
     size_t runningAt(std::string const& service, std::string const& version) const;
--- a/Tests/Processes/test_lost_links.py
+++ b/Tests/Processes/test_lost_links.py
@@ -8,6 +8,7 @@
 import dataclasses
 import os
 import random
+import re
 import socket
 import struct
 import subprocess
@@ -18,6 +19,7 @@
 
 from fleet import BUILD, Ports, eventually
 from platform_stand_ins import Store, Upstream
+from rollout_checks import supported_flags
 from test_platform import HOST, KEY, PROGRAM, Entry, manifest, request, route
 
 SEED = int(os.environ.get("STAGEPOST_SEED", "64"))
@@ -60,10 +62,10 @@
 
     ADDRESS = UPSTREAM_ADDRESS
 
-    def __init__(self, instance, service, hall):
+    def __init__(self, instance, service, hall, version="v1"):
         self.hung = set()
         self.connections = {}
-        super().__init__(instance, service, hall, slots=64)
+        super().__init__(instance, service, hall, slots=64, version=version)
         self.event_pause = 0.05
 
     def serve(self, connection):
@@ -163,13 +165,13 @@
     def set_links(self, state):
         os.pwrite(self.links.fileno(), state, 0)
 
-    def start(self):
+    def start(self, *flags):
         listen, ready, peer = self.ports
         environment = dict(os.environ, STAGEPOST_LINK_FILE=self.links.name, STAGEPOST_LINK_SOURCE=self.address,
                            STAGEPOST_UPSTREAM_ADDRESS=UPSTREAM_ADDRESS, STAGEPOST_BLACK_HOLE_PORT=str(self.test.black_hole.port))
         self.entry = Entry(self.test.store, "--name", self.name, "--hall", self.hall, "--listen", listen, "--ready-listen", ready,
                            "--peer-listen", peer, "--key-bound-ms", "5000", "--leave-bound-ms", "2000",
-                           "--retry-slack", str(RETRY_SLACK), *detour_flags(), program=CUTTABLE, environment=environment)
+                           "--retry-slack", str(RETRY_SLACK), *detour_flags(), *flags, program=CUTTABLE, environment=environment)
         eventually(self.entry.is_ready, "ready")
 
     def cut(self, mode):
@@ -210,7 +212,12 @@
         return self.status == 200 and self.is_whole
 
 
-class LostLinks(unittest.TestCase):
+class FleetWithLinks(unittest.TestCase):
+    """Sends requests to daemons whose links to the upstreams a test cuts."""
+
+    # Flags of all daemons.
+    FLAGS = ()
+
     def setUp(self):
         self.random = random.Random(f"{SEED}-{self.id()}")
         self.ports = Ports(SEED)
@@ -218,15 +225,11 @@
         self.addCleanup(self.store.stop)
         self.addCleanup(self.black_hole.close)
         self.upstreams = []
-        for service, count in (("book", 3), ("chat", 6)):
-            for number in range(count):
-                upstream = CuttableUpstream(f"{service}-{number}", service, HALLS[number % len(HALLS)])
-                self.addCleanup(upstream.stop)
-                self.upstreams.append(upstream)
-                self.store.put("keyed.servers", upstream.instance, upstream.record())
+        self.add_upstreams("book", 3)
+        self.add_upstreams("chat", 6)
         self.store.put("keyed.op", "config", manifest(3, routes=ROUTES))
         self.members = [Member(self, number) for number in range(DAEMONS)]
-        threads = [threading.Thread(target=member.start) for member in self.members]
+        threads = [threading.Thread(target=member.start, args=self.FLAGS) for member in self.members]
         for thread in threads:
             thread.start()
         for thread in threads:
@@ -240,6 +243,13 @@
         self.is_over = threading.Event()
         self.traffic = threading.Thread(target=self.send_requests, daemon=True)
 
+    def add_upstreams(self, service, count, version="v1"):
+        for number in range(count):
+            upstream = CuttableUpstream(f"{service}-{version}-{number}", service, HALLS[number % len(HALLS)], version)
+            self.addCleanup(upstream.stop)
+            self.upstreams.append(upstream)
+            self.store.put("keyed.servers", upstream.instance, upstream.record())
+
     def send_requests(self):
         due, number = time.monotonic(), 0
         while not self.is_over.is_set():
@@ -318,6 +328,11 @@
         sent = len(self.attempts)
         self.assertLessEqual(repeats, RETRY_RATIO * sent + RETRY_SLACK * (1 + (arrivals[-1] - arrivals[0]) / RETRY_WINDOW))
 
+    def some(self, count):
+        return self.random.sample(self.members, count)
+
+
+class LostLinks(FleetWithLinks):
     def check_cut(self, mode, cut):
         self.traffic.start()
         time.sleep(WARM_UP_SECONDS)
@@ -342,9 +357,6 @@
         for path, seconds in added.items():
             self.assertLess(seconds, MAX_ADDED_SECONDS, path)
 
-    def some(self, count):
-        return self.random.sample(self.members, count)
-
     def test_links_reset(self):
         self.check_cut("reset", self.some(4))
 
@@ -382,5 +394,42 @@
         self.assertGreaterEqual(back, MIN_RELATIVE_SHARE * good, "after the links are back")
 
 
+class LostLinksDuringRollouts(FleetWithLinks):
+    FLAGS = supported_flags()
+
+    def failed_answers(self):
+        """Returns how many answers of each version the daemons count as failed."""
+        result = collections.Counter()
+        for member in self.members:
+            for line in member.entry.get_ready("/metrics").body.splitlines():
+                if found := re.fullmatch(r'stagepost_rollout_bad_answers_total{.*version="(.*)",reason="failed"} (.*)', line):
+                    result[found[1]] += int(float(found[2]))
+        return result
+
+    def test_answers_that_break_off_with_the_links_are_not_held_against_a_version(self):
+        self.add_upstreams("chat", 6, "v2")
+        self.traffic.start()
+        time.sleep(WARM_UP_SECONDS)
+        self.store.put("keyed.op", "rollout/chat", {"service": "chat", "toVersion": "v2", "durationS": 20})
+        time.sleep(1)
+        for _ in range(5):
+            cut = self.some(4)
+            for member in cut:
+                member.cut("reset")
+            time.sleep(0.7)
+            for member in cut:
+                member.heal()
+            time.sleep(0.7)
+        self.finish()
+        broken = sum(not attempt.is_served for attempt in self.attempts)
+        failed = self.failed_answers()
+        print(f"{self.id()} seed {SEED}: {broken} of {len(self.attempts)} not served, counted as failed {dict(failed)}", flush=True)
+        self.assertGreater(broken, 0, "links were cut while answers were under way")
+        self.assertEqual(failed, collections.Counter())
+        statuses = self.store.newest("keyed.status").get("rollout/chat", b"")
+        self.assertNotIn(b"rolled_back", statuses)
+        self.check_promises()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/Tests/platform/TestRolloutController.cpp
+++ b/Tests/platform/TestRolloutController.cpp
@@ -100,7 +100,8 @@
         AnswerSample sample;
         sample.route = route;
         sample.outcome = AnswerOutcome::Answered;
-        controller.finishSend(*sent, sample, true);
+        controller.finishSend(*sent);
+        controller.recordAnswer(*sent, sample, true);
         return sent->version;
     }
 
@@ -198,7 +199,8 @@
     for (auto const* instance : { "a", "b", "c" })
         daemon.table.apply({ instance, {} }, daemon.now);
     BOOST_TEST(daemon.controller.runningAt("chat", "v1") == 1u);
-    daemon.controller.finishSend(*sent, {}, false);
+    daemon.controller.finishSend(*sent);
+    daemon.controller.recordAnswer(*sent, {}, false);
     BOOST_TEST(daemon.controller.runningAt("chat", "v1") == 0u);
 }
 
