LinkFailureDetector: Probe at once when a further upstream fails

After a probe that was answered, nothing was probed for half a second.

The pause is meant for a service whose upstreams have all ended. So it now ends when an upstream fails that has not failed in the last five seconds, and lost links forget these failures.

--- a/Libraries/LibRouting/LinkFailureDetector.cpp
+++ b/Libraries/LibRouting/LinkFailureDetector.cpp
@@ -6,8 +6,10 @@
 
 void LinkFailureDetector::connected(Instant now)
 {
-    if (m_lostSince)
+    if (m_lostSince) {
         m_lostUntil = now;
+        m_lastFailures.clear();
+    }
     m_lostSince.reset();
     m_suspectedAt.reset();
     m_failures.clear();
@@ -24,10 +26,18 @@
 {
     expireFailures(now);
     m_failures[upstream] = now;
+    if (isNewFailure(upstream, now))
+        m_nextProbeAt = std::min(m_nextProbeAt, m_probedAt + m_bounds.probeInterval);
     if (!m_lostSince && m_failures.size() >= std::min(m_bounds.failedUpstreams, upstreamCount))
         m_lostSince = now;
 }
 
+bool LinkFailureDetector::isNewFailure(UpstreamId upstream, Instant now)
+{
+    std::erase_if(m_lastFailures, [&](auto const& failure) { return now - failure.second > m_bounds.repeatedFailureTime; });
+    return m_lastFailures.insert_or_assign(upstream, now).second;
+}
+
 void LinkFailureDetector::suspect(Instant now)
 {
     m_suspectedAt = now;
@@ -59,6 +69,7 @@
 {
     if (!isProbeDue(now))
         return {};
+    m_probedAt = now;
     m_nextProbeAt = now + m_bounds.probeInterval;
     auto candidates = upstreams;
     if (!m_lostSince)
--- a/Libraries/LibRouting/LinkFailureDetector.h
+++ b/Libraries/LibRouting/LinkFailureDetector.h
@@ -37,6 +37,9 @@
         // After a probe that was answered. Without the pause, each failure of a service whose
         // upstreams have all ended would cause probes.
         Microseconds pauseAfterSuccess { 500000 };
+        // An upstream that has not failed for so long ends the pause when it fails: the links may have
+        // been lost since the probe.
+        Microseconds repeatedFailureTime { 5000000 };
         // Enough to decide in one round after a failure.
         size_t probesAtOnce { 3 };
     };
@@ -71,14 +74,20 @@
 
 private:
     void expireFailures(Instant now);
+    // Records the failure, and returns whether it is the first one in a while.
+    bool isNewFailure(UpstreamId, Instant now);
 
     Bounds m_bounds;
     // The upstreams that could not be connected to since the last connection, and when.
     std::map<UpstreamId, Instant> m_failures;
+    // The last failure of each upstream, also if other upstreams were connected to since. Forgotten when
+    // lost links are back.
+    std::map<UpstreamId, Instant> m_lastFailures;
     std::optional<Instant> m_suspectedAt;
     std::optional<Instant> m_connectedAt;
     std::optional<Instant> m_lostSince;
     std::optional<Instant> m_lostUntil;
+    Instant m_probedAt;
     Instant m_nextProbeAt;
 };
 
--- a/Tests/LibRouting/TestLinkFailureDetector.cpp
+++ b/Tests/LibRouting/TestLinkFailureDetector.cpp
@@ -135,6 +135,32 @@
     BOOST_TEST(!detector.links.isLost());
 }
 
+// Guards against a cut right after a probe that was answered: requests would be refused until the next probe.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatHasNotFailedBeforeEndsThePauseAfterAnAnsweredProbe)
+{
+    Detector detector;
+    detector.fail(1, start);
+    BOOST_TEST(!detector.takeProbes(start).empty());
+    detector.links.probeConnected(start + Milliseconds(1));
+    auto const later = start + Milliseconds(150);
+    detector.fail(1, later);
+    BOOST_TEST(detector.takeProbes(later).empty());
+    detector.fail(2, later);
+    BOOST_TEST(detector.takeProbes(later).size() == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(LinksThatAreLostAgainAreProbedWithoutAPause)
+{
+    Detector detector;
+    for (uint64_t upstream = 1; upstream <= 4; ++upstream)
+        detector.fail(upstream, start);
+    BOOST_TEST(!detector.takeProbes(start + Milliseconds(100)).empty());
+    detector.links.probeConnected(start + Milliseconds(101));
+    auto const lostAgain = start + Milliseconds(300);
+    detector.fail(1, lostAgain);
+    BOOST_TEST(detector.takeProbes(lostAgain).size() == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(LostLinksAreProbedUntilAConnectionIsEstablished)
 {
     Detector detector;
