ServicePlacement: Suspect requests when a brittle upstream with room ends

Since upstreams may fall over by their load while they are brittle, no end of theirs was held against the requests that it broke off. So a request that crashes each upstream that runs it went unnoticed for as long as the service was brittle, and callers repeated it: 44 crashes of nine upstreams in 6 s, where 4 are allowed.

An upstream falls over by what it rejects, and it rejects only when it is full. The end of one that was full within the last second, as far as this daemon's counts show, or that has rejected a request of it, may still be due to its load. Otherwise requests are suspected as usual.

--- a/Libraries/LibRouting/BrittleLimit.cpp
+++ b/Libraries/LibRouting/BrittleLimit.cpp
@@ -15,6 +15,8 @@
     // The time in which the limit rises by one after a rejection. Each step that is too high costs a
     // rejection, of which an upstream tolerates some in a second.
     constexpr Microseconds stepDuration { 2000000 };
+    // An upstream falls over by its rejections within that time.
+    constexpr Microseconds rejectionWindow { 1000000 };
 
 }
 
@@ -32,12 +34,19 @@
 // Without a report the load at the rejection is not known: daemons' counts are too old.
 void BrittleLimit::rejected(Instant now)
 {
+    m_lastRejectionAt = now;
     if (!m_report || now - m_reportedAt > maxAnswerTime)
         return;
     m_rejectedLoad = m_report->running + m_report->waiting;
     m_rejectedAt = now;
 }
 
+bool BrittleLimit::mayHaveRejected(Instant now) const
+{
+    auto const isRecent = [&](std::optional<Instant> time) { return time && now - *time <= rejectionWindow; };
+    return isRecent(m_lastRejectionAt) || isRecent(m_filledAt);
+}
+
 size_t BrittleLimit::limit(size_t slots, Instant now) const
 {
     auto result = slots;
--- a/Libraries/LibRouting/BrittleLimit.h
+++ b/Libraries/LibRouting/BrittleLimit.h
@@ -23,10 +23,14 @@
     void reported(UpstreamLoadReport const&, Instant now);
     // The upstream has rejected a request for want of room, after it reported its load in that answer.
     void rejected(Instant now);
+    // The upstream was seen with as many requests as the limit allows, or more.
+    void filled(Instant now) { m_filledAt = now; }
 
     bool isActive(Instant now) const;
     // The highest load of an upstream with that many slots; at least 1.
     size_t limit(size_t slots, Instant now) const;
+    // Whether it may have had to reject requests of any daemon within the last second.
+    bool mayHaveRejected(Instant now) const;
 
 private:
     std::optional<Instant> m_announcedAt;
@@ -34,6 +38,9 @@
     Instant m_reportedAt;
     std::optional<size_t> m_rejectedLoad;
     Instant m_rejectedAt;
+    // The last rejection, with or without a known load, and when the upstream was last full.
+    std::optional<Instant> m_lastRejectionAt;
+    std::optional<Instant> m_filledAt;
 };
 
 }
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -186,6 +186,12 @@
     return std::any_of(m_upstreams.begin(), m_upstreams.end(), [now](auto const& entry) { return entry.second.brittle.isActive(now); });
 }
 
+bool ServicePlacement::mayHaveCrashedUnderLoad(UpstreamId id, Instant now) const
+{
+    auto const found = m_upstreams.find(id);
+    return found != m_upstreams.end() && isBrittle(now) && found->second.brittle.mayHaveRejected(now);
+}
+
 bool ServicePlacement::isWithinBrittleLimit(Upstream const& upstream, Instant now) const
 {
     auto const load = std::max(static_cast<double>(upstream.load.own()), upstream.load.expected(m_load.hold(), now));
@@ -271,6 +277,8 @@
     if (found == m_upstreams.end())
         return;
     auto& upstream = found->second;
+    if (isBrittle(now) && !isWithinBrittleLimit(upstream, now))
+        upstream.brittle.filled(now);
     upstream.load.finished();
     recordWait(outcome, took, held);
     switch (outcome) {
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -135,6 +135,9 @@
     // Whether any upstream is brittle. All of the service then keep within the load limits of brittle
     // ones.
     bool isBrittle(Instant now) const;
+    // Whether the end of the upstream's process may be due to its load. If so, it is no evidence against
+    // the requests that it broke off.
+    bool mayHaveCrashedUnderLoad(UpstreamId, Instant now) const;
     // Whether requests without a context need permits too, if an owner responds.
     bool needsPermits(Instant now) const { return hasCold(now) || isBrittle(now); }
     // The upstream has asked this daemon to send no requests for the duration.
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -523,7 +523,7 @@
 void GatewayRequestHandler::reportBrokenAnswer(UpstreamId upstream)
 {
     auto const* target = m_services.serviceTable.target(upstream);
-    if (target && !m_service.placement.isBrittle(m_services.loop.now()))
+    if (target && !m_service.placement.mayHaveCrashedUnderLoad(upstream, m_services.loop.now()))
         m_services.crashDetector.requestBroken({ fingerprint(), upstream, target->instance, target->endpoint });
 }
 
--- a/Tests/LibRouting/TestBrittleLimit.cpp
+++ b/Tests/LibRouting/TestBrittleLimit.cpp
@@ -95,6 +95,29 @@
     BOOST_TEST(sent == 8u);
 }
 
+// A request that crashes upstreams by itself must be recognised also while they are brittle.
+BOOST_AUTO_TEST_CASE(OnlyAFullBrittleUpstreamMayHaveCrashedUnderLoad)
+{
+    auto placement = placementOf(2);
+    UpstreamId const upstream(1);
+    auto const finishOne = [&](SendOutcome outcome, Instant now) { placement.finished(upstream, outcome, Milliseconds(1), Milliseconds(1), now); };
+    for (int request = 0; request < 4; ++request)
+        placement.started(upstream);
+    finishOne(SendOutcome::NoUsableAnswer, start);
+    BOOST_TEST(!placement.mayHaveCrashedUnderLoad(upstream, start));
+    placement.started(upstream);
+    placement.brittlenessAnnounced(upstream, true, start);
+    finishOne(SendOutcome::NoUsableAnswer, start);
+    // The others that it breaks off at the same time find it less full.
+    finishOne(SendOutcome::NoUsableAnswer, start);
+    BOOST_TEST(placement.mayHaveCrashedUnderLoad(upstream, start));
+    auto const later = start + Seconds(3);
+    finishOne(SendOutcome::NoUsableAnswer, later);
+    BOOST_TEST(!placement.mayHaveCrashedUnderLoad(upstream, later));
+    finishOne(SendOutcome::Refused, later);
+    BOOST_TEST(placement.mayHaveCrashedUnderLoad(upstream, later));
+}
+
 BOOST_AUTO_TEST_CASE(ARejectionKeepsRequestsFromABrittleUpstream)
 {
     auto placement = placementOf(2);
--- a/Tests/Processes/platform_stand_ins.py
+++ b/Tests/Processes/platform_stand_ins.py
@@ -284,6 +284,8 @@
         self.next_faults = []
         # With "refuse", the requested back-off in seconds; None to request none.
         self.rest = None
+        # The rejections in a second that it announces to bear; None if it is not brittle.
+        self.brittle_limit = None
         # Whether its answers announce that it is leaving.
         self.says_leaving = False
         self.requests = []
@@ -378,6 +380,7 @@
     def head(self, request, status, length, extra=""):
         identifier = request["headers"].get("x-attempt-id", "")
         extra += "Server-Leaving: 1\r\n" if self.says_leaving else ""
+        extra += "" if self.brittle_limit is None else f"Server-Brittle: {self.brittle_limit}\r\n"
         framing = "" if length is None else f"Content-Length: {length}\r\n"
         return (f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {identifier}\r\nX-Response-Signature: by-{self.instance}\r\n"
                 f"X-Server-Load: 1,0,{self.slots}\r\n{framing}{extra}\r\n").encode()
--- a/Tests/Processes/test_brittle_upstreams.py
+++ b/Tests/Processes/test_brittle_upstreams.py
@@ -43,7 +43,7 @@
         self.changed = threading.Condition()
         self.running = self.waiting = 0
         self.queue = QUEUE
-        self.is_brittle = self.is_down = False
+        self.is_down = False
         self.rejections = collections.deque()
         self.falls = 0
         self.connections = set()
@@ -57,8 +57,6 @@
             self.connections.discard(connection)
 
     def head(self, request, status, length, extra=""):
-        if self.is_brittle:
-            extra += f"Server-Brittle: {BORNE_REJECTIONS}\r\n"
         head = super().head(request, status, length, extra)
         return head.replace(b"X-Server-Load: 1,0,", b"X-Server-Load: %d,%d," % (self.running, self.waiting))
 
@@ -171,7 +169,7 @@
         time.sleep(3)
         noticed = time.monotonic()
         for upstream in self.upstreams:
-            upstream.is_brittle = True
+            upstream.brittle_limit = BORNE_REJECTIONS
         time.sleep(NOTICE_SECONDS)
         started = time.monotonic()
         for upstream in self.upstreams:
@@ -181,7 +179,7 @@
         ended = time.monotonic()
         falls = sum(upstream.falls for upstream in self.upstreams)
         for upstream in self.upstreams:
-            upstream.queue, upstream.is_brittle = QUEUE, False
+            upstream.queue, upstream.brittle_limit = QUEUE, None
         self.surge = 1.0
         time.sleep(DOWN_SECONDS + 1)
         back = time.monotonic()
--- a/Tests/Processes/test_crashing_requests.py
+++ b/Tests/Processes/test_crashing_requests.py
@@ -124,6 +124,11 @@
     def test_a_crashing_resumable_stream_is_blocked(self):
         self.check_blocked("/stream/again/x", 5)
 
+    def test_a_crashing_request_is_blocked_while_upstreams_are_brittle(self):
+        for book in self.books:
+            book.brittle_limit = 4
+        self.check_blocked("/confirm/x", 4)
+
     def test_a_daemon_that_starts_later_learns_of_the_request(self):
         self.send_crashing("/confirm/x", 4)
         before = len(self.arrivals())
