DetourClient: Use a new connection for each request

Repeatable requests that were passed on used kept connections between daemons. One that has become silent without a reset, as connections may, would have held each of them until its deadline: nothing watches the answers of other daemons.

With new connections only there is nothing to be watched. Found by reading; no test makes such a connection silent.

--- a/Services/stagepostd/DetourClient.cpp
+++ b/Services/stagepostd/DetourClient.cpp
@@ -11,8 +11,6 @@
     // Each refusal costs a round trip between daemons.
     constexpr size_t maxDaemonsTried = 3;
     constexpr size_t maxHeldAnswerBytes = 64u << 10;
-    // To each daemon. They are only needed while the links are lost.
-    constexpr size_t maxIdleConnections = 2;
 
     std::optional<Milliseconds> parseRetryAfter(std::string_view seconds)
     {
@@ -80,13 +78,13 @@
     plan.requestIdField = m_dialect.idField;
     plan.requestId = terms.id;
     plan.preserveHost = true;
-    // The other daemon may already have closed an idle connection, which would leave it unclear
-    // whether the request was run.
-    plan.requireNewConnection = !limits.isRepeatable;
+    // An idle connection may be closed or may have become silent, which would leave it unclear whether
+    // the request was run.
+    plan.requireNewConnection = true;
+    plan.maxIdleConnections = 0;
     plan.connectTimeout = attempts.connectTimeout();
     plan.responseHeaderTimeout = attempts.timeLeft(now);
     plan.idleTimeout = attempts.timeLeft(now);
-    plan.maxIdleConnections = maxIdleConnections;
     plan.maxBufferedBytes = maxHeldAnswerBytes;
     plan.progress = request.progress;
     plan.sendErrorEvent = false;
