Tests: Show that upstreams silent for a second harm no caller

A sound upstream may fall silent for a second and go on, which is no impairment. Seven daemons, four upstreams with plain answers and six with streams; one of each, or all, are silent for 1.2 s five times. Checked: at most once, attempts, retry budget, the users' bound on loads, 99 in 100 served, upstreams used again, no lost links and no ended upstream reported.

No change was needed.

An upstream whose slow answers a daemon has seen is avoided by it for some seconds, so the test waits for its return and does not bound it.

--- a/Tests/Processes/platform_stand_ins.py
+++ b/Tests/Processes/platform_stand_ins.py
@@ -401,6 +401,10 @@
             time.sleep(0.05)
         return fault not in ("unframed", "unframed-reset")
 
+    def pause_after_event(self, request):
+        if self.event_pause:
+            self.released.wait(self.event_pause * request.get("slowdown", 1.0))
+
     def stream(self, connection, request, fault):
         start = int(request["headers"].get("last-event-id", 0))
         connection.sendall(self.head(request, 200, None, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
@@ -417,7 +421,6 @@
             except OSError:
                 self.cancelled += 1
                 return False
-            if self.event_pause:
-                self.released.wait(self.event_pause * request.get("slowdown", 1.0))
+            self.pause_after_event(request)
         connection.sendall(b"0\r\n\r\n")
         return True
--- a/Tests/Processes/test_platform.py
+++ b/Tests/Processes/test_platform.py
@@ -55,6 +55,27 @@
         return request(self.ready_endpoint, "GET", path)
 
 
+def start_fleet(test, store, ports, halls, count, *flags):
+    """Starts daemons at the same time, and returns them once they know each other."""
+    entries = []
+
+    def start(number, listen, ready, peer):
+        entry = Entry(store, "--name", f"entry-{number}", "--hall", halls[number % len(halls)], "--listen", listen, "--ready-listen", ready,
+                      "--peer-listen", peer, "--key-bound-ms", "60000", "--leave-bound-ms", "2000", *flags)
+        test.addCleanup(entry.stop)
+        eventually(entry.is_ready, "ready")
+        entries.append(entry)
+
+    addresses = [[ports.take() for _ in range(3)] for _ in range(count)]
+    threads = [threading.Thread(target=start, args=(number, *addresses[number])) for number in range(count)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    eventually(lambda: all(any(f"event=peers others={count - 1}" in line for line in entry.lines) for entry in entries), "all daemons know each other")
+    return entries
+
+
 def request(endpoint, method, path, body=None, headers=None):
     host, port = endpoint.rsplit(":", 1)
     connection = http.client.HTTPConnection(host, int(port), timeout=PATIENCE)
