Meta: Analyse unchanged files only once, and share the compiler's cache

CCACHE_BASEDIR lets checkouts in different folders share compiled objects. On a new machine everything is analysed and compiled as before.

--- a/Meta/stagepost.sh
+++ b/Meta/stagepost.sh
@@ -4,6 +4,8 @@
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 
 build=Build
+# Lets checkouts in different folders share the compiler's cache.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 packages=(
     g++ cmake ninja-build ccache pkg-config git python3 curl
     libboost1.81-dev libboost-test1.81-dev libjsonrpccpp-dev libcxxopts-dev libspdlog-dev
@@ -263,7 +265,7 @@
     # clang-tidy cannot read GCC's precompiled headers.
     mkdir -p "$build/lint"
     sed -E 's/-Winvalid-pch -include [^ ]*cmake_pch\.hxx//' "$build/compile_commands.json" >"$build/lint/compile_commands.json"
-    sources | grep '\.cpp$' | xargs -P "$(nproc)" -n 1 clang-tidy-16 -p "$build/lint" --quiet --extra-arg=-Wno-unknown-warning-option 2> >(grep -v 'warnings generated' >&2)
+    sources | grep '\.cpp$' | xargs python3 -B Meta/lint.py "$build/lint"
 }
 
 # Runs each day scenario in deploy/days on a site and prints its result. Fails if a rule was broken
