GatewayRequestHandler: Judge broken answers at once again

Broken answers were kept back until a connection was established since, which may take until the next probe, half a second later. So the evidence against a bad version came late, and answers that were kept back together counted as one: an upstream counts once in an interval that starts when its answer is judged.

--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -492,14 +492,6 @@
     sample.events = m_progress ? m_progress->eventCount - m_eventsBeforeSend : 0;
     auto* rollouts = m_services.rollouts;
     rollouts->finishSend(*m_versionedSend);
-    if (sample.outcome == AnswerOutcome::Broken || sample.outcome == AnswerOutcome::TimedOut) {
-        // The loss of this daemon's links breaks off answers of any version.
-        m_services.links.judgeFailure(m_sentAt, [rollouts, send = *m_versionedSend, sample](LinkState links) {
-            if (links == LinkState::Up)
-                rollouts->recordAnswer(send, sample, false);
-        });
-        return;
-    }
     bool const isAnswered = sample.outcome == AnswerOutcome::Answered || sample.outcome == AnswerOutcome::Failed;
     rollouts->recordAnswer(*m_versionedSend, sample, isAnswered && !std::exchange(m_hasBeenAnswered, true));
 }
@@ -512,7 +504,9 @@
         return AnswerOutcome::Irrelevant;
     if (result.status >= firstServerError)
         return AnswerOutcome::Failed;
-    // Such a request may break off answers of any version.
+    // Such a request may break off answers of any version, and so does the loss of this daemon's links.
+    if (m_services.links.wasLostSince(m_sentAt))
+        return AnswerOutcome::Irrelevant;
     if (m_services.crashDetector.hasSuspects() && m_services.crashDetector.isSuspect(fingerprint()))
         return AnswerOutcome::Irrelevant;
     if (result.deadlineReached || result.failure == RefusalReason::UpstreamSlow)
--- a/Services/stagepostd/LinkMonitor.cpp
+++ b/Services/stagepostd/LinkMonitor.cpp
@@ -68,7 +68,6 @@
     auto const state = m_detector.state(m_loop.now());
     if (state != m_state)
         handleChange(std::exchange(m_state, state));
-    judgePendingFailures();
     if (m_state != LinkState::Up)
         probe();
 }
@@ -81,29 +80,6 @@
         callback();
 }
 
-void LinkMonitor::judgeFailure(Instant sentAt, std::function<void(LinkState)> callback)
-{
-    auto const failedAt = m_loop.now();
-    auto const state = m_detector.wasLostSince(sentAt) ? LinkState::Lost : stateSince(failedAt);
-    if (state == LinkState::Suspected)
-        m_pendingFailures.push_back({ failedAt, std::move(callback) });
-    else
-        callback(state);
-}
-
-void LinkMonitor::judgePendingFailures()
-{
-    for (auto& pending : std::exchange(m_pendingFailures, {})) {
-        bool const areLinksUp = m_state == LinkState::Up || m_detector.hasConnectedSince(pending.failedAt);
-        if (m_detector.wasLostSince(pending.failedAt))
-            pending.callback(LinkState::Lost);
-        else if (areLinksUp)
-            pending.callback(LinkState::Up);
-        else
-            m_pendingFailures.push_back(std::move(pending));
-    }
-}
-
 void LinkMonitor::handleChange(LinkState previous)
 {
     auto const now = m_loop.now();
--- a/Services/stagepostd/LinkMonitor.h
+++ b/Services/stagepostd/LinkMonitor.h
@@ -39,19 +39,9 @@
     // Calls back once it is known whether the links or single upstreams are at fault: at once, or after
     // the probes that are under way.
     void whenDecided(std::function<void()>);
-    // Calls back with Lost if the links are to blame for a failure that has just happened to a request
-    // sent at the given time, and with Up if the upstream is. While that is not known the callback waits,
-    // up to a second.
-    void judgeFailure(Instant sentAt, std::function<void(LinkState)>);
 
 private:
-    struct PendingFailure {
-        Instant failedAt;
-        std::function<void(LinkState)> callback;
-    };
-
     void update();
-    void judgePendingFailures();
     void probe();
     void finishProbe(UpstreamId, PortState);
     void handleChange(LinkState);
@@ -66,7 +56,6 @@
     Instant m_lostSince;
     size_t m_openProbes { 0 };
     std::vector<std::function<void()>> m_waiting;
-    std::vector<PendingFailure> m_pendingFailures;
     Timer m_timer;
 };
 
