GatewayRequestHandler: Log by what the retry budget decided

A retry's line did not say whether the ratio or the slack allowed it, so that the hypotheses on repeats beyond the budget could not be told apart. Lines of requests that were not answered now have the requests and retries that the daemon counts in its window, and its part of the slack. Lines of answered requests are unchanged.

--- a/Libraries/LibRouting/RetryBudget.cpp
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -11,20 +11,26 @@
     return slot;
 }
 
-bool RetryBudget::mayRetry(Instant now) const
+RetryBudget::Usage RetryBudget::usage(Instant now) const
 {
     auto const newest = numberAt(now);
-    double requests = 0;
-    double retries = 0;
+    Usage usage;
+    usage.slack = m_bounds.slack * m_share;
     for (auto const& slot : m_slots) {
         if (slot.number < 0 || slot.number + static_cast<int64_t>(slotCount) <= newest)
             continue;
-        retries += slot.retries;
+        usage.retries += slot.retries;
         // Requests of the oldest slot may already be outside the window.
         if (slot.number + static_cast<int64_t>(slotCount) - 1 > newest)
-            requests += slot.requests;
+            usage.requests += slot.requests;
     }
-    return retries + 1 <= usableShare * (m_bounds.ratio * requests + m_bounds.slack * m_share);
+    return usage;
+}
+
+bool RetryBudget::mayRetry(Instant now) const
+{
+    auto const used = usage(now);
+    return used.retries + 1 <= usableShare * (m_bounds.ratio * used.requests + used.slack);
 }
 
 }
--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -21,6 +21,14 @@
         Microseconds window { 10000000 };
     };
 
+    // What has been spent in the current window, and what it allows.
+    struct Usage {
+        double requests { 0 };
+        double retries { 0 };
+        // This daemon's part of the slack.
+        double slack { 0 };
+    };
+
     explicit RetryBudget(Bounds bounds)
         : m_bounds(bounds)
     {
@@ -31,6 +39,7 @@
 
     void recordRequest(Instant now) { slotAt(now).requests += 1; }
     bool mayRetry(Instant now) const;
+    Usage usage(Instant now) const;
     void recordRetry(Instant now) { slotAt(now).retries += 1; }
 
 private:
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -612,12 +612,21 @@
     return *m_fingerprint;
 }
 
-std::vector<LogField> GatewayRequestHandler::versionLogFields() const
+std::vector<LogField> GatewayRequestHandler::additionalLogFields(std::string_view outcome) const
 {
-    if (!m_services.rollouts)
-        return {};
-    auto const send = m_versionedSend.value_or(VersionedSend {});
-    return { { "version", send.version }, { "role", send.role == UpstreamRole::Candidate ? "candidate" : "serving" } };
+    std::vector<LogField> fields;
+    if (m_services.rollouts) {
+        auto const send = m_versionedSend.value_or(VersionedSend {});
+        fields.emplace_back("version", send.version);
+        fields.emplace_back("role", send.role == UpstreamRole::Candidate ? "candidate" : "serving");
+    }
+    if (outcome != "answered") {
+        auto const budget = m_service.retries.usage(m_services.loop.now());
+        fields.emplace_back("budget_requests", budget.requests);
+        fields.emplace_back("budget_retries", budget.retries);
+        fields.emplace_back("budget_slack", budget.slack);
+    }
+    return fields;
 }
 
 void GatewayRequestHandler::log(std::string_view outcome, ForwardResult const& result, std::string_view reason, Verdict verdict) const
@@ -632,7 +641,7 @@
             { "events", m_progress ? m_progress->eventCount : 0 }, { "bytes", result.responseBytes },
             { "settings", m_request.table->version() }, { "settings_age_ms", m_services.settingsAge().count() / 1000 },
             { "first_byte_us", result.timeToResponseHeader.count() }, { "took_us", (now - m_request.receivedAt).count() }, { "detail", result.detail } },
-        versionLogFields());
+        additionalLogFields(outcome));
 }
 
 }
--- a/Services/stagepostd/GatewayRequestHandler.h
+++ b/Services/stagepostd/GatewayRequestHandler.h
@@ -69,7 +69,7 @@
     void refuseUnreachable(Refusal const&);
     void refuse(Refusal const&);
     RequestFingerprint fingerprint() const;
-    std::vector<LogField> versionLogFields() const;
+    std::vector<LogField> additionalLogFields(std::string_view outcome) const;
     // The verdict is the one that the caller gets, or would get if it had not left.
     void log(std::string_view outcome, ForwardResult const&, std::string_view reason, Verdict) const;
 
