FleetShare: Bound the fleet's slack of retries without a fresh count of daemons

Callers' upstreams saw more repeats than the retry budget allows while daemons were stopped, killed, added or cut off: each process got a part of the slack again that its predecessor had spent, and the parts, 1 / (known daemons + 1), added up to more than the whole while daemons did not know of each other.

A daemon now uses its part only while its list of daemons is proven to be current, as of the last half window, and after it has been on that list for one and a half windows. Daemons that have left the list count for as long.

--- a/Libraries/LibMembership/Members.h
+++ b/Libraries/LibMembership/Members.h
@@ -5,6 +5,7 @@
 
 #include <LibMembership/EmptiedHalls.h>
 #include <LibMembership/FleetRoster.h>
+#include <LibMembership/FleetShare.h>
 #include <LibMembership/HallReachability.h>
 #include <LibMembership/MemberState.h>
 #include <LibMembership/Membership.h>
--- a/Libraries/LibMembership/StateExchange.cpp
+++ b/Libraries/LibMembership/StateExchange.cpp
@@ -440,6 +440,7 @@
     if (isOld)
         return;
     handleRegistryChanges(message);
+    confirmRegistry(message, querySentAt);
     // A daemon whose version doesn't support orders to empty halls can't confirm them.
     if (!message.emptiedHalls)
         return;
@@ -471,10 +472,20 @@
         m_missedRegistryVersion = std::max(m_missedRegistryVersion, received);
 }
 
+// The response was sent after the query, so the registry was current at least as late as the query's
+// time less the age.
+void StateExchange::confirmRegistry(StateMessage const& message, Instant querySentAt)
+{
+    if (message.registryAge && message.summary.registryVersion <= m_hooks.localState.summary().registryVersion)
+        m_hooks.localState.confirmRegistry(querySentAt - *message.registryAge);
+}
+
 bool StateExchange::needsRegistry(Instant now) const
 {
     bool const hasMissedChanges = m_hooks.localState.summary().registryVersion < m_missedRegistryVersion;
-    return isReader() || hasMissedChanges || stateAge(now) > m_bounds.registryFallbackAge;
+    auto const provenAt = m_hooks.localState.registryProvenAt();
+    bool const isOld = provenAt && now - *provenAt > m_bounds.registryFallbackAge;
+    return isReader() || hasMissedChanges || isOld || stateAge(now) > m_bounds.registryFallbackAge;
 }
 
 // Relays ignore these totals, since they compute their own.
@@ -501,7 +512,7 @@
         m_hooks.stateDiffers(from, message.summary, {});
 }
 
-void StateExchange::localStateConfirmed(Instant)
+void StateExchange::localStateConfirmed(Instant now)
 {
     auto const provenAt = m_hooks.localState.provenAt();
     if (!provenAt)
@@ -517,8 +528,10 @@
     if (answerable.empty())
         return;
     auto const summary = m_hooks.localState.summary();
+    auto const registryProvenAt = m_hooks.localState.registryProvenAt();
+    auto const registryAge = registryProvenAt ? std::optional(now - *registryProvenAt) : std::nullopt;
     for (auto const& [to, query] : answerable) {
-        StateMessage const message { StateMessage::Kind::Response, query.sentAt, query.requesterProcess, summary, {}, {}, m_hooks.localState.upstreamChangesSince(query.summary.upstreamsHash), m_hooks.localState.registryChangesSince(query.summary.registryVersion), m_hooks.localState.emptiedHalls(), m_hooks.localState.rollouts() };
+        StateMessage const message { StateMessage::Kind::Response, query.sentAt, query.requesterProcess, summary, {}, {}, m_hooks.localState.upstreamChangesSince(query.summary.upstreamsHash), m_hooks.localState.registryChangesSince(query.summary.registryVersion), m_hooks.localState.emptiedHalls(), m_hooks.localState.rollouts(), registryAge };
         m_hooks.send(to, message.encode());
     }
 }
--- a/Libraries/LibMembership/StateExchange.h
+++ b/Libraries/LibMembership/StateExchange.h
@@ -36,9 +36,9 @@
         // relay and the reader can be as old as both query intervals and the reader's read
         // interval together.
         Microseconds fallbackAge { 1600000 };
-        // A daemon with an older state reads the registry of daemons as well, since all daemons
-        // that it knows may be gone. With a smaller value, the whole fleet would read it in
-        // each outage of the store.
+        // A daemon with an older state or registry reads the registry of daemons as well, since
+        // all daemons that it knows may be gone. With a smaller value, the whole fleet would read
+        // it in each outage of the store.
         Microseconds registryFallbackAge { 10000000 };
         // The number of daemons of a hall per relay. A relay can respond to this many within
         // the few kilobytes a second that a daemon may send.
@@ -75,6 +75,10 @@
         std::function<std::optional<std::vector<RegistryRecord>>(uint64_t version)> registryChangesSince;
         // Applies changes that update the known registry to this newer version.
         std::function<void(std::vector<RegistryRecord> const&, uint64_t version)> applyRegistryChanges;
+        // The latest time as of which the registry was confirmed to be current.
+        std::function<std::optional<Instant>()> registryProvenAt { [] { return std::nullopt; } };
+        // Records that the registry was current at this time.
+        std::function<void(Instant)> confirmRegistry { [](Instant) {} };
         // The halls that operators have ordered to be emptied.
         std::function<EmptiedHallsState()> emptiedHalls { [] { return EmptiedHallsState {}; } };
         // Applies another daemon's state of these orders, which was current at the given time
@@ -133,7 +137,8 @@
     // Whether this daemon has to read the store now.
     bool needsStore(Instant now) const;
     // Whether this daemon has to read the registry now: it is the reader, gets no
-    // confirmations, or has missed more changes than others can send.
+    // confirmations of the state or of the registry, or has missed more changes than others
+    // can send.
     bool needsRegistry(Instant now) const;
     size_t peerCount() const { return m_peers.size(); }
     // The relays of all halls, including this daemon if it is one.
@@ -166,6 +171,7 @@
     void handleResponse(VMId from, StateMessage const&, Instant now);
     void handleLoads(VMId from, StateMessage&&, Instant now);
     void handleRegistryChanges(StateMessage const&);
+    void confirmRegistry(StateMessage const&, Instant querySentAt);
     void handleOthersLoads(StateMessage const&);
     void handleNotification(VMId from, StateMessage const&);
     void handleUnavailable(VMId from, Instant now);
--- a/Libraries/LibMembership/StateMessage.cpp
+++ b/Libraries/LibMembership/StateMessage.cpp
@@ -36,6 +36,24 @@
         return emptied;
     }
 
+    // Responses have no requests in flight, and daemons that don't know of the age ignore what stands in
+    // their place.
+    std::string encodeAge(std::optional<Microseconds> age)
+    {
+        if (!age)
+            return {};
+        MessageWriter writer;
+        writer.duration(*age);
+        return writer.release();
+    }
+
+    std::optional<Microseconds> decodeAge(std::string const& text)
+    {
+        MessageReader reader(text);
+        auto const age = reader.duration();
+        return reader.finished() ? std::optional(age) : std::nullopt;
+    }
+
     std::vector<RegistryRecord> readRegistryRecords(MessageReader& reader)
     {
         std::vector<RegistryRecord> records;
@@ -60,7 +78,7 @@
     writer.number(summary.settingsVersion);
     writer.number(summary.upstreamsHash);
     writer.number(summary.registryVersion);
-    writer.text(inFlight);
+    writer.text(kind == Kind::Response ? encodeAge(registryAge) : inFlight);
     writer.duration(inFlightAge);
     writer.number(upstreamChanges.size());
     for (auto const& change : upstreamChanges) {
@@ -90,7 +108,10 @@
     message.summary.settingsVersion = reader.number();
     message.summary.upstreamsHash = reader.number();
     message.summary.registryVersion = reader.number();
-    message.inFlight = reader.text();
+    if (message.kind == Kind::Response)
+        message.registryAge = decodeAge(reader.text());
+    else
+        message.inFlight = reader.text();
     message.inFlightAge = reader.duration();
     auto const changeCount = reader.count();
     for (size_t index = 0; index < changeCount && !reader.failed(); ++index) {
--- a/Libraries/LibMembership/StateMessage.h
+++ b/Libraries/LibMembership/StateMessage.h
@@ -74,6 +74,9 @@
     // In a message with emptied halls, where roll-outs are switched on: the latest orders. Daemons
     // whose version doesn't support roll-outs reject such messages as malformed.
     std::optional<RolloutStates> rollouts {};
+    // In a response: how long ago the sender's registry was proven to be current. None from a daemon
+    // whose version doesn't send it.
+    std::optional<Microseconds> registryAge {};
 
     std::string encode() const;
     // Error: Malformed.
--- a/Libraries/LibRouting/RetryBudget.cpp
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -15,7 +15,7 @@
 {
     auto const newest = numberAt(now);
     Usage usage;
-    usage.slack = m_bounds.slack * m_share;
+    usage.slack = m_bounds.slack * m_slackShare(now);
     for (auto const& slot : m_slots) {
         if (slot.number < 0 || slot.number + static_cast<int64_t>(slotCount) <= newest)
             continue;
--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -3,13 +3,14 @@
 #include <LibBase/Time.h>
 #include <array>
 #include <cstdint>
+#include <functional>
 
 namespace Stagepost {
 
 // Limits the fleet's retries to a ratio of its requests without communication between
 // daemons: if every daemon limits its retries to that ratio of its own requests, the sum
-// over the fleet stays within the ratio too. The fleet-wide slack is divided evenly among
-// the daemons. The share of a daemon that is down goes unused.
+// over the fleet stays within the ratio too. Of the fleet-wide slack, every daemon uses a
+// part. The part of a daemon that is down goes unused.
 class RetryBudget {
 public:
     struct Bounds {
@@ -29,14 +30,16 @@
         double slack { 0 };
     };
 
-    explicit RetryBudget(Bounds bounds)
+    // Returns this daemon's part of the slack at the given time, from 0 to 1. The parts that all daemons
+    // use within a window must add up to at most 1.
+    using ShareHook = std::function<double(Instant)>;
+
+    RetryBudget(Bounds bounds, ShareHook slackShare)
         : m_bounds(bounds)
+        , m_slackShare(std::move(slackShare))
     {
     }
 
-    // Sets this daemon's share of the fleet-wide slack, from 0 to 1.
-    void setShare(double share) { m_share = share; }
-
     void recordRequest(Instant now) { slotAt(now).requests += 1; }
     bool mayRetry(Instant now) const;
     Usage usage(Instant now) const;
@@ -60,7 +63,7 @@
     Slot& slotAt(Instant now);
 
     Bounds m_bounds;
-    double m_share { 0 };
+    ShareHook m_slackShare;
     std::array<Slot, slotCount> m_slots {};
 };
 
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -30,6 +30,11 @@
         return options;
     }
 
+    FleetShare::Bounds shareBounds(RetryBudget::Bounds const& retries)
+    {
+        return { retries.window, retries.window / 2 };
+    }
+
     std::vector<UpstreamRecord> recordsOf(std::vector<UpstreamChange> const& changes)
     {
         std::vector<UpstreamRecord> records;
@@ -51,10 +56,10 @@
     , m_settingsLoader(loop, { m_dialect.readSettings, [this](Result<RouteTable::Parts>&& parts, SettingsLoader::PendingSettings const& loaded) { return applySettings(std::move(parts), loaded); }, [this](Microseconds turn) { m_metrics.observe("stagepost_settings_turn_seconds", turn); } })
     , m_fingerprintKey(std::to_string(m_random()))
     , m_suspects(VMId::fromName(m_options.name))
-    , m_serviceTable({ m_options.hall, m_options.placement, m_options.retries }, m_random, [this](Endpoint const& upstream) { m_server.dropIdleConnections(upstream); })
+    , m_serviceTable({ m_options.hall, m_options.placement, m_options.retries, [this](Instant) { return m_peers.usableShare(); } }, m_random, [this](Endpoint const& upstream) { m_server.dropIdleConnections(upstream); })
     , m_directory(m_options.directory, [this](UpstreamChange const& change) { applyUpstream(change); })
     , m_emptiedHalls({ m_options.directory.returnGrace }, [this](HallOrder const& order) { applyHallOrder(order); })
-    , m_peers(loop, m_metrics, m_options.exchange, m_suspects, m_random, peerHooks())
+    , m_peers(loop, m_metrics, m_options.exchange, shareBounds(m_options.retries), m_suspects, m_random, peerHooks())
     , m_rollouts(makeRollouts(std::move(rolloutRecords)))
     , m_portProbe(loop)
     , m_links(m_options.maxDetoured > 0, loop, m_metrics, m_serviceTable, linkHooks())
@@ -62,7 +67,7 @@
     , m_detourClient(loop, m_metrics, m_dialect, m_links, m_peers)
     , m_router(m_dialect, { [this] { return m_table; }, [this] { return areKeysFresh(); }, [this] { return m_loop.now(); }, m_random })
     , m_crashDetector(loop, m_metrics, m_suspects, crashDetectorHooks())
-    , m_services { loop, m_metrics, m_serviceTable, m_crashDetector, m_peers, m_links, m_detourClient, m_dialect, [this] { return areKeysFresh(); }, [this] { return needsRevalidation(); }, [this] { return settingsAge(); }, [this] { return m_peers.share(); }, [this](FingerprintInput const& input) { return m_fingerprintKey.fingerprintOf(input); }, m_rollouts.get() }
+    , m_services { loop, m_metrics, m_serviceTable, m_crashDetector, m_peers, m_links, m_detourClient, m_dialect, [this] { return areKeysFresh(); }, [this] { return needsRevalidation(); }, [this] { return settingsAge(); }, [this] { return m_peers.equalShare(); }, [this](FingerprintInput const& input) { return m_fingerprintKey.fingerprintOf(input); }, m_rollouts.get() }
     , m_server(
           loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handle(exchange); }, [this](Refusal const& refusal) { return refuse(refusal); })
     , m_readyServer(
@@ -85,6 +90,8 @@
     hooks.localState.applyUpstreamChanges = [this](auto const& changes, Instant provenAt) { applyChanges("changes", changes, provenAt); };
     hooks.localState.registryChangesSince = m_registry.changesSince;
     hooks.localState.applyRegistryChanges = m_registry.apply;
+    hooks.localState.registryProvenAt = m_registry.provenAt;
+    hooks.localState.confirmRegistry = m_registry.confirm;
     hooks.localState.emptiedHalls = [this] { return m_emptiedHalls.state(); };
     hooks.localState.applyEmptiedHalls = [this](auto const& state, std::optional<Instant> provenAt) { mergeEmptiedHalls(state, provenAt); };
     hooks.localState.upstreamListForHash = [this](uint64_t hash) { return m_directory.listForHash(hash); };
@@ -546,7 +553,6 @@
 void Gateway::setPeers(std::vector<GatewayPeer> const& peers)
 {
     m_peers.setPeers(peers);
-    m_serviceTable.setRetryShare(m_peers.share());
     if (!m_rollouts)
         return;
     std::vector<FleetPeer> others;
@@ -625,6 +631,7 @@
     m_metrics.setGauge("stagepost_detoured_open", static_cast<double>(m_detourServer.load()));
     m_metrics.setGauge("stagepost_upstreams", static_cast<double>(m_serviceTable.upstreamCount()));
     m_metrics.setGauge("stagepost_suspect_requests", static_cast<double>(m_suspects.suspects().size()));
+    m_metrics.setGauge("stagepost_retry_slack_share", m_peers.usableShare());
     m_metrics.setGauge("stagepost_control_bytes_sent", static_cast<double>(m_peers.bytesSent()));
     m_metrics.setGauge("stagepost_peer_unreadable_counts", static_cast<double>(m_peers.unreadableCounts()));
     m_metrics.setGauge("stagepost_owner_asks_unanswered", static_cast<double>(m_peers.unansweredPermitRequests()));
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -77,6 +77,8 @@
     // Starts to exchange messages with other daemons, and sets which ones there are.
     void join(GatewayPeer const& self, std::string const& key, Incarnation incarnation);
     void setPeers(std::vector<GatewayPeer> const&);
+    // The list of daemons was current at the given time, and included this daemon or not.
+    void confirmPeers(Instant provenAt, bool isListed) { m_peers.confirmPeers(provenAt, isListed); }
 
     // Becomes unready at once, accepts requests until the load balancer has noticed, then finishes
     // open requests and calls back.
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -49,7 +49,7 @@
 
 }
 
-GatewayPeers::GatewayPeers(EventLoop& loop, Metrics& metrics, StateExchange::Bounds bounds, CrashSuspects& suspects, RandomHook random, Hooks hooks)
+GatewayPeers::GatewayPeers(EventLoop& loop, Metrics& metrics, StateExchange::Bounds bounds, FleetShare::Bounds shareBounds, CrashSuspects& suspects, RandomHook random, Hooks hooks)
     : m_loop(loop)
     , m_metrics(metrics)
     , m_bounds(bounds)
@@ -60,6 +60,7 @@
     , m_server(
           loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handleRequest(exchange); }, plainRefusal)
     , m_socket(loop, [this](Endpoint const& source, std::string_view datagram) { handleDatagram(source, datagram); })
+    , m_fleetShare(shareBounds)
     , m_ticker(loop)
     , m_responseTimer(loop)
 {
@@ -253,6 +254,7 @@
         list.push_back({ peer.id(), HallId::fromName(peer.hall) });
     }
     m_roster.setRegistered(list);
+    setFleetShare(list);
     std::erase_if(m_unregisteredPeers, [this](auto const& peer) { return m_peers.contains(peer.first); });
     if (!m_stateExchange)
         return;
@@ -265,6 +267,15 @@
     logEvent(LogLevel::Info, "peers", { { "others", m_stateExchange->peerCount() }, { "relay", m_stateExchange->isRelay() ? 1 : 0 } });
 }
 
+void GatewayPeers::setFleetShare(std::vector<FleetPeer> const& others)
+{
+    std::vector<VMId> ids;
+    ids.reserve(others.size());
+    for (auto const& peer : others)
+        ids.push_back(peer.id);
+    m_fleetShare.setOthers(ids, m_loop.now());
+}
+
 void GatewayPeers::updateRoster(std::function<void()> const& change)
 {
     auto const before = m_roster.peers();
@@ -282,6 +293,7 @@
 
 void GatewayPeers::announceLeaving()
 {
+    m_fleetShare.leave();
     if (m_permitExchange)
         m_permitExchange->announceLeaving(m_loop.now());
 }
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Hooks.h>
 #include <LibMembership/FleetRoster.h>
+#include <LibMembership/FleetShare.h>
 #include <LibMembership/StateExchange.h>
 #include <LibProxy/HttpClient.h>
 #include <LibProxy/HttpServer.h>
@@ -32,6 +33,10 @@
     std::function<uint64_t()> version { [] { return uint64_t { 0 }; } };
     std::function<std::optional<std::vector<RegistryRecord>>(uint64_t version)> changesSince { [](uint64_t) { return std::nullopt; } };
     std::function<void(std::vector<RegistryRecord> const&, uint64_t version)> apply { [](auto const&, uint64_t) {} };
+    // The latest time as of which the registry was known to be current.
+    std::function<std::optional<Instant>()> provenAt { [] { return std::nullopt; } };
+    // Another daemon has confirmed that the registry was current at this time.
+    std::function<void(Instant)> confirm { [](Instant) {} };
 };
 
 // Communicates with the other gateways of the fleet: datagrams carry confirmations of state, loads,
@@ -60,7 +65,7 @@
         std::function<bool(VMId from, std::string_view body)> handleRolloutMessage { [](VMId, std::string_view) { return false; } };
     };
 
-    GatewayPeers(EventLoop&, Metrics&, StateExchange::Bounds, CrashSuspects&, RandomHook, Hooks);
+    GatewayPeers(EventLoop&, Metrics&, StateExchange::Bounds, FleetShare::Bounds, CrashSuspects&, RandomHook, Hooks);
     GatewayPeers(GatewayPeers const&) = delete;
     GatewayPeers& operator=(GatewayPeers const&) = delete;
 
@@ -77,6 +82,8 @@
     // the same name.
     void join(GatewayPeer const& self, std::string const& key, Incarnation);
     void setPeers(std::vector<GatewayPeer> const&);
+    // The registry was current at the given time, and listed this daemon or not.
+    void confirmPeers(Instant provenAt, bool isListed) { m_fleetShare.confirm(provenAt, isListed, m_loop.now()); }
     // Tells the others that this daemon is about to stop.
     void announceLeaving();
 
@@ -87,8 +94,9 @@
     bool isReader() const { return !m_stateExchange || m_stateExchange->isReader(); }
     bool isRelay() const { return !m_stateExchange || m_stateExchange->isRelay(); }
     bool needsRegistry(Instant now) const { return !m_stateExchange || m_stateExchange->needsRegistry(now); }
-    // This daemon's share of the fleet, from 0 to 1; 0 before it has joined.
-    double share() const { return m_stateExchange ? 1.0 / static_cast<double>(m_stateExchange->peerCount() + 1) : 0; }
+    // See FleetShare::usable() and equal(); 0 before this daemon has joined.
+    double usableShare() const { return m_stateExchange ? m_fleetShare.usable(m_loop.now()) : 0; }
+    double equalShare() const { return m_stateExchange ? m_fleetShare.equal(m_loop.now()) : 0; }
     void stateConfirmed(Instant now);
     // This daemon's latest read of the store has succeeded or failed.
     void recordStoreRead(bool hasSucceeded);
@@ -135,6 +143,7 @@
     DetourExchange::Hooks detourHooks();
     void scheduleResponseTimeout();
     void countEarlierRequests();
+    void setFleetShare(std::vector<FleetPeer> const& others);
     void updateRoster(std::function<void()> const& change);
     void applyRoster();
     bool handleCrashMessage(VMId from, std::string_view body);
@@ -158,6 +167,7 @@
     Endpoint m_endpoint;
     std::map<VMId, GatewayPeer> m_peers;
     FleetRoster m_roster;
+    FleetShare m_fleetShare;
     // Source addresses of daemons whose registration is not known here yet. When a whole fleet
     // starts at once, daemons that register late ask those that registered before.
     std::map<VMId, Endpoint> m_unregisteredPeers;
--- a/Services/stagepostd/ServiceTable.cpp
+++ b/Services/stagepostd/ServiceTable.cpp
@@ -22,20 +22,11 @@
 ServiceTable::Entry& ServiceTable::service(std::string const& name)
 {
     auto& entry = m_services[name];
-    if (!entry) {
-        entry = std::make_unique<Entry>(Entry { ServicePlacement(m_bounds.placement, m_silence, m_random), RetryBudget(m_bounds.retries), AdmissionGate(m_random) });
-        entry->retries.setShare(m_retryShare);
-    }
+    if (!entry)
+        entry = std::make_unique<Entry>(Entry { ServicePlacement(m_bounds.placement, m_silence, m_random), RetryBudget(m_bounds.retries, m_bounds.retryShare), AdmissionGate(m_random) });
     return *entry;
 }
 
-void ServiceTable::setRetryShare(double share)
-{
-    m_retryShare = share;
-    for (auto const& [name, entry] : m_services)
-        entry->retries.setShare(share);
-}
-
 void ServiceTable::apply(UpstreamChange const& change, Instant now)
 {
     if (!change.record) {
--- a/Services/stagepostd/ServiceTable.h
+++ b/Services/stagepostd/ServiceTable.h
@@ -34,6 +34,8 @@
         std::string hall;
         ServicePlacement::Bounds placement;
         RetryBudget::Bounds retries;
+        // This daemon's part of the slack of the fleet's retries; see RetryBudget.
+        RetryBudget::ShareHook retryShare { [](Instant) { return 0.0; } };
     };
 
     struct Entry {
@@ -101,9 +103,6 @@
     // upstream whose record is gone, or whose process was replaced, are not counted.
     size_t inFlightAt(std::string const& service, std::set<std::string> const& versions) const;
 
-    // This daemon's share of the fleet's retry budget, from 0 to 1.
-    void setRetryShare(double);
-
     // Creates the service on first use. Services are never removed.
     Entry& service(std::string const& name);
     Target const* target(UpstreamId) const;
@@ -126,7 +125,6 @@
     Bounds m_bounds;
     RandomHook m_random;
     UpstreamRemovedCallback m_upstreamRemoved;
-    double m_retryShare { 0 };
     SilenceDetector m_silence;
     std::map<std::string, std::unique_ptr<Entry>> m_services;
     std::map<UpstreamId, Target> m_targets;
--- a/Tests/LibRouting/TestRequestAttempts.cpp
+++ b/Tests/LibRouting/TestRequestAttempts.cpp
@@ -11,9 +11,8 @@
 }
 
 struct Fixture {
-    RetryBudget budget { { 0.2, 50, Seconds(10) } };
-
-    Fixture() { budget.setShare(1); }
+    double share { 1 };
+    RetryBudget budget { { 0.2, 50, Seconds(10) }, [this](Instant) { return share; } };
 
     RequestAttempts attempts(bool isRepeatable, size_t maxSends, bool isStream = false)
     {
@@ -106,7 +105,7 @@
 BOOST_AUTO_TEST_CASE(RejectionIsFinalWithoutRetryBudget)
 {
     Fixture fixture;
-    fixture.budget.setShare(0);
+    fixture.share = 0;
     auto once = fixture.attempts(false, 1);
     once.recordSend();
     BOOST_TEST(!once.recordFailure(UpstreamId(1), rejected(), at(10)));
--- a/Tests/LibRouting/TestServicePlacement.cpp
+++ b/Tests/LibRouting/TestServicePlacement.cpp
@@ -414,9 +414,7 @@
         std::mt19937_64 random(seed);
         auto const count = size_t { 1 } + daemons % 8;
         RetryBudget::Bounds const bounds { 0.2, 50, Seconds(10) };
-        std::vector<RetryBudget> budgets(count, RetryBudget(bounds));
-        for (auto& budget : budgets)
-            budget.setShare(1.0 / static_cast<double>(count));
+        std::vector<RetryBudget> budgets(count, RetryBudget(bounds, [count](Instant) { return 1.0 / static_cast<double>(count); }));
         std::vector<double> requests;
         std::vector<double> retries;
         for (int step = 0; step < 600; ++step) {
