FleetShare: Let a fleet that starts for the first time use its slack at once

After its start, a daemon makes no retry by the slack for one and a half windows. At the first start of a whole fleet this protects nothing, since nobody has used anything.

--- a/Libraries/LibMembership/FleetShare.h
+++ b/Libraries/LibMembership/FleetShare.h
@@ -19,6 +19,10 @@
 // So any other daemon whose list is proven lists this one before this one uses its part, and by then
 // what an earlier process of this VM has used is out of the window. A daemon that leaves the list is
 // still counted for that time, so that parts shrink at once and grow late.
+//
+// When the whole fleet starts for the first time, nobody has used anything yet. Daemons that have
+// registered shortly after such a start need not wait for a window, but only until their lists are
+// proven to be from after the registrations of all of them.
 class FleetShare {
 public:
     struct Bounds {
@@ -26,11 +30,16 @@
         Microseconds maxProofAge { 5000000 };
     };
 
-    explicit FleetShare(Bounds bounds)
+    // Takes the time of this daemon's start if that was a first start of the whole fleet.
+    explicit FleetShare(Bounds bounds, std::optional<Instant> firstStartAt = {})
         : m_bounds(bounds)
+        , m_firstStartAt(firstStartAt)
     {
     }
 
+    // This daemon's entry was added to the list.
+    void registered(Instant now);
+
     // Sets the other daemons on the list.
     void setOthers(std::vector<VMId> const&, Instant now);
     // The list was current at the given time, and included this daemon or not.
@@ -45,9 +54,13 @@
 
 private:
     Microseconds settlingTime() const { return m_bounds.window + m_bounds.maxProofAge; }
+    bool isSettled(Instant now) const;
     size_t countOthers(Instant now) const;
 
     Bounds m_bounds;
+    // Reset once this daemon can't rely any more on having started and registered together with the others.
+    std::optional<Instant> m_firstStartAt;
+    bool m_isRegistered { false };
     std::set<VMId> m_others;
     // When daemons were last on the list that no longer are.
     std::map<VMId, Instant> m_departedAt;
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -30,9 +30,10 @@
         return options;
     }
 
-    FleetShare::Bounds shareBounds(RetryBudget::Bounds const& retries)
+    FleetShare makeFleetShare(GatewayOptions const& options, Instant now)
     {
-        return { retries.window, retries.window / 2 };
+        auto const window = options.retries.window;
+        return FleetShare({ window, window / 2 }, options.isFirstStart ? std::optional(now) : std::nullopt);
     }
 
     std::vector<UpstreamRecord> recordsOf(std::vector<UpstreamChange> const& changes)
@@ -59,7 +60,7 @@
     , m_serviceTable({ m_options.hall, m_options.placement, m_options.retries, [this](Instant) { return m_peers.usableShare(); } }, m_random, [this](Endpoint const& upstream) { m_server.dropIdleConnections(upstream); })
     , m_directory(m_options.directory, [this](UpstreamChange const& change) { applyUpstream(change); })
     , m_emptiedHalls({ m_options.directory.returnGrace }, [this](HallOrder const& order) { applyHallOrder(order); })
-    , m_peers(loop, m_metrics, m_options.exchange, shareBounds(m_options.retries), m_suspects, m_random, peerHooks())
+    , m_peers(loop, m_metrics, m_options.exchange, makeFleetShare(m_options, loop.now()), m_suspects, m_random, peerHooks())
     , m_rollouts(makeRollouts(std::move(rolloutRecords)))
     , m_portProbe(loop)
     , m_links(m_options.maxDetoured > 0, loop, m_metrics, m_serviceTable, linkHooks())
--- a/Services/stagepostd/GatewayOptions.h
+++ b/Services/stagepostd/GatewayOptions.h
@@ -35,6 +35,8 @@
     double coldOvershoot { 1 };
     double coldSlack { 0 };
     RetryBudget::Bounds retries;
+    // Whether the whole fleet starts for the first time.
+    bool isFirstStart { false };
     ServicePlacement::Bounds placement;
     UpstreamDirectory::Bounds directory;
     StateExchange::Bounds exchange;
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -49,7 +49,7 @@
 
 }
 
-GatewayPeers::GatewayPeers(EventLoop& loop, Metrics& metrics, StateExchange::Bounds bounds, FleetShare::Bounds shareBounds, CrashSuspects& suspects, RandomHook random, Hooks hooks)
+GatewayPeers::GatewayPeers(EventLoop& loop, Metrics& metrics, StateExchange::Bounds bounds, FleetShare share, CrashSuspects& suspects, RandomHook random, Hooks hooks)
     : m_loop(loop)
     , m_metrics(metrics)
     , m_bounds(bounds)
@@ -60,7 +60,7 @@
     , m_server(
           loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handleRequest(exchange); }, plainRefusal)
     , m_socket(loop, [this](Endpoint const& source, std::string_view datagram) { handleDatagram(source, datagram); })
-    , m_fleetShare(shareBounds)
+    , m_fleetShare(std::move(share))
     , m_ticker(loop)
     , m_responseTimer(loop)
 {
@@ -88,6 +88,7 @@
 
 void GatewayPeers::join(GatewayPeer const& self, std::string const& key, Incarnation incarnation)
 {
+    m_fleetShare.registered(m_loop.now());
     m_datagramAuthenticator.emplace(key, self.id(), incarnation);
     // Datagrams, HTTP state and requests have separate sequence numbers, so their keys must differ.
     m_stateAuthenticator.emplace(key + "/state", self.id(), incarnation);
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -65,7 +65,7 @@
         std::function<bool(VMId from, std::string_view body)> handleRolloutMessage { [](VMId, std::string_view) { return false; } };
     };
 
-    GatewayPeers(EventLoop&, Metrics&, StateExchange::Bounds, FleetShare::Bounds, CrashSuspects&, RandomHook, Hooks);
+    GatewayPeers(EventLoop&, Metrics&, StateExchange::Bounds, FleetShare, CrashSuspects&, RandomHook, Hooks);
     GatewayPeers(GatewayPeers const&) = delete;
     GatewayPeers& operator=(GatewayPeers const&) = delete;
 
--- a/Tests/LibMembership/TestFleetShare.cpp
+++ b/Tests/LibMembership/TestFleetShare.cpp
@@ -184,6 +184,25 @@
     BOOST_TEST(share.usable(at(115)) == 0.5);
 }
 
+// Guards against a fleet that makes no retries in its first seconds.
+BOOST_AUTO_TEST_CASE(AFirstFleetNeedNotWaitForAWindow)
+{
+    FleetShare share(bounds, at(100));
+    share.setOthers({ VMId(2) }, at(100));
+    share.registered(at(102));
+    share.confirm(at(102.9), true, at(102.9));
+    BOOST_TEST(share.usable(at(103)) == 0);
+    share.confirm(at(103), true, at(103));
+    BOOST_TEST(share.usable(at(103)) == 0.5);
+    share.confirm(at(104), false, at(104));
+    share.confirm(at(105), true, at(105));
+    BOOST_TEST(share.usable(at(105)) == 0);
+    FleetShare late(bounds, at(100));
+    late.registered(at(103));
+    late.confirm(at(104), true, at(104));
+    BOOST_TEST(late.usable(at(104)) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(APartGrowsLateAfterADaemonHasLeft)
 {
     auto share = settledShare();
