UpstreamRecordReader: Keep upstreams' versions without roll-outs, and log them

Daemons dropped the version from upstreams' records unless roll-outs are switched on, so that neither their logs nor their decisions could tell versions apart that serve side by side without an order. The line of each stream has the version of its upstream now. The test of the dropped version is replaced by one that it is kept: dropping it was the fault.

--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -372,6 +372,7 @@
         return handler && !handler->couldSendAgain();
     };
     m_instance = target.instance;
+    m_version = target.version;
     m_placementReason = choice.reason;
     m_remainingBackoff = m_service.placement.remainingBackoff(upstream, now);
     m_sentAt = now;
@@ -626,9 +627,10 @@
 std::vector<LogField> GatewayRequestHandler::additionalLogFields(std::string_view outcome) const
 {
     std::vector<LogField> fields;
+    if (m_services.rollouts || m_request.route->kind == RequestKind::Stream)
+        fields.emplace_back("version", m_version);
     if (m_services.rollouts) {
         auto const send = m_versionedSend.value_or(VersionedSend {});
-        fields.emplace_back("version", send.version);
         fields.emplace_back("role", send.role == UpstreamRole::Candidate ? "candidate" : "serving");
     }
     if (outcome != "answered") {
--- a/Services/stagepostd/GatewayRequestHandler.h
+++ b/Services/stagepostd/GatewayRequestHandler.h
@@ -80,6 +80,8 @@
     RequestAttempts m_attempts;
     std::shared_ptr<EventProgress> m_progress;
     std::string m_instance;
+    // The version of its software.
+    std::string m_version;
     // Instance from which the upstream may copy the context; empty if there is none.
     std::string m_contextSource;
     PlacementReason m_placementReason;
--- a/Tests/platform/TestPlatformReaders.cpp
+++ b/Tests/platform/TestPlatformReaders.cpp
@@ -184,13 +184,12 @@
     BOOST_TEST(readUpstreamRecord("i", without.dump())->version.empty());
 }
 
-// A fleet without roll-outs must not send more than before to daemons of earlier versions.
-BOOST_AUTO_TEST_CASE(UpstreamVersionIsDroppedWithoutRollouts)
+// Streams stay at one version in fleets without roll-outs as well.
+BOOST_AUTO_TEST_CASE(ReaderKeepsUpstreamVersion)
 {
     Metrics metrics;
     std::vector<KeyedRecord> const records { { "i", makeUpstreamRecord().dump() } };
     BOOST_TEST(UpstreamRecordReader(metrics).read(records).at(0).record->version == "v1");
-    BOOST_TEST(UpstreamRecordReader(metrics, false).read(records).at(0).record->version.empty());
 }
 
 // Other programs may write to the upstreams' topic too.
