StreamOriginExchange: Continue streams at the version that began them, or not at all

Callers got streams with events of two software versions of a service's upstreams: the daemon went on at any upstream within one answer, and a daemon at which a caller took its stream up placed it by context alone.

A daemon now records the version of each stream that may be resumed, before it forwards the first event, at three keepers that rendezvous hashing of the stream's id chooses in different halls (two in fleets of 128 daemons or more), while the service has had several versions within 30 s. A daemon that continues a stream asks the keepers; a daemon that starts gets the records it keeps from all that have them. Without a record, the version is known only if a keeper can rule out that it was lost and one version was alone, or if all that answer have seen one version. Otherwise the caller is refused at once. Placement, retries, detours and the sources of contexts keep to the version.

--- a/Libraries/LibBase/Ids.h
+++ b/Libraries/LibBase/Ids.h
@@ -51,6 +51,12 @@
 // A hash over the contents of a request, equal on all daemons; see FingerprintKey.
 using RequestFingerprint = Id<struct RequestFingerprintTag>;
 
+// A version of the software that upstreams run.
+using VersionId = Id<struct VersionTag>;
+
+// A caller's stream, over all attempts that continue it.
+using StreamId = Id<struct StreamTag>;
+
 // The version number of an accepted configuration. It only increases.
 using Revision = Id<struct RevisionTag>;
 
--- a/Libraries/LibRouting/Routing.h
+++ b/Libraries/LibRouting/Routing.h
@@ -44,6 +44,7 @@
 #include <LibRouting/ServicePlacement.h>
 #include <LibRouting/ShareExchange.h>
 #include <LibRouting/SilenceDetector.h>
+#include <LibRouting/StreamOriginExchange.h>
 #include <LibRouting/UpstreamBackoff.h>
 #include <LibRouting/UpstreamHealth.h>
 #include <LibRouting/UpstreamOwner.h>
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -355,18 +355,30 @@
     return upstream.load.expected(m_load.hold(), now) <= m_load.contextLoadLimit(m_load.mean(), upstream.properties.slots);
 }
 
-size_t ServicePlacement::sizeForRetry(std::vector<UpstreamId> const& failed, Instant now, UpstreamRole role) const
+size_t ServicePlacement::sizeForRetry(std::vector<UpstreamId> const& failed, Instant now, UpstreamRole role, std::optional<VersionId> version) const
 {
     return static_cast<size_t>(std::count_if(m_upstreams.begin(), m_upstreams.end(), [&](auto const& entry) {
-        return contains(failed, entry.first) || takesRequests(entry.second, role, now);
+        return contains(failed, entry.first) || (takesRequests(entry.second, role, now) && matchesVersion(entry.second, version));
     }));
 }
 
+bool ServicePlacement::matchesVersion(Upstream const& upstream, std::optional<VersionId> version)
+{
+    return !version || upstream.properties.version == *version;
+}
+
+// Another version may read contexts only while it takes the place of the one that has made them.
+bool ServicePlacement::mayShareContexts(Upstream const& source, Upstream const& chosen, std::optional<VersionId> version)
+{
+    bool const isReplacing = source.properties.role != chosen.properties.role;
+    return source.properties.version == chosen.properties.version || (!version && isReplacing);
+}
+
 std::vector<ServicePlacement::Upstream*> ServicePlacement::available(Request const& request, Instant now)
 {
     std::vector<Upstream*> result;
     for (auto& [id, upstream] : m_upstreams) {
-        if (!contains(request.excluded, id) && takesRequests(upstream, request.role, now))
+        if (!contains(request.excluded, id) && takesRequests(upstream, request.role, now) && matchesVersion(upstream, request.version))
             result.push_back(&upstream);
     }
     return result;
@@ -379,7 +391,7 @@
     Upstream* result = nullptr;
     for (auto& [id, upstream] : m_upstreams) {
         bool const mayBeTried = !upstream.properties.isLeaving && upstream.properties.role == request.role && upstream.backoff.isTrialDue(now) && upstream.health.isClosed() && !isCold(upstream, now);
-        if (!mayBeTried || contains(request.excluded, id))
+        if (!mayBeTried || contains(request.excluded, id) || !matchesVersion(upstream, request.version))
             continue;
         if (!result || upstream.backoff.nextTrialAt() < result->backoff.nextTrialAt())
             result = &upstream;
@@ -474,7 +486,7 @@
 {
     Choice choice { chosen, {}, false, reason };
     if (request.context)
-        choice.contextSource = contextSource(*request.context, choice.upstream, now);
+        choice.contextSource = contextSource(request, choice.upstream, now);
     auto const& upstream = m_upstreams.at(choice.upstream);
     choice.needsNewConnection = !upstream.health.isClosed() || m_silenceDetector.isSilent(choice.upstream, now) || m_silenceDetector.reach(upstream.properties.hall, now) != Reach::Reachable;
     return choice;
@@ -488,14 +500,15 @@
 //
 // While the service moves to another version, the contexts are at the upstreams that served before:
 // upstreams that have never served are the last resort, and those that no longer serve come first.
-std::optional<UpstreamId> ServicePlacement::contextSource(uint64_t context, UpstreamId chosen, Instant now) const
+std::optional<UpstreamId> ServicePlacement::contextSource(Request const& request, UpstreamId chosen, Instant now) const
 {
     HallReachCache halls(m_silenceDetector, now);
-    FirstInRendezvousOrder firstFormer(context);
-    FirstInRendezvousOrder firstServing(context);
-    FirstInRendezvousOrder firstOther(context);
+    FirstInRendezvousOrder firstFormer(*request.context);
+    FirstInRendezvousOrder firstServing(*request.context);
+    FirstInRendezvousOrder firstOther(*request.context);
+    auto const& target = m_upstreams.at(chosen);
     for (auto const& [id, upstream] : m_upstreams) {
-        if (id == chosen || !canProvideContext(upstream, halls.of(upstream.properties.hall), now))
+        if (id == chosen || !mayShareContexts(upstream, target, request.version) || !canProvideContext(upstream, halls.of(upstream.properties.hall), now))
             continue;
         if (upstream.properties.role == UpstreamRole::Serving)
             firstServing.offer(id);
@@ -507,11 +520,14 @@
     return firstServing.id() ? firstServing.id() : firstOther.id();
 }
 
-std::optional<UpstreamId> ServicePlacement::firstUsableSource(std::vector<UpstreamId> const& holders, UpstreamId chosen, Instant now) const
+std::optional<UpstreamId> ServicePlacement::firstUsableSource(std::vector<UpstreamId> const& holders, UpstreamId chosen, Instant now, std::optional<VersionId> streamVersion) const
 {
+    auto const target = m_upstreams.find(chosen);
+    if (target == m_upstreams.end())
+        return {};
     auto const found = std::find_if(holders.begin(), holders.end(), [&](UpstreamId id) {
         auto const known = m_upstreams.find(id);
-        return id != chosen && known != m_upstreams.end() && canProvideContext(known->second, m_silenceDetector.reach(known->second.properties.hall, now), now);
+        return id != chosen && known != m_upstreams.end() && mayShareContexts(known->second, target->second, streamVersion) && canProvideContext(known->second, m_silenceDetector.reach(known->second.properties.hall, now), now);
     });
     return found == holders.end() ? std::nullopt : std::optional(*found);
 }
@@ -535,7 +551,7 @@
 
 double ServicePlacement::meanLoad(Request const& request, std::vector<Upstream*> const& usable, Instant now) const
 {
-    if (request.role == UpstreamRole::Candidate)
+    if (request.role == UpstreamRole::Candidate || request.version)
         return m_load.mean();
     double sum = 0;
     for (auto const* upstream : usable)
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -35,6 +35,7 @@
     bool isLeaving { false };
     HallId hall {};
     UpstreamRole role { UpstreamRole::Serving };
+    VersionId version {};
 };
 
 // The outcome of sending a request to an upstream.
@@ -100,6 +101,9 @@
         // Only upstreams of this role are chosen. A request for candidates is placed only within their
         // load limit; if there is no choice, the caller can place it as a Serving one.
         UpstreamRole role { UpstreamRole::Serving };
+        // If set, only upstreams of this version are chosen, since the request continues a stream that one
+        // of them has begun.
+        std::optional<VersionId> version {};
     };
     struct Choice {
         UpstreamId upstream;
@@ -122,7 +126,7 @@
     // role since, or if it is a candidate and its owner did not grant the request.
     std::optional<Choice> choiceFromOwners(Request const&, PermitExchange::Outcome const&, Instant now);
     // The first of the holders that can provide a context and isn't the chosen upstream.
-    std::optional<UpstreamId> firstUsableSource(std::vector<UpstreamId> const& holders, UpstreamId chosen, Instant now) const;
+    std::optional<UpstreamId> firstUsableSource(std::vector<UpstreamId> const& holders, UpstreamId chosen, Instant now, std::optional<VersionId> streamVersion = {}) const;
     // The expected load of an upstream, from this daemon's own data.
     UpstreamForecast forecast(UpstreamId, Instant now) const;
 
@@ -164,8 +168,9 @@
     double meanLoad() const { return m_load.mean(); }
 
     size_t size() const { return m_upstreams.size(); }
-    // The number of upstreams that take requests of the role now or are among the failed ones.
-    size_t sizeForRetry(std::vector<UpstreamId> const& failed, Instant now, UpstreamRole role = UpstreamRole::Serving) const;
+    // The number of upstreams that take requests of the role now or are among the failed ones, of the
+    // version if one is given.
+    size_t sizeForRetry(std::vector<UpstreamId> const& failed, Instant now, UpstreamRole role = UpstreamRole::Serving, std::optional<VersionId> version = {}) const;
 
 private:
     struct Upstream {
@@ -217,7 +222,9 @@
     void recordWait(SendOutcome, Microseconds took, Microseconds held);
     void adjustShares(Instant now);
     bool canProvideContext(Upstream const&, Reach hall, Instant now) const;
-    std::optional<UpstreamId> contextSource(uint64_t context, UpstreamId chosen, Instant now) const;
+    static bool matchesVersion(Upstream const&, std::optional<VersionId>);
+    static bool mayShareContexts(Upstream const& source, Upstream const& chosen, std::optional<VersionId>);
+    std::optional<UpstreamId> contextSource(Request const&, UpstreamId chosen, Instant now) const;
     Upstream* chooseByWait(std::vector<Upstream*> const&, Instant now) const;
     double expectedWait(Upstream const&, double typical, Instant now) const;
 
--- /dev/null
+++ b/Libraries/LibRouting/StreamOriginMessage.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <LibBase/Ids.h>
+#include <LibBase/Result.h>
+#include <LibBase/Time.h>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace Stagepost {
+
+// Tells a keeper at which version a stream has begun.
+struct StreamOriginRecord {
+    StreamId stream;
+    VersionId version;
+    // How long its caller may still take it up.
+    Microseconds lifetime { 0 };
+};
+
+struct StreamOriginQuery {
+    // Assigned by the sender, and returned in the reply.
+    uint64_t queryId { 0 };
+    StreamId stream;
+    std::string service;
+};
+
+// What a daemon knows of a stream that another one is asked to continue.
+struct StreamOriginReply {
+    uint64_t queryId { 0 };
+    std::optional<VersionId> recorded;
+    // Whether it has kept all records that it got for as long as streams can be taken up.
+    bool isComplete { false };
+    // Whether its list of upstreams is proven, and all of that time shows one version of the service.
+    bool isUniform { false };
+    // See VersionHistory.
+    std::optional<VersionId> withoutRecords;
+    std::optional<VersionId> onlySeen;
+};
+
+using StreamOriginMessage = std::variant<StreamOriginRecord, StreamOriginQuery, StreamOriginReply>;
+
+std::string encodeStreamOriginMessage(StreamOriginMessage const&);
+// Error: Malformed.
+Result<StreamOriginMessage> decodeStreamOriginMessage(std::string_view bytes);
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/StreamOriginTable.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <LibBase/Ids.h>
+#include <LibBase/Time.h>
+#include <cstddef>
+#include <map>
+#include <optional>
+
+namespace Stagepost {
+
+// Records at which version streams have begun, until their callers can't take them up any more.
+class StreamOriginTable {
+public:
+    explicit StreamOriginTable(size_t maxRecords)
+        : m_maxRecords(maxRecords)
+    {
+    }
+
+    // A stream has one origin: a later record only extends the lifetime of the first one.
+    void record(StreamId, VersionId, Instant expiresAt);
+    std::optional<VersionId> find(StreamId, Instant now) const;
+    void expire(Instant now);
+
+    struct Record {
+        VersionId version;
+        Instant expiresAt;
+    };
+    std::map<StreamId, Record> const& records() const { return m_records; }
+
+private:
+    size_t m_maxRecords;
+    std::map<StreamId, Record> m_records;
+    // The same records in the order in which they expire.
+    std::multimap<Instant, StreamId> m_expiries;
+};
+
+}
--- a/Services/stagepostd/DetourClient.cpp
+++ b/Services/stagepostd/DetourClient.cpp
@@ -71,6 +71,7 @@
     terms.isCounted = request.isCounted;
     terms.service = request.routed.service;
     terms.id = request.routed.call.id;
+    terms.streamVersion = request.streamVersion;
     ForwardPlan plan;
     plan.upstream = endpoint;
     plan.request = m_dialect.writeDetour(request.exchange->request(), attempts.timeLeft(now), lastEvent);
--- a/Services/stagepostd/DetourClient.h
+++ b/Services/stagepostd/DetourClient.h
@@ -28,6 +28,8 @@
         std::shared_ptr<EventProgress> progress;
         // Whether it counts for this daemon's retry budget.
         bool isCounted { false };
+        // The version at which its stream has begun, if that is known.
+        std::optional<VersionId> streamVersion;
         // Called before each send, which may be some milliseconds later than the last one. Returns
         // false if the request has ended meanwhile.
         std::function<bool()> maySend;
--- a/Services/stagepostd/DetourTerms.cpp
+++ b/Services/stagepostd/DetourTerms.cpp
@@ -13,6 +13,9 @@
     writer.number(isCounted ? 1 : 0);
     writer.text(service);
     writer.text(id);
+    // Daemons that don't know of it read terms without it.
+    if (streamVersion)
+        writer.id(*streamVersion);
     return writer.release();
 }
 
@@ -26,6 +29,8 @@
     terms.isCounted = reader.number() != 0;
     terms.service = reader.text();
     terms.id = reader.text();
+    if (!reader.finished())
+        terms.streamVersion = reader.id<VersionId>();
     if (!reader.finished())
         return Error { ErrorCode::Malformed, "malformed terms of a detoured request" };
     return terms;
--- a/Services/stagepostd/DetourTerms.h
+++ b/Services/stagepostd/DetourTerms.h
@@ -3,6 +3,7 @@
 #include <LibBase/Ids.h>
 #include <LibBase/Result.h>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,6 +23,8 @@
     std::string service;
     // The caller's id of the request.
     std::string id;
+    // The version at which the stream has begun that the request continues, if that is known.
+    std::optional<VersionId> streamVersion {};
 
     std::string encode() const;
     // Error: Malformed.
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -20,6 +20,9 @@
     // For this long after a failed read, the whole fleet may be behind the store.
     constexpr Seconds storeFailureMemory { 4 };
 
+    // An older list of upstreams does not show that a service has one version only.
+    constexpr Microseconds maxListAge { 2500000 };
+
     HttpServerOptions serverOptions(CallerLimits const& limits)
     {
         HttpServerOptions options;
@@ -57,7 +60,8 @@
     , m_settingsLoader(loop, { m_dialect.readSettings, [this](Result<RouteTable::Parts>&& parts, SettingsLoader::PendingSettings const& loaded) { return applySettings(std::move(parts), loaded); }, [this](Microseconds turn) { m_metrics.observe("stagepost_settings_turn_seconds", turn); } })
     , m_fingerprintKey(std::to_string(m_random()))
     , m_suspects(VMId::fromName(m_options.name))
-    , m_serviceTable({ m_options.hall, m_options.placement, m_options.retries, [this](Instant) { return m_peers.usableShare(); } }, m_random, [this](Endpoint const& upstream) { m_server.dropIdleConnections(upstream); })
+    , m_serviceTable(
+          { m_options.hall, m_options.placement, m_options.retries, [this](Instant) { return m_peers.usableShare(); } }, m_random, [this](Endpoint const& upstream) { m_server.dropIdleConnections(upstream); }, loop.now())
     , m_directory(m_options.directory, [this](UpstreamChange const& change) { applyUpstream(change); })
     , m_emptiedHalls({ m_options.directory.returnGrace }, [this](HallOrder const& order) { applyHallOrder(order); })
     , m_peers(loop, m_metrics, m_options.exchange, makeFleetShare(m_options, loop.now()), m_suspects, m_random, peerHooks())
@@ -104,12 +108,33 @@
     hooks.forecast = [this](UpstreamId upstream) { return forecast(upstream); };
     hooks.takesDetours = [this] { return m_detourServer.isAvailable(); };
     hooks.detourLoad = [this] { return m_detourServer.load(); };
+    hooks.versions = [this](std::string const& service, Instant now) { return versionKnowledge(service, now); };
     hooks.handleDetour = [this](auto exchange, auto const& terms) { m_detourServer.serve(std::move(exchange), terms); };
     if (m_options.rollouts.isEnabled())
         addRolloutHooks(hooks);
     return hooks;
 }
 
+StreamOriginExchange::VersionKnowledge Gateway::versionKnowledge(std::string const& service, Instant now) const
+{
+    auto const* history = m_serviceTable.versions(service);
+    if (!history)
+        return {};
+    auto const age = m_directory.age().age(now);
+    bool const isProven = age && *age <= maxListAge;
+    return { isProven && history->isUniform(now), history->versionWithoutRecords(now), history->onlySeenVersion(now) };
+}
+
+// After a long gap, upstreams of another version may have come and gone unseen.
+void Gateway::restartVersionHistoryAfterGap()
+{
+    auto const age = m_directory.age().age(m_loop.now());
+    bool const isOutdated = age && *age > maxListAge;
+    if (m_isListOutdated && !isOutdated)
+        m_serviceTable.restartVersionHistory(m_loop.now());
+    m_isListOutdated = isOutdated;
+}
+
 void Gateway::addRolloutHooks(GatewayPeers::Hooks& hooks)
 {
     hooks.localState.rollouts = [this] { return m_rollouts->states(); };
@@ -568,6 +593,10 @@
 {
     if (stall > Microseconds(0))
         m_serviceTable.silence().excludePause(stall);
+    if (stall <= maxListAge)
+        return;
+    m_serviceTable.restartVersionHistory(m_loop.now());
+    m_peers.restartStreamOrigins();
 }
 
 bool Gateway::needsRevalidation() const
@@ -579,6 +608,7 @@
 {
     handleStall(m_stallDetector.tick(m_loop.now(), m_server.openExchanges()));
     auto const upstreamsBefore = m_directory.hash();
+    restartVersionHistoryAfterGap();
     m_directory.tick(m_loop.now());
     m_emptiedHalls.tick(m_loop.now());
     logUpstreamsIfChanged("not-written-again", upstreamsBefore);
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -92,6 +92,8 @@
 
 private:
     GatewayPeers::Hooks peerHooks();
+    StreamOriginExchange::VersionKnowledge versionKnowledge(std::string const& service, Instant now) const;
+    void restartVersionHistoryAfterGap();
     void addRolloutHooks(GatewayPeers::Hooks&);
     std::unique_ptr<RolloutController> makeRollouts(RolloutRecordHooks);
     CrashDetector::Hooks crashDetectorHooks();
@@ -162,6 +164,8 @@
     FingerprintKey m_fingerprintKey;
     CrashSuspects m_suspects;
     ServiceTable m_serviceTable;
+    // Whether changes of the list of upstreams may be missed.
+    bool m_isListOutdated { false };
     UpstreamDirectory m_directory;
     EmptiedHalls m_emptiedHalls;
     GatewayPeers m_peers;
--- a/Services/stagepostd/GatewayDialect.h
+++ b/Services/stagepostd/GatewayDialect.h
@@ -21,6 +21,8 @@
     PromptChain prompt;
     // The last event that the caller has received of a stream that it resumes.
     std::optional<uint64_t> lastEvent;
+    // The id of the attempt that brought the first event of that stream; empty if the caller does not say.
+    std::string firstAttempt {};
 };
 
 // What the gateway adds to a caller's request when it sends it to an upstream.
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -20,6 +20,9 @@
     constexpr unsigned statusForbidden = 403;
     // A free port for datagrams is seldom in use for connections.
     constexpr size_t maxFreePortsTried = 16;
+    // A daemon is usually ready some milliseconds before it has joined. Callers that take up a stream wait
+    // this long for that.
+    constexpr Milliseconds maxJoinWait { 250 };
     // For the terms of a request, besides the header fields of its caller.
     constexpr size_t detourHeaderSize = 2048;
     // In a larger fleet, a relay needs its whole bandwidth budget for the state that it sends, so it
@@ -61,6 +64,7 @@
           loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handleRequest(exchange); }, plainRefusal)
     , m_socket(loop, [this](Endpoint const& source, std::string_view datagram) { handleDatagram(source, datagram); })
     , m_fleetShare(std::move(share))
+    , m_waitingOriginsTimer(loop)
     , m_ticker(loop)
     , m_responseTimer(loop)
 {
@@ -106,6 +110,8 @@
         m_holderExchange = std::make_unique<HolderExchange>(peer, HolderExchange::Bounds {}, HolderExchange::Hooks { [this](VMId to, std::string const& body) { send(to, PeerMessageKind::Holders, body); } });
     if (!m_detourExchange)
         m_detourExchange = std::make_unique<DetourExchange>(peer, DetourExchange::Bounds {}, detourHooks());
+    if (!m_streamOrigins)
+        m_streamOrigins = std::make_unique<StreamOriginExchange>(peer, StreamOriginExchange::Bounds {}, streamOriginHooks(), m_loop.now());
     m_ticker.every(tickInterval, [this] {
         if (m_roster.expire(m_loop.now()))
             applyRoster();
@@ -114,6 +120,7 @@
         m_permitExchange->tick(m_loop.now());
         m_holderExchange->tick(m_loop.now());
         m_detourExchange->tick(m_loop.now());
+        m_streamOrigins->tick(m_loop.now());
     });
     logEvent(LogLevel::Info, "joined", { { "name", self.name }, { "daemon", toHex(self.id().value()) }, { "hall", self.hall }, { "peer_listen", m_endpoint.toString() }, { "incarnation", incarnation.value() } });
 }
@@ -147,7 +154,10 @@
     hooks.unanswered = [](VMId owner, UpstreamId upstream, Microseconds waited) {
         logEvent(LogLevel::Info, "owner-silent", { { "daemon", toHex(owner.value()) }, { "upstream_id", toHex(upstream.value()) }, { "waited_us", waited.count() } });
     };
-    hooks.arrived = [this](FleetPeer peer) { updateRoster([&] { m_roster.arrived(peer, m_loop.now()); }); };
+    hooks.arrived = [this](FleetPeer peer) {
+        updateRoster([&] { m_roster.arrived(peer, m_loop.now()); });
+        m_streamOrigins->peerStarted(peer.id, m_loop.now());
+    };
     hooks.left = [this](VMId id) { updateRoster([&] { m_roster.left(id, m_loop.now()); }); };
     hooks.replaces = [](VMId owner) { logEvent(LogLevel::Info, "owner-replaced", { { "daemon", toHex(owner.value()) } }); };
     return hooks;
@@ -163,6 +173,50 @@
     return hooks;
 }
 
+StreamOriginExchange::Hooks GatewayPeers::streamOriginHooks()
+{
+    StreamOriginExchange::Hooks hooks;
+    hooks.send = [this](VMId to, std::string const& body) { send(to, PeerMessageKind::StreamOrigins, body); };
+    hooks.versions = m_hooks.versions;
+    return hooks;
+}
+
+void GatewayPeers::recordStreamOrigin(StreamId stream, VersionId version, Microseconds lifetime)
+{
+    if (m_streamOrigins)
+        m_streamOrigins->record(stream, version, lifetime, m_loop.now());
+}
+
+void GatewayPeers::findStreamOrigin(StreamId stream, std::string const& service, StreamOriginExchange::Callback callback)
+{
+    if (m_streamOrigins && m_streamOrigins->knowsPeers()) {
+        m_streamOrigins->find(stream, service, std::move(callback), m_loop.now());
+        scheduleResponseTimeout();
+        return;
+    }
+    m_waitingOrigins.push_back([this, stream, service, callback = std::move(callback)] {
+        if (m_streamOrigins && m_streamOrigins->knowsPeers())
+            findStreamOrigin(stream, service, callback);
+        else
+            callback({});
+    });
+    if (m_waitingOrigins.size() == 1)
+        m_waitingOriginsTimer.once(maxJoinWait, [this] { findWaitingOrigins(); });
+}
+
+void GatewayPeers::findWaitingOrigins()
+{
+    m_waitingOriginsTimer.cancel();
+    for (auto const& find : std::exchange(m_waitingOrigins, {}))
+        find();
+}
+
+void GatewayPeers::restartStreamOrigins()
+{
+    if (m_streamOrigins)
+        m_streamOrigins->restart(m_loop.now());
+}
+
 void GatewayPeers::setSearchingDetours(bool isSearching)
 {
     if (m_detourExchange)
@@ -203,13 +257,16 @@
 void GatewayPeers::scheduleResponseTimeout()
 {
     auto due = m_permitExchange->nextTimeout();
-    if (auto const other = m_holderExchange->nextTimeout())
-        due = std::min(due.value_or(*other), *other);
+    for (auto const& other : { m_holderExchange->nextTimeout(), m_streamOrigins->nextTimeout() }) {
+        if (other)
+            due = std::min(due.value_or(*other), *other);
+    }
     if (!due)
         return;
     m_responseTimer.once(std::max<Microseconds>(Microseconds(0), *due - m_loop.now()), [this] {
         m_permitExchange->tick(m_loop.now());
         m_holderExchange->tick(m_loop.now());
+        m_streamOrigins->tick(m_loop.now());
         scheduleResponseTimeout();
     });
 }
@@ -263,6 +320,8 @@
     m_crashExchange->setPeers(list, m_loop.now());
     m_holderExchange->setPeers(list, m_stateExchange->relays());
     m_detourExchange->setPeers(list);
+    m_streamOrigins->setPeers(list);
+    findWaitingOrigins();
     applyRoster();
     m_metrics.setGauge("stagepost_daemons", static_cast<double>(m_stateExchange->peerCount() + 1));
     logEvent(LogLevel::Info, "peers", { { "others", m_stateExchange->peerCount() }, { "relay", m_stateExchange->isRelay() ? 1 : 0 } });
@@ -384,6 +443,8 @@
             return m_holderExchange && m_holderExchange->receive(from, body, m_loop.now());
         case PeerMessageKind::Detours:
             return m_detourExchange && m_detourExchange->receive(from, body, m_loop.now());
+        case PeerMessageKind::StreamOrigins:
+            return m_streamOrigins && m_streamOrigins->receive(from, body, m_loop.now());
         case PeerMessageKind::Rollouts:
             return m_hooks.handleRolloutMessage(from, body);
         default:
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -11,6 +11,7 @@
 #include <LibRouting/DetourExchange.h>
 #include <LibRouting/HolderExchange.h>
 #include <LibRouting/PermitExchange.h>
+#include <LibRouting/StreamOriginExchange.h>
 #include <memory>
 #include <stagepostd/DetourTerms.h>
 #include <stagepostd/GatewayState.h>
@@ -63,6 +64,8 @@
         std::function<void(std::shared_ptr<Exchange>, DetourTerms const&)> handleDetour;
         // Handles another daemon's message about a roll-out. Returns false if it is malformed.
         std::function<bool(VMId from, std::string_view body)> handleRolloutMessage { [](VMId, std::string_view) { return false; } };
+        // What this daemon knows of a service's versions.
+        std::function<StreamOriginExchange::VersionKnowledge(std::string const& service, Instant now)> versions;
     };
 
     GatewayPeers(EventLoop&, Metrics&, StateExchange::Bounds, FleetShare, CrashSuspects&, RandomHook, Hooks);
@@ -113,6 +116,12 @@
     void requestPermit(PermitExchange::CandidateList, PermitExchange::Callback);
     // See HolderExchange::recordPlacement().
     void findContextHolders(uint64_t context, UpstreamId, HolderExchange::Callback);
+    // See StreamOriginExchange. Before this daemon has joined and knows the others, origins are found a
+    // little later, or not at all.
+    void recordStreamOrigin(StreamId, VersionId, Microseconds lifetime);
+    void findStreamOrigin(StreamId, std::string const& service, StreamOriginExchange::Callback);
+    // This daemon was suspended or cut off and may have lost messages.
+    void restartStreamOrigins();
     void requestStarted(UpstreamId, HallId);
     void requestEnded(UpstreamId);
     size_t unansweredPermitRequests() const { return m_permitExchange ? m_permitExchange->unansweredRequests() : 0; }
@@ -146,6 +155,8 @@
     void setFleetShare(std::vector<FleetPeer> const& others);
     void updateRoster(std::function<void()> const& change);
     void applyRoster();
+    StreamOriginExchange::Hooks streamOriginHooks();
+    void findWaitingOrigins();
     bool handleCrashMessage(VMId from, std::string_view body);
     void handleDatagram(Endpoint const& source, std::string_view datagram);
     void handleMessage(PeerMessageKind, VMId from, Endpoint const& source, std::string_view body);
@@ -186,6 +197,10 @@
     std::map<UpstreamId, UncountedRequests> m_uncountedRequests;
     std::unique_ptr<HolderExchange> m_holderExchange;
     std::unique_ptr<DetourExchange> m_detourExchange;
+    std::unique_ptr<StreamOriginExchange> m_streamOrigins;
+    // Until this daemon knows the others.
+    std::vector<std::function<void()>> m_waitingOrigins;
+    Timer m_waitingOriginsTimer;
     Timer m_ticker;
     // Expires at the earliest deadline of the pending permit requests and context lookups.
     Timer m_responseTimer;
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -22,6 +22,9 @@
     // so often. Roles change a few times in a roll-out.
     constexpr size_t maxRoleChanges = 4;
 
+    // Callers may take a stream up until their deadline, and on their way here.
+    constexpr Milliseconds streamRecordMargin { 1000 };
+
 }
 
 GatewayRequestHandler::GatewayRequestHandler(GatewayServices const& services, std::shared_ptr<Exchange> exchange, RoutedRequest request)
@@ -33,6 +36,8 @@
 {
     if (m_request.route->kind == RequestKind::Stream)
         m_progress = std::make_shared<EventProgress>();
+    if (m_request.detour)
+        m_streamVersion = m_request.detour->streamVersion;
 }
 
 void GatewayRequestHandler::start()
@@ -47,10 +52,68 @@
         refuse({ RefusalReason::QueueFull, Verdict::NotRun, "the service has fewer places than requests", m_service.gate.retryDelay(occupancy) });
         return;
     }
+    if (needsStreamOrigin())
+        findStreamOrigin();
+    else
+        chooseRoleAndPlace();
+}
+
+void GatewayRequestHandler::chooseRoleAndPlace()
+{
     chooseRole();
     placeRequest();
 }
 
+bool GatewayRequestHandler::needsStreamOrigin() const
+{
+    bool const takesUpStream = m_request.call.lastEvent && !m_request.call.firstAttempt.empty();
+    return takesUpStream && m_progress && m_request.route->isRepeatable() && !m_streamVersion;
+}
+
+StreamId GatewayRequestHandler::streamId() const
+{
+    auto const& call = m_request.call;
+    bool const takesUpStream = call.lastEvent && !call.firstAttempt.empty();
+    return StreamId(mixHashes(hashOf(takesUpStream ? call.firstAttempt : call.id), mixHashes(hashOf(m_request.service), hashOf(m_request.organisation))));
+}
+
+void GatewayRequestHandler::findStreamOrigin()
+{
+    m_services.peers.findStreamOrigin(streamId(), m_request.service, [self = shared_from_this()](auto const& origin) { self->handleStreamOrigin(origin); });
+}
+
+// What two versions write does not fit together, so a stream is rather refused than continued at a
+// version that may not have begun it.
+void GatewayRequestHandler::handleStreamOrigin(StreamOriginExchange::Origin const& origin)
+{
+    m_services.metrics.count("stagepost_streams_taken_up_total", origin.version ? "origin=\"known\"" : "origin=\"unknown\"");
+    if (endedWhileWaiting())
+        return;
+    if (!origin.version) {
+        auto const retryAfter = origin.haveKeepersReplied ? std::nullopt : std::optional(m_attempts.retryAfter());
+        refuse({ RefusalReason::NoUpstream, m_attempts.verdict(), "it can't be told at which version the stream has begun", retryAfter });
+        return;
+    }
+    m_streamVersion = origin.version;
+    chooseRoleAndPlace();
+}
+
+void GatewayRequestHandler::beginStream()
+{
+    if (!m_progress || !m_request.route->isRepeatable() || std::exchange(m_isStreamRecorded, true))
+        return;
+    m_streamVersion = VersionId::fromName(m_version);
+    auto const now = m_services.loop.now();
+    auto const* versions = m_services.serviceTable.versions(m_request.service);
+    if (versions && !versions->onlySeenVersion(now))
+        m_services.peers.recordStreamOrigin(streamId(), *m_streamVersion, m_attempts.timeLeft(now) + streamRecordMargin);
+}
+
+Refusal GatewayRequestHandler::noVersionRefusal() const
+{
+    return { RefusalReason::NoUpstream, m_attempts.verdict(), "no upstream of the version that has begun the stream takes requests", {} };
+}
+
 void GatewayRequestHandler::chooseRole()
 {
     if (!m_services.rollouts)
@@ -61,7 +124,7 @@
 
 bool GatewayRequestHandler::placeAtServingInstead()
 {
-    if (m_role != UpstreamRole::Candidate)
+    if (m_role != UpstreamRole::Candidate || m_streamVersion)
         return false;
     m_role = UpstreamRole::Serving;
     placeRequest();
@@ -78,7 +141,7 @@
         refuse({ RefusalReason::NoUpstream, m_attempts.verdict(), "this daemon has just lost its links to the upstreams", m_attempts.retryAfter() });
         return true;
     }
-    m_services.detours.start({ m_exchange, m_request, m_attempts, m_progress, m_isCounted, [self = shared_from_this()] { return !self->endedWhileWaiting(); }, [self = shared_from_this()](DetourOutcome const& outcome) { self->handleDetourOutcome(outcome); } });
+    m_services.detours.start({ m_exchange, m_request, m_attempts, m_progress, m_isCounted, m_streamVersion, [self = shared_from_this()] { return !self->endedWhileWaiting(); }, [self = shared_from_this()](DetourOutcome const& outcome) { self->handleDetourOutcome(outcome); } });
     return true;
 }
 
@@ -112,6 +175,12 @@
 void GatewayRequestHandler::placeHere()
 {
     m_isContextNew = false;
+    if (m_streamVersion) {
+        auto const role = m_services.serviceTable.roleOfVersion(m_request.service, *m_streamVersion);
+        if (!role)
+            return refuse(noVersionRefusal());
+        m_role = *role;
+    }
     auto const placementRequest = makePlacementRequest();
     if (needsPermit(placementRequest) && m_services.peers.canRequestPermits())
         requestPermit(placementRequest);
@@ -166,6 +235,7 @@
     placementRequest.isRepeatable = m_request.route->isRepeatable();
     placementRequest.priority = m_request.priority;
     placementRequest.role = m_role;
+    placementRequest.version = m_streamVersion;
     return placementRequest;
 }
 
@@ -221,7 +291,7 @@
 {
     if (endedWhileWaiting())
         return;
-    auto const source = m_service.placement.firstUsableSource(holders, choice.upstream, m_services.loop.now());
+    auto const source = m_service.placement.firstUsableSource(holders, choice.upstream, m_services.loop.now(), m_streamVersion);
     if (source)
         choice.contextSource = source;
     send(choice);
@@ -298,6 +368,8 @@
 
 Refusal GatewayRequestHandler::noUpstreamRefusal() const
 {
+    if (m_streamVersion)
+        return noVersionRefusal();
     if (m_service.placement.isBrittle(m_services.loop.now()))
         return loadBoundRefusal();
     if (m_service.placement.hasCold(m_services.loop.now()))
@@ -399,6 +471,7 @@
     case UpstreamActivity::ResponseDataReceived:
         if (!m_firstDataAt)
             m_firstDataAt = now;
+        beginStream();
         silence.answerContinued(upstream, now - m_lastActivityAt, now);
         break;
     }
@@ -433,6 +506,8 @@
 
 size_t GatewayRequestHandler::sizeForRetry(Instant now) const
 {
+    if (m_streamVersion)
+        return m_service.placement.sizeForRetry(m_attempts.failedUpstreams(), now, m_role, m_streamVersion);
     // A candidate is not among the upstreams that are counted, and retries go to the others.
     size_t const current = m_role == UpstreamRole::Candidate ? 1 : 0;
     return m_service.placement.sizeForRetry(m_attempts.failedUpstreams(), now) + current;
--- a/Services/stagepostd/GatewayRequestHandler.h
+++ b/Services/stagepostd/GatewayRequestHandler.h
@@ -19,6 +19,15 @@
 private:
     // Decides whether the first send goes to a version that is being tried.
     void chooseRole();
+    void chooseRoleAndPlace();
+    // Whether the request takes up a stream and must go to the version that has begun it.
+    bool needsStreamOrigin() const;
+    void findStreamOrigin();
+    void handleStreamOrigin(StreamOriginExchange::Origin const&);
+    // The first part of a stream is about to be passed on, so no other version may continue it.
+    void beginStream();
+    StreamId streamId() const;
+    Refusal noVersionRefusal() const;
     // Passes the request on if this daemon has lost its links. Returns false if it is to be placed here.
     bool startDetour();
     void handleDetourOutcome(DetourOutcome const&);
@@ -82,6 +91,9 @@
     std::string m_instance;
     // The version of its software.
     std::string m_version;
+    // The version at which the stream has begun, possibly in an earlier attempt of the caller.
+    std::optional<VersionId> m_streamVersion;
+    bool m_isStreamRecorded { false };
     // Instance from which the upstream may copy the context; empty if there is none.
     std::string m_contextSource;
     PlacementReason m_placementReason;
--- a/Services/stagepostd/PeerChannel.h
+++ b/Services/stagepostd/PeerChannel.h
@@ -18,6 +18,7 @@
     Holders = 'h',
     Rollouts = 'v',
     Detours = 'd',
+    StreamOrigins = 'o',
 };
 
 // Sends and receives authenticated datagrams. Forged, malformed and replayed datagrams are dropped
--- a/Services/stagepostd/ServiceTable.cpp
+++ b/Services/stagepostd/ServiceTable.cpp
@@ -30,21 +30,25 @@
 void ServiceTable::apply(UpstreamChange const& change, Instant now)
 {
     if (!change.record) {
-        remove(change.instance);
+        remove(change.instance, now);
         return;
     }
     auto const& record = *change.record;
     auto endpoint = Endpoint::parse(record.address);
     if (!endpoint) {
         logEvent(LogLevel::Warning, "upstream-skipped", { { "instance", record.instance }, { "reason", "its address is not IP:PORT" }, { "address", record.address } });
-        remove(record.instance);
+        remove(record.instance, now);
         return;
     }
-    removeReplaced(record);
+    removeReplaced(record, now);
     auto const id = record.id();
     auto const hall = HallId::fromName(record.hall);
     m_currentIds[record.instance] = id;
+    auto const earlier = m_targets.extract(id);
     auto const& target = m_targets[id] = { record.instance, std::move(*endpoint), record.service, hall, record.slots, record.isLeaving, record.version };
+    countVersion(target, now);
+    if (!earlier.empty())
+        uncountVersion(earlier.mapped(), now);
     updatePlacement(id, target);
     applyColdTime(record, now);
 }
@@ -93,7 +97,50 @@
 
 void ServiceTable::updatePlacement(UpstreamId id, Target const& target)
 {
-    service(target.service).placement.putUpstream({ id, target.hall == HallId::fromName(m_bounds.hall), target.slots, isLeaving(id, target), target.hall, roleOf(id, target) });
+    service(target.service).placement.putUpstream({ id, target.hall == HallId::fromName(m_bounds.hall), target.slots, isLeaving(id, target), target.hall, roleOf(id, target), VersionId::fromName(target.version) });
+}
+
+void ServiceTable::countVersion(Target const& target, Instant now)
+{
+    auto const version = VersionId::fromName(target.version);
+    if (!m_versionCounts[target.service][version]++)
+        m_versionHistories.try_emplace(target.service, m_historySince).first->second.appeared(version, now);
+}
+
+void ServiceTable::uncountVersion(Target const& target, Instant now)
+{
+    auto const version = VersionId::fromName(target.version);
+    auto& counts = m_versionCounts[target.service];
+    if (--counts[version])
+        return;
+    counts.erase(version);
+    m_versionHistories.at(target.service).vanished(version, now);
+}
+
+VersionHistory const* ServiceTable::versions(std::string const& service) const
+{
+    auto const found = m_versionHistories.find(service);
+    return found == m_versionHistories.end() ? nullptr : &found->second;
+}
+
+void ServiceTable::restartVersionHistory(Instant now)
+{
+    m_historySince = now;
+    for (auto& [service, history] : m_versionHistories)
+        history.restart(now);
+}
+
+std::optional<UpstreamRole> ServiceTable::roleOfVersion(std::string const& service, VersionId version) const
+{
+    std::optional<UpstreamRole> result;
+    for (auto const& upstream : upstreamsOf(service)) {
+        if (upstream.isLeaving || upstream.role == UpstreamRole::Excluded || VersionId::fromName(upstream.version) != version)
+            continue;
+        if (upstream.role == UpstreamRole::Serving)
+            return upstream.role;
+        result = upstream.role;
+    }
+    return result;
 }
 
 bool ServiceTable::isLeaving(UpstreamId id, Target const& target) const
@@ -165,7 +212,7 @@
 }
 
 // Removes an earlier process of the same upstream, or its entry in another service.
-void ServiceTable::removeReplaced(UpstreamRecord const& record)
+void ServiceTable::removeReplaced(UpstreamRecord const& record, Instant now)
 {
     auto const known = m_currentIds.find(record.instance);
     if (known == m_currentIds.end())
@@ -173,16 +220,17 @@
     if (known->second != record.id())
         logEvent(LogLevel::Info, "upstream-restarted", { { "instance", record.instance }, { "address", record.address }, { "incarnation", record.incarnation.value() } });
     if (known->second != record.id() || m_targets.at(known->second).service != record.service)
-        remove(record.instance);
+        remove(record.instance, now);
 }
 
-void ServiceTable::remove(std::string const& instance)
+void ServiceTable::remove(std::string const& instance, Instant now)
 {
     auto const known = m_currentIds.find(instance);
     if (known == m_currentIds.end())
         return;
     auto const target = m_targets.extract(known->second);
     m_currentIds.erase(known);
+    uncountVersion(target.mapped(), now);
     service(target.mapped().service).placement.removeUpstream(target.key());
     m_silence.remove(target.key());
     m_upstreamRemoved(target.mapped().endpoint);
--- a/Services/stagepostd/ServiceTable.h
+++ b/Services/stagepostd/ServiceTable.h
@@ -6,6 +6,7 @@
 #include <LibRouting/RetryBudget.h>
 #include <LibRouting/ServicePlacement.h>
 #include <LibRouting/UpstreamRole.h>
+#include <LibRouting/VersionHistory.h>
 #include <map>
 #include <memory>
 #include <set>
@@ -68,10 +69,11 @@
         UpstreamRole role { UpstreamRole::Serving };
     };
 
-    ServiceTable(Bounds bounds, RandomHook random, UpstreamRemovedCallback upstreamRemoved)
+    ServiceTable(Bounds bounds, RandomHook random, UpstreamRemovedCallback upstreamRemoved, Instant now = {})
         : m_bounds(std::move(bounds))
         , m_random(std::move(random))
         , m_upstreamRemoved(std::move(upstreamRemoved))
+        , m_historySince(now)
     {
     }
 
@@ -99,6 +101,12 @@
     std::vector<VersionedUpstream> upstreamsOf(std::string const& service) const;
     // Excluded if there is no such upstream.
     UpstreamRole role(UpstreamId) const;
+    // The versions that the service's upstreams have had of late; null if it has had no upstream.
+    VersionHistory const* versions(std::string const& service) const;
+    // This daemon may have missed upstreams that came and went.
+    void restartVersionHistory(Instant now);
+    // The role of the version's upstreams that take requests of it; none if there are none.
+    std::optional<UpstreamRole> roleOfVersion(std::string const& service, VersionId) const;
     // The number of this daemon's requests in flight at upstreams of these versions. Requests at an
     // upstream whose record is gone, or whose process was replaced, are not counted.
     size_t inFlightAt(std::string const& service, std::set<std::string> const& versions) const;
@@ -115,12 +123,14 @@
     size_t upstreamCount() const { return m_targets.size(); }
 
 private:
-    void remove(std::string const& instance);
+    void remove(std::string const& instance, Instant now);
+    void countVersion(Target const&, Instant now);
+    void uncountVersion(Target const&, Instant now);
     void updatePlacement(UpstreamId, Target const&);
     bool isLeaving(UpstreamId, Target const&) const;
     UpstreamRole roleOf(UpstreamId, Target const&) const;
     void applyColdTime(UpstreamRecord const&, Instant now);
-    void removeReplaced(UpstreamRecord const&);
+    void removeReplaced(UpstreamRecord const&, Instant now);
 
     Bounds m_bounds;
     RandomHook m_random;
@@ -130,6 +140,11 @@
     std::map<UpstreamId, Target> m_targets;
     // By service. Without an entry, all upstreams of the service are Serving.
     std::map<std::string, VersionRoles> m_versionRoles;
+    // By service: the number of upstreams of each version, and which versions there have been.
+    std::map<std::string, std::map<VersionId, size_t>> m_versionCounts;
+    std::map<std::string, VersionHistory> m_versionHistories;
+    // Since when this daemon has seen all changes of upstreams.
+    Instant m_historySince;
     std::set<HallId> m_emptiedHalls;
     // Upstreams that announced in an answer that they are leaving, with the time of the first such
     // answer.
--- /dev/null
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -0,0 +1,274 @@
+#include <LibRouting/StreamOriginExchange.h>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace Stagepost;
+
+namespace {
+
+constexpr VersionId first { 11 };
+constexpr VersionId second { 12 };
+constexpr std::string_view service { "chat" };
+
+Instant at(double seconds)
+{
+    return Instant(Microseconds(static_cast<int64_t>(seconds * 1e6)));
+}
+
+// Nine daemons in three halls that have run for long, unless they are restarted.
+class Fleet {
+public:
+    Fleet()
+    {
+        for (uint64_t number = 1; number <= 9; ++number)
+            m_peers.push_back({ VMId(number), HallId(number % 3) });
+        for (auto const& peer : m_peers)
+            start(peer, at(0));
+        for (auto& [id, daemon] : daemons)
+            daemon.versions.appeared(first, at(0));
+        run(60);
+    }
+
+    struct Daemon {
+        VersionHistory versions { at(0) };
+        std::unique_ptr<StreamOriginExchange> exchange {};
+        bool isListProven { true };
+        bool isDown { false };
+    };
+
+    void restart(VMId id)
+    {
+        auto const peer = *std::find_if(m_peers.begin(), m_peers.end(), [id](auto const& each) { return each.id == id; });
+        auto const present = daemons[id].versions.onlySeenVersion(now);
+        start(peer, now);
+        daemons[id].versions.appeared(present.value_or(first), now);
+        if (!present)
+            daemons[id].versions.appeared(second, now);
+        for (auto& [other, daemon] : daemons) {
+            if (other != id)
+                daemon.exchange->peerStarted(id, now);
+        }
+        deliver();
+    }
+
+    void appearEverywhere(VersionId version)
+    {
+        for (auto& [id, daemon] : daemons)
+            daemon.versions.appeared(version, now);
+    }
+
+    void record(VMId at, StreamId stream, VersionId version, Microseconds lifetime = Seconds(12))
+    {
+        daemons[at].exchange->record(stream, version, lifetime, now);
+        deliver();
+    }
+
+    StreamOriginExchange::Origin find(VMId at, StreamId stream)
+    {
+        std::optional<StreamOriginExchange::Origin> result;
+        daemons[at].exchange->find(
+            stream, std::string(service), [&](auto const& origin) { result = origin; }, now);
+        for (auto const end = now + Milliseconds(100); !result && now < end; now += Milliseconds(5)) {
+            deliver();
+            daemons[at].exchange->tick(now);
+        }
+        BOOST_REQUIRE(result.has_value());
+        return *result;
+    }
+
+    // The daemons that hold a record.
+    std::set<VMId> holders() const
+    {
+        std::set<VMId> result;
+        for (auto const& [id, daemon] : daemons) {
+            if (daemon.exchange->recordCount())
+                result.insert(id);
+        }
+        return result;
+    }
+
+    void run(double seconds)
+    {
+        now += Microseconds(static_cast<int64_t>(seconds * 1e6));
+        for (auto& [id, daemon] : daemons)
+            daemon.exchange->tick(now);
+    }
+
+    Instant now { at(0) };
+    std::map<VMId, Daemon> daemons;
+    bool areMessagesLost { false };
+
+private:
+    void start(FleetPeer const& peer, Instant since)
+    {
+        auto& daemon = daemons[peer.id];
+        daemon.versions = VersionHistory(since);
+        StreamOriginExchange::Hooks hooks;
+        hooks.send = [this, from = peer.id](VMId to, std::string const& bytes) { m_messages.push_back({ from, to, bytes }); };
+        hooks.versions = [&daemon](std::string const&, Instant time) {
+            return StreamOriginExchange::VersionKnowledge { daemon.isListProven && daemon.versions.isUniform(time), daemon.versions.versionWithoutRecords(time), daemon.versions.onlySeenVersion(time) };
+        };
+        daemon.exchange = std::make_unique<StreamOriginExchange>(peer, StreamOriginExchange::Bounds {}, std::move(hooks), since);
+        daemon.exchange->setPeers(m_peers);
+    }
+
+    void deliver()
+    {
+        while (!m_messages.empty()) {
+            auto const messages = std::exchange(m_messages, {});
+            for (auto const& message : messages) {
+                if (!areMessagesLost && !daemons[message.from].isDown && !daemons[message.to].isDown)
+                    BOOST_TEST(daemons[message.to].exchange->receive(message.from, message.bytes, now).has_value());
+            }
+        }
+    }
+
+    struct Message {
+        VMId from;
+        VMId to;
+        std::string bytes;
+    };
+
+    std::vector<FleetPeer> m_peers;
+    std::vector<Message> m_messages;
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(StreamOriginExchangeTests)
+
+BOOST_AUTO_TEST_CASE(AnyDaemonFindsTheVersionThatBeganAStream)
+{
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    for (uint64_t stream = 1; stream <= 20; ++stream)
+        fleet.record(VMId(1 + stream % 9), StreamId(stream), stream % 2 ? first : second);
+    for (uint64_t stream = 1; stream <= 20; ++stream) {
+        for (auto& [id, daemon] : fleet.daemons)
+            BOOST_TEST((fleet.find(id, StreamId(stream)).version == (stream % 2 ? first : second)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ARecordOutlivesItsStarterAndTwoKeepers)
+{
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    fleet.record(VMId(1), StreamId(7), second);
+    auto keepers = fleet.holders();
+    keepers.erase(VMId(1));
+    BOOST_TEST(keepers.size() >= 2u);
+    fleet.daemons[VMId(1)].isDown = true;
+    auto const survivor = *keepers.rbegin();
+    for (auto const keeper : keepers)
+        fleet.daemons[keeper].isDown = keeper != survivor;
+    for (auto& [id, daemon] : fleet.daemons) {
+        if (!daemon.isDown)
+            BOOST_TEST((fleet.find(id, StreamId(7)).version == second));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ADaemonThatStartsGetsTheRecordsThatItKeeps)
+{
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    fleet.record(VMId(1), StreamId(7), second);
+    auto const holders = fleet.holders();
+    // One after the other, all of them are replaced.
+    for (auto const holder : holders)
+        fleet.restart(holder);
+    BOOST_TEST((fleet.find(VMId(9), StreamId(7)).version == second));
+}
+
+BOOST_AUTO_TEST_CASE(AStreamWithoutARecordBeganAtTheVersionThatWasAlone)
+{
+    Fleet fleet;
+    BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version == first));
+    fleet.appearEverywhere(second);
+    fleet.run(2);
+    BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version == first));
+    // By now, every stream has a record.
+    fleet.run(40);
+    auto const origin = fleet.find(VMId(2), StreamId(7));
+    BOOST_TEST(!origin.version.has_value());
+    BOOST_TEST(origin.haveKeepersReplied);
+}
+
+BOOST_AUTO_TEST_CASE(WithOneVersionStreamsGoOnAfterAllDaemonsHaveStartedAgain)
+{
+    Fleet fleet;
+    for (uint64_t id = 1; id <= 9; ++id)
+        fleet.restart(VMId(id));
+    BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version == first));
+    fleet.daemons[VMId(3)].isDown = true;
+    BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version == first));
+}
+
+BOOST_AUTO_TEST_CASE(ADaemonThatMayHaveMissedAVersionDoesNotGuess)
+{
+    Fleet fleet;
+    // Cut off, with an old list, from a fleet that knows of another version since.
+    fleet.daemons[VMId(2)].isListProven = false;
+    for (auto& [id, daemon] : fleet.daemons)
+        daemon.isDown = id != VMId(2);
+    auto const origin = fleet.find(VMId(2), StreamId(7));
+    BOOST_TEST(!origin.version.has_value());
+    BOOST_TEST(!origin.haveKeepersReplied);
+    // Started again, among daemons that have seen both.
+    Fleet other;
+    other.appearEverywhere(second);
+    other.run(40);
+    for (uint64_t id = 1; id <= 9; ++id) {
+        if (id != 5)
+            other.restart(VMId(id));
+    }
+    BOOST_TEST(!other.find(VMId(2), StreamId(7)).version.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(RecordsExpire)
+{
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    fleet.record(VMId(1), StreamId(7), second, Seconds(3));
+    BOOST_TEST(!fleet.holders().empty());
+    fleet.run(4);
+    BOOST_TEST(fleet.holders().empty());
+}
+
+BOOST_AUTO_TEST_CASE(DamagedStreamOriginMessagesAreRefused)
+{
+    StreamOriginReply reply { 5, first, true, false, second, {} };
+    auto const bytes = encodeStreamOriginMessage(reply);
+    auto const decoded = decodeStreamOriginMessage(bytes);
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST((std::get<StreamOriginReply>(*decoded).recorded == first));
+    BOOST_TEST((std::get<StreamOriginReply>(*decoded).withoutRecords == second));
+    BOOST_TEST(!std::get<StreamOriginReply>(*decoded).onlySeen.has_value());
+    for (size_t length = 0; length < bytes.size(); ++length)
+        BOOST_TEST(!decodeStreamOriginMessage(std::string_view(bytes).substr(0, length)).has_value());
+    BOOST_TEST(rc::check("any bytes", [](std::string const& any) { (void)decodeStreamOriginMessage(any); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(VersionHistoryTests)
+
+BOOST_AUTO_TEST_CASE(AVersionThatLeftIsRememberedAsLongAsItsStreams)
+{
+    VersionHistory history(at(0));
+    history.appeared(first, at(0));
+    BOOST_TEST(!history.isUniform(at(29)));
+    BOOST_TEST(history.isUniform(at(30)));
+    history.appeared(second, at(40));
+    history.vanished(first, at(50));
+    BOOST_TEST(!history.isUniform(at(79)));
+    BOOST_TEST(!history.onlySeenVersion(at(79)).has_value());
+    BOOST_TEST(history.isUniform(at(80)));
+    BOOST_TEST((history.onlySeenVersion(at(80)) == second));
+    history.restart(at(90));
+    BOOST_TEST(!history.isUniform(at(100)));
+    BOOST_TEST((history.onlySeenVersion(at(100)) == second));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
