RolloutController: Count daemons that have left of late for parts of the slack

The slack of a roll-out's trial is divided among the daemons that each one knows. While some had left the list, as in a rolling stop, the others took larger parts, beside those that the former had taken: the fault of the retry budget's slack.

FleetShare's test checks who counts. Not shown by a run of its own: no test stops daemons while an order begins.

--- a/Libraries/LibMembership/FleetShare.cpp
+++ b/Libraries/LibMembership/FleetShare.cpp
@@ -61,13 +61,17 @@
 
 double FleetShare::equal(Instant now) const
 {
-    return 1.0 / static_cast<double>(countOthers(now) + 1);
+    return 1.0 / static_cast<double>(counted(now).size() + 1);
 }
 
-size_t FleetShare::countOthers(Instant now) const
+std::vector<VMId> FleetShare::counted(Instant now) const
 {
-    auto const remembered = std::count_if(m_departedAt.begin(), m_departedAt.end(), [&](auto const& departed) { return now - departed.second <= settlingTime(); });
-    return m_others.size() + static_cast<size_t>(remembered);
+    std::vector<VMId> result(m_others.begin(), m_others.end());
+    for (auto const& [id, departedAt] : m_departedAt) {
+        if (now - departedAt <= settlingTime())
+            result.push_back(id);
+    }
+    return result;
 }
 
 }
--- a/Libraries/LibMembership/FleetShare.h
+++ b/Libraries/LibMembership/FleetShare.h
@@ -49,13 +49,14 @@
 
     // The part that this daemon may use now, from 0 to 1.
     double usable(Instant now) const;
+    // The other daemons that have a part: those on the list, and those that were of late.
+    std::vector<VMId> counted(Instant now) const;
     // An equal part, whether or not it may be used now. For allowances that need no strict bound.
     double equal(Instant now) const;
 
 private:
     Microseconds settlingTime() const { return m_bounds.window + m_bounds.maxProofAge; }
     bool isSettled(Instant now) const;
-    size_t countOthers(Instant now) const;
 
     Bounds m_bounds;
     // Reset once this daemon can't rely any more on having started and registered together with the others.
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -150,6 +150,7 @@
     hooks.send = [this](VMId to, std::string const& body) { m_peers.sendRolloutMessage(to, body); };
     hooks.records = std::move(records);
     hooks.changed = [this] { m_peers.stateChanged(m_loop.now()); };
+    hooks.daemonsWithShare = [this] { return m_peers.daemonsWithShare(); };
     FleetPeer const self { VMId::fromName(m_options.name), HallId::fromName(m_options.hall) };
     return std::make_unique<RolloutController>(
         self, m_options.rollouts, m_serviceTable, m_metrics, [this] { return m_loop.now(); }, m_random, std::move(hooks));
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -99,6 +99,7 @@
     bool needsRegistry(Instant now) const { return !m_stateExchange || m_stateExchange->needsRegistry(now); }
     // See FleetShare::usable() and equal(); 0 before this daemon has joined.
     double usableShare() const { return m_stateExchange ? m_fleetShare.usable(m_loop.now()) : 0; }
+    std::vector<VMId> daemonsWithShare() const { return m_fleetShare.counted(m_loop.now()); }
     double equalShare() const { return m_stateExchange ? m_fleetShare.equal(m_loop.now()) : 0; }
     void stateConfirmed(Instant now);
     // This daemon's latest read of the store has succeeded or failed.
--- a/Services/stagepostd/RolloutController.cpp
+++ b/Services/stagepostd/RolloutController.cpp
@@ -188,8 +188,10 @@
     if (!m_peers || orderedAt < m_startedAt + minRunBeforeOrder || !m_ordersWithSlack.insert(state.order.id).second)
         return 0;
     auto const rankOf = [&state](VMId daemon) { return mixHashes(state.order.id.value(), daemon.value()); };
-    auto const rank = std::count_if(m_peers->begin(), m_peers->end(), [&](auto const& peer) { return rankOf(peer.id) > rankOf(m_self.id); });
-    return m_schedule.slackOf(static_cast<size_t>(rank), m_peers->size() + 1);
+    // Daemons that have left of late may have taken their parts of a larger fleet before.
+    auto const others = m_hooks.daemonsWithShare();
+    auto const rank = std::count_if(others.begin(), others.end(), [&](VMId other) { return rankOf(other) > rankOf(m_self.id); });
+    return m_schedule.slackOf(static_cast<size_t>(rank), others.size() + 1);
 }
 
 void RolloutController::logEvidence(ServiceRollout const& rollout)
--- a/Services/stagepostd/RolloutController.h
+++ b/Services/stagepostd/RolloutController.h
@@ -28,6 +28,8 @@
         RolloutRecordHooks records;
         // What this daemon knows of the orders has changed, and is news for other daemons.
         std::function<void()> changed;
+        // The other daemons that may have a part of an allowance of the fleet; see FleetShare.
+        std::function<std::vector<VMId>()> daemonsWithShare { [] { return std::vector<VMId> {}; } };
     };
 
     RolloutController(FleetPeer self, RolloutSchedule, ServiceTable&, Metrics&, NowHook, RandomHook, Hooks);
--- a/Tests/LibMembership/TestFleetShare.cpp
+++ b/Tests/LibMembership/TestFleetShare.cpp
@@ -207,6 +207,8 @@
 {
     auto share = settledShare();
     share.setOthers({ VMId(2), VMId(3) }, at(116));
+    BOOST_TEST(share.counted(at(130)).size() == 3u);
+    BOOST_TEST(share.counted(at(132)).size() == 2u);
     share.confirm(at(129), true, at(129));
     BOOST_TEST(share.usable(at(130)) == 0.25);
     share.confirm(at(132), true, at(132));
