GatewayRequestHandler: Avoid upstreams whose process may have been replaced

Streams were mixed where an upstream started again under its id with another version: for a few tenths of a second, daemons have its earlier record. While a service has several versions, an upstream whose connections have ended (idle ones that it closed, failed sends) is now avoided for streams that may be continued, until the list of upstreams is proven as of half a second later. A stream that begins still goes there if there is no other; a continued one is refused with a time to come back.

--- a/Libraries/LibProxy/Detail/UpstreamConnections.cpp
+++ b/Libraries/LibProxy/Detail/UpstreamConnections.cpp
@@ -1,5 +1,6 @@
 #include <LibProxy/Detail/UpstreamConnections.h>
 
+#include <algorithm>
 #include <sys/socket.h>
 
 namespace Stagepost {
@@ -43,6 +44,12 @@
     return nullptr;
 }
 
+bool UpstreamConnections::hasClosed(Endpoint const& endpoint) const
+{
+    auto const found = m_idle.find(endpoint);
+    return found != m_idle.end() && std::any_of(found->second.begin(), found->second.end(), [](auto const& connection) { return !isOpenWithoutData(*connection); });
+}
+
 void UpstreamConnections::release(Endpoint const& endpoint, std::shared_ptr<UpstreamConnection> connection, size_t maxIdle)
 {
     auto& idle = m_idle[endpoint];
--- a/Libraries/LibProxy/Detail/UpstreamConnections.h
+++ b/Libraries/LibProxy/Detail/UpstreamConnections.h
@@ -37,6 +37,8 @@
     std::shared_ptr<UpstreamConnection> acquire(Endpoint const&, Milliseconds maxIdleTime);
     // Adds a connection to the pool, which keeps the newest maxIdle of this upstream.
     void release(Endpoint const&, std::shared_ptr<UpstreamConnection>, size_t maxIdle);
+    // Whether the other end has closed any of the idle connections.
+    bool hasClosed(Endpoint const&) const;
     void clear() { m_idle.clear(); }
     void drop(Endpoint const& endpoint) { m_idle.erase(endpoint); }
 
--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -35,6 +35,14 @@
     m_state->upstreams->drop(upstream);
 }
 
+bool HttpServer::dropClosedConnections(Endpoint const& upstream)
+{
+    bool const hasClosed = m_state->upstreams->hasClosed(upstream);
+    if (hasClosed)
+        m_state->upstreams->drop(upstream);
+    return hasClosed;
+}
+
 Result<Endpoint> HttpServer::listen(Endpoint const& endpoint)
 {
     auto const nativeEndpoint = toNativeEndpoint<Tcp>(endpoint);
--- a/Libraries/LibProxy/HttpServer.h
+++ b/Libraries/LibProxy/HttpServer.h
@@ -48,6 +48,8 @@
     // Closes the idle connections to an upstream. Used when another process has taken over
     // the address.
     void dropIdleConnections(Endpoint const& upstream);
+    // The same if the upstream has closed any of them. Returns whether it has: its process may have ended.
+    bool dropClosedConnections(Endpoint const& upstream);
 
     // The number of requests that have been read and whose responses are incomplete.
     size_t openExchanges() const;
--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -59,6 +59,9 @@
         return std::find(ids.begin(), ids.end(), id) != ids.end();
     }
 
+    // By then, a process that takes the place of one that has ended has written its record.
+    constexpr Milliseconds processReplacementTime { 500 };
+
     // Selects the offered upstream that comes first in a context's rendezvous order.
     class FirstInRendezvousOrder {
     public:
@@ -381,7 +384,21 @@
         if (!contains(request.excluded, id) && takesRequests(upstream, request.role, now) && matchesVersion(upstream, request.version))
             result.push_back(&upstream);
     }
-    return result;
+    std::vector<Upstream*> proven;
+    std::copy_if(result.begin(), result.end(), std::back_inserter(proven), [&](auto const* upstream) { return isVersionProven(*upstream, request); });
+    // A stream that begins has to go somewhere.
+    return proven.empty() && !request.version ? result : proven;
+}
+
+bool ServicePlacement::isVersionProven(Upstream const& upstream, Request const& request)
+{
+    return !request.versionsProvenAt || !upstream.processEndedAt || *upstream.processEndedAt + processReplacementTime <= *request.versionsProvenAt;
+}
+
+void ServicePlacement::processMayHaveEnded(UpstreamId id, Instant now)
+{
+    if (auto const found = m_upstreams.find(id); found != m_upstreams.end())
+        found->second.processEndedAt = now;
 }
 
 // Returns the upstream whose trial has been due for longest. A cold one gets trials only through
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -104,6 +104,9 @@
         // If set, only upstreams of this version are chosen, since the request continues a stream that one
         // of them has begun.
         std::optional<VersionId> version {};
+        // Set if the upstream's version must be known, to the time as of which the list of upstreams is
+        // proven: upstreams whose process may have been replaced since are avoided.
+        std::optional<Instant> versionsProvenAt {};
     };
     struct Choice {
         UpstreamId upstream;
@@ -144,6 +147,8 @@
     bool mayHaveCrashedUnderLoad(UpstreamId, Instant now) const;
     // Whether requests without a context need permits too, if an owner responds.
     bool needsPermits(Instant now) const { return hasCold(now) || isBrittle(now); }
+    // Connections of the upstream have ended, so its process may be replaced by one of another version.
+    void processMayHaveEnded(UpstreamId, Instant now);
     // The upstream has asked this daemon to send no requests for the duration.
     void backoffRequested(UpstreamId, Microseconds duration, Instant now);
     // The remaining back-off of the upstream; zero if there is none.
@@ -184,6 +189,7 @@
         double meanAnswerSeconds { 0 };
         Instant lastAnswerAt;
         std::optional<Instant> coldUntil;
+        std::optional<Instant> processEndedAt;
         // Whether it has been seen with requests while it was a serving upstream, and so may hold
         // contexts that others lack.
         bool hasServed { false };
@@ -222,6 +228,7 @@
     void recordWait(SendOutcome, Microseconds took, Microseconds held);
     void adjustShares(Instant now);
     bool canProvideContext(Upstream const&, Reach hall, Instant now) const;
+    static bool isVersionProven(Upstream const&, Request const&);
     static bool matchesVersion(Upstream const&, std::optional<VersionId>);
     static bool mayShareContexts(Upstream const& source, Upstream const& chosen, std::optional<VersionId>);
     std::optional<UpstreamId> contextSource(Request const&, UpstreamId chosen, Instant now) const;
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -121,6 +121,7 @@
     // little later, or not at all.
     void recordStreamOrigin(StreamId, VersionId, Microseconds lifetime);
     void findStreamOrigin(StreamId, std::string const& service, StreamOriginExchange::Callback);
+    size_t streamOriginCount() const { return m_streamOrigins ? m_streamOrigins->recordCount() : 0; }
     // This daemon was suspended or cut off and may have lost messages.
     void restartStreamOrigins();
     void requestStarted(UpstreamId, HallId);
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -22,6 +22,9 @@
     // so often. Roles change a few times in a roll-out.
     constexpr size_t maxRoleChanges = 4;
 
+    // Each further placement asks the owners of upstreams again.
+    constexpr size_t maxEndedProcesses = 3;
+
     // Callers may take a stream up until their deadline, and on their way here.
     constexpr Milliseconds streamRecordMargin { 1000 };
 
@@ -104,14 +107,31 @@
         return;
     m_streamVersion = VersionId::fromName(m_version);
     auto const now = m_services.loop.now();
-    auto const* versions = m_services.serviceTable.versions(m_request.service);
-    if (versions && !versions->onlySeenVersion(now))
+    if (needsVersion())
         m_services.peers.recordStreamOrigin(streamId(), *m_streamVersion, m_attempts.timeLeft(now) + streamRecordMargin);
 }
 
+bool GatewayRequestHandler::needsVersion() const
+{
+    if (!m_progress || !m_request.route->isRepeatable())
+        return false;
+    auto const* versions = m_services.serviceTable.versions(m_request.service);
+    return versions && !versions->onlySeenVersion(m_services.loop.now());
+}
+
+bool GatewayRequestHandler::mayHaveEnded(ServicePlacement::Choice const& choice, ServiceTable::Target const& target)
+{
+    if (!needsVersion() || !m_services.dropClosedConnections(target.endpoint))
+        return false;
+    m_service.placement.processMayHaveEnded(choice.upstream, m_services.loop.now());
+    return m_endedProcesses++ < maxEndedProcesses;
+}
+
 Refusal GatewayRequestHandler::noVersionRefusal() const
 {
-    return { RefusalReason::NoUpstream, m_attempts.verdict(), "no upstream of the version that has begun the stream takes requests", {} };
+    bool const isPresent = m_services.serviceTable.roleOfVersion(m_request.service, *m_streamVersion).has_value();
+    auto const retryAfter = isPresent ? std::optional(m_attempts.retryAfter()) : std::nullopt;
+    return { RefusalReason::NoUpstream, m_attempts.verdict(), "no upstream of the version that has begun the stream takes requests", retryAfter };
 }
 
 void GatewayRequestHandler::chooseRole()
@@ -236,6 +256,8 @@
     placementRequest.priority = m_request.priority;
     placementRequest.role = m_role;
     placementRequest.version = m_streamVersion;
+    if (needsVersion())
+        placementRequest.versionsProvenAt = m_services.upstreamsProvenAt();
     return placementRequest;
 }
 
@@ -334,6 +356,10 @@
 void GatewayRequestHandler::send(std::optional<ServicePlacement::Choice> const& choice)
 {
     auto const* target = choice ? m_services.serviceTable.target(choice->upstream) : nullptr;
+    if (target && mayHaveEnded(*choice, *target)) {
+        releaseInFlight();
+        return placeRequest();
+    }
     if (target && startVersionedSend(*choice))
         return forward(*choice, *target);
     releaseInFlight();
@@ -547,6 +573,8 @@
         if (!result.deadlineReached)
             m_services.links.connectFailed(upstream);
     }
+    if (outcome == SendOutcome::ConnectFailed || outcome == SendOutcome::NoUsableAnswer)
+        m_service.placement.processMayHaveEnded(upstream, now);
     // The time to the first byte measures the upstream. The total time of a stream measures only the
     // length of the answer.
     m_service.placement.finished(upstream, outcome, result.timeToResponseHeader, now - m_sentAt, now);
--- a/Services/stagepostd/GatewayRequestHandler.h
+++ b/Services/stagepostd/GatewayRequestHandler.h
@@ -26,6 +26,10 @@
     void handleStreamOrigin(StreamOriginExchange::Origin const&);
     // The first part of a stream is about to be passed on, so no other version may continue it.
     void beginStream();
+    // Whether the upstream's version matters, because the stream may be continued and there are several.
+    bool needsVersion() const;
+    // Whether the upstream's process may have been replaced since its record was written.
+    bool mayHaveEnded(ServicePlacement::Choice const&, ServiceTable::Target const&);
     StreamId streamId() const;
     Refusal noVersionRefusal() const;
     // Passes the request on if this daemon has lost its links. Returns false if it is to be placed here.
@@ -94,6 +98,8 @@
     // The version at which the stream has begun, possibly in an earlier attempt of the caller.
     std::optional<VersionId> m_streamVersion;
     bool m_isStreamRecorded { false };
+    // How many times the request was placed again because the chosen upstream's process may have ended.
+    size_t m_endedProcesses { 0 };
     // Instance from which the upstream may copy the context; empty if there is none.
     std::string m_contextSource;
     PlacementReason m_placementReason;
--- a/Services/stagepostd/GatewayServices.h
+++ b/Services/stagepostd/GatewayServices.h
@@ -32,6 +32,10 @@
     // This daemon's share of the fleet, from 0 to 1.
     std::function<double()> share;
     std::function<RequestFingerprint(FingerprintInput const&)> fingerprintOf;
+    // The time as of which the list of upstreams is proven.
+    std::function<std::optional<Instant>()> upstreamsProvenAt;
+    // See HttpServer::dropClosedConnections().
+    std::function<bool(Endpoint const&)> dropClosedConnections;
     // Null where roll-outs are switched off.
     RolloutController* rollouts { nullptr };
 };
