--- a/Libraries/LibRouting/ServicePlacement.cpp
+++ b/Libraries/LibRouting/ServicePlacement.cpp
@@ -61,6 +61,8 @@
 
     // By then, a process that takes the place of one that has ended has written its record.
     constexpr Milliseconds processReplacementTime { 500 };
+    // An older list of upstreams is not about to be proven again.
+    constexpr Milliseconds maxListAge { 2000 };
 
     // Selects the offered upstream that comes first in a context's rendezvous order.
     class FirstInRendezvousOrder {
@@ -385,14 +387,17 @@
             result.push_back(&upstream);
     }
     std::vector<Upstream*> proven;
-    std::copy_if(result.begin(), result.end(), std::back_inserter(proven), [&](auto const* upstream) { return isVersionProven(*upstream, request); });
+    std::copy_if(result.begin(), result.end(), std::back_inserter(proven), [&](auto const* upstream) { return isVersionProven(*upstream, request, now); });
     // A stream that begins has to go somewhere.
     return proven.empty() && !request.version ? result : proven;
 }
 
-bool ServicePlacement::isVersionProven(Upstream const& upstream, Request const& request)
+// While no list is proven, connections that end for other reasons would keep all upstreams out.
+bool ServicePlacement::isVersionProven(Upstream const& upstream, Request const& request, Instant now)
 {
-    return !request.versionsProvenAt || !upstream.processEndedAt || *upstream.processEndedAt + processReplacementTime <= *request.versionsProvenAt;
+    if (!request.versionsProvenAt || !upstream.processEndedAt || now - *request.versionsProvenAt > maxListAge)
+        return true;
+    return *upstream.processEndedAt + processReplacementTime <= *request.versionsProvenAt;
 }
 
 void ServicePlacement::processMayHaveEnded(UpstreamId id, Instant now)
--- a/Libraries/LibRouting/ServicePlacement.h
+++ b/Libraries/LibRouting/ServicePlacement.h
@@ -228,7 +228,7 @@
     void recordWait(SendOutcome, Microseconds took, Microseconds held);
     void adjustShares(Instant now);
     bool canProvideContext(Upstream const&, Reach hall, Instant now) const;
-    static bool isVersionProven(Upstream const&, Request const&);
+    static bool isVersionProven(Upstream const&, Request const&, Instant now);
     static bool matchesVersion(Upstream const&, std::optional<VersionId>);
     static bool mayShareContexts(Upstream const& source, Upstream const& chosen, std::optional<VersionId>);
     std::optional<UpstreamId> contextSource(Request const&, UpstreamId chosen, Instant now) const;
