--- a/Tests/Processes/test_retry_budget.py
+++ b/Tests/Processes/test_retry_budget.py
@@ -32,10 +32,11 @@
 
     repeats: int
     requests: int
+    slack: int
 
     @property
     def allowed(self):
-        return RATIO * self.requests + SLACK
+        return RATIO * self.requests + self.slack
 
     @property
     def surplus(self):
@@ -55,12 +56,16 @@
         return super().serve_one(connection, reader)
 
 
-class RetryBudget(unittest.TestCase):
+class RetryBudgetCase(unittest.TestCase):
+    """A fleet, its upstreams and its callers."""
+
+    slack = SLACK
+
     def setUp(self):
         self.random = random.Random(SEED)
         self.ports, self.store, self.network = Ports(self.random.randrange(500)), Store(), Network(SEED)
         self.addCleanup(self.store.stop)
-        self.flags = ("--retry-ratio", str(RATIO), "--retry-slack", str(SLACK), "--retry-window-s", str(WINDOW_SECONDS), "--key-bound-ms", "0")
+        self.flags = ("--retry-ratio", str(RATIO), "--retry-slack", str(self.slack), "--retry-window-s", str(WINDOW_SECONDS), "--key-bound-ms", "0")
         self.upstreams = [RejectingUpstream(random.Random(f"{SEED} {number}"), f"book-{number}", "book", HALLS[number % len(HALLS)]) for number in range(6)]
         for upstream in self.upstreams:
             self.addCleanup(upstream.stop)
@@ -71,6 +76,8 @@
         eventually(lambda: all(knows(member, DAEMONS - 1) for member in self.members), "all daemons know each other")
         self.sent_at = []
         self.callers = []
+        # The daemon that most requests go to, if any.
+        self.preferred = None
         self.is_over = threading.Event()
         self.traffic = threading.Thread(target=self.send_requests)
         self.addCleanup(self.end_traffic)
@@ -112,7 +119,8 @@
             available = [member for member in self.members if member.is_available]
             if available:
                 self.sent_at.append(time.monotonic())
-                caller = threading.Thread(target=self.call, args=(randomness.choice(available), f"attempt-{len(self.sent_at)}"))
+                member = self.preferred if self.preferred in available and randomness.random() < 0.8 else randomness.choice(available)
+                caller = threading.Thread(target=self.call, args=(member, f"attempt-{len(self.sent_at)}"))
                 caller.start()
                 self.callers.append(caller)
 
@@ -150,7 +158,7 @@
         def count(times, begin):
             return bisect.bisect_right(times, begin + WINDOW_SECONDS) - bisect.bisect_left(times, begin)
 
-        windows = [RetryWindow(count(repeats, begin), max(count(sent, begin - shift * WINDOW_SECONDS) for shift in (0, 0.5, 1))) for begin in repeats]
+        windows = [RetryWindow(count(repeats, begin), max(count(sent, begin - shift * WINDOW_SECONDS) for shift in (0, 0.5, 1)), self.slack) for begin in repeats]
         return max(windows, key=lambda window: window.surplus)
 
     def check(self):
@@ -161,6 +169,8 @@
         self.assertLessEqual(worst.repeats, worst.allowed, f"seed {SEED}")
         return worst
 
+
+class RetryBudget(RetryBudgetCase):
     def test_calm_fleet_uses_the_slack(self):
         """Guards against a budget that keeps its bound by wasting what a calm fleet may use."""
         self.start_traffic()
@@ -207,6 +217,28 @@
         self.check()
 
 
+class RetryBudgetWithLittleSlack(RetryBudgetCase):
+    slack = 4
+
+    def test_all_daemons_killed_after_their_retries(self):
+        """Guards against processes that may retry for their requests what their predecessors have spent in advance."""
+        self.start_traffic()
+        time.sleep(0.6)
+        for_each(self.members, Member.restart)
+        time.sleep(WINDOW_SECONDS)
+        self.check()
+
+    def test_traffic_moves_to_another_daemon(self):
+        """Guards against daemons that retry for requests that they have got instead of others, which have spent
+        retries for them in advance."""
+        self.preferred = self.members[0]
+        self.start_traffic()
+        time.sleep(0.6)
+        self.preferred = self.members[1]
+        time.sleep(WINDOW_SECONDS)
+        self.check()
+
+
 def knows(member, others):
     return any(f"event=peers others={others}" in line for line in member.entry.lines)
 
