RetryBudget: Earn retries by requests once, and let them expire after half a window

A daemon could spend 0.17 retries for each request of its last window at any moment. When its process was replaced after that, or its requests went to another daemon, these granted the same ratio again for what came in the same window. Only the slack was bounded over processes.

Each request now earns 0.126 of a retry at the ratio of 0.2, which is spent once and expires after half a window. So retries in any window are paid for by the requests of a window and a half, whichever processes have got them. Weighed: counts of predecessors told by others arrive late or not at all; nothing for a window after each start takes retries from callers whose upstream crashes, and bounds nothing where requests move; a shorter expiry with a larger part takes bursts from small services. What callers lose: a burst of failures may spend half a window's credit instead of a whole window's.

--- a/Libraries/LibRouting/RetryBudget.cpp
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -1,5 +1,7 @@
 #include <LibRouting/RetryBudget.h>
 
+#include <algorithm>
+
 namespace Stagepost {
 
 RetryBudget::Slot& RetryBudget::slotAt(Instant now)
@@ -7,7 +9,7 @@
     auto const number = numberAt(now);
     auto& slot = m_slots.at(static_cast<size_t>(number) % slotCount);
     if (slot.number != number)
-        slot = { number, 0, 0 };
+        slot = { number, 0, 0, 0, 0 };
     return slot;
 }
 
@@ -16,21 +18,44 @@
     auto const newest = numberAt(now);
     Usage usage;
     usage.slack = m_bounds.slack * m_slackShare(now);
+    usage.unusedSlack = usableSlackShare * usage.slack;
     for (auto const& slot : m_slots) {
-        if (slot.number < 0 || slot.number + static_cast<int64_t>(slotCount) <= newest)
+        auto const age = newest - slot.number;
+        if (slot.number < 0 || age >= int64_t { slotCount })
             continue;
         usage.retries += slot.retries;
+        usage.unusedSlack -= slot.spentSlack;
         // Requests of the oldest slot may already be outside the window.
-        if (slot.number + static_cast<int64_t>(slotCount) - 1 > newest)
+        if (age < int64_t { slotsPerWindow })
             usage.requests += slot.requests;
+        if (age < creditSlots)
+            usage.credit += creditOf(slot);
     }
     return usage;
 }
 
 bool RetryBudget::mayRetry(Instant now) const
 {
-    auto const used = usage(now);
-    return used.retries + 1 <= usableShare * (m_bounds.ratio * used.requests + used.slack);
+    auto const available = usage(now);
+    return available.credit + std::max(0.0, available.unusedSlack) >= 1;
+}
+
+// Spends the oldest credit first, since it expires first.
+void RetryBudget::recordRetry(Instant now)
+{
+    double unpaid = 1;
+    auto const newest = numberAt(now);
+    for (auto number = std::max<int64_t>(0, newest - creditSlots + 1); number <= newest; ++number) {
+        auto& slot = m_slots.at(static_cast<size_t>(number) % slotCount);
+        if (slot.number != number)
+            continue;
+        auto const paid = std::min(unpaid, creditOf(slot));
+        slot.spentCredit += paid;
+        unpaid -= paid;
+    }
+    auto& current = slotAt(now);
+    ++current.retries;
+    current.spentSlack += unpaid;
 }
 
 }
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -740,6 +740,7 @@
         auto const budget = m_service.retries.usage(m_services.loop.now());
         fields.emplace_back("budget_requests", budget.requests);
         fields.emplace_back("budget_retries", budget.retries);
+        fields.emplace_back("budget_credit", budget.credit);
         fields.emplace_back("budget_slack", budget.slack);
     }
     return fields;
