GatewayRequestHandler: Log the parts of the prompts of requests that were not answered

`context` is a hash over all parts but the last. It shows neither which part the requests at ended upstreams have in common, nor whether other prompts have it as well, so that the hypotheses of the incident can't be told apart. Lines of requests that were not answered now have `prompt_parts`, a keyed hash of each part alone.

--- a/Libraries/LibBase/FingerprintKey.cpp
+++ b/Libraries/LibBase/FingerprintKey.cpp
@@ -17,6 +17,11 @@
         crypto_generichash_update(&state, reinterpret_cast<unsigned char const*>(text.data()), text.size());
     }
 
+    std::string_view bytesOf(uint64_t const& value)
+    {
+        return { reinterpret_cast<char const*>(&value), sizeof(value) };
+    }
+
 }
 
 FingerprintKey::FingerprintKey(std::string_view key)
@@ -29,19 +34,29 @@
     std::memcpy(&m_bodySeed, derived.data() + m_key.size(), sizeof(m_bodySeed));
 }
 
-RequestFingerprint FingerprintKey::fingerprintOf(FingerprintInput const& input) const
+uint64_t FingerprintKey::keyedHashOf(std::initializer_list<std::string_view> texts) const
 {
     crypto_generichash_state state;
     crypto_generichash_init(&state, m_key.data(), m_key.size(), crypto_generichash_BYTES_MIN);
-    auto const body = hashOf(input.body, m_bodySeed);
-    for (auto const text : { input.organisation, input.method, input.host, input.target })
+    for (auto const text : texts)
         hashWithLength(state, text);
-    hashWithLength(state, { reinterpret_cast<char const*>(&body), sizeof(body) });
     std::array<unsigned char, crypto_generichash_BYTES_MIN> digest {};
     crypto_generichash_final(&state, digest.data(), digest.size());
     uint64_t value = 0;
     std::memcpy(&value, digest.data(), sizeof(value));
-    return RequestFingerprint(value);
+    return value;
+}
+
+RequestFingerprint FingerprintKey::fingerprintOf(FingerprintInput const& input) const
+{
+    auto const body = hashOf(input.body, m_bodySeed);
+    return RequestFingerprint(keyedHashOf({ input.organisation, input.method, input.host, input.target, bytesOf(body) }));
+}
+
+// The number of texts differs from that of a request, so that the two never hash the same bytes.
+PromptPartFingerprint FingerprintKey::partFingerprintOf(std::string_view service, uint64_t partIdHash) const
+{
+    return PromptPartFingerprint(keyedHashOf({ service, bytesOf(partIdHash) }));
 }
 
 }
--- a/Libraries/LibBase/Ids.h
+++ b/Libraries/LibBase/Ids.h
@@ -51,6 +51,9 @@
 // A hash over the contents of a request, equal on all daemons; see FingerprintKey.
 using RequestFingerprint = Id<struct RequestFingerprintTag>;
 
+// A part of the prompts that a service gets, whichever other parts stand before it.
+using PromptPartFingerprint = Id<struct PromptPartFingerprintTag>;
+
 // A version of the software that upstreams run.
 using VersionId = Id<struct VersionTag>;
 
--- a/Libraries/LibRouting/PromptChain.cpp
+++ b/Libraries/LibRouting/PromptChain.cpp
@@ -7,7 +7,8 @@
 void PromptChain::add(std::string_view id, uint32_t tokens)
 {
     auto const prefixKey = m_parts.empty() ? 0 : m_parts.back().key;
-    m_parts.push_back({ mixHashes(prefixKey, hashOf(id)), tokens });
+    auto const idHash = hashOf(id);
+    m_parts.push_back({ mixHashes(prefixKey, idHash), tokens, idHash });
 }
 
 uint64_t PromptChain::tokens() const
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -72,7 +72,7 @@
     , m_detourClient(loop, m_metrics, m_dialect, m_links, m_peers)
     , m_router(m_dialect, { [this] { return m_table; }, [this] { return areKeysFresh(); }, [this] { return m_loop.now(); }, m_random })
     , m_crashDetector(loop, m_metrics, m_suspects, crashDetectorHooks())
-    , m_services { loop, m_metrics, m_serviceTable, m_crashDetector, m_peers, m_links, m_detourClient, m_dialect, [this] { return areKeysFresh(); }, [this] { return needsRevalidation(); }, [this] { return settingsAge(); }, [this] { return m_peers.equalShare(); }, [this](FingerprintInput const& input) { return m_fingerprintKey.fingerprintOf(input); }, [this] { return m_directory.age().confirmedAt(); }, [this](Endpoint const& upstream) { return m_server.dropClosedConnections(upstream); }, m_rollouts.get() }
+    , m_services { loop, m_metrics, m_serviceTable, m_crashDetector, m_peers, m_links, m_detourClient, m_dialect, [this] { return areKeysFresh(); }, [this] { return needsRevalidation(); }, [this] { return settingsAge(); }, [this] { return m_peers.equalShare(); }, [this](FingerprintInput const& input) { return m_fingerprintKey.fingerprintOf(input); }, [this](std::string const& service, uint64_t partIdHash) { return m_fingerprintKey.partFingerprintOf(service, partIdHash); }, [this] { return m_directory.age().confirmedAt(); }, [this](Endpoint const& upstream) { return m_server.dropClosedConnections(upstream); }, m_rollouts.get() }
     , m_server(
           loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handle(exchange); }, [this](Refusal const& refusal) { return refuse(refusal); })
     , m_readyServer(
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -727,6 +727,24 @@
     return *m_fingerprint;
 }
 
+std::vector<PromptPartFingerprint> const& GatewayRequestHandler::sharedParts() const
+{
+    if (!m_sharedParts) {
+        m_sharedParts.emplace();
+        for (auto const& part : m_request.call.prompt.sharedParts())
+            m_sharedParts->push_back(m_services.partFingerprintOf(m_request.service, part.idHash));
+    }
+    return *m_sharedParts;
+}
+
+std::string GatewayRequestHandler::formatSharedParts() const
+{
+    std::string text;
+    for (auto const part : sharedParts())
+        text += (text.empty() ? "" : ",") + toHex(part.value());
+    return text;
+}
+
 std::vector<LogField> GatewayRequestHandler::additionalLogFields(std::string_view outcome) const
 {
     std::vector<LogField> fields;
@@ -737,6 +755,7 @@
         fields.emplace_back("role", send.role == UpstreamRole::Candidate ? "candidate" : "serving");
     }
     if (outcome != "answered") {
+        fields.emplace_back("prompt_parts", formatSharedParts());
         auto const budget = m_service.retries.usage(m_services.loop.now());
         fields.emplace_back("budget_requests", budget.requests);
         fields.emplace_back("budget_retries", budget.retries);
--- a/Services/stagepostd/GatewayRequestHandler.h
+++ b/Services/stagepostd/GatewayRequestHandler.h
@@ -82,6 +82,9 @@
     void refuseUnreachable(Refusal const&);
     void refuse(Refusal const&);
     RequestFingerprint fingerprint() const;
+    // The parts of the prompt that other requests may have as well.
+    std::vector<PromptPartFingerprint> const& sharedParts() const;
+    std::string formatSharedParts() const;
     std::vector<LogField> additionalLogFields(std::string_view outcome) const;
     // The verdict is the one that the caller gets, or would get if it had not left.
     void log(std::string_view outcome, ForwardResult const&, std::string_view reason, Verdict) const;
@@ -133,6 +136,7 @@
     size_t m_eventsBeforeSend { 0 };
     // Computed when first needed, since few requests fail.
     mutable std::optional<RequestFingerprint> m_fingerprint;
+    mutable std::optional<std::vector<PromptPartFingerprint>> m_sharedParts;
 };
 
 }
--- a/Services/stagepostd/GatewayServices.h
+++ b/Services/stagepostd/GatewayServices.h
@@ -32,6 +32,7 @@
     // This daemon's share of the fleet, from 0 to 1.
     std::function<double()> share;
     std::function<RequestFingerprint(FingerprintInput const&)> fingerprintOf;
+    std::function<PromptPartFingerprint(std::string const& service, uint64_t partIdHash)> partFingerprintOf;
     // The time as of which the list of upstreams is proven.
     std::function<std::optional<Instant>()> upstreamsProvenAt;
     // See HttpServer::dropClosedConnections().
--- a/Tests/LibBase/TestFingerprintKey.cpp
+++ b/Tests/LibBase/TestFingerprintKey.cpp
@@ -28,6 +28,14 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(PromptPartsDifferByServiceAndId)
+{
+    FingerprintKey const key("key");
+    BOOST_TEST((key.partFingerprintOf("chat", 1) == key.partFingerprintOf("chat", 1)));
+    BOOST_TEST((key.partFingerprintOf("chat", 1) != key.partFingerprintOf("chat", 2)));
+    BOOST_TEST((key.partFingerprintOf("chat", 1) != key.partFingerprintOf("book", 1)));
+}
+
 // Moving characters from the end of one field to the start of another changes the fingerprint.
 // Otherwise requests of two organisations could collide.
 BOOST_AUTO_TEST_CASE(FieldBoundariesAffectTheFingerprint)
