--- a/Tests/Processes/crashing_upstream.py
+++ b/Tests/Processes/crashing_upstream.py
@@ -77,13 +77,15 @@
             self.listener = socket.create_server(("127.0.0.1", self.port))
             self.born += 1000 * len(self.crash_times)
             before = self.instance
-            if len(self.crash_times) % 2:
-                self.instance = f"{self.name}-{len(self.crash_times)}"
+            self.instance = self.name_after_restart()
         threading.Thread(target=self.accept, daemon=True).start()
         if self.instance != before:
             self.store.put("keyed.servers", before, None)
         self.store.put("keyed.servers", self.instance, self.record(born=self.born))
 
+    def name_after_restart(self):
+        return f"{self.name}-{len(self.crash_times)}" if len(self.crash_times) % 2 else self.instance
+
     def stop(self):
         with self.lock:
             self.released.set()
