--- a/Libraries/LibBase/FingerprintKey.cpp
+++ b/Libraries/LibBase/FingerprintKey.cpp
@@ -47,16 +47,16 @@
     return value;
 }
 
-RequestFingerprint FingerprintKey::fingerprintOf(FingerprintInput const& input) const
+Fingerprint FingerprintKey::fingerprintOf(FingerprintInput const& input) const
 {
     auto const body = hashOf(input.body, m_bodySeed);
-    return RequestFingerprint(keyedHashOf({ input.organisation, input.method, input.host, input.target, bytesOf(body) }));
+    return Fingerprint(keyedHashOf({ input.organisation, input.method, input.host, input.target, bytesOf(body) }));
 }
 
 // The number of texts differs from that of a request, so that the two never hash the same bytes.
-PromptPartFingerprint FingerprintKey::partFingerprintOf(std::string_view service, uint64_t partIdHash) const
+Fingerprint FingerprintKey::partFingerprintOf(std::string_view service, uint64_t partIdHash) const
 {
-    return PromptPartFingerprint(keyedHashOf({ service, bytesOf(partIdHash) }));
+    return Fingerprint(keyedHashOf({ service, bytesOf(partIdHash) }));
 }
 
 }
--- a/Libraries/LibBase/FingerprintKey.h
+++ b/Libraries/LibBase/FingerprintKey.h
@@ -28,9 +28,9 @@
 
     // Returns a keyed BLAKE2b hash over all fields. The body enters it as a seeded XXH3 hash,
     // since BLAKE2b takes 128 us for a body of 64 KB.
-    RequestFingerprint fingerprintOf(FingerprintInput const&) const;
+    Fingerprint fingerprintOf(FingerprintInput const&) const;
     // Returns a keyed hash of a part of the prompts that a service gets.
-    PromptPartFingerprint partFingerprintOf(std::string_view service, uint64_t partIdHash) const;
+    Fingerprint partFingerprintOf(std::string_view service, uint64_t partIdHash) const;
 
 private:
     uint64_t keyedHashOf(std::initializer_list<std::string_view>) const;
--- a/Libraries/LibBase/Ids.h
+++ b/Libraries/LibBase/Ids.h
@@ -48,11 +48,9 @@
 // messages about an earlier run can be recognized as outdated.
 using Incarnation = Id<struct IncarnationTag>;
 
-// A hash over the contents of a request, equal on all daemons; see FingerprintKey.
-using RequestFingerprint = Id<struct RequestFingerprintTag>;
-
-// A part of the prompts that a service gets, whichever other parts stand before it.
-using PromptPartFingerprint = Id<struct PromptPartFingerprintTag>;
+// A keyed hash over the contents of a request, or over a part of the prompts that a service gets. Equal on
+// all daemons; see FingerprintKey.
+using Fingerprint = Id<struct FingerprintTag>;
 
 // A version of the software that upstreams run.
 using VersionId = Id<struct VersionTag>;
--- a/Libraries/LibRouting/CrashExchange.cpp
+++ b/Libraries/LibRouting/CrashExchange.cpp
@@ -18,7 +18,7 @@
     // The clocks of daemons are not synchronized, so times are transmitted as ages.
     void write(MessageWriter& writer, CrashSuspect const& suspect, Instant now)
     {
-        writer.id(suspect.request);
+        writer.id(suspect.subject);
         writer.number(suspect.clearedAt ? 1 : 0);
         if (suspect.clearedAt)
             writer.duration(now - *suspect.clearedAt);
@@ -33,7 +33,7 @@
     CrashSuspect readSuspect(MessageReader& reader, Instant now)
     {
         CrashSuspect suspect;
-        suspect.request = reader.id<RequestFingerprint>();
+        suspect.subject = reader.id<Fingerprint>();
         if (reader.number())
             suspect.clearedAt = now - reader.duration();
         auto const count = reader.count();
@@ -46,7 +46,7 @@
     }
 
     // Returns the daemons with the highest rendezvous hashes for the request.
-    std::vector<VMId> highestRanked(std::vector<VMId> daemons, RequestFingerprint request, size_t count)
+    std::vector<VMId> highestRanked(std::vector<VMId> daemons, Fingerprint request, size_t count)
     {
         count = std::min(count, daemons.size());
         std::partial_sort(daemons.begin(), daemons.begin() + static_cast<ptrdiff_t>(count), daemons.end(), [request](VMId one, VMId other) {
@@ -67,7 +67,7 @@
         announcement = { now, m_bounds.initialInterval, announcement.isObserver };
 }
 
-std::vector<VMId> CrashExchange::homesOf(RequestFingerprint request) const
+std::vector<VMId> CrashExchange::homesOf(Fingerprint request) const
 {
     std::vector<VMId> fleet { m_self.id };
     std::vector<VMId> hall { m_self.id };
@@ -84,14 +84,14 @@
 
 bool CrashExchange::isFleetWide(CrashSuspect const& suspect) const
 {
-    return suspect.clearedAt || m_suspects.crashCount(suspect.request) >= m_bounds.fleetWideThreshold;
+    return suspect.clearedAt || m_suspects.crashCount(suspect.subject) >= m_bounds.fleetWideThreshold;
 }
 
 std::vector<VMId> CrashExchange::recipientsOf(CrashSuspect const& suspect, bool isObserver) const
 {
     std::vector<VMId> recipients;
     auto const add = [&recipients](std::vector<VMId> const& daemons) { recipients.insert(recipients.end(), daemons.begin(), daemons.end()); };
-    auto const homes = homesOf(suspect.request);
+    auto const homes = homesOf(suspect.subject);
     if (isObserver)
         add(homes);
     if (isFleetWide(suspect)) {
@@ -105,7 +105,7 @@
     return recipients;
 }
 
-void CrashExchange::announce(RequestFingerprint request, Instant now)
+void CrashExchange::announce(Fingerprint request, Instant now)
 {
     auto const* suspect = m_suspects.find(request);
     if (!suspect)
@@ -145,7 +145,7 @@
     announcement.interval = std::min(2 * announcement.interval, m_bounds.maxInterval);
 }
 
-Result<std::vector<RequestFingerprint>> CrashExchange::receive(VMId from, std::string_view bytes, Instant now)
+Result<std::vector<Fingerprint>> CrashExchange::receive(VMId from, std::string_view bytes, Instant now)
 {
     MessageReader reader(bytes);
     std::vector<CrashSuspect> suspects;
@@ -158,15 +158,15 @@
         if (auto const snapshot = fleetWideSuspects(); !snapshot.empty())
             send(from, snapshot, now);
     }
-    std::vector<RequestFingerprint> changed;
+    std::vector<Fingerprint> changed;
     for (auto const& reported : suspects) {
         if (!m_suspects.merge(reported, now))
             continue;
-        changed.push_back(reported.request);
-        auto const* suspect = m_suspects.find(reported.request);
+        changed.push_back(reported.subject);
+        auto const* suspect = m_suspects.find(reported.subject);
         if (!suspect)
             continue;
-        auto& announcement = m_announcements[reported.request];
+        auto& announcement = m_announcements[reported.subject];
         announcement = { now, m_bounds.initialInterval, announcement.isObserver };
         sendAnnouncement(*suspect, announcement, now);
     }
@@ -217,7 +217,7 @@
     others.reserve(m_peers.size());
     for (auto const& peer : m_peers)
         others.push_back(peer.id);
-    for (auto const to : highestRanked(std::move(others), RequestFingerprint(m_self.id.value()), m_bounds.startupPeerCount))
+    for (auto const to : highestRanked(std::move(others), Fingerprint(m_self.id.value()), m_bounds.startupPeerCount))
         send(to, {}, now);
 }
 
--- a/Libraries/LibRouting/CrashExchange.h
+++ b/Libraries/LibRouting/CrashExchange.h
@@ -59,9 +59,9 @@
     // Sets the other registered daemons.
     void setPeers(std::vector<FleetPeer>, Instant now);
     // Announces a suspect for which this daemon has recorded a new observation.
-    void announce(RequestFingerprint, Instant now);
+    void announce(Fingerprint, Instant now);
     // Returns the requests whose suspects have changed. Error: Malformed.
-    Result<std::vector<RequestFingerprint>> receive(VMId from, std::string_view bytes, Instant now);
+    Result<std::vector<Fingerprint>> receive(VMId from, std::string_view bytes, Instant now);
     void tick(Instant now);
 
 private:
@@ -73,7 +73,7 @@
         bool isObserver { false };
     };
 
-    std::vector<VMId> homesOf(RequestFingerprint) const;
+    std::vector<VMId> homesOf(Fingerprint) const;
     bool isFleetWide(CrashSuspect const&) const;
     std::vector<VMId> recipientsOf(CrashSuspect const&, bool isObserver) const;
     void sendAnnouncement(CrashSuspect const&, Announcement&, Instant now);
@@ -88,7 +88,7 @@
     Bounds m_bounds;
     Hooks m_hooks;
     std::vector<FleetPeer> m_peers;
-    std::map<RequestFingerprint, Announcement> m_announcements;
+    std::map<Fingerprint, Announcement> m_announcements;
     std::vector<VMId> m_knownSubscribers;
     size_t m_startupRequests { 0 };
     Instant m_nextStartupRequestAt;
--- a/Libraries/LibRouting/CrashSuspects.cpp
+++ b/Libraries/LibRouting/CrashSuspects.cpp
@@ -37,12 +37,12 @@
     return true;
 }
 
-bool CrashSuspects::recordCrash(RequestFingerprint request, UpstreamId upstream, Instant now)
+bool CrashSuspects::recordCrash(Fingerprint request, UpstreamId upstream, Instant now)
 {
     return merge({ request, { { upstream, m_self, now } }, {} }, now);
 }
 
-bool CrashSuspects::recordSuccess(RequestFingerprint request, Instant now)
+bool CrashSuspects::recordSuccess(Fingerprint request, Instant now)
 {
     auto const found = m_suspects.find(request);
     if (found == m_suspects.end() || found->second.crashes.empty())
@@ -56,7 +56,7 @@
 {
     if (now - lastUpdateOf(reported) > m_bounds.retention)
         return false;
-    auto const [position, isNew] = m_suspects.try_emplace(reported.request, CrashSuspect { reported.request, {}, {} });
+    auto const [position, isNew] = m_suspects.try_emplace(reported.subject, CrashSuspect { reported.subject, {}, {} });
     auto& suspect = position->second;
     bool hasChanged = false;
     if (reported.clearedAt && (!suspect.clearedAt || *reported.clearedAt > *suspect.clearedAt)) {
@@ -79,7 +79,7 @@
 }
 
 // A crash that this daemon or several daemons observed always counts.
-size_t CrashSuspects::crashCount(RequestFingerprint request) const
+size_t CrashSuspects::crashCount(Fingerprint request) const
 {
     auto const* suspect = find(request);
     if (!suspect)
@@ -96,12 +96,12 @@
     return count;
 }
 
-bool CrashSuspects::isPoison(RequestFingerprint request) const
+bool CrashSuspects::isPoison(Fingerprint request) const
 {
     return crashCount(request) >= m_bounds.poisonThreshold;
 }
 
-CrashSuspect const* CrashSuspects::find(RequestFingerprint request) const
+CrashSuspect const* CrashSuspects::find(Fingerprint request) const
 {
     auto const found = m_suspects.find(request);
     return found == m_suspects.end() ? nullptr : &found->second;
--- a/Libraries/LibRouting/CrashSuspects.h
+++ b/Libraries/LibRouting/CrashSuspects.h
@@ -18,7 +18,7 @@
 
 // A request that was in flight at upstreams when they crashed.
 struct CrashSuspect {
-    RequestFingerprint request;
+    Fingerprint subject;
     std::vector<UpstreamCrash> crashes;
     // When the request was last answered in full. Crashes up to then were not caused by it.
     std::optional<Instant> clearedAt;
@@ -58,20 +58,20 @@
 
     // Records a crash that this daemon observed while the request was in flight at the upstream.
     // Returns whether the crash was new.
-    bool recordCrash(RequestFingerprint, UpstreamId, Instant now);
+    bool recordCrash(Fingerprint, UpstreamId, Instant now);
     // Records that this daemon saw the request answered in full, which clears its crashes. Returns
     // false if it had none.
-    bool recordSuccess(RequestFingerprint, Instant now);
+    bool recordSuccess(Fingerprint, Instant now);
     // Merges another daemon's record of a suspect. Returns whether its crashes changed.
     bool merge(CrashSuspect const&, Instant now);
 
-    bool isPoison(RequestFingerprint) const;
+    bool isPoison(Fingerprint) const;
     // The number of crashed upstreams that count against the request.
-    size_t crashCount(RequestFingerprint) const;
-    CrashSuspect const* find(RequestFingerprint) const;
+    size_t crashCount(Fingerprint) const;
+    CrashSuspect const* find(Fingerprint) const;
     // If there are no suspects, requests need not be fingerprinted.
     bool isEmpty() const { return m_suspects.empty(); }
-    std::map<RequestFingerprint, CrashSuspect> const& suspects() const { return m_suspects; }
+    std::map<Fingerprint, CrashSuspect> const& suspects() const { return m_suspects; }
 
     // Removes suspects without news for the retention time.
     void prune(Instant now);
@@ -82,7 +82,7 @@
 
     VMId m_self;
     Bounds m_bounds;
-    std::map<RequestFingerprint, CrashSuspect> m_suspects;
+    std::map<Fingerprint, CrashSuspect> m_suspects;
 };
 
 }
--- a/Services/stagepostd/CrashDetector.cpp
+++ b/Services/stagepostd/CrashDetector.cpp
@@ -93,7 +93,7 @@
     }
 }
 
-void CrashDetector::requestAnswered(RequestFingerprint request)
+void CrashDetector::requestAnswered(Fingerprint request)
 {
     if (!m_suspects.recordSuccess(request, m_loop.now()))
         return;
--- a/Services/stagepostd/CrashDetector.h
+++ b/Services/stagepostd/CrashDetector.h
@@ -18,7 +18,7 @@
         // Probes whether the upstream's port is still open.
         std::function<void(Endpoint const&, PortProbe::Callback)> probe;
         // There is new evidence about the request, to be shared with other daemons.
-        std::function<void(RequestFingerprint)> evidenceChanged;
+        std::function<void(Fingerprint)> evidenceChanged;
         // The state of this daemon's own links since then. Unless they are up, a closed port may be
         // their fault.
         std::function<LinkState(Instant)> linksSince { [](Instant) { return LinkState::Up; } };
@@ -26,7 +26,7 @@
 
     // A request whose answer broke off.
     struct BrokenRequest {
-        RequestFingerprint request;
+        Fingerprint request;
         UpstreamId upstream;
         // Only logged.
         std::string instance;
@@ -39,13 +39,13 @@
 
     // Without suspects, fingerprints of requests need not be computed.
     bool hasSuspects() const { return !m_suspects.isEmpty(); }
-    bool isPoison(RequestFingerprint request) const { return m_suspects.isPoison(request); }
+    bool isPoison(Fingerprint request) const { return m_suspects.isPoison(request); }
     // Whether an upstream has ended under the request, which need not be its fault.
-    bool isSuspect(RequestFingerprint request) const { return m_suspects.crashCount(request) > 0; }
+    bool isSuspect(Fingerprint request) const { return m_suspects.crashCount(request) > 0; }
 
     void requestBroken(BrokenRequest const&);
     // The request was answered completely.
-    void requestAnswered(RequestFingerprint);
+    void requestAnswered(Fingerprint);
     // A new process of the upstream has replaced this one.
     void upstreamRestarted(UpstreamId);
     void tick();
@@ -53,7 +53,7 @@
 private:
     // The requests that an upstream broke off, until it is known whether its process has ended.
     struct PendingCheck {
-        std::set<RequestFingerprint> requests;
+        std::set<Fingerprint> requests;
         std::string instance;
         Endpoint endpoint;
         Instant since;
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -167,7 +167,7 @@
     CrashDetector::Hooks hooks;
     hooks.probe = [this](Endpoint const& endpoint, PortProbe::Callback callback) { m_portProbe.probe(endpoint, portTimeout, std::move(callback)); };
     hooks.linksSince = [this](Instant time) { return m_links.stateSince(time); };
-    hooks.evidenceChanged = [this](RequestFingerprint request) { m_peers.shareCrashEvidence(request, m_loop.now()); };
+    hooks.evidenceChanged = [this](Fingerprint request) { m_peers.shareCrashEvidence(request, m_loop.now()); };
     return hooks;
 }
 
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -380,7 +380,7 @@
         m_stateExchange->localStateChanged(now);
 }
 
-void GatewayPeers::shareCrashEvidence(RequestFingerprint request, Instant now)
+void GatewayPeers::shareCrashEvidence(Fingerprint request, Instant now)
 {
     if (m_crashExchange)
         m_crashExchange->announce(request, now);
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -106,7 +106,7 @@
     void recordStoreRead(bool hasSucceeded);
     void stateChanged(Instant now);
     // Sends this daemon's crash evidence about the request to others.
-    void shareCrashEvidence(RequestFingerprint, Instant now);
+    void shareCrashEvidence(Fingerprint, Instant now);
 
     // Does nothing before this daemon has joined, or if the other one is unknown.
     void sendRolloutMessage(VMId to, std::string const& body);
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -719,7 +719,7 @@
     m_exchange->respond(gatewayReply(reply));
 }
 
-RequestFingerprint GatewayRequestHandler::fingerprint() const
+Fingerprint GatewayRequestHandler::fingerprint() const
 {
     auto const& call = m_exchange->request();
     if (!m_fingerprint)
@@ -727,7 +727,7 @@
     return *m_fingerprint;
 }
 
-std::vector<PromptPartFingerprint> const& GatewayRequestHandler::sharedParts() const
+std::vector<Fingerprint> const& GatewayRequestHandler::sharedParts() const
 {
     if (!m_sharedParts) {
         m_sharedParts.emplace();
--- a/Services/stagepostd/GatewayRequestHandler.h
+++ b/Services/stagepostd/GatewayRequestHandler.h
@@ -81,9 +81,9 @@
     // Refuses a request that reached no upstream, or passes it on if this daemon's links are at fault.
     void refuseUnreachable(Refusal const&);
     void refuse(Refusal const&);
-    RequestFingerprint fingerprint() const;
+    Fingerprint fingerprint() const;
     // The parts of the prompt that other requests may have as well.
-    std::vector<PromptPartFingerprint> const& sharedParts() const;
+    std::vector<Fingerprint> const& sharedParts() const;
     std::string formatSharedParts() const;
     std::vector<LogField> additionalLogFields(std::string_view outcome) const;
     // The verdict is the one that the caller gets, or would get if it had not left.
@@ -135,8 +135,8 @@
     std::optional<Instant> m_firstDataAt;
     size_t m_eventsBeforeSend { 0 };
     // Computed when first needed, since few requests fail.
-    mutable std::optional<RequestFingerprint> m_fingerprint;
-    mutable std::optional<std::vector<PromptPartFingerprint>> m_sharedParts;
+    mutable std::optional<Fingerprint> m_fingerprint;
+    mutable std::optional<std::vector<Fingerprint>> m_sharedParts;
 };
 
 }
--- a/Services/stagepostd/GatewayServices.h
+++ b/Services/stagepostd/GatewayServices.h
@@ -31,8 +31,8 @@
     std::function<Microseconds()> settingsAge;
     // This daemon's share of the fleet, from 0 to 1.
     std::function<double()> share;
-    std::function<RequestFingerprint(FingerprintInput const&)> fingerprintOf;
-    std::function<PromptPartFingerprint(std::string const& service, uint64_t partIdHash)> partFingerprintOf;
+    std::function<Fingerprint(FingerprintInput const&)> fingerprintOf;
+    std::function<Fingerprint(std::string const& service, uint64_t partIdHash)> partFingerprintOf;
     // The time as of which the list of upstreams is proven.
     std::function<std::optional<Instant>()> upstreamsProvenAt;
     // See HttpServer::dropClosedConnections().
--- a/Tests/LibRouting/TestCrashExchange.cpp
+++ b/Tests/LibRouting/TestCrashExchange.cpp
@@ -59,13 +59,13 @@
             daemon->exchange->setPeers(m_peers, m_now);
     }
 
-    void recordCrash(size_t daemon, RequestFingerprint request, UpstreamId upstream)
+    void recordCrash(size_t daemon, Fingerprint request, UpstreamId upstream)
     {
         if (m_daemons[daemon]->suspects.recordCrash(request, upstream, m_now))
             m_daemons[daemon]->exchange->announce(request, m_now);
     }
 
-    void recordSuccess(size_t daemon, RequestFingerprint request)
+    void recordSuccess(size_t daemon, Fingerprint request)
     {
         if (m_daemons[daemon]->suspects.recordSuccess(request, m_now))
             m_daemons[daemon]->exchange->announce(request, m_now);
@@ -83,7 +83,7 @@
         }
     }
 
-    size_t countDaemonsDetecting(RequestFingerprint request) const
+    size_t countDaemonsDetecting(Fingerprint request) const
     {
         return static_cast<size_t>(std::count_if(m_daemons.begin(), m_daemons.end(), [&](auto const& daemon) { return daemon->suspects.isPoison(request); }));
     }
@@ -161,7 +161,7 @@
     bool m_isPartitioned { false };
 };
 
-RequestFingerprint const request { 77 };
+Fingerprint const request { 77 };
 
 }
 
@@ -176,7 +176,7 @@
             for (uint64_t crash = 0; crash < 3; ++crash) {
                 fleet.recordCrash((crash * 31 + seed) % size, request, UpstreamId(10 + crash));
                 for (uint64_t coincidence = 0; coincidence < 63; ++coincidence)
-                    fleet.recordCrash(coincidence % size, RequestFingerprint(1000 + 100 * crash + coincidence), UpstreamId(10 + crash));
+                    fleet.recordCrash(coincidence % size, Fingerprint(1000 + 100 * crash + coincidence), UpstreamId(10 + crash));
                 if (crash < 2)
                     fleet.run(Milliseconds(300));
             }
@@ -184,7 +184,7 @@
             BOOST_TEST_CONTEXT("daemons " << size << " seed " << seed)
             {
                 BOOST_TEST(fleet.countDaemonsDetecting(request) == size);
-                BOOST_TEST(fleet.countDaemonsDetecting(RequestFingerprint(1001)) == 0u);
+                BOOST_TEST(fleet.countDaemonsDetecting(Fingerprint(1001)) == 0u);
             }
         }
     }
@@ -196,10 +196,10 @@
     Fleet fleet(330, 0, 1);
     for (uint64_t crash = 0; crash < 30; ++crash) {
         for (uint64_t coincidence = 0; coincidence < 64; ++coincidence)
-            fleet.recordCrash((crash * 64 + coincidence * 5) % 330, RequestFingerprint(1000 + (coincidence < 3 ? coincidence : 100 * crash + coincidence)), UpstreamId(10 + crash));
+            fleet.recordCrash((crash * 64 + coincidence * 5) % 330, Fingerprint(1000 + (coincidence < 3 ? coincidence : 100 * crash + coincidence)), UpstreamId(10 + crash));
         fleet.run(Milliseconds(1000));
     }
-    BOOST_TEST(fleet.countDaemonsDetecting(RequestFingerprint(1000)) == 330u);
+    BOOST_TEST(fleet.countDaemonsDetecting(Fingerprint(1000)) == 330u);
     BOOST_TEST_MESSAGE("maximum bytes per second of a daemon: " << fleet.maxBytesPerSecond());
     BOOST_TEST(fleet.maxBytesPerSecond() < 2000);
 }
--- a/Tests/LibRouting/TestCrashSuspects.cpp
+++ b/Tests/LibRouting/TestCrashSuspects.cpp
@@ -8,7 +8,7 @@
 VMId const self { 1 };
 VMId const other { 2 };
 VMId const third { 3 };
-RequestFingerprint const request { 77 };
+Fingerprint const request { 77 };
 Instant const start { Seconds(1000) };
 
 CrashSuspect reportedBy(VMId observer, std::initializer_list<uint64_t> upstreams, Instant at = start)
@@ -33,7 +33,7 @@
     BOOST_TEST(!suspects.isPoison(request));
     BOOST_TEST(suspects.recordCrash(request, UpstreamId(12), start));
     BOOST_TEST(suspects.isPoison(request));
-    BOOST_TEST(!suspects.isPoison(RequestFingerprint(78)));
+    BOOST_TEST(!suspects.isPoison(Fingerprint(78)));
 }
 
 BOOST_AUTO_TEST_CASE(ReportsOfASingleOtherDaemonAreNotSufficient)
@@ -98,7 +98,7 @@
     for (uint64_t upstream = 10; upstream < 13; ++upstream)
         suspects.recordCrash(request, UpstreamId(upstream), start);
     for (uint64_t number = 100; number < 5100; ++number)
-        suspects.recordCrash(RequestFingerprint(number), UpstreamId(20), start + Seconds(1));
+        suspects.recordCrash(Fingerprint(number), UpstreamId(20), start + Seconds(1));
     BOOST_TEST(suspects.isPoison(request));
     BOOST_TEST(suspects.suspects().size() == 1024u);
 }
--- a/Tests/platform/TestCrashDetector.cpp
+++ b/Tests/platform/TestCrashDetector.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-RequestFingerprint const request { 77 };
+Fingerprint const request { 77 };
 UpstreamId const upstream { 10 };
 
 // Probes are answered by the test.
@@ -14,12 +14,12 @@
     Metrics metrics;
     CrashSuspects suspects { VMId(1) };
     std::vector<PortProbe::Callback> probes;
-    std::vector<RequestFingerprint> seen;
+    std::vector<Fingerprint> seen;
     LinkState links { LinkState::Up };
     CrashDetector detector { loop, metrics, suspects,
-        { [this](Endpoint const&, PortProbe::Callback callback) { probes.push_back(std::move(callback)); }, [this](RequestFingerprint fingerprint) { seen.push_back(fingerprint); }, [this](Instant) { return links; } } };
+        { [this](Endpoint const&, PortProbe::Callback callback) { probes.push_back(std::move(callback)); }, [this](Fingerprint fingerprint) { seen.push_back(fingerprint); }, [this](Instant) { return links; } } };
 
-    void breakOff(RequestFingerprint fingerprint) { detector.requestBroken({ fingerprint, upstream, "book-1", { "127.0.0.1", 1 } }); }
+    void breakOff(Fingerprint fingerprint) { detector.requestBroken({ fingerprint, upstream, "book-1", { "127.0.0.1", 1 } }); }
     void answerProbe(PortState state) { std::exchange(probes, {}).front()(state); }
 };
 
@@ -31,12 +31,12 @@
 {
     World world;
     world.breakOff(request);
-    world.breakOff(RequestFingerprint(78));
+    world.breakOff(Fingerprint(78));
     // One probe for both requests.
     BOOST_TEST(world.probes.size() == 1u);
     world.answerProbe(PortState::Closed);
     BOOST_TEST(world.suspects.crashCount(request) == 1u);
-    BOOST_TEST(world.suspects.crashCount(RequestFingerprint(78)) == 1u);
+    BOOST_TEST(world.suspects.crashCount(Fingerprint(78)) == 1u);
     BOOST_TEST(world.seen.size() == 2u);
 }
 
