PromptPartSuspects: Refuse parts of prompts that crash each upstream that writes on them

One part of a prompt crashed whoever wrote an answer on it. Evidence was kept by request, and no two of these requests were alike, so that none ever reached three ends.

Evidence is now also kept for each part of a prompt but the last, by service, and told among daemons as that about requests is. A complete answer clears the parts of its request of the crashes before the request was sent. Requests with a poison part get 503 at once, not run, with the time of the next trial; they are not sent again after a crash. A daemon that has just started holds prompts until another one has told what it knows, 0.4 s at most.

--- a/Libraries/LibRouting/CrashExchange.cpp
+++ b/Libraries/LibRouting/CrashExchange.cpp
@@ -15,6 +15,9 @@
     // The overhead of the seal, UDP and IP per message.
     constexpr double headerBytes { 53 };
 
+    // Follows an empty list of suspects in the answer to a request for a snapshot, which is empty as well.
+    constexpr uint64_t emptyAnswer { 1 };
+
     // The clocks of daemons are not synchronized, so times are transmitted as ages.
     void write(MessageWriter& writer, CrashSuspect const& suspect, Instant now)
     {
@@ -64,7 +67,7 @@
     std::erase_if(m_peers, [this](auto const& peer) { return peer.id == m_self.id; });
     // Daemons that have become homes may not have the suspects yet.
     for (auto& [request, announcement] : m_announcements)
-        announcement = { now, m_bounds.initialInterval, announcement.isObserver };
+        announcement = { now, m_bounds.initialInterval, announcement.isObserver, announcement.isFleetWide };
 }
 
 std::vector<VMId> CrashExchange::homesOf(Fingerprint request) const
@@ -84,17 +87,22 @@
 
 bool CrashExchange::isFleetWide(CrashSuspect const& suspect) const
 {
-    return suspect.clearedAt || m_suspects.crashCount(suspect.subject) >= m_bounds.fleetWideThreshold;
+    return (m_bounds.areAnswersFleetWide && suspect.clearedAt) || m_suspects.crashCount(suspect.subject) >= m_bounds.fleetWideThreshold;
 }
 
-std::vector<VMId> CrashExchange::recipientsOf(CrashSuspect const& suspect, bool isObserver) const
+bool CrashExchange::isFirstHome(Fingerprint fingerprint) const
+{
+    return homesOf(fingerprint).front() == m_self.id;
+}
+
+std::vector<VMId> CrashExchange::recipientsOf(CrashSuspect const& suspect, Announcement const& announcement) const
 {
     std::vector<VMId> recipients;
     auto const add = [&recipients](std::vector<VMId> const& daemons) { recipients.insert(recipients.end(), daemons.begin(), daemons.end()); };
     auto const homes = homesOf(suspect.subject);
-    if (isObserver)
+    if (announcement.isObserver)
         add(homes);
-    if (isFleetWide(suspect)) {
+    if (announcement.isFleetWide) {
         if (std::find(homes.begin(), homes.end(), m_self.id) != homes.end())
             add(m_hooks.relays());
         add(m_hooks.subscribers());
@@ -111,7 +119,7 @@
     if (!suspect)
         return;
     auto& announcement = m_announcements[request];
-    announcement = { now, m_bounds.initialInterval, true };
+    announcement = { now, m_bounds.initialInterval, true, announcement.isFleetWide };
     sendAnnouncement(*suspect, announcement, now);
 }
 
@@ -137,9 +145,10 @@
 void CrashExchange::sendAnnouncement(CrashSuspect const& suspect, Announcement& announcement, Instant now)
 {
     refillSendBudget(now);
+    announcement.isFleetWide = announcement.isFleetWide || isFleetWide(suspect);
     if (m_sendBudget <= 0)
         return;
-    for (auto const to : recipientsOf(suspect, announcement.isObserver))
+    for (auto const to : recipientsOf(suspect, announcement))
         send(to, { &suspect }, now);
     announcement.nextAt = now + announcement.interval;
     announcement.interval = std::min(2 * announcement.interval, m_bounds.maxInterval);
@@ -152,12 +161,13 @@
     auto const count = reader.count();
     for (size_t index = 0; index < count && !reader.failed(); ++index)
         suspects.push_back(readSuspect(reader, now));
+    bool const isEmptyAnswer = suspects.empty() && !reader.finished() && reader.number() == emptyAnswer;
     if (!reader.finished())
         return Error(ErrorCode::Malformed, "malformed crash suspect message");
-    if (suspects.empty()) {
-        if (auto const snapshot = fleetWideSuspects(); !snapshot.empty())
-            send(from, snapshot, now);
-    }
+    if (suspects.empty() && !isEmptyAnswer)
+        answerSnapshotRequest(from, now);
+    else
+        m_hasHeard = true;
     std::vector<Fingerprint> changed;
     for (auto const& reported : suspects) {
         if (!m_suspects.merge(reported, now))
@@ -167,12 +177,24 @@
         if (!suspect)
             continue;
         auto& announcement = m_announcements[reported.subject];
-        announcement = { now, m_bounds.initialInterval, announcement.isObserver };
+        announcement = { now, m_bounds.initialInterval, announcement.isObserver, announcement.isFleetWide };
         sendAnnouncement(*suspect, announcement, now);
     }
     return changed;
 }
 
+void CrashExchange::answerSnapshotRequest(VMId from, Instant now)
+{
+    if (auto const snapshot = fleetWideSuspects(); !snapshot.empty())
+        return send(from, snapshot, now);
+    if (!m_bounds.answersWithoutSuspects)
+        return;
+    MessageWriter writer;
+    writer.number(0);
+    writer.number(emptyAnswer);
+    m_hooks.send(from, writer.release());
+}
+
 // Returns the fleet-wide suspects with the most crashes, up to the size of a snapshot.
 std::vector<CrashSuspect const*> CrashExchange::fleetWideSuspects() const
 {
@@ -232,7 +254,7 @@
         if (now < announcement.nextAt)
             continue;
         auto const& suspect = *m_suspects.find(request);
-        bool const isExpired = !isFleetWide(suspect) && !suspect.crashes.empty() && now - suspect.crashes.back().observedAt > m_bounds.coincidenceLifetime;
+        bool const isExpired = !announcement.isFleetWide && !suspect.crashes.empty() && now - suspect.crashes.back().observedAt > m_bounds.coincidenceLifetime;
         if (!isExpired)
             sendAnnouncement(suspect, announcement, now);
     }
--- a/Libraries/LibRouting/CrashExchange.h
+++ b/Libraries/LibRouting/CrashExchange.h
@@ -28,6 +28,10 @@
         Microseconds coincidenceLifetime { 30000000 };
         // The number of crashes from which on a suspect is sent to the whole fleet.
         size_t fleetWideThreshold { 2 };
+        // Whether the whole fleet is told that a suspect was answered, even if it was not told of the suspect.
+        bool areAnswersFleetWide { true };
+        // Whether requests for snapshots are answered even if there are no suspects.
+        bool answersWithoutSuspects { false };
         // A daemon may send 9 KB/s of control messages, most of which may be load counts. An
         // announcement to the 42 relays of a fleet of 330 daemons takes 5 KB at once.
         double bytesPerSecond { 1500 };
@@ -63,6 +67,10 @@
     // Returns the requests whose suspects have changed. Error: Malformed.
     Result<std::vector<Fingerprint>> receive(VMId from, std::string_view bytes, Instant now);
     void tick(Instant now);
+    // Whether any other daemon has told what it knows since this one started.
+    bool hasHeard() const { return m_hasHeard; }
+    // Whether this daemon is the first home of the fingerprint. Usually one daemon of the fleet is.
+    bool isFirstHome(Fingerprint) const;
 
 private:
     // The repetition schedule of one suspect.
@@ -71,15 +79,18 @@
         Microseconds interval;
         // Whether this daemon has made an observation itself.
         bool isObserver { false };
+        // Whether the whole fleet has been told of the suspect, and is told what follows as well.
+        bool isFleetWide { false };
     };
 
     std::vector<VMId> homesOf(Fingerprint) const;
     bool isFleetWide(CrashSuspect const&) const;
-    std::vector<VMId> recipientsOf(CrashSuspect const&, bool isObserver) const;
+    std::vector<VMId> recipientsOf(CrashSuspect const&, Announcement const&) const;
     void sendAnnouncement(CrashSuspect const&, Announcement&, Instant now);
     void sendToNewSubscribers(Instant now);
     std::vector<CrashSuspect const*> fleetWideSuspects() const;
     void requestSnapshotsAtStart(Instant now);
+    void answerSnapshotRequest(VMId from, Instant now);
     void send(VMId to, std::vector<CrashSuspect const*> const&, Instant now);
     void refillSendBudget(Instant now);
 
@@ -91,6 +102,7 @@
     std::map<Fingerprint, Announcement> m_announcements;
     std::vector<VMId> m_knownSubscribers;
     size_t m_startupRequests { 0 };
+    bool m_hasHeard { false };
     Instant m_nextStartupRequestAt;
     double m_sendBudget;
     Instant m_refilledAt;
--- a/Libraries/LibRouting/CrashSuspects.cpp
+++ b/Libraries/LibRouting/CrashSuspects.cpp
@@ -52,6 +52,17 @@
     return true;
 }
 
+bool CrashSuspects::clearUntil(Fingerprint subject, Instant until)
+{
+    auto const found = m_suspects.find(subject);
+    if (found == m_suspects.end())
+        return false;
+    auto& suspect = found->second;
+    bool const isFirst = !suspect.clearedAt;
+    suspect.clearedAt = std::max(suspect.clearedAt.value_or(until), until);
+    return std::erase_if(suspect.crashes, [until](auto const& crash) { return crash.observedAt <= until; }) > 0 || isFirst;
+}
+
 bool CrashSuspects::merge(CrashSuspect const& reported, Instant now)
 {
     if (now - lastUpdateOf(reported) > m_bounds.retention)
@@ -59,9 +70,11 @@
     auto const [position, isNew] = m_suspects.try_emplace(reported.subject, CrashSuspect { reported.subject, {}, {} });
     auto& suspect = position->second;
     bool hasChanged = false;
-    if (reported.clearedAt && (!suspect.clearedAt || *reported.clearedAt > *suspect.clearedAt)) {
-        suspect.clearedAt = reported.clearedAt;
-        hasChanged = std::erase_if(suspect.crashes, [&](auto const& crash) { return crash.observedAt <= *reported.clearedAt; }) > 0;
+    if (reported.clearedAt) {
+        if (isNew)
+            suspect.clearedAt = reported.clearedAt;
+        else
+            hasChanged = clearUntil(reported.subject, *reported.clearedAt);
     }
     for (auto const& crash : reported.crashes)
         hasChanged = add(suspect, crash) || hasChanged;
--- a/Libraries/LibRouting/CrashSuspects.h
+++ b/Libraries/LibRouting/CrashSuspects.h
@@ -16,11 +16,11 @@
     Instant observedAt;
 };
 
-// A request that was in flight at upstreams when they crashed.
+// A request that was in flight at upstreams when they crashed, or a part of the prompts of such requests.
 struct CrashSuspect {
     Fingerprint subject;
     std::vector<UpstreamCrash> crashes;
-    // When the request was last answered in full. Crashes up to then were not caused by it.
+    // When it was last answered in full. Crashes up to then were not caused by it.
     std::optional<Instant> clearedAt;
 };
 
@@ -62,6 +62,9 @@
     // Records that this daemon saw the request answered in full, which clears its crashes. Returns
     // false if it had none.
     bool recordSuccess(Fingerprint, Instant now);
+    // Records that crashes up to the given time were not caused by the suspect. Returns whether that is news:
+    // it had such crashes, or had never been answered.
+    bool clearUntil(Fingerprint, Instant);
     // Merges another daemon's record of a suspect. Returns whether its crashes changed.
     bool merge(CrashSuspect const&, Instant now);
 
--- a/Libraries/LibRouting/RequestAttempts.h
+++ b/Libraries/LibRouting/RequestAttempts.h
@@ -45,6 +45,8 @@
     bool deadlinePassed { false };
     // The caller has disconnected or does not read the response.
     bool isCallerLost { false };
+    // Upstreams have crashed under requests like this one, and no such request was answered since.
+    bool mayCrashUpstreams { false };
 };
 
 // Decides for one request on the timeouts of each attempt, on sending it to another
--- a/Libraries/LibRouting/Routing.h
+++ b/Libraries/LibRouting/Routing.h
@@ -34,6 +34,7 @@
 #include <LibRouting/PlacementRule.h>
 #include <LibRouting/PoolPolicy.h>
 #include <LibRouting/PromptChain.h>
+#include <LibRouting/PromptPartSuspects.h>
 #include <LibRouting/Rendezvous.h>
 #include <LibRouting/RequestAttempts.h>
 #include <LibRouting/RetryBudget.h>
--- a/Services/stagepostd/CrashDetector.cpp
+++ b/Services/stagepostd/CrashDetector.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Hex.h>
 #include <LibBase/Log.h>
+#include <stagepostd/PartEvidenceLog.h>
 
 namespace Stagepost {
 
@@ -17,10 +18,11 @@
 
 }
 
-CrashDetector::CrashDetector(EventLoop& loop, Metrics& metrics, CrashSuspects& suspects, Hooks hooks)
+CrashDetector::CrashDetector(EventLoop& loop, Metrics& metrics, CrashSuspects& suspects, PromptPartSuspects& partSuspects, Hooks hooks)
     : m_loop(loop)
     , m_metrics(metrics)
     , m_suspects(suspects)
+    , m_partSuspects(partSuspects)
     , m_hooks(std::move(hooks))
 {
 }
@@ -31,6 +33,7 @@
     auto const [position, isNew] = m_pendingChecks.try_emplace(broken.upstream);
     auto& check = position->second;
     check.requests.insert(broken.request);
+    check.promptParts.insert(broken.promptParts.begin(), broken.promptParts.end());
     check.instance = broken.instance;
     check.endpoint = broken.endpoint;
     if (isNew)
@@ -82,17 +85,40 @@
     auto const check = m_pendingChecks.extract(upstream);
     if (check.empty())
         return;
-    auto const& requests = check.mapped().requests;
     m_metrics.count("stagepost_upstream_ends_total");
-    logEvent(LogLevel::Warning, "upstream-ended", { { "instance", check.mapped().instance }, { "evidence", evidence }, { "requests", requests.size() } });
-    for (auto const request : requests) {
+    logEvent(LogLevel::Warning, "upstream-ended", { { "instance", check.mapped().instance }, { "evidence", evidence }, { "requests", check.mapped().requests.size() } });
+    recordCrash(upstream, check.mapped());
+    recordPartCrash(upstream, check.mapped());
+}
+
+void CrashDetector::recordCrash(UpstreamId upstream, PendingCheck const& check)
+{
+    for (auto const request : check.requests) {
         if (!m_suspects.recordCrash(request, upstream, m_loop.now()))
             continue;
-        logEvent(LogLevel::Info, "crash-evidence", { { "request", toHex(request.value()) }, { "source", "seen" }, { "instance", check.mapped().instance }, { "ends", m_suspects.crashCount(request) }, { "guilty", m_suspects.isPoison(request) ? 1 : 0 } });
+        logEvent(LogLevel::Info, "crash-evidence", { { "request", toHex(request.value()) }, { "source", "seen" }, { "instance", check.instance }, { "ends", m_suspects.crashCount(request) }, { "guilty", m_suspects.isPoison(request) ? 1 : 0 } });
         m_hooks.evidenceChanged(request);
     }
 }
 
+void CrashDetector::recordPartCrash(UpstreamId upstream, PendingCheck const& check)
+{
+    for (auto const part : check.promptParts) {
+        if (!m_partSuspects.recordCrash(part, upstream, m_loop.now()))
+            continue;
+        logPartEvidence(m_partSuspects, part, "seen", check.instance, m_loop.now());
+        m_hooks.partEvidenceChanged(part);
+    }
+}
+
+void CrashDetector::promptAnswered(std::span<Fingerprint const> parts, Instant sentAt)
+{
+    for (auto const part : m_partSuspects.recordAnswer(parts, sentAt)) {
+        logPartEvidence(m_partSuspects, part, "answered", "", m_loop.now());
+        m_hooks.partEvidenceChanged(part);
+    }
+}
+
 void CrashDetector::requestAnswered(Fingerprint request)
 {
     if (!m_suspects.recordSuccess(request, m_loop.now()))
--- a/Services/stagepostd/CrashDetector.h
+++ b/Services/stagepostd/CrashDetector.h
@@ -4,6 +4,7 @@
 #include <LibProxy/PortProbe.h>
 #include <LibRouting/CrashSuspects.h>
 #include <LibRouting/LinkFailureDetector.h>
+#include <LibRouting/PromptPartSuspects.h>
 #include <set>
 
 namespace Stagepost {
@@ -19,6 +20,8 @@
         std::function<void(Endpoint const&, PortProbe::Callback)> probe;
         // There is new evidence about the request, to be shared with other daemons.
         std::function<void(Fingerprint)> evidenceChanged;
+        // The same about a part of prompts.
+        std::function<void(Fingerprint)> partEvidenceChanged { [](Fingerprint) {} };
         // The state of this daemon's own links since then. Unless they are up, a closed port may be
         // their fault.
         std::function<LinkState(Instant)> linksSince { [](Instant) { return LinkState::Up; } };
@@ -31,9 +34,11 @@
         // Only logged.
         std::string instance;
         Endpoint endpoint;
+        // The parts of its prompt that other requests may have as well.
+        std::vector<Fingerprint> promptParts {};
     };
 
-    CrashDetector(EventLoop&, Metrics&, CrashSuspects&, Hooks);
+    CrashDetector(EventLoop&, Metrics&, CrashSuspects&, PromptPartSuspects&, Hooks);
     CrashDetector(CrashDetector const&) = delete;
     CrashDetector& operator=(CrashDetector const&) = delete;
 
@@ -46,6 +51,8 @@
     void requestBroken(BrokenRequest const&);
     // The request was answered completely.
     void requestAnswered(Fingerprint);
+    // A request with these parts, which was sent at the given time, was answered completely.
+    void promptAnswered(std::span<Fingerprint const> parts, Instant sentAt);
     // A new process of the upstream has replaced this one.
     void upstreamRestarted(UpstreamId);
     void tick();
@@ -54,6 +61,7 @@
     // The requests that an upstream broke off, until it is known whether its process has ended.
     struct PendingCheck {
         std::set<Fingerprint> requests;
+        std::set<Fingerprint> promptParts;
         std::string instance;
         Endpoint endpoint;
         Instant since;
@@ -68,10 +76,13 @@
     // Ends the check if the port is closed and the state of the links is known.
     bool finishIfPortClosed(UpstreamId, PendingCheck const&);
     void confirmCrash(UpstreamId, std::string_view evidence);
+    void recordCrash(UpstreamId, PendingCheck const&);
+    void recordPartCrash(UpstreamId, PendingCheck const&);
 
     EventLoop& m_loop;
     Metrics& m_metrics;
     CrashSuspects& m_suspects;
+    PromptPartSuspects& m_partSuspects;
     Hooks m_hooks;
     std::map<UpstreamId, PendingCheck> m_pendingChecks;
 };
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -60,19 +60,20 @@
     , m_settingsLoader(loop, { m_dialect.readSettings, [this](Result<RouteTable::Parts>&& parts, SettingsLoader::PendingSettings const& loaded) { return applySettings(std::move(parts), loaded); }, [this](Microseconds turn) { m_metrics.observe("stagepost_settings_turn_seconds", turn); } })
     , m_fingerprintKey(std::to_string(m_random()))
     , m_suspects(VMId::fromName(m_options.name))
+    , m_partSuspects(VMId::fromName(m_options.name), {}, [this](Fingerprint fingerprint) { return m_peers.triesParts(fingerprint); })
     , m_serviceTable(
           { m_options.hall, m_options.placement, m_options.retries, [this](Instant) { return m_peers.usableShare(); } }, m_random, [this](Endpoint const& upstream) { m_server.dropIdleConnections(upstream); }, loop.now())
     , m_directory(m_options.directory, [this](UpstreamChange const& change) { applyUpstream(change); })
     , m_emptiedHalls({ m_options.directory.returnGrace }, [this](HallOrder const& order) { applyHallOrder(order); })
-    , m_peers(loop, m_metrics, m_options.exchange, makeFleetShare(m_options, loop.now()), m_suspects, m_random, peerHooks())
+    , m_peers(loop, m_metrics, m_options.exchange, makeFleetShare(m_options, loop.now()), m_suspects, m_partSuspects, m_random, peerHooks())
     , m_rollouts(makeRollouts(std::move(rolloutRecords)))
     , m_portProbe(loop)
     , m_links(m_options.maxDetoured > 0, loop, m_metrics, m_serviceTable, linkHooks())
     , m_detourServer(m_options.maxDetoured, m_dialect.idField, m_metrics, detourHooks())
     , m_detourClient(loop, m_metrics, m_dialect, m_links, m_peers)
     , m_router(m_dialect, { [this] { return m_table; }, [this] { return areKeysFresh(); }, [this] { return m_loop.now(); }, m_random })
-    , m_crashDetector(loop, m_metrics, m_suspects, crashDetectorHooks())
-    , m_services { loop, m_metrics, m_serviceTable, m_crashDetector, m_peers, m_links, m_detourClient, m_dialect, [this] { return areKeysFresh(); }, [this] { return needsRevalidation(); }, [this] { return settingsAge(); }, [this] { return m_peers.equalShare(); }, [this](FingerprintInput const& input) { return m_fingerprintKey.fingerprintOf(input); }, [this](std::string const& service, uint64_t partIdHash) { return m_fingerprintKey.partFingerprintOf(service, partIdHash); }, [this] { return m_directory.age().confirmedAt(); }, [this](Endpoint const& upstream) { return m_server.dropClosedConnections(upstream); }, m_rollouts.get() }
+    , m_crashDetector(loop, m_metrics, m_suspects, m_partSuspects, crashDetectorHooks())
+    , m_services { loop, m_metrics, m_serviceTable, m_crashDetector, m_partSuspects, m_peers, m_links, m_detourClient, m_dialect, [this] { return areKeysFresh(); }, [this] { return needsRevalidation(); }, [this] { return settingsAge(); }, [this] { return m_peers.equalShare(); }, [this](FingerprintInput const& input) { return m_fingerprintKey.fingerprintOf(input); }, [this](std::string const& service, uint64_t partIdHash) { return m_fingerprintKey.partFingerprintOf(service, partIdHash); }, [this] { return m_directory.age().confirmedAt(); }, [this](Endpoint const& upstream) { return m_server.dropClosedConnections(upstream); }, m_rollouts.get() }
     , m_server(
           loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handle(exchange); }, [this](Refusal const& refusal) { return refuse(refusal); })
     , m_readyServer(
@@ -168,6 +169,7 @@
     hooks.probe = [this](Endpoint const& endpoint, PortProbe::Callback callback) { m_portProbe.probe(endpoint, portTimeout, std::move(callback)); };
     hooks.linksSince = [this](Instant time) { return m_links.stateSince(time); };
     hooks.evidenceChanged = [this](Fingerprint request) { m_peers.shareCrashEvidence(request, m_loop.now()); };
+    hooks.partEvidenceChanged = [this](Fingerprint part) { m_peers.sharePartEvidence(part, m_loop.now()); };
     return hooks;
 }
 
@@ -663,6 +665,8 @@
     m_metrics.setGauge("stagepost_detoured_open", static_cast<double>(m_detourServer.load()));
     m_metrics.setGauge("stagepost_upstreams", static_cast<double>(m_serviceTable.upstreamCount()));
     m_metrics.setGauge("stagepost_suspect_requests", static_cast<double>(m_suspects.suspects().size()));
+    m_metrics.setGauge("stagepost_suspect_prompt_parts", static_cast<double>(m_partSuspects.evidence().suspects().size()));
+    m_metrics.setGauge("stagepost_poison_prompt_parts", static_cast<double>(m_partSuspects.poisonCount(m_loop.now())));
     m_metrics.setGauge("stagepost_stream_origins", static_cast<double>(m_peers.streamOriginCount()));
     m_metrics.setGauge("stagepost_retry_slack_share", m_peers.usableShare());
     m_metrics.setGauge("stagepost_control_bytes_sent", static_cast<double>(m_peers.bytesSent()));
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -163,6 +163,7 @@
     // Derived from the fleet's key once that is known; random until then.
     FingerprintKey m_fingerprintKey;
     CrashSuspects m_suspects;
+    PromptPartSuspects m_partSuspects;
     ServiceTable m_serviceTable;
     // Whether changes of the list of upstreams may be missed.
     bool m_isListOutdated { false };
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -4,6 +4,7 @@
 #include <LibBase/Log.h>
 #include <charconv>
 #include <stagepostd/DetourServer.h>
+#include <stagepostd/PartEvidenceLog.h>
 
 namespace Stagepost {
 
@@ -15,6 +16,8 @@
     // The state of 4,000 upstreams has 400 KB. Sending it to seven daemons takes a relay with a link
     // of 10 Mbit/s 2.3 s.
     constexpr Milliseconds fetchTimeout { 3000 };
+    // Another daemon answers within milliseconds after this one has joined.
+    constexpr Milliseconds maxPartWait { 400 };
     // Short compared with the interval at which daemons ask for state.
     constexpr Milliseconds tickInterval { 50 };
     constexpr unsigned statusForbidden = 403;
@@ -52,11 +55,12 @@
 
 }
 
-GatewayPeers::GatewayPeers(EventLoop& loop, Metrics& metrics, StateExchange::Bounds bounds, FleetShare share, CrashSuspects& suspects, RandomHook random, Hooks hooks)
+GatewayPeers::GatewayPeers(EventLoop& loop, Metrics& metrics, StateExchange::Bounds bounds, FleetShare share, CrashSuspects& suspects, PromptPartSuspects& partSuspects, RandomHook random, Hooks hooks)
     : m_loop(loop)
     , m_metrics(metrics)
     , m_bounds(bounds)
     , m_suspects(suspects)
+    , m_partSuspects(partSuspects)
     , m_random(std::move(random))
     , m_hooks(std::move(hooks))
     , m_client(loop)
@@ -65,6 +69,8 @@
     , m_socket(loop, [this](Endpoint const& source, std::string_view datagram) { handleDatagram(source, datagram); })
     , m_fleetShare(std::move(share))
     , m_waitingOriginsTimer(loop)
+    , m_startedAt(loop.now())
+    , m_waitingForPartsTimer(loop)
     , m_ticker(loop)
     , m_responseTimer(loop)
 {
@@ -100,7 +106,12 @@
     m_channel = std::make_unique<PeerChannel>(m_socket, *m_datagramAuthenticator, m_metrics, [this](PeerMessageKind kind, VMId from, Endpoint const& source, std::string_view body) { handleMessage(kind, from, source, body); });
     FleetPeer const peer { self.id(), HallId::fromName(self.hall) };
     m_stateExchange = std::make_unique<StateExchange>(peer, m_random(), m_bounds, stateHooks());
-    m_crashExchange = std::make_unique<CrashExchange>(peer, m_suspects, CrashExchange::Bounds {}, crashHooks());
+    m_crashExchange = std::make_unique<CrashExchange>(peer, m_suspects, CrashExchange::Bounds {}, crashHooks(PeerMessageKind::Crashes));
+    CrashExchange::Bounds partBounds;
+    // Most prompts share parts that are answered all the time.
+    partBounds.areAnswersFleetWide = false;
+    partBounds.answersWithoutSuspects = true;
+    m_partCrashExchange = std::make_unique<CrashExchange>(peer, m_partSuspects.evidence(), partBounds, crashHooks(PeerMessageKind::PartCrashes));
     // Kept when the daemon joins again with another key, since requests may wait for answers.
     if (!m_permitExchange) {
         m_permitExchange = std::make_unique<PermitExchange>(peer, PermitExchange::Bounds {}, permitHooks());
@@ -117,6 +128,7 @@
             applyRoster();
         m_stateExchange->tick(m_loop.now());
         m_crashExchange->tick(m_loop.now());
+        m_partCrashExchange->tick(m_loop.now());
         m_permitExchange->tick(m_loop.now());
         m_holderExchange->tick(m_loop.now());
         m_detourExchange->tick(m_loop.now());
@@ -137,10 +149,10 @@
     return hooks;
 }
 
-CrashExchange::Hooks GatewayPeers::crashHooks()
+CrashExchange::Hooks GatewayPeers::crashHooks(PeerMessageKind kind)
 {
     CrashExchange::Hooks hooks;
-    hooks.send = [this](VMId to, std::string const& body) { send(to, PeerMessageKind::Crashes, body); };
+    hooks.send = [this, kind](VMId to, std::string const& body) { send(to, kind, body); };
     hooks.relays = [this] { return m_stateExchange->relays(); };
     hooks.subscribers = [this] { return m_stateExchange->recentRequesters(); };
     return hooks;
@@ -318,6 +330,7 @@
         return;
     m_stateExchange->setPeers(list);
     m_crashExchange->setPeers(list, m_loop.now());
+    m_partCrashExchange->setPeers(list, m_loop.now());
     m_holderExchange->setPeers(list, m_stateExchange->relays());
     m_detourExchange->setPeers(list);
     m_streamOrigins->setPeers(list);
@@ -386,6 +399,44 @@
         m_crashExchange->announce(request, now);
 }
 
+void GatewayPeers::sharePartEvidence(Fingerprint part, Instant now)
+{
+    if (m_partCrashExchange)
+        m_partCrashExchange->announce(part, now);
+}
+
+bool GatewayPeers::arePartsKnown() const
+{
+    return (m_partCrashExchange && m_partCrashExchange->hasHeard()) || m_loop.now() - m_startedAt >= maxPartWait;
+}
+
+void GatewayPeers::whenPartsAreKnown(std::function<void()> callback)
+{
+    if (arePartsKnown())
+        return callback();
+    m_waitingForParts.push_back(std::move(callback));
+    if (m_waitingForParts.size() == 1)
+        m_waitingForPartsTimer.once(maxPartWait, [this] { resumeWaitingForParts(); });
+}
+
+void GatewayPeers::resumeWaitingForParts()
+{
+    m_waitingForPartsTimer.cancel();
+    for (auto const& resume : std::exchange(m_waitingForParts, {}))
+        resume();
+}
+
+bool GatewayPeers::triesParts(Fingerprint fingerprint) const
+{
+    return m_partCrashExchange && m_partCrashExchange->isFirstHome(fingerprint);
+}
+
+std::string_view GatewayPeers::nameOfPeer(VMId id) const
+{
+    auto const peer = m_peers.find(id);
+    return peer == m_peers.end() ? std::string_view() : peer->second.name;
+}
+
 bool GatewayPeers::handleCrashMessage(VMId from, std::string_view body)
 {
     if (!m_crashExchange)
@@ -393,9 +444,27 @@
     auto const changedRequests = m_crashExchange->receive(from, body, m_loop.now());
     if (!changedRequests)
         return false;
-    auto const sender = m_peers.find(from);
     for (auto const request : *changedRequests)
-        logEvent(LogLevel::Info, "crash-evidence", { { "request", toHex(request.value()) }, { "source", "told" }, { "peer", sender == m_peers.end() ? "" : sender->second.name }, { "ends", m_suspects.crashCount(request) }, { "guilty", m_suspects.isPoison(request) ? 1 : 0 } });
+        logEvent(LogLevel::Info, "crash-evidence", { { "request", toHex(request.value()) }, { "source", "told" }, { "peer", nameOfPeer(from) }, { "ends", m_suspects.crashCount(request) }, { "guilty", m_suspects.isPoison(request) ? 1 : 0 } });
+    return true;
+}
+
+// This daemon may know of answers that the sender does not.
+bool GatewayPeers::handlePartCrashMessage(VMId from, std::string_view body)
+{
+    if (!m_partCrashExchange)
+        return true;
+    auto const now = m_loop.now();
+    auto const changedParts = m_partCrashExchange->receive(from, body, now);
+    if (!changedParts)
+        return false;
+    for (auto const part : *changedParts) {
+        if (m_partSuspects.applyOwnAnswer(part))
+            sharePartEvidence(part, now);
+        logPartEvidence(m_partSuspects, part, "told", nameOfPeer(from), now);
+    }
+    if (arePartsKnown())
+        resumeWaitingForParts();
     return true;
 }
 
@@ -437,6 +506,8 @@
             return m_stateExchange && m_stateExchange->receive(from, body, m_loop.now());
         case PeerMessageKind::Crashes:
             return handleCrashMessage(from, body);
+        case PeerMessageKind::PartCrashes:
+            return handlePartCrashMessage(from, body);
         case PeerMessageKind::Permits:
             return m_permitExchange && m_permitExchange->receive(from, body, m_loop.now());
         case PeerMessageKind::Holders:
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -11,6 +11,7 @@
 #include <LibRouting/DetourExchange.h>
 #include <LibRouting/HolderExchange.h>
 #include <LibRouting/PermitExchange.h>
+#include <LibRouting/PromptPartSuspects.h>
 #include <LibRouting/StreamOriginExchange.h>
 #include <memory>
 #include <stagepostd/DetourTerms.h>
@@ -68,7 +69,7 @@
         std::function<StreamOriginExchange::VersionKnowledge(std::string const& service, Instant now)> versions;
     };
 
-    GatewayPeers(EventLoop&, Metrics&, StateExchange::Bounds, FleetShare, CrashSuspects&, RandomHook, Hooks);
+    GatewayPeers(EventLoop&, Metrics&, StateExchange::Bounds, FleetShare, CrashSuspects&, PromptPartSuspects&, RandomHook, Hooks);
     GatewayPeers(GatewayPeers const&) = delete;
     GatewayPeers& operator=(GatewayPeers const&) = delete;
 
@@ -107,6 +108,13 @@
     void stateChanged(Instant now);
     // Sends this daemon's crash evidence about the request to others.
     void shareCrashEvidence(Fingerprint, Instant now);
+    // The same about a part of prompts.
+    void sharePartEvidence(Fingerprint, Instant now);
+    // Calls back once another daemon has told which parts of prompts crash upstreams, at once if one has, and
+    // after some tenths of a second from the start in any case.
+    void whenPartsAreKnown(std::function<void()>);
+    // Whether this daemon tries parts of prompts that crash upstreams; see PromptPartSuspects.
+    bool triesParts(Fingerprint) const;
 
     // Does nothing before this daemon has joined, or if the other one is unknown.
     void sendRolloutMessage(VMId to, std::string const& body);
@@ -149,7 +157,7 @@
 
 private:
     StateExchange::Hooks stateHooks();
-    CrashExchange::Hooks crashHooks();
+    CrashExchange::Hooks crashHooks(PeerMessageKind);
     PermitExchange::Hooks permitHooks();
     DetourExchange::Hooks detourHooks();
     void scheduleResponseTimeout();
@@ -159,7 +167,11 @@
     void applyRoster();
     StreamOriginExchange::Hooks streamOriginHooks();
     void findWaitingOrigins();
+    bool arePartsKnown() const;
+    void resumeWaitingForParts();
     bool handleCrashMessage(VMId from, std::string_view body);
+    bool handlePartCrashMessage(VMId from, std::string_view body);
+    std::string_view nameOfPeer(VMId) const;
     void handleDatagram(Endpoint const& source, std::string_view datagram);
     void handleMessage(PeerMessageKind, VMId from, Endpoint const& source, std::string_view body);
     void send(VMId to, PeerMessageKind, std::string const& body);
@@ -172,6 +184,7 @@
     Metrics& m_metrics;
     StateExchange::Bounds m_bounds;
     CrashSuspects& m_suspects;
+    PromptPartSuspects& m_partSuspects;
     RandomHook m_random;
     Hooks m_hooks;
     HttpClient m_client;
@@ -190,6 +203,7 @@
     std::unique_ptr<PeerChannel> m_channel;
     std::unique_ptr<StateExchange> m_stateExchange;
     std::unique_ptr<CrashExchange> m_crashExchange;
+    std::unique_ptr<CrashExchange> m_partCrashExchange;
     std::unique_ptr<PermitExchange> m_permitExchange;
     // Requests in flight that no owner counts yet, since they were sent before this daemon joined.
     struct UncountedRequests {
@@ -203,6 +217,9 @@
     // Until this daemon knows the others.
     std::vector<std::function<void()>> m_waitingOrigins;
     Timer m_waitingOriginsTimer;
+    Instant m_startedAt;
+    std::vector<std::function<void()>> m_waitingForParts;
+    Timer m_waitingForPartsTimer;
     Timer m_ticker;
     // Expires at the earliest deadline of the pending permit requests and context lookups.
     Timer m_responseTimer;
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -25,6 +25,11 @@
     // Each further placement asks the owners of upstreams again.
     constexpr size_t maxEndedProcesses = 3;
 
+    bool isSuccess(unsigned status)
+    {
+        return status >= 200 && status < 300;
+    }
+
     // Callers may take a stream up until their deadline, and on their way here.
     constexpr Milliseconds streamRecordMargin { 1000 };
 
@@ -55,6 +60,17 @@
         refuse({ RefusalReason::QueueFull, Verdict::NotRun, "the service has fewer places than requests", m_service.gate.retryDelay(occupancy) });
         return;
     }
+    if (m_request.call.prompt.sharedParts().empty())
+        return admitAndPlace();
+    // A daemon that has just started does not know yet which parts crash upstreams.
+    m_services.peers.whenPartsAreKnown([self = shared_from_this()] {
+        if (!self->endedWhileWaiting())
+            self->admitAndPlace();
+    });
+}
+
+void GatewayRequestHandler::admitAndPlace()
+{
     if (needsStreamOrigin())
         findStreamOrigin();
     else
@@ -243,9 +259,28 @@
         refuse({ RefusalReason::EndsUpstreams, Verdict::MayHaveRun, "upstreams have ended under this request: it goes to none any more", {} });
         return false;
     }
+    if (hasPoisonPart()) {
+        auto const pause = std::chrono::duration_cast<Milliseconds>(m_services.partSuspects.timeToTrial(sharedParts(), m_services.loop.now()));
+        refuse({ RefusalReason::EndsUpstreams, m_attempts.verdict(), "upstreams have ended under requests with a part of this prompt: they go to none any more", pause });
+        return false;
+    }
     return true;
 }
 
+// Asked again before each send, since other requests may have given evidence in the meantime.
+bool GatewayRequestHandler::hasPoisonPart()
+{
+    if (m_isPartTrial || m_services.partSuspects.evidence().isEmpty())
+        return false;
+    auto const now = m_services.loop.now();
+    auto const& parts = sharedParts();
+    m_isPartTrial = std::any_of(parts.begin(), parts.end(), [&](auto part) { return m_services.partSuspects.isPoison(part, now); });
+    if (!m_isPartTrial)
+        return false;
+    m_isPartTrial = m_services.partSuspects.admit(parts, now);
+    return !m_isPartTrial;
+}
+
 ServicePlacement::Request GatewayRequestHandler::makePlacementRequest() const
 {
     ServicePlacement::Request placementRequest;
@@ -627,6 +662,8 @@
         return AnswerOutcome::Irrelevant;
     if (m_services.crashDetector.hasSuspects() && m_services.crashDetector.isSuspect(fingerprint()))
         return AnswerOutcome::Irrelevant;
+    if (m_services.partSuspects.mayCrashAgain(sharedParts()))
+        return AnswerOutcome::Irrelevant;
     if (result.deadlineReached || result.failure == RefusalReason::UpstreamSlow)
         return AnswerOutcome::TimedOut;
     return AnswerOutcome::Broken;
@@ -636,7 +673,7 @@
 {
     auto const* target = m_services.serviceTable.target(upstream);
     if (target && !m_service.placement.mayHaveCrashedUnderLoad(upstream, m_services.loop.now()))
-        m_services.crashDetector.requestBroken({ fingerprint(), upstream, target->instance, target->endpoint });
+        m_services.crashDetector.requestBroken({ fingerprint(), upstream, target->instance, target->endpoint, sharedParts() });
 }
 
 void GatewayRequestHandler::handleForwardResult(UpstreamId upstream, ForwardResult const& result)
@@ -647,6 +684,8 @@
         m_attempts.recordResponse();
         if (m_services.crashDetector.hasSuspects() && result.status < firstServerError)
             m_services.crashDetector.requestAnswered(fingerprint());
+        if (isSuccess(result.status))
+            m_services.crashDetector.promptAnswered(sharedParts(), m_sentAt);
         m_services.metrics.count("stagepost_answers_total");
         log("answered", result, "none", m_attempts.verdict());
         return;
@@ -659,6 +698,7 @@
     attempt.isRejected = result.verdict == Verdict::NotRun && result.failure == RefusalReason::OverCapacity;
     attempt.deadlinePassed = result.deadlineReached;
     attempt.isCallerLost = result.isCallerLost();
+    attempt.mayCrashUpstreams = attempt.verdict != Verdict::NotRun && (m_isPartTrial || m_services.partSuspects.mayCrashAgain(sharedParts()));
     if (m_attempts.recordFailure(upstream, attempt, m_services.loop.now())) {
         log("sent-again", result, nameOf(*result.failure), m_attempts.verdict());
         m_services.metrics.countRetry(nameOf(*result.failure));
--- a/Services/stagepostd/GatewayRequestHandler.h
+++ b/Services/stagepostd/GatewayRequestHandler.h
@@ -20,6 +20,7 @@
     // Decides whether the first send goes to a version that is being tried.
     void chooseRole();
     void chooseRoleAndPlace();
+    void admitAndPlace();
     // Whether the request takes up a stream and must go to the version that has begun it.
     bool needsStreamOrigin() const;
     void findStreamOrigin();
@@ -75,6 +76,8 @@
     bool couldSendAgain() const;
     void handleForwardResult(UpstreamId, ForwardResult const&);
     void recordOutcome(UpstreamId, ForwardResult const&);
+    // Whether a part of the prompt crashes upstreams, so that the request may not be sent.
+    bool hasPoisonPart();
     // Reports an answer that broke off to the crash detector.
     void reportBrokenAnswer(UpstreamId);
     void failRequest(ForwardResult const&);
@@ -110,6 +113,8 @@
     Microseconds m_remainingBackoff { 0 };
     // The upstream at which owners count the request as in flight.
     std::optional<UpstreamId> m_countedUpstream;
+    // Whether the request is sent to find out whether a part of its prompt still crashes upstreams.
+    bool m_isPartTrial { false };
     // When the request was last sent.
     Instant m_sentAt;
     // When the upstream last showed activity, or the request was last sent, whichever is later.
--- a/Services/stagepostd/GatewayServices.h
+++ b/Services/stagepostd/GatewayServices.h
@@ -19,6 +19,7 @@
     Metrics& metrics;
     ServiceTable& serviceTable;
     CrashDetector& crashDetector;
+    PromptPartSuspects& partSuspects;
     GatewayPeers& peers;
     LinkMonitor& links;
     DetourClient& detours;
--- a/Services/stagepostd/PeerChannel.h
+++ b/Services/stagepostd/PeerChannel.h
@@ -14,6 +14,7 @@
     Routing = 'r',
     State = 's',
     Crashes = 'c',
+    PartCrashes = 'p',
     Permits = 'l',
     Holders = 'h',
     Rollouts = 'v',
--- a/Tests/Processes/rollout_fleet.py
+++ b/Tests/Processes/rollout_fleet.py
@@ -125,6 +125,23 @@
         return bool(self.cut_off) and self.cut_off[0] < call.ended_at and call.sent_at < self.cut_off[-1] + 1
 
 
+def cut_off(isolated, members):
+    """Cuts daemons off from the store and from all other daemons, but not from callers and upstreams."""
+    for member in members:
+        member.peer_link.cut_senders.update(other.peer for other in isolated)
+    for member in isolated:
+        member.peer_link.loss = 1.0
+        member.store_link.is_forward_open = False
+
+
+def end_cut(isolated, members):
+    for member in members:
+        member.peer_link.cut_senders.difference_update(other.peer for other in isolated)
+    for member in isolated:
+        member.peer_link.loss = 0.0
+        member.store_link.is_forward_open = True
+
+
 class RolloutFleet:
     """Everything that a test of roll-outs runs. Reacts to the statuses in the store as the platform does."""
 
--- a/Tests/Processes/test_crashing_prompt_parts.py
+++ b/Tests/Processes/test_crashing_prompt_parts.py
@@ -15,7 +15,7 @@
 from crashing_upstream import CrashingUpstream
 from fleet import PATIENCE, Ports, eventually
 from platform_stand_ins import Store
-from rollout_fleet import HALLS, Member
+from rollout_fleet import HALLS, Member, Network, cut_off, end_cut
 from test_platform import HOST, KEY, manifest, request, route
 from test_retry_budget import for_each, knows
 
@@ -24,7 +24,7 @@
 SOUND_CALLERS, BAD_CALLERS = 14, 2
 FIRST, MIDDLE, LAST_BUT_ONE = "5c1e07a2", "91bd3f06", "e4402b7d"
 BAD = "0badbad0"
-SOUND_SECONDS, BAD_SECONDS = 3.0, 12.0
+SOUND_SECONDS, BAD_SECONDS = 3.0, 18.0
 # The users' rules: from CONTACT_SECONDS after the fifth crash on at most three requests with the part reach
 # upstreams, and from twice that time on sound requests begin at half of the rate of before. Nine tenths are aimed at.
 CRASHES, MAX_LATE_REQUESTS, CONTACT_SECONDS = 5, 3, 3.0
@@ -69,7 +69,7 @@
 class CrashingPromptParts(unittest.TestCase):
     def setUp(self):
         self.random = random.Random(SEED)
-        self.ports, self.store, self.network = Ports(1000 + self.random.randrange(400)), Store(), None
+        self.ports, self.store, self.network = Ports(1000 + self.random.randrange(400)), Store(), Network(SEED)
         self.addCleanup(self.store.stop)
         self.flags = ()
         routes = [route("again", "/stream/again/", "streaming", "chat", sticky=True, resumable=True, targetLatencyMs=500, targetGapMs=400, maxAttempts=3),
@@ -182,6 +182,16 @@
 
         self.play((FIRST, BAD, LAST_BUT_ONE), disturb=kill)
 
+    def test_daemons_cut_off_during_the_crashes(self):
+        """The daemons that were cut off from the others get no requests until they are back in contact."""
+        isolated = self.members[:2]
+        cut_off(isolated, self.members)
+        for member in isolated:
+            member.is_available = False
+        threading.Timer(SOUND_SECONDS + 6.0, end_cut, [isolated, self.members]).start()
+        threading.Timer(SOUND_SECONDS + 6.0 + CONTACT_SECONDS, lambda: [setattr(member, "is_available", True) for member in isolated]).start()
+        self.play((FIRST, BAD, LAST_BUT_ONE))
+
     def test_sound_part_first_seen_together_with_the_crashing_one(self):
         """A part without any answer before must not be taken for the cause."""
         self.play((FIRST, BAD, "f1257000"), new_sound_parts=(FIRST, MIDDLE, "f1257000"))
--- a/Tests/Processes/test_retry_budget.py
+++ b/Tests/Processes/test_retry_budget.py
@@ -14,7 +14,7 @@
 
 from fleet import PATIENCE, Ports, eventually
 from platform_stand_ins import Store, Upstream
-from rollout_fleet import HALLS, Member, Network
+from rollout_fleet import HALLS, Member, Network, cut_off
 from test_platform import HOST, KEY, manifest, request, route
 
 SEED = int(os.environ.get("STAGEPOST_SEED", "70"))
@@ -89,14 +89,6 @@
             self.addCleanup(member.stop)
         for_each(added, Member.start)
 
-    def cut_off(self, members):
-        """Cuts daemons off from the store and from all other daemons, but not from callers and upstreams."""
-        for member in self.members:
-            member.peer_link.cut_senders.update(other.peer for other in members)
-        for member in members:
-            member.peer_link.loss = 1.0
-            member.store_link.is_forward_open = False
-
     def start_traffic(self):
         self.traffic.start()
         time.sleep(SETTLE_SECONDS)
@@ -208,7 +200,7 @@
         self.start_traffic()
         for upstream in self.upstreams:
             upstream.rejected_share = 0.0
-        self.cut_off(self.members[1:])
+        cut_off(self.members[1:], self.members)
         self.add_members(14)
         time.sleep(SETTLE_SECONDS)
         for upstream in self.upstreams:
--- a/Tests/platform/TestCrashDetector.cpp
+++ b/Tests/platform/TestCrashDetector.cpp
@@ -15,9 +15,11 @@
     CrashSuspects suspects { VMId(1) };
     std::vector<PortProbe::Callback> probes;
     std::vector<Fingerprint> seen;
+    std::vector<Fingerprint> seenParts;
     LinkState links { LinkState::Up };
-    CrashDetector detector { loop, metrics, suspects,
-        { [this](Endpoint const&, PortProbe::Callback callback) { probes.push_back(std::move(callback)); }, [this](Fingerprint fingerprint) { seen.push_back(fingerprint); }, [this](Instant) { return links; } } };
+    PromptPartSuspects partSuspects { VMId(1), {}, [](Fingerprint) { return true; } };
+    CrashDetector detector { loop, metrics, suspects, partSuspects,
+        { [this](Endpoint const&, PortProbe::Callback callback) { probes.push_back(std::move(callback)); }, [this](Fingerprint fingerprint) { seen.push_back(fingerprint); }, [this](Fingerprint part) { seenParts.push_back(part); }, [this](Instant) { return links; } } };
 
     void breakOff(Fingerprint fingerprint) { detector.requestBroken({ fingerprint, upstream, "book-1", { "127.0.0.1", 1 } }); }
     void answerProbe(PortState state) { std::exchange(probes, {}).front()(state); }
