CrashExchange: Tell of crashes of answered parts only if no answer clears them soon

The evidence about the caller's other parts, which answers cleared within half a second, used up the bytes of the exchange. It is now told 0.5 s later, and not at all if it is cleared until then; the exchange of parts may send 3 KB/s while upstreams crash. Parts that have been answered are poison after four crashes that are not all within 0.25 s, since three separate moments took up to 4 s.

--- a/Libraries/LibRouting/CrashExchange.cpp
+++ b/Libraries/LibRouting/CrashExchange.cpp
@@ -119,10 +119,22 @@
     if (!suspect)
         return;
     auto& announcement = m_announcements[request];
+    if (announcement.isDelayed) {
+        if (suspect->crashes.empty())
+            m_announcements.erase(request);
+        return;
+    }
     announcement = { now, m_bounds.initialInterval, true, announcement.isFleetWide };
     sendAnnouncement(*suspect, announcement, now);
 }
 
+void CrashExchange::announceUnlessCleared(Fingerprint subject, Microseconds delay, Instant now)
+{
+    auto const [position, isNew] = m_announcements.try_emplace(subject, Announcement { now + delay, m_bounds.initialInterval, true, false, true });
+    if (!isNew)
+        announce(subject, now);
+}
+
 void CrashExchange::refillSendBudget(Instant now)
 {
     if (m_refilledAt != Instant {})
@@ -145,6 +157,7 @@
 void CrashExchange::sendAnnouncement(CrashSuspect const& suspect, Announcement& announcement, Instant now)
 {
     refillSendBudget(now);
+    announcement.isDelayed = false;
     announcement.isFleetWide = announcement.isFleetWide || isFleetWide(suspect);
     if (m_sendBudget <= 0)
         return;
--- a/Libraries/LibRouting/CrashExchange.h
+++ b/Libraries/LibRouting/CrashExchange.h
@@ -64,6 +64,9 @@
     void setPeers(std::vector<FleetPeer>, Instant now);
     // Announces a suspect for which this daemon has recorded a new observation.
     void announce(Fingerprint, Instant now);
+    // The same for a suspect that an answer will probably clear soon. It is not announced before the delay
+    // has passed, and not at all if it is cleared until then, unless the fleet knows of it already.
+    void announceUnlessCleared(Fingerprint, Microseconds delay, Instant now);
     // Returns the requests whose suspects have changed. Error: Malformed.
     Result<std::vector<Fingerprint>> receive(VMId from, std::string_view bytes, Instant now);
     void tick(Instant now);
@@ -81,6 +84,8 @@
         bool isObserver { false };
         // Whether the whole fleet has been told of the suspect, and is told what follows as well.
         bool isFleetWide { false };
+        // Not announced yet; see announceUnlessCleared().
+        bool isDelayed { false };
     };
 
     std::vector<VMId> homesOf(Fingerprint) const;
--- a/Libraries/LibRouting/PromptPartSuspects.cpp
+++ b/Libraries/LibRouting/PromptPartSuspects.cpp
@@ -13,7 +13,7 @@
         CrashSuspects::Bounds result;
         result.poisonThreshold = bounds.poisonThreshold;
         // Enough to see when the latest trial was.
-        result.maxCrashesPerSuspect = 16;
+        result.maxCrashesPerSuspect = 12;
         // Most crashes may be observed by one daemon. A part that it blames wrongly is cleared by an answer.
         result.maxCrashesPerRemoteObserver = result.maxCrashesPerSuspect;
         return result;
@@ -27,29 +27,6 @@
         return upstreams;
     }
 
-    std::vector<Instant> timesOf(std::map<UpstreamId, Instant> const& crashedAt)
-    {
-        std::vector<Instant> times;
-        for (auto const& [upstream, time] : crashedAt)
-            times.push_back(time);
-        std::sort(times.begin(), times.end());
-        return times;
-    }
-
-    // The number of times that are at least the spacing later than the one counted before.
-    size_t countSpaced(std::vector<Instant> const& times, Microseconds spacing)
-    {
-        size_t count = 0;
-        std::optional<Instant> last;
-        for (auto const time : times) {
-            if (last && time - *last < spacing)
-                continue;
-            last = time;
-            ++count;
-        }
-        return count;
-    }
-
     Instant lastCrashOf(CrashSuspect const& suspect)
     {
         Instant last;
@@ -113,7 +90,7 @@
         m_olderAnswers = std::exchange(m_recentAnswers, {});
 }
 
-size_t PromptPartSuspects::countedCrashes(CrashSuspect const& suspect, Instant now) const
+std::vector<Instant> PromptPartSuspects::countedCrashes(CrashSuspect const& suspect, Instant now) const
 {
     bool const isAnswered = suspect.clearedAt.has_value();
     auto const delay = isAnswered ? m_bounds.answeredVerdictDelay : m_bounds.verdictDelay;
@@ -122,7 +99,12 @@
         if (now - crash.observedAt >= delay && !(isAnswered && isExplained(crash.upstream, now)))
             crashedAt.try_emplace(crash.upstream, crash.observedAt);
     }
-    return isAnswered ? countSpaced(timesOf(crashedAt), m_bounds.answeredCrashSpacing) : crashedAt.size();
+    std::vector<Instant> times;
+    times.reserve(crashedAt.size());
+    for (auto const& [upstream, time] : crashedAt)
+        times.push_back(time);
+    std::sort(times.begin(), times.end());
+    return times;
 }
 
 bool PromptPartSuspects::isExplained(UpstreamId upstream, Instant now) const
@@ -139,7 +121,13 @@
     auto const* suspect = m_evidence.find(part);
     if (!suspect)
         return false;
-    return suspect->crashes.size() >= m_bounds.poisonThreshold && countedCrashes(*suspect, now) >= m_bounds.poisonThreshold;
+    auto const threshold = suspect->clearedAt ? m_bounds.answeredPoisonThreshold : m_bounds.poisonThreshold;
+    if (suspect->crashes.size() < threshold)
+        return false;
+    auto const crashes = countedCrashes(*suspect, now);
+    if (crashes.size() < threshold)
+        return false;
+    return !suspect->clearedAt || crashes.back() - crashes.front() > m_bounds.commonCauseSpan;
 }
 
 size_t PromptPartSuspects::poisonCount(Instant now) const
--- a/Libraries/LibRouting/PromptPartSuspects.h
+++ b/Libraries/LibRouting/PromptPartSuspects.h
@@ -23,10 +23,11 @@
         // requirements allow five. In the delay, other daemons tell of answers that this one does not know.
         size_t poisonThreshold { 3 };
         Microseconds verdictDelay { 700000 };
-        // The age for parts that have been answered, of which crashes closer to each other than the spacing
-        // count once: they may have a common cause. Most answers take less than the delay.
+        // The same for parts that have been answered. Most answers take less than the delay. Crashes that are
+        // all within the span may have a common cause.
+        size_t answeredPoisonThreshold { 4 };
         Microseconds answeredVerdictDelay { 1500000 };
-        Microseconds answeredCrashSpacing { 500000 };
+        Microseconds commonCauseSpan { 250000 };
         // The answers that this daemon remembers; two tables of this many parts take 250 KB each.
         size_t maxRememberedAnswers { 4096 };
         // How long after the latest crash a poison part is tried: for the first time, since it may have been
@@ -66,8 +67,8 @@
     CrashSuspects const& evidence() const { return m_evidence; }
 
 private:
-    // The number of crashes that count against the part.
-    size_t countedCrashes(CrashSuspect const&, Instant now) const;
+    // When the crashes that count against the part were, in order.
+    std::vector<Instant> countedCrashes(CrashSuspect const&, Instant now) const;
     // Whether a part without any answer is poison and was in flight at the upstream.
     bool isExplained(UpstreamId, Instant now) const;
     Microseconds trialIntervalFor(CrashSuspect const&) const;
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -16,6 +16,11 @@
     // The state of 4,000 upstreams has 400 KB. Sending it to seven daemons takes a relay with a link
     // of 10 Mbit/s 2.3 s.
     constexpr Milliseconds fetchTimeout { 3000 };
+    // Parts that have been answered before are usually answered again within this time.
+    constexpr Milliseconds answeredPartDelay { 500 };
+    // The evidence about a few parts to the relays of a large fleet; it is sent only while upstreams crash.
+    constexpr double partBytesPerSecond { 3000 };
+    constexpr double maxPartBurstBytes { 16000 };
     // Another daemon answers within milliseconds after this one has joined.
     constexpr Milliseconds maxPartWait { 400 };
     // Short compared with the interval at which daemons ask for state.
@@ -111,6 +116,8 @@
     // Most prompts share parts that are answered all the time.
     partBounds.areAnswersFleetWide = false;
     partBounds.answersWithoutSuspects = true;
+    partBounds.bytesPerSecond = partBytesPerSecond;
+    partBounds.maxBurstBytes = maxPartBurstBytes;
     m_partCrashExchange = std::make_unique<CrashExchange>(peer, m_partSuspects.evidence(), partBounds, crashHooks(PeerMessageKind::PartCrashes));
     // Kept when the daemon joins again with another key, since requests may wait for answers.
     if (!m_permitExchange) {
@@ -401,7 +408,12 @@
 
 void GatewayPeers::sharePartEvidence(Fingerprint part, Instant now)
 {
-    if (m_partCrashExchange)
+    if (!m_partCrashExchange)
+        return;
+    auto const* suspect = m_partSuspects.evidence().find(part);
+    if (suspect && suspect->clearedAt && !suspect->crashes.empty())
+        m_partCrashExchange->announceUnlessCleared(part, answeredPartDelay, now);
+    else
         m_partCrashExchange->announce(part, now);
 }
 
--- a/Tests/LibRouting/TestPromptPartSuspects.cpp
+++ b/Tests/LibRouting/TestPromptPartSuspects.cpp
@@ -100,7 +100,7 @@
     Daemon daemon;
     daemon.answer({ bad });
     daemon.wait(Seconds(1));
-    daemon.crashRepeatedly({ bad }, 3, bounds.answeredCrashSpacing);
+    daemon.crashRepeatedly({ bad }, bounds.answeredPoisonThreshold, bounds.commonCauseSpan);
     BOOST_TEST(!daemon.isPoison(bad));
     daemon.wait(bounds.answeredVerdictDelay);
     BOOST_TEST(daemon.isPoison(bad));
