LibProxy: Bound what is read before it can be parsed, and events without end

An upstream that sent a chunk extension without end took a processor and hundreds of megabytes of its daemon until the caller's deadline: the read buffer grew with it. The same held for the size of a chunk, for trailers, for an event that no blank line ends, for callers' own chunked requests, and for what daemons read of each other and of the store. Buffers of unparsed bytes now have 256 KB, and an incomplete event 1 MB; beyond that the connection is closed and the request fails at once.

The plain bodies of failures are still passed on at their caller's pace until the deadline; they take 64 KB.

--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -239,6 +239,10 @@
     std::string events;
     if (m_splitter) {
         events = m_splitter->append(bytes);
+        if (m_splitter->hasOverlongEvent()) {
+            fail(RefusalReason::UpstreamBroken, "an event has no end");
+            co_return false;
+        }
         bytes = events;
     } else if (!m_isHeaderWritten && m_bufferedBody.size() + bytes.size() <= m_plan.maxBufferedBytes) {
         m_bufferedBody += bytes;
--- a/Libraries/LibProxy/Detail/Native.h
+++ b/Libraries/LibProxy/Detail/Native.h
@@ -12,6 +12,10 @@
 
 namespace Stagepost {
 
+// The most bytes of a message that are read before they can be parsed. Neither the size of a chunk nor a
+// trailer has a limit in Beast, and the fields of a header may have a few ten kilobytes.
+constexpr size_t maxUnparsedBytes = 256u << 10;
+
 namespace Net = boost::asio;
 namespace Beast = boost::beast;
 namespace Http = boost::beast::http;
--- a/Libraries/LibProxy/Detail/Session.h
+++ b/Libraries/LibProxy/Detail/Session.h
@@ -56,7 +56,7 @@
 
     std::shared_ptr<HttpServer::State> m_server;
     TcpStream m_stream;
-    Beast::flat_buffer m_buffer;
+    Beast::flat_buffer m_buffer { maxUnparsedBytes };
     Net::cancellation_signal m_stopWatching;
     bool m_isBusy { false };
 };
--- a/Libraries/LibProxy/Detail/UpstreamConnections.h
+++ b/Libraries/LibProxy/Detail/UpstreamConnections.h
@@ -14,7 +14,7 @@
     }
     TcpStream stream;
     // Bytes that were read from the stream and not parsed yet.
-    Beast::flat_buffer buffer;
+    Beast::flat_buffer buffer { maxUnparsedBytes };
     Instant idleSince;
     // How long the upstream keeps an idle connection open, by its Keep-Alive field.
     Microseconds keepAlive { Microseconds::max() };
--- a/Libraries/LibProxy/EventSplitter.h
+++ b/Libraries/LibProxy/EventSplitter.h
@@ -20,8 +20,12 @@
     std::string append(std::string_view bytes);
 
     bool hasIncompleteEvent() const { return !m_incompleteEvent.empty(); }
+    // Whether an event is larger than any that upstreams send, so that its end is not worth waiting for.
+    bool hasOverlongEvent() const { return m_incompleteEvent.size() > maxEventBytes; }
 
 private:
+    static constexpr size_t maxEventBytes = 1u << 20;
+
     // Also records the event as forwarded if it is new.
     bool checkNew(std::string_view event);
 
--- a/Libraries/LibProxy/HttpClient.cpp
+++ b/Libraries/LibProxy/HttpClient.cpp
@@ -43,7 +43,7 @@
         // Each read restarts the timeout. With a fixed timeout a large response would never
         // arrive over a slow link: every retry would start again from the first byte.
         auto const deadline = TransferClock::now() + maxTimeoutsPerResponse * timeout;
-        Beast::flat_buffer buffer;
+        Beast::flat_buffer buffer(maxUnparsedBytes);
         while (!parser.is_done()) {
             auto [readFailure, read] = co_await Http::async_read_some(stream, buffer, parser, useTuple);
             if (readFailure)
