CrashDetector: Take answers that end with their connection for complete only if their upstream lives

A crash ends a stream that has neither a length nor chunks in the same way as its upstream does. Such an answer now counts once two probes have found the upstream's port open, and as a crash if it is closed.

A stream that ends with its connection before its first event is no whole answer any more: it is sent again where it may be, and else gets 502 instead of an empty success.

--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -210,6 +210,11 @@
         fail(RefusalReason::UpstreamBroken, "the stream ended inside an event");
         co_return;
     }
+    m_result.endedWithConnection = m_parser.need_eof();
+    if (m_splitter && m_result.endedWithConnection && !m_plan.progress->eventCount) {
+        fail(RefusalReason::UpstreamBroken, "the stream ended before its first event");
+        co_return;
+    }
     m_result.isRecordingComplete = m_plan.maxRecordedBytes && m_result.recordedResponse.body.size() <= m_plan.maxRecordedBytes;
     m_result.verdict = Verdict::Ran;
     co_await finishResponse();
--- a/Libraries/LibProxy/ForwardResult.h
+++ b/Libraries/LibProxy/ForwardResult.h
@@ -28,6 +28,9 @@
     // Whether the whole body fitted into maxRecordedBytes.
     bool isRecordingComplete { false };
     bool reusedConnection { false };
+    // Whether the answer had neither a length nor chunks, so that the end of the connection ended it. A process
+    // that crashes may end its connections in the same way.
+    bool endedWithConnection { false };
     // Whether the forward was cancelled at the plan's deadline.
     bool deadlineReached { false };
 
--- a/Services/stagepostd/CrashDetector.cpp
+++ b/Services/stagepostd/CrashDetector.cpp
@@ -3,6 +3,7 @@
 #include <LibBase/Hex.h>
 #include <LibBase/Log.h>
 #include <stagepostd/PartEvidenceLog.h>
+#include <utility>
 
 namespace Stagepost {
 
@@ -29,19 +30,29 @@
 
 void CrashDetector::requestBroken(BrokenRequest const& broken)
 {
-    auto const now = m_loop.now();
-    auto const [position, isNew] = m_pendingChecks.try_emplace(broken.upstream);
-    auto& check = position->second;
+    auto& check = startCheck(broken);
     check.requests.insert(broken.request);
     check.promptParts.insert(broken.promptParts.begin(), broken.promptParts.end());
+}
+
+void CrashDetector::answerEndedWithConnection(BrokenRequest const& request, Instant sentAt)
+{
+    startCheck(request).unconfirmedAnswers.push_back({ request.request, request.promptParts, sentAt });
+}
+
+CrashDetector::PendingCheck& CrashDetector::startCheck(BrokenRequest const& broken)
+{
+    auto const [position, isNew] = m_pendingChecks.try_emplace(broken.upstream);
+    auto& check = position->second;
     check.instance = broken.instance;
     check.endpoint = broken.endpoint;
     if (isNew)
-        check.since = now;
+        check.since = m_loop.now();
     if (check.isProbing)
-        return;
+        return check;
     check.probes = 0;
     probe(broken.upstream, check);
+    return check;
 }
 
 void CrashDetector::probe(UpstreamId upstream, PendingCheck& check)
@@ -59,7 +70,20 @@
     found->second.isProbing = false;
     found->second.nextProbeAt = m_loop.now() + probeInterval;
     found->second.isPortClosed = found->second.isPortClosed || state == PortState::Closed;
-    finishIfPortClosed(upstream, found->second);
+    if (finishIfPortClosed(upstream, found->second))
+        return;
+    if (state == PortState::Open && found->second.probes == maxProbes)
+        confirmAnswers(found->second);
+    if (found->second.requests.empty() && found->second.unconfirmedAnswers.empty())
+        m_pendingChecks.erase(found);
+}
+
+void CrashDetector::confirmAnswers(PendingCheck& check)
+{
+    for (auto const& answer : std::exchange(check.unconfirmedAnswers, {})) {
+        requestAnswered(answer.request);
+        promptAnswered(answer.promptParts, answer.sentAt);
+    }
 }
 
 // The links are judged from the moment at which the answer broke off.
@@ -82,9 +106,13 @@
 
 void CrashDetector::confirmCrash(UpstreamId upstream, std::string_view evidence)
 {
-    auto const check = m_pendingChecks.extract(upstream);
+    auto check = m_pendingChecks.extract(upstream);
     if (check.empty())
         return;
+    for (auto const& answer : check.mapped().unconfirmedAnswers) {
+        check.mapped().requests.insert(answer.request);
+        check.mapped().promptParts.insert(answer.promptParts.begin(), answer.promptParts.end());
+    }
     m_metrics.count("stagepost_upstream_ends_total");
     logEvent(LogLevel::Warning, "upstream-ended", { { "instance", check.mapped().instance }, { "evidence", evidence }, { "requests", check.mapped().requests.size() } });
     recordCrash(upstream, check.mapped());
--- a/Services/stagepostd/CrashDetector.h
+++ b/Services/stagepostd/CrashDetector.h
@@ -49,6 +49,9 @@
     bool isSuspect(Fingerprint request) const { return m_suspects.crashCount(request) > 0; }
 
     void requestBroken(BrokenRequest const&);
+    // The end of its connection ended the answer to a request that was sent at the given time. The answer is
+    // complete if the upstream's process lives on.
+    void answerEndedWithConnection(BrokenRequest const&, Instant sentAt);
     // The request was answered completely.
     void requestAnswered(Fingerprint);
     // A request with these parts, which was sent at the given time, was answered completely.
@@ -58,10 +61,17 @@
     void tick();
 
 private:
+    struct UnconfirmedAnswer {
+        Fingerprint request;
+        std::vector<Fingerprint> promptParts;
+        Instant sentAt;
+    };
+
     // The requests that an upstream broke off, until it is known whether its process has ended.
     struct PendingCheck {
         std::set<Fingerprint> requests;
         std::set<Fingerprint> promptParts;
+        std::vector<UnconfirmedAnswer> unconfirmedAnswers;
         std::string instance;
         Endpoint endpoint;
         Instant since;
@@ -71,7 +81,10 @@
         bool isPortClosed { false };
     };
 
+    PendingCheck& startCheck(BrokenRequest const&);
     void probe(UpstreamId, PendingCheck&);
+    // The upstream's process has not ended.
+    void confirmAnswers(PendingCheck&);
     void handleProbeResult(UpstreamId, PortState);
     // Ends the check if the port is closed and the state of the links is known.
     bool finishIfPortClosed(UpstreamId, PendingCheck const&);
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -676,16 +676,29 @@
         m_services.crashDetector.requestBroken({ fingerprint(), upstream, target->instance, target->endpoint, sharedParts() });
 }
 
+void GatewayRequestHandler::recordCompleteAnswer(UpstreamId upstream, ForwardResult const& result)
+{
+    if (result.status >= firstServerError)
+        return;
+    if (result.endedWithConnection) {
+        auto const* target = m_services.serviceTable.target(upstream);
+        if (target && m_progress && !m_service.placement.mayHaveCrashedUnderLoad(upstream, m_services.loop.now()))
+            m_services.crashDetector.answerEndedWithConnection({ fingerprint(), upstream, target->instance, target->endpoint, sharedParts() }, m_sentAt);
+        return;
+    }
+    if (m_services.crashDetector.hasSuspects())
+        m_services.crashDetector.requestAnswered(fingerprint());
+    if (isSuccess(result.status))
+        m_services.crashDetector.promptAnswered(sharedParts(), m_sentAt);
+}
+
 void GatewayRequestHandler::handleForwardResult(UpstreamId upstream, ForwardResult const& result)
 {
     recordOutcome(upstream, result);
     if (!result.failure) {
         m_service.placement.recordFirstByteWait(m_request.call.prompt.tokens(), result.timeToResponseHeader);
         m_attempts.recordResponse();
-        if (m_services.crashDetector.hasSuspects() && result.status < firstServerError)
-            m_services.crashDetector.requestAnswered(fingerprint());
-        if (isSuccess(result.status))
-            m_services.crashDetector.promptAnswered(sharedParts(), m_sentAt);
+        recordCompleteAnswer(upstream, result);
         m_services.metrics.count("stagepost_answers_total");
         log("answered", result, "none", m_attempts.verdict());
         return;
--- a/Services/stagepostd/GatewayRequestHandler.h
+++ b/Services/stagepostd/GatewayRequestHandler.h
@@ -74,6 +74,7 @@
     void handleBackoffRequest(UpstreamId, Milliseconds);
     size_t sizeForRetry(Instant now) const;
     bool couldSendAgain() const;
+    void recordCompleteAnswer(UpstreamId, ForwardResult const&);
     void handleForwardResult(UpstreamId, ForwardResult const&);
     void recordOutcome(UpstreamId, ForwardResult const&);
     // Whether a part of the prompt crashes upstreams, so that the request may not be sent.
--- a/Tests/Processes/test_crashing_prompt_parts.py
+++ b/Tests/Processes/test_crashing_prompt_parts.py
@@ -38,6 +38,8 @@
 
     RESTART_DELAY_S = 2.0
     is_part_bad = True
+    # Whether its streams have neither a length nor chunks, and it ends them with their connection.
+    is_unframed = False
 
     def crash_on_marker(self, request):
         if BAD not in request["headers"].get("x-prompt-prefix", ""):
@@ -51,6 +53,17 @@
         self.crash(crashes_before)
         raise ConnectionError("the upstream has crashed")
 
+    def stream(self, connection, request, fault):
+        if not self.is_unframed:
+            return super().stream(connection, request, fault)
+        connection.sendall(self.head(request, 200, None, "Content-Type: text/event-stream\r\n"))
+        connection.sendall(b"id: 1\ndata: word1\n\n")
+        self.crash_on_marker(request)
+        for number in range(2, self.events + 1):
+            self.pause_after_event(request)
+            connection.sendall(f"id: {number}\ndata: word{number}\n\n".encode())
+        return False
+
     def name_after_restart(self):
         return f"{self.name}-{len(self.crash_times)}"
 
@@ -182,6 +195,12 @@
 
         self.play((FIRST, BAD, LAST_BUT_ONE), disturb=kill)
 
+    def test_streams_that_end_with_their_connection(self):
+        """A crash ends such a stream as its upstream does. It must not pass for a complete answer."""
+        for upstream in self.upstreams:
+            upstream.is_unframed = True
+        self.play((FIRST, BAD, LAST_BUT_ONE))
+
     def test_daemons_cut_off_during_the_crashes(self):
         """The daemons that were cut off from the others get no requests until they are back in contact."""
         isolated = self.members[:2]
--- a/Tests/Processes/test_endless_answers.py
+++ b/Tests/Processes/test_endless_answers.py
@@ -40,7 +40,7 @@
         try:
             connection.sendall(self.begin(request))
             until = time.monotonic() + DEADLINE_SECONDS + 1
-            while time.monotonic() < until:
+            while self.block and time.monotonic() < until:
                 self.sent += connection.send(self.block)
         except OSError:
             pass  # the daemon has closed the connection
@@ -119,6 +119,24 @@
     def test_event_without_end(self):
         self.check_given_up("/stream/once/x", lambda upstream, answered: upstream.head(answered, 200, None, "Content-Type: text/event-stream\r\n") + b"data: ", BLOCK)
 
+    def answer_with(self, *events):
+        """Answers streams with the events, and ends them with their connection."""
+        chat = self.upstreams[1]
+        chat.begin = lambda answered: chat.head(answered, 200, None, "Content-Type: text/event-stream\r\n") + b"".join(events)
+        chat.is_endless, chat.block = True, b""
+        return self.call("/stream/once/x")
+
+    def test_stream_that_ends_with_its_connection(self):
+        reply = self.answer_with(b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
+        self.assertEqual((reply.status, reply.headers["X-Test-Broken"], reply.body), (200, None, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+
+    def test_stream_that_ends_with_its_connection_inside_an_event(self):
+        reply = self.answer_with(b"id: 1\ndata: a\n\n", b"id: 2\ndat")
+        self.assertTrue(reply.headers["X-Test-Broken"])
+
+    def test_stream_that_ends_with_its_connection_before_its_first_event(self):
+        self.assertEqual(self.answer_with().status, 502)
+
     def test_chunk_extension_of_a_caller_without_end(self):
         host, port = self.entry.endpoint.rsplit(":", 1)
         before = resident_bytes(self.entry)
--- a/Tests/platform/TestCrashDetector.cpp
+++ b/Tests/platform/TestCrashDetector.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 #include <stagepostd/CrashDetector.h>
+#include <thread>
 
 using namespace Stagepost;
 
@@ -52,6 +53,29 @@
     }
 }
 
+// The end of such an answer looks like a crash.
+BOOST_AUTO_TEST_CASE(AnswerThatEndedWithItsConnectionClearsOnlyIfTheProcessLives)
+{
+    Fingerprint const part { 5 };
+    CrashDetector::BrokenRequest const answered { request, upstream, "chat-1", { "127.0.0.1", 1 }, { part } };
+    {
+        World world;
+        world.partSuspects.recordCrash(part, UpstreamId(9), world.loop.now());
+        world.detector.answerEndedWithConnection(answered, world.loop.now());
+        world.answerProbe(PortState::Open);
+        BOOST_TEST(world.partSuspects.evidence().crashCount(part) == 1u);
+        std::this_thread::sleep_for(Milliseconds(60));
+        world.detector.tick();
+        world.answerProbe(PortState::Open);
+        BOOST_TEST(world.partSuspects.evidence().crashCount(part) == 0u);
+    }
+    World world;
+    world.detector.answerEndedWithConnection(answered, world.loop.now());
+    world.answerProbe(PortState::Closed);
+    BOOST_TEST(world.partSuspects.evidence().crashCount(part) == 1u);
+    BOOST_TEST(world.seenParts.size() == 1u);
+}
+
 // A daemon that has lost its own links finds all ports closed.
 BOOST_AUTO_TEST_CASE(ClosedPortRecordsNoCrashUntilTheLinksAreKnownToWork)
 {
