PromptPartSuspects: Say whether a request is admitted as a trial, and know trials that several daemons saw

The handler asked for poison parts twice, once to tell a trial from a request without any. A failed trial whose crash two daemons had observed looked like two crashes at the same time, after which the part would have been tried again after 5 s; only crashes of other upstreams count for that now. By reading; TestPromptPartSuspects passes before and after.

--- a/Libraries/LibRouting/PromptPartSuspects.cpp
+++ b/Libraries/LibRouting/PromptPartSuspects.cpp
@@ -111,8 +111,8 @@
 {
     return std::any_of(m_evidence.suspects().begin(), m_evidence.suspects().end(), [&](auto const& entry) {
         auto const& other = entry.second;
-        bool const wasInFlight = std::any_of(other.crashes.begin(), other.crashes.end(), [upstream](auto const& crash) { return crash.upstream == upstream; });
-        return wasInFlight && !other.clearedAt && isPoison(other.subject, now);
+        auto const isThere = [upstream](auto const& crash) { return crash.upstream == upstream; };
+        return !other.clearedAt && std::any_of(other.crashes.begin(), other.crashes.end(), isThere) && isPoison(other.subject, now);
     });
 }
 
@@ -136,16 +136,18 @@
     return static_cast<size_t>(std::count_if(suspects.begin(), suspects.end(), [&](auto const& entry) { return isPoison(entry.first, now); }));
 }
 
-bool PromptPartSuspects::admit(std::span<Fingerprint const> parts, Instant now)
+PromptPartSuspects::Admission PromptPartSuspects::admit(std::span<Fingerprint const> parts, Instant now)
 {
     std::vector<Fingerprint> poison;
     std::copy_if(parts.begin(), parts.end(), std::back_inserter(poison), [&](auto part) { return isPoison(part, now); });
+    if (poison.empty())
+        return Admission::Granted;
     if (!std::all_of(poison.begin(), poison.end(), [&](auto part) { return mayTry(*m_evidence.find(part), parts, now); }))
-        return false;
+        return Admission::Denied;
     std::erase_if(m_lastTrials, [this](auto const& trial) { return !m_evidence.find(trial.first); });
     for (auto const part : poison)
         m_lastTrials[part] = now;
-    return true;
+    return Admission::Trial;
 }
 
 bool PromptPartSuspects::mayTry(CrashSuspect const& suspect, std::span<Fingerprint const> parts, Instant now) const
@@ -159,9 +161,9 @@
 // The crashes show whether a trial has failed, also to a daemon that has started since.
 Microseconds PromptPartSuspects::trialIntervalFor(CrashSuspect const& suspect) const
 {
-    auto const last = lastCrashOf(suspect);
+    auto const last = std::max_element(suspect.crashes.begin(), suspect.crashes.end(), [](auto const& one, auto const& other) { return one.observedAt < other.observedAt; });
     bool const isAlone = std::none_of(suspect.crashes.begin(), suspect.crashes.end(), [&](auto const& crash) {
-        return crash.observedAt != last && last - crash.observedAt < m_bounds.firstTrialInterval;
+        return crash.upstream != last->upstream && last->observedAt - crash.observedAt < m_bounds.firstTrialInterval;
     });
     return isAlone ? m_bounds.trialInterval : m_bounds.firstTrialInterval;
 }
--- a/Libraries/LibRouting/PromptPartSuspects.h
+++ b/Libraries/LibRouting/PromptPartSuspects.h
@@ -52,8 +52,15 @@
     // whether the evidence has changed.
     bool applyOwnAnswer(Fingerprint part);
 
-    // Whether a request may be sent to an upstream. If it may be sent only as a trial, that counts as one.
-    bool admit(std::span<Fingerprint const> parts, Instant now);
+    enum class Admission {
+        Granted,
+        // The request is to be sent, to find out whether its parts still crash upstreams.
+        Trial,
+        Denied,
+    };
+
+    // Decides whether a request may be sent to an upstream.
+    Admission admit(std::span<Fingerprint const> parts, Instant now);
     bool isPoison(Fingerprint part, Instant now) const;
     size_t poisonCount(Instant now) const;
     // Whether a request that was in flight at a crashed upstream may crash the next one as well. It is not to
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -272,13 +272,9 @@
 {
     if (m_isPartTrial || m_services.partSuspects.evidence().isEmpty())
         return false;
-    auto const now = m_services.loop.now();
-    auto const& parts = sharedParts();
-    m_isPartTrial = std::any_of(parts.begin(), parts.end(), [&](auto part) { return m_services.partSuspects.isPoison(part, now); });
-    if (!m_isPartTrial)
-        return false;
-    m_isPartTrial = m_services.partSuspects.admit(parts, now);
-    return !m_isPartTrial;
+    auto const admission = m_services.partSuspects.admit(sharedParts(), m_services.loop.now());
+    m_isPartTrial = admission == PromptPartSuspects::Admission::Trial;
+    return admission == PromptPartSuspects::Admission::Denied;
 }
 
 ServicePlacement::Request GatewayRequestHandler::makePlacementRequest() const
--- a/Tests/LibRouting/TestPromptPartSuspects.cpp
+++ b/Tests/LibRouting/TestPromptPartSuspects.cpp
@@ -35,6 +35,7 @@
             crash(prompt);
     }
     std::vector<Fingerprint> answer(std::vector<Fingerprint> const& prompt) { return suspects.recordAnswer(prompt, now); }
+    bool admits(std::vector<Fingerprint> const& prompt) { return suspects.admit(prompt, now) != PromptPartSuspects::Admission::Denied; }
     bool isPoison(Fingerprint part) const { return suspects.isPoison(part, now); }
 };
 
@@ -52,7 +53,7 @@
     BOOST_TEST(!daemon.isPoison(bad));
     daemon.wait(bounds.verdictDelay);
     BOOST_TEST(daemon.isPoison(bad));
-    BOOST_TEST(!daemon.suspects.admit(crashingPrompt, daemon.now));
+    BOOST_TEST(!daemon.admits(crashingPrompt));
 }
 
 // Guards against refusing all prompts of a caller whose requests crash upstreams.
@@ -65,7 +66,7 @@
         daemon.answer(soundPrompt);
         daemon.wait(Milliseconds(100));
         BOOST_TEST(!daemon.isPoison(shared));
-        BOOST_TEST(daemon.suspects.admit(soundPrompt, daemon.now));
+        BOOST_TEST(daemon.admits(soundPrompt));
     }
     BOOST_TEST(daemon.isPoison(bad));
 }
@@ -122,16 +123,16 @@
     Daemon daemon;
     daemon.crashRepeatedly({ bad }, 3, Milliseconds(100));
     daemon.wait(bounds.firstTrialInterval);
-    BOOST_TEST(!daemon.suspects.admit(std::vector { bad }, daemon.now));
+    BOOST_TEST(!daemon.admits({ bad }));
     daemon.triesHere = true;
-    BOOST_TEST(daemon.suspects.admit(std::vector { bad }, daemon.now));
-    BOOST_TEST(!daemon.suspects.admit(std::vector { bad }, daemon.now));
+    BOOST_TEST(daemon.admits({ bad }));
+    BOOST_TEST(!daemon.admits({ bad }));
     daemon.crash({ bad });
     daemon.wait(bounds.trialInterval - Seconds(1));
-    BOOST_TEST(!daemon.suspects.admit(std::vector { bad }, daemon.now));
+    BOOST_TEST(!daemon.admits({ bad }));
     BOOST_TEST((daemon.suspects.timeToTrial(std::vector { bad }, daemon.now) == Seconds(1)));
     daemon.wait(Seconds(1));
-    BOOST_TEST(daemon.suspects.admit(std::vector { bad }, daemon.now));
+    BOOST_TEST(daemon.admits({ bad }));
     daemon.answer({ bad });
     BOOST_TEST(!daemon.isPoison(bad));
 }
@@ -149,7 +150,7 @@
     BOOST_TEST(daemon.suspects.evidence().merge(*before.suspects.evidence().find(bad), daemon.now));
     daemon.wait(2 * bounds.firstTrialInterval);
     BOOST_TEST(daemon.isPoison(bad));
-    BOOST_TEST(!daemon.suspects.admit(std::vector { bad }, daemon.now));
+    BOOST_TEST(!daemon.admits({ bad }));
 }
 
 // A sound part that is first seen together with the poison one looks the same.
@@ -160,8 +161,8 @@
     daemon.crashRepeatedly({ bad, rare }, 3, Milliseconds(100));
     daemon.wait(bounds.ambiguousTrialInterval);
     BOOST_TEST(daemon.isPoison(rare));
-    BOOST_TEST(!daemon.suspects.admit(std::vector { bad, rare }, daemon.now));
-    BOOST_TEST(daemon.suspects.admit(std::vector { rare }, daemon.now));
+    BOOST_TEST(!daemon.admits({ bad, rare }));
+    BOOST_TEST(daemon.admits({ rare }));
     daemon.wait(Milliseconds(200));
     daemon.answer({ rare });
     BOOST_TEST(!daemon.isPoison(rare));
