PromptPartSuspects: Don't tell callers to come back at once while a trial is overdue

Once a poison part could have been tried, all daemons but the one that tries it refused requests with Retry-After: 0.000 until a request reached that one, so that callers came back without a pause. TheTimeToAnOverdueTrialIsNotZero failed before and passes now.

--- a/Libraries/LibProxy/Detail/Native.h
+++ b/Libraries/LibProxy/Detail/Native.h
@@ -13,7 +13,7 @@
 namespace Stagepost {
 
 // The most bytes of a message that are read before they can be parsed. Neither the size of a chunk nor a
-// trailer has a limit in Beast, and the fields of a header may have a few ten kilobytes.
+// trailer has a limit in Beast, and a header may take some tens of kilobytes.
 constexpr size_t maxUnparsedBytes = 256u << 10;
 
 namespace Net = boost::asio;
--- a/Libraries/LibRouting/PromptPartSuspects.cpp
+++ b/Libraries/LibRouting/PromptPartSuspects.cpp
@@ -189,7 +189,8 @@
 
 Microseconds PromptPartSuspects::timeToTrial(std::span<Fingerprint const> parts, Instant now) const
 {
-    Microseconds longest { 0 };
+    // The daemon that tries the part waits for a request with it.
+    auto longest = m_bounds.ambiguousTrialInterval;
     for (auto const part : parts) {
         if (isPoison(part, now))
             longest = std::max(longest, lastCrashOf(*m_evidence.find(part)) + trialIntervalFor(*m_evidence.find(part)) - now);
--- a/Libraries/LibRouting/PromptPartSuspects.h
+++ b/Libraries/LibRouting/PromptPartSuspects.h
@@ -66,7 +66,7 @@
     // Whether a request that was in flight at a crashed upstream may crash the next one as well. It is not to
     // be sent again then. Requests whose parts have been answered may be.
     bool mayCrashAgain(std::span<Fingerprint const> parts) const;
-    // How long until a poison part is tried again.
+    // How long until the poison parts may have been tried again.
     Microseconds timeToTrial(std::span<Fingerprint const> parts, Instant now) const;
 
     // The evidence, which daemons exchange.
--- a/Tests/LibRouting/TestPromptPartSuspects.cpp
+++ b/Tests/LibRouting/TestPromptPartSuspects.cpp
@@ -137,6 +137,16 @@
     BOOST_TEST(!daemon.isPoison(bad));
 }
 
+// Guards against callers that are told to come back at once while another daemon is about to try the part.
+BOOST_AUTO_TEST_CASE(TheTimeToAnOverdueTrialIsNotZero)
+{
+    Daemon daemon;
+    daemon.crashRepeatedly({ bad }, 3, Milliseconds(100));
+    daemon.wait(2 * bounds.firstTrialInterval);
+    BOOST_TEST(!daemon.admits({ bad }));
+    BOOST_TEST((daemon.suspects.timeToTrial(std::vector { bad }, daemon.now) >= bounds.ambiguousTrialInterval));
+}
+
 // A process that starts knows of the failed trial by the crashes.
 BOOST_AUTO_TEST_CASE(AFailedTrialIsNotRepeatedByADaemonThatHasStarted)
 {
