Tests/Processes: Wait until the daemon has lost the store before the store comes back

Cause, from the daemons' logs of a failing run: entry-1 read version 9 and forwarded it 3 ms before entry-2's next read was due (every 75 ms), the test made the store reachable again within 2 ms, so that no read of entry-2 ever failed and no store-regained was due. The product does what it should; the test assumed that a read had failed by then.

--- a/Tests/Processes/test_platform.py
+++ b/Tests/Processes/test_platform.py
@@ -399,6 +399,8 @@
         self.assertEqual(self.call("/lookup/x", key="another-key").status, 200)
         self.store.mode = "busy"
         self.store.put("keyed.op", "config", manifest(4))
+        # The other daemon may have forwarded the configuration before this one's first read failed.
+        eventually(lambda: any("event=store-lost" in line and "keyed.op" in line for line in self.entry.lines), "the store is lost")
         server.is_busy, self.store.mode = False, "up"
         eventually(lambda: any("event=store-regained" in line and "keyed.op" in line for line in self.entry.lines), "the store is back")
         self.assertEqual(self.call("/lookup/x").status, 401)
