StreamOriginExchange: Ask the keepers also where one version is known

Callers could get a stream with events of two versions: a daemon whose list of upstreams was proven, but up to 2.5 s old, took the one version that it had seen for the stream's, without asking anybody. If another version had joined meanwhile and had begun the stream at a daemon that knew of it, the record at the keepers was not read.

A uniform list now decides only once all keepers, or two that have lost no record, have answered without one, or after the time-out of 80 ms if any other daemon has answered. A daemon that reaches nobody refuses, as it already did once its list was 2.5 s old.

--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -94,15 +94,25 @@
         if (reply.recorded)
             return Origin { reply.recorded, haveKeepersReplied };
     }
+    bool const isOver = now >= pending.deadline || std::all_of(pending.asked.begin(), pending.asked.end(), hasReplied);
+    // A list that is a moment old lacks a version that has just joined, whose streams have records.
+    bool const areRecordsRuledOut = haveKeepersReplied || isUnrecorded(pending);
+    if (!areRecordsRuledOut && !isOver)
+        return {};
     for (auto const& [daemon, reply] : pending.replies) {
-        if (reply.isUniform)
+        if (reply.isUniform && haveOthersReplied(pending))
             return Origin { reply.onlySeen, haveKeepersReplied };
     }
-    if (now < pending.deadline && !std::all_of(pending.asked.begin(), pending.asked.end(), hasReplied))
+    if (!isOver)
         return {};
     return Origin { isUnrecorded(pending) ? versionWithoutRecords(pending) : onlySeenVersion(pending), haveKeepersReplied };
 }
 
+bool StreamOriginExchange::haveOthersReplied(Pending const& pending)
+{
+    return pending.replies.size() > 1 || pending.asked.empty();
+}
+
 // Records are sent to all keepers. Two that have kept all they got can only lack it if two messages were
 // lost, or if the stream has none.
 bool StreamOriginExchange::isUnrecorded(Pending const& pending)
@@ -130,10 +140,9 @@
 // one that began the stream only if all have seen it alone.
 std::optional<VersionId> StreamOriginExchange::onlySeenVersion(Pending const& pending)
 {
-    bool const haveOthersReplied = pending.replies.size() > 1 || pending.asked.empty();
     auto const first = pending.replies.begin()->second.onlySeen;
     bool const isUnanimous = std::all_of(pending.replies.begin(), pending.replies.end(), [&](auto const& entry) { return entry.second.onlySeen == first; });
-    return haveOthersReplied && isUnanimous ? first : std::nullopt;
+    return haveOthersReplied(pending) && isUnanimous ? first : std::nullopt;
 }
 
 void StreamOriginExchange::complete(uint64_t queryId, Origin const& origin)
--- a/Libraries/LibRouting/StreamOriginExchange.h
+++ b/Libraries/LibRouting/StreamOriginExchange.h
@@ -110,6 +110,7 @@
     void sendQueries(uint64_t queryId, Pending const&);
     // None while further replies may decide.
     std::optional<Origin> resolve(Pending const&, Instant now) const;
+    static bool haveOthersReplied(Pending const&);
     static bool isUnrecorded(Pending const&);
     static std::optional<VersionId> versionWithoutRecords(Pending const&);
     static std::optional<VersionId> onlySeenVersion(Pending const&);
--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -226,6 +226,37 @@
     BOOST_TEST(!other.find(VMId(2), StreamId(7)).version.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(ADaemonThatLearnsLateOfAVersionFollowsTheRecord)
+{
+    Fleet fleet;
+    for (auto& [id, daemon] : fleet.daemons) {
+        if (id != VMId(2))
+            daemon.versions.appeared(second, fleet.now);
+    }
+    for (uint64_t stream = 1; stream <= 20; ++stream)
+        fleet.record(VMId(1), StreamId(stream), second);
+    for (uint64_t stream = 1; stream <= 20; ++stream)
+        BOOST_TEST((fleet.find(VMId(2), StreamId(stream)).version == second));
+    // Begun before, so without a record.
+    BOOST_TEST((fleet.find(VMId(2), StreamId(21)).version == first));
+    // Nobody can tell it of a version that has joined.
+    for (auto& [id, daemon] : fleet.daemons)
+        daemon.isDown = id != VMId(2);
+    BOOST_TEST(!fleet.find(VMId(2), StreamId(22)).version.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(WithOneVersionAStreamGoesOnWithoutItsKeepers)
+{
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    fleet.record(VMId(1), StreamId(7), second);
+    auto const keepers = fleet.holders();
+    Fleet other;
+    for (auto const keeper : keepers)
+        other.daemons[keeper].isDown = keeper != VMId(1);
+    BOOST_TEST((other.find(VMId(1), StreamId(7)).version == first));
+}
+
 BOOST_AUTO_TEST_CASE(RecordsExpire)
 {
     Fleet fleet;
