Tests/LibProxy: Show that HttpClient ends responses without end

EndsAResponseWithoutEnd sends ten kinds of endless bytes: no HTTP, heads, a header field, bodies, chunk extensions and sizes, trailers.

--- a/Tests/LibProxy/TestHttpClient.cpp
+++ b/Tests/LibProxy/TestHttpClient.cpp
@@ -1,6 +1,8 @@
 #include <LibProxy/Proxy.h>
 #include <arpa/inet.h>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -9,10 +11,10 @@
 
 namespace {
 
-// Responds to one request with a body that is sent in chunks, with a pause before each.
-class SlowServer {
+// Accepts one connection and handles it on a thread.
+class Server {
 public:
-    SlowServer(size_t chunkCount, Milliseconds pause)
+    explicit Server(std::function<void(int connection)> handle)
         : m_listener(::socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in address {};
@@ -23,41 +25,88 @@
         socklen_t size = sizeof(address);
         BOOST_REQUIRE(::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size) == 0);
         endpoint = { "127.0.0.1", ntohs(address.sin_port) };
-        m_thread = std::thread([this, chunkCount, pause] { respond(chunkCount, pause); });
+        m_thread = std::thread([this, handle = std::move(handle)] {
+            int const connection = ::accept(m_listener, nullptr, nullptr);
+            std::array<char, 4096> request {};
+            ::recv(connection, request.data(), request.size(), 0);
+            handle(connection);
+            ::close(connection);
+        });
     }
-    ~SlowServer()
+    ~Server()
     {
         m_thread.join();
         ::close(m_listener);
     }
-    SlowServer(SlowServer const&) = delete;
-    SlowServer& operator=(SlowServer const&) = delete;
+    Server(Server const&) = delete;
+    Server& operator=(Server const&) = delete;
+
+    static bool sendAll(int connection, std::string const& bytes)
+    {
+        return ::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
+    }
 
-    static constexpr size_t chunkSize { 1000 };
     Endpoint endpoint;
 
 private:
-    void respond(size_t chunkCount, Milliseconds pause) const
+    int m_listener;
+    std::thread m_thread;
+};
+
+// Responds with a body that is sent in chunks, with a pause before each.
+class SlowServer : public Server {
+public:
+    SlowServer(size_t chunkCount, Milliseconds pause)
+        : Server([chunkCount, pause](int connection) { respond(connection, chunkCount, pause); })
+    {
+    }
+
+    static constexpr size_t chunkSize { 1000 };
+
+private:
+    static void respond(int connection, size_t chunkCount, Milliseconds pause)
     {
-        int const connection = ::accept(m_listener, nullptr, nullptr);
-        std::array<char, 4096> request {};
-        ::recv(connection, request.data(), request.size(), 0);
         std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(chunkCount * chunkSize) + "\r\n\r\n";
         for (size_t sent = 0; sent < chunkCount && sendAll(connection, bytes); ++sent) {
             std::this_thread::sleep_for(pause);
             bytes = std::string(chunkSize, 'x');
         }
         sendAll(connection, bytes);
-        ::close(connection);
     }
+};
 
-    static bool sendAll(int connection, std::string const& bytes)
+// Responds with the given bytes, and repeats others until the client closes the connection.
+class EndlessServer {
+public:
+    EndlessServer(std::string const& begin, std::string const& repeated)
+        : m_server([this, begin, repeated](int connection) {
+            if (!Server::sendAll(connection, begin))
+                return;
+            auto const block = makeBlock(repeated);
+            while (m_sentBytes < maxSentBytes && Server::sendAll(connection, block))
+                m_sentBytes += block.size();
+        })
     {
-        return ::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
     }
 
-    int m_listener;
-    std::thread m_thread;
+    // More than a client accepts, with what the kernel buffers on both sides.
+    static constexpr size_t maxSentBytes { 128u << 20 };
+
+    Endpoint const& endpoint() const { return m_server.endpoint; }
+    size_t sentBytes() const { return m_sentBytes; }
+
+private:
+    static std::string makeBlock(std::string const& text)
+    {
+        constexpr size_t blockSize { 64u << 10 };
+        std::string block;
+        while (block.size() < blockSize)
+            block += text;
+        return block;
+    }
+
+    std::atomic<size_t> m_sentBytes { 0 };
+    Server m_server;
 };
 
 struct FetchOutcome {
@@ -121,4 +170,33 @@
     BOOST_TEST((outcome.duration < Milliseconds(1500)));
 }
 
+// Guards against a daemon or a store whose response never ends, which would be read until the timeout.
+BOOST_AUTO_TEST_CASE(EndsAResponseWithoutEnd)
+{
+    std::string const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::vector<std::pair<std::string, std::string>> const responses {
+        { "no HTTP ", "x" },
+        { "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n" },
+        { "HTTP/1.1 200 OK\r\nX-Field: ", "x" },
+        { "HTTP/1.1 200 OK\r\n\r\n", "x" },
+        { chunked, "4\r\nwords\r\n" },
+        { chunked, "4\r\nword\r\n" },
+        { chunked + "4;extension=", "x" },
+        { chunked, "0" },
+        { chunked + "0\r\n", "X-Field: value\r\n" },
+        { chunked + "0\r\nX-Field: ", "x" },
+    };
+    for (auto const& [begin, repeated] : responses) {
+        EndlessServer const server(begin, repeated);
+        auto const outcome = fetchFrom(server.endpoint(), Seconds(20));
+        BOOST_REQUIRE(outcome.response.has_value());
+        BOOST_TEST_CONTEXT(begin << repeated)
+        {
+            BOOST_TEST(!outcome.response->has_value());
+            BOOST_TEST((outcome.duration < Seconds(10)));
+            BOOST_TEST(server.sentBytes() < EndlessServer::maxSentBytes);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
