--- a/Tests/Processes/test_stream_versions.py
+++ b/Tests/Processes/test_stream_versions.py
@@ -282,6 +282,23 @@
             upstream.is_down = False
         self.check()
 
+    def test_addresses_pass_to_upstreams_of_the_other_version(self):
+        """Guards against streams at an address whose upstream has been replaced by one with another id."""
+        self.start(6, 4)
+        end = time.monotonic() + PLAY_SECONDS
+        while time.monotonic() < end:
+            time.sleep(0.4)
+            upstream = self.random.choice(self.upstreams)
+            ended = upstream.instance
+            upstream.crash()
+            time.sleep(0.3)
+            upstream.instance, upstream.version = f"{ended}-again", "v2" if upstream.version == "v1" else "v1"
+            upstream.is_down = False
+            self.store.put("keyed.servers", upstream.instance, upstream.record())
+            time.sleep(0.5)
+            self.store.put("keyed.servers", ended, None)
+        self.check()
+
     def test_one_version_leaves(self):
         """Guards against streams that go on at another version once none of their own is left. Their callers are told
         at once."""
@@ -345,6 +362,7 @@
 
     # These cases need two versions.
     test_upstreams_crash_and_come_back_with_the_other_version = None
+    test_addresses_pass_to_upstreams_of_the_other_version = None
     test_one_version_leaves = test_a_second_version_joins = None
     test_suspended_daemons_wake_after_a_version_has_left = None
 
