PermitExchange: Don't take an owner that has fallen silent for a full upstream

Callers got 503 queue-full at the moment when their hall was cut off from the other daemons, although upstreams had room: an owner denied a permit, the owner asked for one up to the hard limit did not answer any more, and the request was refused as if it had denied that as well.

Such a request now goes by the counts that the daemon has, as it does if no owner answers at all.

--- a/Libraries/LibRouting/PermitExchange.cpp
+++ b/Libraries/LibRouting/PermitExchange.cpp
@@ -171,6 +171,7 @@
         reportToSuspectedOwner(candidate.upstream, now);
         return complete(requestId, { candidate.upstream, true, pending.requests, pending.exhausted, false, decision.count, candidate.limit, decision.isContextNew, pending.owner });
     }
+    pending.isFull = pending.isFinalRequest;
     bool const isLeast = !pending.leastLoaded || decision.count < pending.leastLoadedCount;
     if (decision.isExhausted) {
         pending.exhausted.push_back(candidate.upstream);
@@ -199,13 +200,14 @@
 {
     auto& pending = m_pending.at(requestId);
     Outcome outcome { {}, false, pending.requests, pending.exhausted };
-    if (pending.leastLoaded) {
+    if (pending.leastLoaded && pending.candidates[*pending.leastLoaded].hardLimit) {
         auto const candidate = pending.candidates[*pending.leastLoaded];
-        if (candidate.hardLimit && !pending.isFinalRequest && pending.leastLoadedCount < *candidate.hardLimit)
+        bool const hasRoom = pending.leastLoadedCount < *candidate.hardLimit;
+        if (hasRoom && !pending.isFinalRequest)
             return requestUpToHardLimit(requestId, candidate, now);
-        outcome.isFull = candidate.hardLimit.has_value();
-    }
-    if (pending.leastLoaded && !outcome.isFull) {
+        // An owner that does not respond any more may be cut off, which says nothing about other upstreams.
+        outcome.isFull = pending.isFull || !hasRoom;
+    } else if (pending.leastLoaded) {
         auto const candidate = pending.candidates[*pending.leastLoaded];
         outcome.upstream = candidate.upstream;
         outcome.inFlight = pending.leastLoadedCount;
--- a/Libraries/LibRouting/PermitExchange.h
+++ b/Libraries/LibRouting/PermitExchange.h
@@ -167,6 +167,8 @@
         bool isContextNewAtLeastLoaded { false };
         // Whether the permit up to the hard limit has been requested.
         bool isFinalRequest { false };
+        // Whether that permit was denied.
+        bool isFull { false };
         std::vector<UpstreamId> exhausted;
         Callback callback;
     };
--- a/Tests/LibRouting/TestPermitExchange.cpp
+++ b/Tests/LibRouting/TestPermitExchange.cpp
@@ -370,6 +370,31 @@
     BOOST_TEST(granted == 6u);
 }
 
+// Guards against requests that are rejected as if all upstreams were full when their owners were cut off.
+BOOST_AUTO_TEST_CASE(AnUpstreamWhoseOwnerFallsSilentIsNotFull)
+{
+    Fleet fleet(6);
+    fleet.run(Seconds(4));
+    fleet.hardLimit = 3;
+    fleet.choose(1, 2);
+    fleet.choose(1, 2);
+    auto const requester = fleet.ownerOf(upstream) == 2 ? 3 : 2;
+    std::optional<PermitExchange::Outcome> result;
+    fleet.daemon(requester).choose(
+        { {}, { { upstream, north, 2, {}, fleet.hardLimit } } }, [&](auto const& outcome) { result = outcome; }, fleet.now);
+    // The owner denies the permit, and does not get the request for one up to the hard limit.
+    fleet.run(2 * step);
+    BOOST_REQUIRE(!result.has_value());
+    for (size_t number = 1; number <= fleet.size(); ++number)
+        fleet.unresponsive.insert(number);
+    fleet.run(Seconds(1));
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST(result->requests > 1u);
+    BOOST_TEST(!result->isGranted);
+    BOOST_TEST(!result->upstream.has_value());
+    BOOST_TEST(!result->isFull);
+}
+
 BOOST_AUTO_TEST_CASE(RelaysOwnUpstreamsOnlyIfTheHallHasOnlyRelays)
 {
     Fleet fleet(6);
