GatewayRequestHandler: Let callers come back for a stream of a version not known yet

A daemon whose list of upstreams lacks a version that has just joined learns from the keepers that a stream began there. It refused the stream without a time to come back, as if the version had left, although its list has it a moment later. It now sends Retry-After for a version that it has never seen, if it would have seen one that left within 30 s. AVersionThatLeftIsNotTakenForOneThatHasJoined covers the distinction; no test with real processes brings it about.

--- a/Libraries/LibRouting/VersionHistory.cpp
+++ b/Libraries/LibRouting/VersionHistory.cpp
@@ -60,4 +60,9 @@
     return result;
 }
 
+bool VersionHistory::isYetUnseen(VersionId version, Instant now) const
+{
+    return isComplete(now) && !m_spans.contains(version);
+}
+
 }
--- a/Libraries/LibRouting/VersionHistory.h
+++ b/Libraries/LibRouting/VersionHistory.h
@@ -34,6 +34,8 @@
     std::optional<VersionId> versionWithoutRecords(Instant now) const;
     // The only version that was seen of late; none if there were several. Streams need a record only then.
     std::optional<VersionId> onlySeenVersion(Instant now) const;
+    // Whether a version at which a stream has begun must have joined without this daemon's knowledge.
+    bool isYetUnseen(VersionId, Instant now) const;
 
 private:
     struct Span {
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -145,8 +145,10 @@
 
 Refusal GatewayRequestHandler::noVersionRefusal() const
 {
+    auto const* versions = m_services.serviceTable.versions(m_request.service);
+    bool const hasJoinedUnseen = versions && versions->isYetUnseen(*m_streamVersion, m_services.loop.now());
     bool const isPresent = m_services.serviceTable.roleOfVersion(m_request.service, *m_streamVersion).has_value();
-    auto const retryAfter = isPresent ? std::optional(m_attempts.retryAfter()) : std::nullopt;
+    auto const retryAfter = isPresent || hasJoinedUnseen ? std::optional(m_attempts.retryAfter()) : std::nullopt;
     return { RefusalReason::NoUpstream, m_attempts.verdict(), "no upstream of the version that has begun the stream takes requests", retryAfter };
 }
 
--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -302,4 +302,17 @@
     BOOST_TEST((history.onlySeenVersion(at(100)) == second));
 }
 
+// A stream of a version that has joined goes on once this daemon knows of it; one of a version that has left does not.
+BOOST_AUTO_TEST_CASE(AVersionThatLeftIsNotTakenForOneThatHasJoined)
+{
+    VersionHistory history(at(0));
+    history.appeared(first, at(0));
+    BOOST_TEST(!history.isYetUnseen(second, at(29)));
+    BOOST_TEST(history.isYetUnseen(second, at(30)));
+    history.appeared(second, at(40));
+    history.vanished(second, at(50));
+    BOOST_TEST(!history.isYetUnseen(second, at(79)));
+    BOOST_TEST(!history.isYetUnseen(first, at(79)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
