Tests/Processes: Reserve the ports of each run

Runs that began at the same time could take each other's ports: the block of a run was 40 ports, test_load_bound uses 72, and a port is free while its daemon is down.

--- a/Tests/Processes/fleet.py
+++ b/Tests/Processes/fleet.py
@@ -14,6 +14,7 @@
 import threading
 import time
 import unittest
+import weakref
 
 BUILD = os.environ.get("STAGEPOST_BUILD", "Build")
 DAEMON = f"{BUILD}/Services/stagepostd/stagepostd"
@@ -71,22 +72,38 @@
 
 class Ports:
     """Allocates ports below the kernel's ephemeral range, so that no outgoing connection takes a
-    daemon's port while the daemon is down. Concurrent runs, also of the same seed, start at
-    different ports."""
+    daemon's port while the daemon is down. Nor does a concurrent run: the ports are from a block that
+    is reserved by listening at its first port."""
 
-    FIRST, LAST, STEP = 10240, 32000, 40
+    FIRST, BLOCKS, BLOCK_SIZE = 10240, 180, 120
 
     def __init__(self, seed):
-        self.next = self.FIRST + (seed + os.getpid()) * self.STEP % (self.LAST - self.FIRST)
+        self.block = seed + os.getpid()
+        self.reserve_block()
+
+    def reserve_block(self):
+        while True:
+            self.block = (self.block + 1) % self.BLOCKS
+            first = self.FIRST + self.block * self.BLOCK_SIZE
+            try:
+                reservation = socket.create_server(("127.0.0.1", first))
+            except OSError:
+                continue  # another run's block
+            weakref.finalize(self, reservation.close)
+            self.ports = iter(range(first + 1, first + self.BLOCK_SIZE))
+            return
 
     def take(self):
         while True:
-            self.next = self.next + 1 if self.next < self.LAST else self.FIRST
+            port = next(self.ports, None)
+            if port is None:
+                self.reserve_block()
+                continue
             try:
                 # Daemons use one number for both kinds.
-                with socket.create_server(("127.0.0.1", self.next)), socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
-                    datagrams.bind(("127.0.0.1", self.next))
-                    return f"127.0.0.1:{self.next}"
+                with socket.create_server(("127.0.0.1", port)), socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+                    datagrams.bind(("127.0.0.1", port))
+                    return f"127.0.0.1:{port}"
             except OSError:
                 pass  # in use
 
