CrashExchange: Let no suspect wait for others that change all the time

Cause, from the daemons' logs: parts that the bad requests share with sound ones change with each crash and each answer, and a relay's bytes for them are used up in 50 ms. Whatever had the lowest fingerprint went first from then on, and was due again at once: entry-29 heard nothing of part 792a... from 42.19 to 44.22 s, in which 27a9... reached it four times, while other daemons had told that both were answered.

What is due is now sent in the order of its deadline, which repetitions have later by their interval, and a suspect that changes while it is overdue keeps its place. ASuspectThatChangesAllTheTimeDoesNotHoldUpOthers: 86 of 87 daemons were not told within 3 s, now all are.

--- a/Libraries/LibRouting/CrashExchange.cpp
+++ b/Libraries/LibRouting/CrashExchange.cpp
@@ -118,14 +118,15 @@
     auto const* suspect = m_suspects.find(request);
     if (!suspect)
         return;
-    auto& announcement = m_announcements[request];
+    auto& announcement = m_announcements.try_emplace(request, Announcement { now, m_bounds.initialInterval }).first->second;
     if (announcement.isDelayed) {
         if (suspect->crashes.empty())
             m_announcements.erase(request);
         return;
     }
-    announcement = { now, m_bounds.initialInterval, true, announcement.isFleetWide };
-    sendAnnouncement(*suspect, announcement, now);
+    announcement.isObserver = true;
+    makeDue(announcement, now);
+    sendDue(now);
 }
 
 void CrashExchange::announceUnlessCleared(Fingerprint subject, Microseconds delay, Instant now)
@@ -135,6 +136,13 @@
         announce(subject, now);
 }
 
+// One that is overdue keeps its place in the order.
+void CrashExchange::makeDue(Announcement& announcement, Instant now) const
+{
+    announcement.nextAt = std::min(announcement.nextAt, now);
+    announcement.interval = m_bounds.initialInterval;
+}
+
 void CrashExchange::refillSendBudget(Instant now)
 {
     if (m_refilledAt != Instant {})
@@ -153,20 +161,38 @@
     m_hooks.send(to, std::move(bytes));
 }
 
-// If the send budget is exhausted, the announcement stays due.
 void CrashExchange::sendAnnouncement(CrashSuspect const& suspect, Announcement& announcement, Instant now)
 {
-    refillSendBudget(now);
     announcement.isDelayed = false;
     announcement.isFleetWide = announcement.isFleetWide || isFleetWide(suspect);
-    if (m_sendBudget <= 0)
-        return;
     for (auto const to : recipientsOf(suspect, announcement))
         send(to, { &suspect }, now);
     announcement.nextAt = now + announcement.interval;
     announcement.interval = std::min(2 * announcement.interval, m_bounds.maxInterval);
 }
 
+// Once the budget is used up, the others stay due. Repetitions may wait as long as their interval, but none of
+// the suspects waits forever for those that change all the time.
+void CrashExchange::sendDue(Instant now)
+{
+    refillSendBudget(now);
+    std::vector<std::pair<Instant, Fingerprint>> due;
+    for (auto const& [request, announcement] : m_announcements) {
+        auto const* suspect = m_suspects.find(request);
+        if (!suspect || now < announcement.nextAt)
+            continue;
+        bool const isExpired = !announcement.isFleetWide && !suspect->crashes.empty() && now - suspect->crashes.back().observedAt > m_bounds.coincidenceLifetime;
+        if (!isExpired)
+            due.emplace_back(announcement.nextAt + announcement.interval, request);
+    }
+    std::sort(due.begin(), due.end());
+    for (auto const& [deadline, request] : due) {
+        if (m_sendBudget <= 0)
+            return;
+        sendAnnouncement(*m_suspects.find(request), m_announcements.at(request), now);
+    }
+}
+
 Result<std::vector<Fingerprint>> CrashExchange::receive(VMId from, std::string_view bytes, Instant now)
 {
     MessageReader reader(bytes);
@@ -186,13 +212,13 @@
         if (!m_suspects.merge(reported, now))
             continue;
         changed.push_back(reported.subject);
-        auto const* suspect = m_suspects.find(reported.subject);
-        if (!suspect)
+        if (!m_suspects.find(reported.subject))
             continue;
-        auto& announcement = m_announcements[reported.subject];
-        announcement = { now, m_bounds.initialInterval, announcement.isObserver, announcement.isFleetWide };
-        sendAnnouncement(*suspect, announcement, now);
+        auto& announcement = m_announcements.try_emplace(reported.subject, Announcement { now, m_bounds.initialInterval }).first->second;
+        announcement.isDelayed = false;
+        makeDue(announcement, now);
     }
+    sendDue(now);
     return changed;
 }
 
@@ -263,14 +289,7 @@
     requestSnapshotsAtStart(now);
     sendToNewSubscribers(now);
     std::erase_if(m_announcements, [this](auto const& entry) { return !m_suspects.find(entry.first); });
-    for (auto& [request, announcement] : m_announcements) {
-        if (now < announcement.nextAt)
-            continue;
-        auto const& suspect = *m_suspects.find(request);
-        bool const isExpired = !announcement.isFleetWide && !suspect.crashes.empty() && now - suspect.crashes.back().observedAt > m_bounds.coincidenceLifetime;
-        if (!isExpired)
-            sendAnnouncement(suspect, announcement, now);
-    }
+    sendDue(now);
 }
 
 }
--- a/Libraries/LibRouting/CrashExchange.h
+++ b/Libraries/LibRouting/CrashExchange.h
@@ -91,7 +91,9 @@
     std::vector<VMId> homesOf(Fingerprint) const;
     bool isFleetWide(CrashSuspect const&) const;
     std::vector<VMId> recipientsOf(CrashSuspect const&, Announcement const&) const;
+    void makeDue(Announcement&, Instant now) const;
     void sendAnnouncement(CrashSuspect const&, Announcement&, Instant now);
+    void sendDue(Instant now);
     void sendToNewSubscribers(Instant now);
     std::vector<CrashSuspect const*> fleetWideSuspects() const;
     void requestSnapshotsAtStart(Instant now);
--- a/Tests/LibRouting/TestCrashExchange.cpp
+++ b/Tests/LibRouting/TestCrashExchange.cpp
@@ -256,6 +256,32 @@
     BOOST_TEST(fleet.countDaemonsDetecting(request) == 0u);
 }
 
+// Guards against a suspect that is still refused long after its answer, since another one uses up the send budget.
+BOOST_AUTO_TEST_CASE(ASuspectThatChangesAllTheTimeDoesNotHoldUpOthers)
+{
+    Fingerprint const changing { 7 };
+    for (unsigned seed = 1; seed <= 5; ++seed) {
+        Fleet fleet(87, 0, seed);
+        uint64_t upstream = 10;
+        auto const change = [&](size_t count) {
+            for (size_t number = 0; number < count; ++number) {
+                ++upstream;
+                fleet.recordCrash(upstream % fleet.size(), changing, UpstreamId(upstream));
+                if (upstream % 5 == 0)
+                    fleet.recordSuccess(upstream % fleet.size(), changing);
+                fleet.run(Milliseconds(20));
+            }
+        };
+        for (uint64_t crash = 0; crash < 3; ++crash)
+            fleet.recordCrash(crash, request, UpstreamId(1 + crash));
+        change(150);
+        BOOST_TEST(fleet.countDaemonsDetecting(request) == 87u);
+        fleet.recordSuccess(50, request);
+        change(150);
+        BOOST_TEST(fleet.countDaemonsDetecting(request) == 0u);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(MalformedMessagesAreIgnored)
 {
     CrashSuspects suspects { VMId(1) };
