CrashExchange: Tell of answered parts at most each 300 ms

Verdicts on parts that have been answered wait for 1.5 s, so what changes in the meantime can go in one message; three hops take 0.9 s at most.

--- a/Libraries/LibRouting/CrashExchange.cpp
+++ b/Libraries/LibRouting/CrashExchange.cpp
@@ -125,7 +125,7 @@
         return;
     }
     announcement.isObserver = true;
-    makeDue(announcement, now);
+    makeDue(*suspect, announcement, now);
     sendDue(now);
 }
 
@@ -137,9 +137,10 @@
 }
 
 // One that is overdue keeps its place in the order.
-void CrashExchange::makeDue(Announcement& announcement, Instant now) const
+void CrashExchange::makeDue(CrashSuspect const& suspect, Announcement& announcement, Instant now) const
 {
-    announcement.nextAt = std::min(announcement.nextAt, now);
+    auto const earliest = suspect.clearedAt && announcement.sentAt ? *announcement.sentAt + m_bounds.answeredInterval : now;
+    announcement.nextAt = std::min(announcement.nextAt, std::max(now, earliest));
     announcement.interval = m_bounds.initialInterval;
 }
 
@@ -167,6 +168,7 @@
     announcement.isFleetWide = announcement.isFleetWide || isFleetWide(suspect);
     for (auto const to : recipientsOf(suspect, announcement))
         send(to, { &suspect }, now);
+    announcement.sentAt = now;
     announcement.nextAt = now + announcement.interval;
     announcement.interval = std::min(2 * announcement.interval, m_bounds.maxInterval);
 }
@@ -212,11 +214,12 @@
         if (!m_suspects.merge(reported, now))
             continue;
         changed.push_back(reported.subject);
-        if (!m_suspects.find(reported.subject))
+        auto const* suspect = m_suspects.find(reported.subject);
+        if (!suspect)
             continue;
         auto& announcement = m_announcements.try_emplace(reported.subject, Announcement { now, m_bounds.initialInterval }).first->second;
         announcement.isDelayed = false;
-        makeDue(announcement, now);
+        makeDue(*suspect, announcement, now);
     }
     sendDue(now);
     return changed;
--- a/Libraries/LibRouting/CrashExchange.h
+++ b/Libraries/LibRouting/CrashExchange.h
@@ -4,6 +4,7 @@
 #include <LibBase/Result.h>
 #include <LibRouting/CrashSuspects.h>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -24,6 +25,9 @@
         // The interval between repetitions, which doubles each time.
         Microseconds initialInterval { 250000 };
         Microseconds maxInterval { 16000000 };
+        // The least interval between announcements of a suspect that has been answered, which may change
+        // with every answer.
+        Microseconds answeredInterval { 0 };
         // How long a suspect that is not fleet-wide is repeated: nearly all of these are coincidental.
         Microseconds coincidenceLifetime { 30000000 };
         // The number of crashes from which on a suspect is sent to the whole fleet.
@@ -86,12 +90,14 @@
         bool isFleetWide { false };
         // Not announced yet; see announceUnlessCleared().
         bool isDelayed { false };
+        // When it was last sent, if it was.
+        std::optional<Instant> sentAt {};
     };
 
     std::vector<VMId> homesOf(Fingerprint) const;
     bool isFleetWide(CrashSuspect const&) const;
     std::vector<VMId> recipientsOf(CrashSuspect const&, Announcement const&) const;
-    void makeDue(Announcement&, Instant now) const;
+    void makeDue(CrashSuspect const&, Announcement&, Instant now) const;
     void sendAnnouncement(CrashSuspect const&, Announcement&, Instant now);
     void sendDue(Instant now);
     void sendToNewSubscribers(Instant now);
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -18,6 +18,8 @@
     constexpr Milliseconds fetchTimeout { 3000 };
     // Parts that have been answered before are usually answered again within this time.
     constexpr Milliseconds answeredPartDelay { 500 };
+    // Three messages on the way to a daemon take less time than verdicts on such parts wait.
+    constexpr Milliseconds answeredPartInterval { 300 };
     // The evidence about a few parts to the relays of a large fleet; it is sent only while upstreams crash.
     constexpr double partBytesPerSecond { 3000 };
     constexpr double maxPartBurstBytes { 16000 };
@@ -116,6 +118,7 @@
     // Most prompts share parts that are answered all the time.
     partBounds.areAnswersFleetWide = false;
     partBounds.answersWithoutSuspects = true;
+    partBounds.answeredInterval = answeredPartInterval;
     partBounds.bytesPerSecond = partBytesPerSecond;
     partBounds.maxBurstBytes = maxPartBurstBytes;
     m_partCrashExchange = std::make_unique<CrashExchange>(peer, m_partSuspects.evidence(), partBounds, crashHooks(PeerMessageKind::PartCrashes));
