--- a/Libraries/LibRouting/CrashSuspects.cpp
+++ b/Libraries/LibRouting/CrashSuspects.cpp
@@ -28,15 +28,26 @@
 bool CrashSuspects::add(CrashSuspect& suspect, UpstreamCrash const& crash) const
 {
     bool const isDuplicate = std::any_of(suspect.crashes.begin(), suspect.crashes.end(), [&](auto const& known) {
-        return known.upstream == crash.upstream && known.observer == crash.observer;
+        return known.upstream == crash.upstream && (known.observer == crash.observer || !m_bounds.keepsAllObservers);
     });
     bool const isCleared = suspect.clearedAt && crash.observedAt <= *suspect.clearedAt;
-    if (isDuplicate || isCleared || suspect.crashes.size() >= m_bounds.maxCrashesPerSuspect)
+    if (isDuplicate || isCleared || !makeRoom(suspect, crash))
         return false;
     suspect.crashes.push_back(crash);
     return true;
 }
 
+bool CrashSuspects::makeRoom(CrashSuspect& suspect, UpstreamCrash const& crash) const
+{
+    if (suspect.crashes.size() < m_bounds.maxCrashesPerSuspect)
+        return true;
+    auto const oldest = std::min_element(suspect.crashes.begin(), suspect.crashes.end(), [](auto const& lhs, auto const& rhs) { return lhs.observedAt < rhs.observedAt; });
+    if (m_bounds.keepsAllObservers || crash.observedAt <= oldest->observedAt)
+        return false;
+    suspect.crashes.erase(oldest);
+    return true;
+}
+
 bool CrashSuspects::recordCrash(Fingerprint request, UpstreamId upstream, Instant now)
 {
     return merge({ request, { { upstream, m_self, now } }, {} }, now);
--- a/Libraries/LibRouting/CrashSuspects.h
+++ b/Libraries/LibRouting/CrashSuspects.h
@@ -42,6 +42,9 @@
         size_t capacity { 1024 };
         // Further crashes do not change the result.
         size_t maxCrashesPerSuspect { 6 };
+        // Whether observations of a crash by several daemons are kept, which confirm each other. If not, the
+        // first one is, and the latest crashes replace the oldest.
+        bool keepsAllObservers { true };
         // A poison request is admitted again after this, since the upstreams may have been fixed.
         Microseconds retention { 600000000 };
     };
@@ -81,6 +84,7 @@
 
 private:
     bool add(CrashSuspect&, UpstreamCrash const&) const;
+    bool makeRoom(CrashSuspect&, UpstreamCrash const&) const;
     void evictOne();
 
     VMId m_self;
--- a/Tests/LibRouting/TestPromptPartSuspects.cpp
+++ b/Tests/LibRouting/TestPromptPartSuspects.cpp
@@ -137,6 +137,33 @@
     BOOST_TEST(!daemon.isPoison(bad));
 }
 
+// Guards against trials each few seconds, whose crashes found no place after those of a burst.
+BOOST_AUTO_TEST_CASE(AFailedTrialIsNotRepeatedAfterManyCrashes)
+{
+    Daemon daemon { .triesHere = true };
+    daemon.crashRepeatedly(crashingPrompt, 20, Milliseconds(100));
+    daemon.wait(bounds.firstTrialInterval);
+    BOOST_TEST(daemon.admits(crashingPrompt));
+    daemon.crash(crashingPrompt);
+    daemon.wait(2 * bounds.firstTrialInterval);
+    BOOST_TEST(!daemon.admits(crashingPrompt));
+    daemon.wait(bounds.trialInterval);
+    BOOST_TEST(daemon.admits(crashingPrompt));
+}
+
+// Guards against a part that stays unproven since the observers of its first crash take all places.
+BOOST_AUTO_TEST_CASE(ManyObserversOfACrashLeaveRoomForFurtherOnes)
+{
+    Daemon daemon;
+    for (uint64_t observer = 2; observer < 40; ++observer)
+        daemon.suspects.evidence().merge({ bad, { { UpstreamId(100), VMId(observer), daemon.now } }, {} }, daemon.now);
+    daemon.wait(Seconds(1));
+    BOOST_TEST(!daemon.isPoison(bad));
+    daemon.crashRepeatedly({ bad }, 2, Seconds(1));
+    daemon.wait(bounds.verdictDelay);
+    BOOST_TEST(daemon.isPoison(bad));
+}
+
 // Guards against callers that are told to come back at once while another daemon is about to try the part.
 BOOST_AUTO_TEST_CASE(TheTimeToAnOverdueTrialIsNotZero)
 {
