test_crashing_prompt_parts: Add a fleet of thirty daemons

Evidence was held up or dropped only where many daemons have some of it; no case had more than seven. The fixture is a base class now, cases, seeds and bounds are unchanged.

--- a/Tests/Processes/test_crashing_prompt_parts.py
+++ b/Tests/Processes/test_crashing_prompt_parts.py
@@ -20,8 +20,7 @@
 from test_retry_budget import for_each, knows
 
 SEED = int(os.environ.get("STAGEPOST_SEED", "73"))
-DAEMONS, UPSTREAMS = 7, 14
-SOUND_CALLERS, BAD_CALLERS = 14, 2
+SOUND_CALLERS = 14
 FIRST, MIDDLE, LAST_BUT_ONE = "5c1e07a2", "91bd3f06", "e4402b7d"
 BAD = "0badbad0"
 SOUND_SECONDS, BAD_SECONDS = 3.0, 18.0
@@ -79,7 +78,9 @@
         return self.status == 200
 
 
-class CrashingPromptParts(unittest.TestCase):
+class CrashingPartsCase(unittest.TestCase):
+    daemons, upstream_count, bad_callers = 7, 14, 2
+
     def setUp(self):
         self.random = random.Random(SEED)
         self.ports, self.store, self.network = Ports(1000 + self.random.randrange(400)), Store(), Network(SEED)
@@ -89,17 +90,17 @@
                   route("once", "/stream/once/", "streaming", "chat", sticky=True, targetLatencyMs=500, targetGapMs=400)]
         self.store.put("keyed.op", "config", manifest(3, routes=routes))
         self.upstreams = []
-        for number in range(UPSTREAMS):
+        for number in range(self.upstream_count):
             upstream = PartCrashingUpstream(f"chat-{number}", "chat", self.store, HALLS[number % len(HALLS)])
             upstream.events, upstream.event_pause, upstream.slots = 8, 0.05, 16
             self.store.put("keyed.servers", upstream.instance, upstream.record(born=upstream.born))
             self.addCleanup(upstream.stop)
             self.upstreams.append(upstream)
-        self.members = [Member(self, number) for number in range(DAEMONS)]
+        self.members = [Member(self, number) for number in range(self.daemons)]
         for member in self.members:
             self.addCleanup(member.stop)
         for_each(self.members, Member.start)
-        eventually(lambda: all(knows(member, DAEMONS - 1) for member in self.members), "all daemons know each other")
+        eventually(lambda: all(knows(member, self.daemons - 1) for member in self.members), "all daemons know each other")
         self.lock = threading.Lock()
         self.attempts = 0
         self.sound, self.bad = [], []
@@ -151,7 +152,7 @@
         bad_since = time.monotonic()
         if new_sound_parts:
             self.start_callers(SOUND_CALLERS // 2, new_sound_parts, self.sound, 0.2)
-        self.start_callers(BAD_CALLERS, bad_parts, self.bad, 0.5 if at_once == 1 else 1.0, at_once)
+        self.start_callers(self.bad_callers, bad_parts, self.bad, 0.5 if at_once == 1 else 1.0, at_once)
         until = bad_since + BAD_SECONDS
         while time.monotonic() < until:
             disturb()
@@ -180,6 +181,19 @@
         self.assertEqual((last.status, last.reason), (503, "ends-upstreams"))
         self.assertLess(sorted(answer.took for answer in refused)[len(refused) // 2], MAX_REFUSAL_SECONDS)
 
+    def play_part_that_was_answered_before(self):
+        """Answers from before the first crash must not protect the part."""
+        for upstream in self.upstreams:
+            upstream.is_part_bad = False
+        self.start_callers(self.bad_callers, (FIRST, BAD, LAST_BUT_ONE), self.bad, 0.5)
+        time.sleep(SOUND_SECONDS)
+        for upstream in self.upstreams:
+            upstream.crash_arrivals.clear()
+            upstream.is_part_bad = True
+        self.play((FIRST, BAD, LAST_BUT_ONE))
+
+
+class CrashingPromptParts(CrashingPartsCase):
     def test_part_in_the_middle(self):
         self.play((FIRST, BAD, LAST_BUT_ONE))
 
@@ -216,15 +230,16 @@
         self.play((FIRST, BAD, "f1257000"), new_sound_parts=(FIRST, MIDDLE, "f1257000"))
 
     def test_part_that_was_answered_before(self):
-        """Answers from before the first crash must not protect the part."""
-        for upstream in self.upstreams:
-            upstream.is_part_bad = False
-        self.start_callers(BAD_CALLERS, (FIRST, BAD, LAST_BUT_ONE), self.bad, 0.5)
-        time.sleep(SOUND_SECONDS)
-        for upstream in self.upstreams:
-            upstream.crash_arrivals.clear()
-            upstream.is_part_bad = True
-        self.play((FIRST, BAD, LAST_BUT_ONE))
+        self.play_part_that_was_answered_before()
+
+
+class ThirtyDaemons(CrashingPartsCase):
+    """Guards against evidence that is held up or dropped where many daemons have some of it."""
+
+    daemons, upstream_count, bad_callers = 30, 40, 6
+
+    def test_part_that_was_answered_before(self):
+        self.play_part_that_was_answered_before()
 
 
 if __name__ == "__main__":
