CrashExchange: Don't let a suspect expire that the fleet has yet to be told of

Found on reading the change of the order again: a suspect with two crashes that found no bytes for 30 s would have been dropped as coincidental, since it is marked as fleet-wide only when it is sent. All tests of LibRouting pass.

--- a/Libraries/LibRouting/CrashExchange.cpp
+++ b/Libraries/LibRouting/CrashExchange.cpp
@@ -173,8 +173,8 @@
     announcement.interval = std::min(2 * announcement.interval, m_bounds.maxInterval);
 }
 
-// Once the budget is used up, the others stay due. Repetitions may wait as long as their interval, but none of
-// the suspects waits forever for those that change all the time.
+// Sends what is due until the budget is used up. The interval delays repetitions, which matter less than news,
+// but no suspect waits forever for others that change all the time.
 void CrashExchange::sendDue(Instant now)
 {
     refillSendBudget(now);
@@ -183,7 +183,8 @@
         auto const* suspect = m_suspects.find(request);
         if (!suspect || now < announcement.nextAt)
             continue;
-        bool const isExpired = !announcement.isFleetWide && !suspect->crashes.empty() && now - suspect->crashes.back().observedAt > m_bounds.coincidenceLifetime;
+        bool const isCoincidental = !announcement.isFleetWide && !isFleetWide(*suspect) && !suspect->crashes.empty();
+        bool const isExpired = isCoincidental && now - suspect->crashes.back().observedAt > m_bounds.coincidenceLifetime;
         if (!isExpired)
             due.emplace_back(announcement.nextAt + announcement.interval, request);
     }
--- a/Libraries/LibRouting/CrashSuspects.h
+++ b/Libraries/LibRouting/CrashSuspects.h
@@ -42,8 +42,8 @@
         size_t capacity { 1024 };
         // Further crashes do not change the result.
         size_t maxCrashesPerSuspect { 6 };
-        // Whether observations of a crash by several daemons are kept, which confirm each other. If not, the
-        // first one is, and the latest crashes replace the oldest.
+        // Whether observations of a crash by several daemons are kept, which confirm each other. If not, only
+        // the first of them is, and the latest crashes replace the oldest.
         bool keepsAllObservers { true };
         // A poison request is admitted again after this, since the upstreams may have been fixed.
         Microseconds retention { 600000000 };
