--- a/Tests/Processes/test_stream_versions.py
+++ b/Tests/Processes/test_stream_versions.py
@@ -84,6 +84,7 @@
 
 @dataclasses.dataclass
 class Attempt:
+    name: str
     member: str
     sent_at: float
     status: int = 0
@@ -183,8 +184,8 @@
                 time.sleep(0.05)
                 continue
             member = randomness.choice(available)
-            attempt = Attempt(member.name, time.monotonic())
             name = f"attempt-{stream.key}-{len(stream.attempts)}"
+            attempt = Attempt(name, member.name, time.monotonic())
             stream.attempts.append(attempt)
             left = DEADLINE_SECONDS - (attempt.sent_at - stream.started_at)
             fields = {"Host": HOST, "X-Attempt-Id": name, "X-Deadline-Ms": str(int(1000 * left)), "X-Api-Key": KEY,
@@ -228,6 +229,11 @@
         finally:
             connection.close()
 
+    def log_of(self, attempt):
+        """The lines of the attempt's daemon that name it."""
+        member = next(member for member in self.members if member.name == attempt.member)
+        return "".join(line for line in member.lines + member.entry.lines if f"id={attempt.name} " in line)
+
     def of_version(self, version):
         return [upstream for upstream in self.upstreams if upstream.version == version]
 
@@ -312,7 +318,7 @@
         time.sleep(0.2 * PLAY_SECONDS)
         for attempt in self.check():
             if attempt.status >= 500 and not attempt.events:
-                self.assertLess(attempt.refused_after, 1.0, attempt)
+                self.assertLess(attempt.refused_after, 1.0, f"{attempt}, its daemon: {self.log_of(attempt)}")
 
     def test_a_second_version_joins(self):
         """Guards against streams that begin while daemons learn of a new version at different times."""
