--- a/review/support/harness.py
+++ b/review/support/harness.py
@@ -5,6 +5,7 @@
 import json
 import os
 import re
+import socket
 import struct
 import subprocess
 import sys
@@ -68,6 +69,46 @@
         return self.reply(handler, 200, struct.pack(">QQ", len(records), self.first.get(topic, 0)) + body)
 
 
+class CrashingUpstream(Upstream):
+    """A worker that can crash, and that can take over the address of one that has."""
+
+    def __init__(self, instance, service, hall="north", endpoint=None):
+        self.connections = set()
+        self.address = endpoint
+        self.is_listening = threading.Event()
+        super().__init__(instance, service, hall)
+        if endpoint:
+            self.is_listening.wait(PATIENCE)
+
+    def accept(self):
+        if self.address:
+            host, port = self.address.rsplit(":", 1)
+            self.listener.close()
+            self.listener = socket.create_server((host, int(port)), backlog=128)
+            self.endpoint = self.address
+            self.is_listening.set()
+        super().accept()
+
+    def serve(self, connection):
+        with self.lock:
+            self.connections.add(connection)
+        try:
+            super().serve(connection)
+        finally:
+            with self.lock:
+                self.connections.discard(connection)
+
+    def crash(self):
+        with self.lock:
+            sockets = [self.listener, *self.connections]
+        for each in sockets:
+            try:
+                each.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # already closed
+        self.listener.close()
+
+
 class Entry:
     """One daemon, started with the command of the deploy file on free ports."""
 
