Review: Name the record in each case, and report errors of a case as such

Each case opens record.txt itself. An unexpected error and SIGTERM end a case with 2 and all of its processes, instead of with 1.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -113,4 +113,4 @@
     return statuses, sent_at
 
 
-run_case(FOLDER, body)
+run_case(os.path.join(FOLDER, "record.txt"), body)
--- a/review/support/harness.py
+++ b/review/support/harness.py
@@ -5,6 +5,7 @@
 import json
 import os
 import re
+import signal
 import socket
 import struct
 import subprocess
@@ -169,10 +170,10 @@
 
 
 class Case:
-    """Runs one case: record.txt, the stand-ins and the daemons, which are all ended when it is over."""
+    """Runs one case: its record, the stand-ins and the daemons, which are all ended when it is over."""
 
-    def __init__(self, folder):
-        self.record = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, record_path):
+        self.record = open(record_path, "w", encoding="utf-8")
         self.started_at = time.monotonic()
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
         self.cleanups = []
@@ -205,20 +206,25 @@
         return upstream
 
 
-def run_case(folder, body):
+def stop_case(number, frame):
+    raise CouldNotRun(f"ended by signal {number}")
+
+
+def run_case(record_path, body):
     """Calls body(case), which returns a list of violations, and exits with the status of the case."""
-    case = Case(folder)
+    case = Case(record_path)
+    signal.signal(signal.SIGTERM, stop_case)
+    signal.signal(signal.SIGINT, stop_case)
     try:
         violations = body(case)
         for violation in violations:
             case.note(f"VIOLATION {violation}")
         status = BROKEN if violations else HELD
-    except (CouldNotRun, OSError, AssertionError) as error:
-        case.note(f"could not run: {error}")
+    except Exception as error:  # an error of the case itself says nothing about the rule
+        case.note(f"could not run: {error!r}")
         status = COULD_NOT_RUN
     for cleanup in reversed(case.cleanups):
         cleanup()
     case.note({HELD: "the rule held", BROKEN: "the rule was broken", COULD_NOT_RUN: "the case could not run"}[status])
     case.record.close()
-    sys.stdout.flush()
     os._exit(status)
