KeyedTopicFollower: Show how far a daemon is behind a topic

The log and the metrics had neither the end that a read reports nor the position that it reached, so that a read in parts couldn't be told from a slow parse.

TopicMonitor sets both as gauges, counts reads that return only a part of the missing records, and logs when a daemon falls behind that way and when it has caught up. No decision uses it.

--- a/Tests/platform/TestStoreClient.cpp
+++ b/Tests/platform/TestStoreClient.cpp
@@ -60,11 +60,12 @@
         hooks.areRecordsNeeded = [this] { return areRecordsNeeded; };
         hooks.recordsAdded = [this] { ++added; };
         follower.emplace(
-            loop, store.client, "t", KeyedTopicFollower::Options { Milliseconds(0), Milliseconds(1) }, [] { return 0u; }, hooks);
+            loop, store.client, metrics, "t", KeyedTopicFollower::Options { Milliseconds(0), Milliseconds(1) }, [] { return 0u; }, hooks);
         follower->start();
     }
 
     EventLoop loop;
+    Metrics metrics;
     RecordStore store;
     std::optional<StorePosition> known { StorePosition { {}, Offset(2) } };
     bool areRecordsNeeded { false };
@@ -182,6 +183,7 @@
 BOOST_AUTO_TEST_CASE(ConsecutiveFailuresAreCounted)
 {
     EventLoop loop;
+    Metrics metrics;
     size_t calls = 0;
     StoreClient const client({}, [&](Endpoint const&, HttpRequest const&, Milliseconds, auto const& callback) {
         ++calls;
@@ -202,7 +204,7 @@
         return Milliseconds(1);
     };
     KeyedTopicFollower follower(
-        loop, client, "t", { Milliseconds(0), Milliseconds(1) }, [] { return 0u; }, hooks);
+        loop, client, metrics, "t", { Milliseconds(0), Milliseconds(1) }, [] { return 0u; }, hooks);
     follower.start();
     loop.run();
     BOOST_TEST(failures == (std::vector<size_t> { 1, 2, 3, 1 }), boost::test_tools::per_element());
--- a/Tests/platform/TestStoreReturn.cpp
+++ b/Tests/platform/TestStoreReturn.cpp
@@ -79,12 +79,13 @@
         hooks.recordsAdded = [this] { ++added; };
         hooks.storeReturned = [this] { ++returnHookCalls; };
         follower.emplace(
-            loop, store.client, "t", KeyedTopicFollower::Options { Milliseconds(0), Milliseconds(1) }, [] { return 0u; }, hooks);
+            loop, store.client, metrics, "t", KeyedTopicFollower::Options { Milliseconds(0), Milliseconds(1) }, [] { return 0u; }, hooks);
         follower->start();
         loop.runFor(Milliseconds(10));
     }
 
     EventLoop loop;
+    Metrics metrics;
     RestoredStore store;
     size_t batches { 0 };
     size_t batchesAfterReturn { 0 };
