KeyedTopicFollower: Take a part of the missing records for no proof

Cause: one read returns 1 MB of records at most, and names the end of the topic beside them. The follower passed each response on as if it had reached that end, and every receiver confirmed its state as of the time at which the read was sent: the configuration, orders to empty halls, orders to roll out, upstreams, the registry with the parts of the retry budget, and what other daemons are told. topic-behind next=9 end=27 followed by ready settings_age_ms=18 in the log of the failing test shows it.

Change: receivers get a TopicRead, which can be made only of a read that reached the end that the store reported with it, and a read from beyond a topic's end makes none either. Weighed: reading page after page. It needs each page's end to be kept until it is reached, parses configurations that are outdated at once, and falls behind for good where more is written than read.

The store of the tests returned everything that was missing to one read. It now keeps the limits of the platform: bytes a read and a page, waiting, calls a second, sizes of records, and topics that are read-only.

--- a/Tests/Processes/platform_stand_ins.py
+++ b/Tests/Processes/platform_stand_ins.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import collections
 import dataclasses
 import http.server
 import json
@@ -71,8 +72,50 @@
         return "lost" if number < self.lost_share else "late" if number < self.lost_share + self.late_share else None
 
 
+@dataclasses.dataclass
+class StoreLimits:
+    """What one call may carry, and how many calls the store takes from all daemons together."""
+
+    # Of the records in the answer to a read that names no limit of its own.
+    read_kb: int = 1024
+    # Of the values in a page of the latest records, before they are encoded.
+    page_bytes: int = 1 << 20
+    wait_ms: int = 30000
+    record_bytes: int = 262144
+    reads_per_s: int = 2000
+    writes_per_s: int = 2000
+    # Topics that only the platform writes to.
+    read_only_topics: tuple = ("keyed.servers",)
+
+
+def split_records(body):
+    """Returns the records of an append's body, each with its key's length and key."""
+    records = []
+    while body:
+        size = struct.unpack(">I", body[:4])[0]
+        records.append(body[4:4 + size])
+        body = body[4 + size:]
+    return records
+
+
+class CallRate:
+    """Counts the calls of the last second."""
+
+    def __init__(self):
+        self.times = collections.deque()
+
+    def admits(self, limit):
+        now = time.monotonic()
+        while self.times and now - self.times[0] >= 1:
+            self.times.popleft()
+        if len(self.times) >= limit:
+            return False
+        self.times.append(now)
+        return True
+
+
 class Store:
-    """The keyed topics of the platform's store.
+    """The keyed topics of the platform's store, with the limits that the platform documents.
 
     mode: "up", "silent" (no answer), "busy" (503), "reset" (closes the connection), or
     "lost" (executes calls, but doesn't answer them).
@@ -91,6 +134,8 @@
         # Answers reads beyond the end of a topic with 410.
         self.rejects_reads_beyond_end = False
         self.append_faults = AppendFaults()
+        self.limits = StoreLimits()
+        self.reads, self.writes = CallRate(), CallRate()
         # Called with each Append before it is answered, while the store is locked.
         self.append_listeners = []
         self.calls = []
@@ -183,6 +228,9 @@
                 return self.reply(handler, 503, b"")
             if query.get("topic") in self.topics_down:
                 return self.reply(handler, 503, b"")
+            is_write = handler.command == "POST"
+            if not (self.writes.admits(self.limits.writes_per_s) if is_write else self.reads.admits(self.limits.reads_per_s)):
+                return self.reply(handler, 429, b"")
             if url.path == "/log-newest":
                 return self.answer_newest(handler, query)
             if url.path == "/log-read":
@@ -195,8 +243,11 @@
         topic = query["topic"]
         after = query.get("afterRev", "")
         newest = sorted((key, record) for key, record in self.newest_records(topic).items() if key > after)
-        items = [{"key": key, "value": base64.b64encode(text).decode(), "offset": offset} for key, (offset, text) in newest[:self.page_size]]
-        answer = {"items": items, "hasMore": len(newest) > self.page_size, "end": len(self.topics.get(topic, []))}
+        page = newest[:self.page_size]
+        while len(page) > 1 and sum(len(key) + len(text) for key, (_, text) in page) > self.limits.page_bytes:
+            page.pop()
+        items = [{"key": key, "value": base64.b64encode(text).decode(), "offset": offset} for key, (offset, text) in page]
+        answer = {"items": items, "hasMore": len(newest) > len(page), "end": len(self.topics.get(topic, []))}
         self.reply(handler, 200, json.dumps(answer).encode())
 
     def answer_read(self, handler, query):
@@ -205,7 +256,7 @@
         if start > len(records) and self.rejects_reads_beyond_end:
             self.reply(handler, 410, json.dumps({"first": self.first.get(topic, 0)}).encode())
             return
-        self.changed.wait_for(lambda: len(records) > start or self.mode != "up" or self.era != era or self.first.get(topic, 0) > start, int(query.get("waitMs", 0)) / 1000)
+        self.changed.wait_for(lambda: len(records) > start or self.mode != "up" or self.era != era or self.first.get(topic, 0) > start, min(int(query.get("waitMs", 0)), self.limits.wait_ms) / 1000)
         if self.mode != "up" or self.era != era:
             handler.close_connection = True
             return
@@ -213,13 +264,22 @@
         if start < first:
             self.reply(handler, 410, json.dumps({"first": first}).encode())
             return
-        body = struct.pack(">QQ", len(records), first)
+        max_bytes = min(int(query.get("maxKb", self.limits.read_kb)), self.limits.read_kb) * 1024
+        body = b""
         for key, text in records[start:]:
             record = bytes([len(key)]) + key.encode() + text
+            if body and len(body) + 4 + len(record) > max_bytes:
+                break
             body += struct.pack(">I", len(record)) + record
-        self.reply(handler, 200, body)
+        self.reply(handler, 200, struct.pack(">QQ", len(records), first) + body)
 
     def answer_append(self, handler, query, body):
+        if query["topic"] in self.limits.read_only_topics:
+            self.reply(handler, 403, b"")
+            return
+        if any(len(record) > self.limits.record_bytes for record in split_records(body)):
+            self.reply(handler, 413, b"")
+            return
         fault = self.append_faults.choose(query["topic"])
         if fault == "late":
             delay = self.append_faults.randomness.uniform(0, self.append_faults.max_delay)
@@ -242,9 +302,7 @@
         if "storeRevision" in query and int(query["storeRevision"]) != len(records):
             return 412, {"end": len(records)}
         offset = len(records)
-        while body:
-            size = struct.unpack(">I", body[:4])[0]
-            record, body = body[4:4 + size], body[4 + size:]
+        for record in split_records(body):
             key_size = record[0]
             key, text = record[1:1 + key_size].decode(), record[1 + key_size:]
             records.append((key, text))
--- a/Tests/platform/TestStoreClient.cpp
+++ b/Tests/platform/TestStoreClient.cpp
@@ -49,7 +49,7 @@
         KeyedTopicFollower::Hooks hooks;
         hooks.handleBatch = [this](auto const& batch) {
             ++batches;
-            for (auto const& record : batch.records)
+            for (auto const& record : batch.read.records())
                 readValues.push_back(*record.value);
             return true;
         };
--- a/Tests/platform/TestStoreReturn.cpp
+++ b/Tests/platform/TestStoreReturn.cpp
@@ -68,7 +68,7 @@
         hooks.handleBatch = [this](auto const& batch) {
             ++batches;
             batchesAfterReturn += batch.isAfterReturn ? 1 : 0;
-            for (auto const& record : batch.records)
+            for (auto const& record : batch.read.records())
                 values.push_back(*record.value);
             return true;
         };
