SettingsFreshness: Let a proof wait for its own configuration

What callers would see: keys that a configuration has removed are accepted for good by a daemon that could not parse it. Nothing has shown this on the platform, whose store takes valid configurations only; the test does.

Cause: a read without a configuration confirmed whatever was in force, although the newest one that was read had been rejected, or had been replaced while it waited for the parser (m_confirmAfterLoad). Any read also ended the state in which the store is known to be ahead.

Change: SettingsFreshness, taken out of Gateway, keeps each proof with the position that it is for. The configuration in force covers a position if no newer one is among the records before it, and a read without configurations extends that only from the end of the last read that had one. So the proof of a read counts once what was read, or something newer, is in force, and the store is ahead until a proof of a later time. Reads reach Gateway as one StoreRead.

--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -17,9 +17,6 @@
     constexpr Milliseconds portTimeout { 500 };
     constexpr Milliseconds linkProbeTimeout { 100 };
     constexpr unsigned statusUnready = 503;
-    // For this long after a failed read, the whole fleet may be behind the store.
-    constexpr Seconds storeFailureMemory { 4 };
-
     // An older list of upstreams does not show that a service has one version only.
     constexpr Microseconds maxListAge { 2500000 };
 
@@ -57,6 +54,7 @@
     , m_dialect(std::move(dialect))
     , m_registry(std::move(registry))
     , m_random(std::move(random))
+    , m_settingsFreshness({ m_options.peerSettingsTimeout, m_options.exchange.fallbackAge })
     , m_settingsLoader(loop, { m_dialect.readSettings, [this](Result<RouteTable::Parts>&& parts, SettingsLoader::PendingSettings const& loaded) { return applySettings(std::move(parts), loaded); }, [this](Microseconds turn) { m_metrics.observe("stagepost_settings_turn_seconds", turn); } })
     , m_fingerprintKey(std::to_string(m_random()))
     , m_suspects(VMId::fromName(m_options.name))
@@ -212,28 +210,28 @@
         { { "hall", order.hall }, { "position", m_emptiedHalls.state().position }, { "age_ms", m_emptiedHalls.age().age(m_loop.now()).value_or(Microseconds(0)).count() / 1000 } });
 }
 
-void Gateway::updateHallOrders(std::vector<HallOrder> const& orders, bool isWhole, Instant readSentAt, uint64_t position, bool isAfterRestore)
+void Gateway::updateHallOrders(std::vector<HallOrder> const& orders, StoreRead const& read)
 {
     auto const before = m_emptiedHalls.state().halls;
-    if (isAfterRestore)
-        m_emptiedHalls.replaceAfterRestore(orders, position, readSentAt);
-    else if (isWhole)
-        m_emptiedHalls.replace(orders, position, readSentAt);
+    if (read.isAfterRestore)
+        m_emptiedHalls.replaceAfterRestore(orders, read.position, read.provenAt);
+    else if (read.isComplete)
+        m_emptiedHalls.replace(orders, read.position, read.provenAt);
     else
-        m_emptiedHalls.apply(orders, position, readSentAt);
+        m_emptiedHalls.apply(orders, read.position, read.provenAt);
     if (before != m_emptiedHalls.state().halls)
         m_peers.stateChanged(m_loop.now());
 }
 
-void Gateway::updateRolloutOrders(std::vector<RolloutOrderRecord> const& records, bool isWhole, Instant readSentAt, uint64_t position, bool isAfterRestore)
+void Gateway::updateRolloutOrders(std::vector<RolloutOrderRecord> const& records, StoreRead const& read)
 {
     if (m_rollouts)
-        m_rollouts->updateOrders(records, isWhole, readSentAt, position, isAfterRestore);
+        m_rollouts->updateOrders(records, read.isComplete, read.provenAt, read.position, read.isAfterRestore);
 }
 
 uint64_t Gateway::settingsPosition() const
 {
-    auto const position = std::min(m_settingsPosition, m_emptiedHalls.state().position);
+    auto const position = std::min(m_settingsFreshness.position(), m_emptiedHalls.state().position);
     return m_rollouts ? std::min(position, m_rollouts->position()) : position;
 }
 
@@ -259,18 +257,18 @@
 
 bool Gateway::areKeysFresh() const
 {
-    return !m_options.keyFreshness || m_tableAge.isWithin(*m_options.keyFreshness, m_loop.now());
+    return !m_options.keyFreshness || m_settingsFreshness.age().isWithin(*m_options.keyFreshness, m_loop.now());
 }
 
 // For the log; -1 without settings.
 int64_t Gateway::settingsAgeMilliseconds() const
 {
-    return m_tableAge.isKnown() ? settingsAge().count() / 1000 : -1;
+    return m_settingsFreshness.age().isKnown() ? settingsAge().count() / 1000 : -1;
 }
 
 Microseconds Gateway::settingsAge() const
 {
-    return m_tableAge.age(m_loop.now()).value_or(Microseconds::max());
+    return m_settingsFreshness.age().age(m_loop.now()).value_or(Microseconds::max());
 }
 
 bool Gateway::isReady() const
@@ -287,58 +285,37 @@
     return m_rollouts->isReady() && (m_hasBeenReady || !m_rollouts->hasUnprovenVersions());
 }
 
-// A newer configuration normally comes from the daemon that announced it. It is overdue if that takes
-// longer than the timeout.
 bool Gateway::isSettingsOverdue() const
 {
-    auto const isOver = [&](Instant since) { return m_loop.now() - since > m_options.peerSettingsTimeout; };
-    bool const isAnnouncedMissing = m_announcedVersion > settingsVersion() && !m_settingsLoader.isLoading(m_announcedVersion);
-    bool const isStoreAhead = m_storeIsAheadSince && !m_settingsLoader.isBusy();
-    return (isAnnouncedMissing && isOver(m_announcedSince)) || (isStoreAhead && isOver(*m_storeIsAheadSince));
+    return m_settingsFreshness.isOverdue(m_loop.now(), m_settingsLoader.isLoading(m_settingsFreshness.announcedVersion()), m_settingsLoader.isBusy());
 }
 
-// No other daemon has confirmed the configuration for so long that its bound would pass while this daemon
-// waits to be told. After an outage of the store, when this is so for the whole fleet, it waits all the same.
 bool Gateway::isSettingsProofLate() const
 {
-    bool const hasFailed = m_storeFailedAt && m_loop.now() - *m_storeFailedAt < storeFailureMemory;
-    return m_storeIsAheadSince && !hasFailed && !m_settingsLoader.isBusy() && m_tableAge.isKnown() && settingsAge() > m_options.exchange.fallbackAge;
-}
-
-void Gateway::notifyNewerSettings()
-{
-    if (!m_storeIsAheadSince)
-        m_storeIsAheadSince = m_loop.now();
+    return m_settingsFreshness.isProofLate(m_loop.now(), m_settingsLoader.isBusy());
 }
 
 void Gateway::handleStoreFailure()
 {
-    m_storeFailedAt = m_loop.now();
+    m_settingsFreshness.storeFailed(m_loop.now());
     m_peers.recordStoreRead(false);
 }
 
-// A read without a newer configuration confirms the newest one that was received, which may still be
-// waiting or being parsed.
-void Gateway::updateSettings(std::optional<std::string> text, Instant readSentAt, uint64_t position)
+void Gateway::updateSettings(std::optional<std::string> text, StoreRead const& read)
 {
     m_peers.recordStoreRead(true);
-    m_storeIsAheadSince.reset();
     bool const isNew = text && (m_settingsLoader.isBusy() || *text != m_settingsHistory.text());
+    bool isProven = m_settingsFreshness.storeRead({ isNew, read.isComplete, read.position, read.provenAt });
     if (isNew)
-        m_settingsLoader.load({ makeSettingsText(std::move(*text)), {}, [this, readSentAt] { confirmSettings(readSentAt); }, position });
-    else if (m_settingsLoader.isBusy())
-        m_confirmAfterLoad = readSentAt;
-    else {
-        m_settingsPosition = position;
-        confirmSettings(readSentAt);
-    }
+        m_settingsLoader.load({ makeSettingsText(std::move(*text)), {}, {}, read.position });
+    else if (text)
+        isProven = m_settingsFreshness.putInForce(settingsVersion(), read.position) || isProven;
+    if (isProven)
+        handleSettingsProof();
 }
 
-void Gateway::confirmSettings(Instant readSentAt)
+void Gateway::handleSettingsProof()
 {
-    m_tableAge.confirm(readSentAt);
-    if (m_confirmAfterLoad && !m_settingsLoader.isBusy())
-        m_tableAge.confirm(*std::exchange(m_confirmAfterLoad, {}));
     updateReadiness();
     m_peers.stateConfirmed(m_loop.now());
 }
@@ -349,34 +326,25 @@
 {
     if (m_directory.hash() == proven.upstreamsHash)
         m_directory.confirm(provenAt);
-    m_settingsProofs.add(proven.settingsVersion, provenAt);
-    applySettingsProofs();
-}
-
-void Gateway::applySettingsProofs()
-{
-    if (auto const provenAt = m_settingsProofs.take(settingsVersion()))
-        confirmSettings(*provenAt);
+    if (m_settingsFreshness.versionProven(proven.settingsVersion, provenAt))
+        handleSettingsProof();
 }
 
 // Returns false if the configuration could not be parsed.
 bool Gateway::applySettings(Result<RouteTable::Parts>&& parts, SettingsLoader::PendingSettings const& loaded)
 {
     if (!parts) {
-        m_confirmAfterLoad.reset();
         m_metrics.count("stagepost_settings_rejected_total");
         logEvent(LogLevel::Error, "settings-rejected", { { "reason", parts.error().message() }, { "in_force", settingsVersion() } });
         return false;
     }
     if (m_table && parts->version <= m_table->version()) {
         // There is nothing newer up to this position, also if the store was restored from a copy.
-        m_settingsPosition = std::max(m_settingsPosition, loaded.position);
+        if (m_settingsFreshness.putInForce(m_table->version(), loaded.position))
+            handleSettingsProof();
         return true;
     }
     m_table = std::make_shared<RouteTable const>(std::move(*parts));
-    m_settingsPosition = loaded.position;
-    m_storeIsAheadSince.reset();
-    applySettingsProofs();
     bool const isAsReceived = loaded.update && loaded.update->version == m_table->version();
     m_settingsHistory.add(m_table->version(), loaded.text, isAsReceived ? loaded.update : std::nullopt);
     m_server.setOptions(serverOptions(m_table->limits()));
@@ -385,6 +353,8 @@
     m_metrics.setGauge("stagepost_settings_version", static_cast<double>(m_table->version()));
     logEvent(LogLevel::Info, "settings-in-force", { { "version", m_table->version() }, { "routes", m_table->routeCount() }, { "source", loaded.update ? "told" : "store" }, { "took_ms", (m_loop.now() - loaded.startedAt).count() / 1000 }, { "longest_turn_us", loaded.longestSlice.count() } });
     m_peers.stateChanged(m_loop.now());
+    if (m_settingsFreshness.putInForce(m_table->version(), loaded.position))
+        handleSettingsProof();
     return true;
 }
 
@@ -396,17 +366,17 @@
 
 // A delayed answer of the store may be older than what other daemons have confirmed meanwhile, and
 // must not replace it.
-bool Gateway::updateUpstreams(std::vector<UpstreamChange> const& changes, bool isWhole, Instant readSentAt, bool isAfterRestore)
+bool Gateway::updateUpstreams(std::vector<UpstreamChange> const& changes, StoreRead const& read)
 {
     auto const known = m_directory.age().confirmedAt();
-    if (known && *known > readSentAt) {
-        logEvent(LogLevel::Info, "upstreams-read-outdated", { { "behind_ms", (*known - readSentAt).count() / 1000 }, { "changes", changes.size() } });
+    if (known && *known > read.provenAt) {
+        logEvent(LogLevel::Info, "upstreams-read-outdated", { { "behind_ms", (*known - read.provenAt).count() / 1000 }, { "changes", changes.size() } });
         return false;
     }
-    if (isWhole)
-        replaceUpstreams("store", recordsOf(changes), readSentAt, isAfterRestore);
+    if (read.isComplete)
+        replaceUpstreams("store", recordsOf(changes), read.provenAt, read.isAfterRestore);
     else
-        applyChanges("store", changes, readSentAt);
+        applyChanges("store", changes, read.provenAt);
     updateReadiness();
     m_peers.stateConfirmed(m_loop.now());
     return true;
@@ -444,16 +414,14 @@
 // in time, the store is read.
 bool Gateway::needsStateFrom(StateSummary const& other)
 {
-    if (other.settingsVersion > settingsVersion() && m_announcedVersion <= settingsVersion())
-        m_announcedSince = m_loop.now();
-    m_announcedVersion = std::max(m_announcedVersion, other.settingsVersion);
+    m_settingsFreshness.announced(other.settingsVersion, m_loop.now());
     bool const isLoadingNewest = m_settingsLoader.isLoading(other.settingsVersion) && other.upstreamsHash == m_directory.hash();
     return !isLoadingNewest;
 }
 
 std::optional<Instant> Gateway::provenAt() const
 {
-    auto const settings = m_tableAge.confirmedAt();
+    auto const settings = m_settingsFreshness.age().confirmedAt();
     auto const upstreams = m_directory.age().confirmedAt();
     auto const halls = m_emptiedHalls.age().confirmedAt();
     if (!settings || !upstreams || !halls)
@@ -469,15 +437,11 @@
 {
     m_directory.confirm(provenAt);
     m_directory.markComplete();
-    m_tableAge.confirm(provenAt);
+    m_settingsFreshness.confirm(provenAt);
     m_emptiedHalls.confirm(provenAt);
     if (m_rollouts)
         m_rollouts->confirm(provenAt);
-    // The records that the store had in addition contain no newer configuration.
-    if (m_storeIsAheadSince && provenAt >= *m_storeIsAheadSince)
-        m_storeIsAheadSince.reset();
-    updateReadiness();
-    m_peers.stateConfirmed(m_loop.now());
+    handleSettingsProof();
 }
 
 void Gateway::applyChanges(std::string_view source, std::vector<UpstreamChange> const& changes, Instant provenAt)
@@ -497,7 +461,7 @@
 GatewayState Gateway::state(StateSummary const& known) const
 {
     GatewayState state { m_settingsHistory.updateSince(known.settingsVersion), m_directory.hash(), {} };
-    state.settings.position = m_settingsPosition;
+    state.settings.position = m_settingsFreshness.position();
     if (known.upstreamsHash == m_directory.hash())
         return state;
     auto& upstreams = state.upstreams.emplace();
@@ -517,8 +481,8 @@
             confirmIfCurrent(version, hash, *provenAt);
     };
     if (state.settings.version <= settingsVersion()) {
-        if (state.settings.version == settingsVersion())
-            m_settingsPosition = std::max(m_settingsPosition, state.settings.position);
+        if (state.settings.version == settingsVersion() && m_settingsFreshness.putInForce(settingsVersion(), state.settings.position))
+            handleSettingsProof();
         confirm();
         return;
     }
@@ -528,7 +492,7 @@
         m_settingsLoader.load({ makeSettingsText(std::move(*text)), state.settings, confirm, state.settings.position });
         return;
     }
-    m_announcedSince = m_loop.now() - m_options.peerSettingsTimeout - Milliseconds(1);
+    m_settingsFreshness.announcedIsUnavailable(m_loop.now());
     logEvent(LogLevel::Info, "settings-left-to-the-store", { { "version", state.settings.version }, { "in_force", settingsVersion() } });
 }
 
@@ -548,10 +512,12 @@
 {
     if (this->settingsVersion() < settingsVersion)
         return;
-    if (m_directory.hash() == upstreamsHash)
+    if (m_directory.hash() == upstreamsHash) {
         confirmState(provenAt);
-    else
-        confirmSettings(provenAt);
+        return;
+    }
+    m_settingsFreshness.confirm(provenAt);
+    handleSettingsProof();
 }
 
 std::vector<UpstreamInFlight> Gateway::ownInFlight() const
@@ -674,7 +640,7 @@
     m_metrics.setGauge("stagepost_owner_asks_unanswered", static_cast<double>(m_peers.unansweredPermitRequests()));
     m_metrics.setGauge("stagepost_asks_kept_from_cold_upstreams", static_cast<double>(m_peers.deniedColdRequests()));
     m_metrics.setGauge("stagepost_control_messages_sent", static_cast<double>(m_peers.messagesSent()));
-    m_metrics.setGauge("stagepost_settings_age_seconds", m_tableAge.isKnown() ? asSeconds(settingsAge()) : -1);
+    m_metrics.setGauge("stagepost_settings_age_seconds", m_settingsFreshness.age().isKnown() ? asSeconds(settingsAge()) : -1);
     m_metrics.setGauge("stagepost_emptied_halls_age_seconds", m_emptiedHalls.age().isKnown() ? asSeconds(*m_emptiedHalls.age().age(m_loop.now())) : -1);
     if (m_rollouts)
         setRolloutGauges(*m_rollouts, m_metrics);
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <LibBase/PendingProofs.h>
 #include <LibMembership/EmptiedHalls.h>
 #include <LibMembership/UpstreamDirectory.h>
 #include <LibProxy/HttpServer.h>
@@ -13,11 +12,26 @@
 #include <stagepostd/RequestRouter.h>
 #include <stagepostd/RolloutController.h>
 #include <stagepostd/ServerDrain.h>
+#include <stagepostd/SettingsFreshness.h>
 #include <stagepostd/SettingsLoader.h>
 #include <stagepostd/StallDetector.h>
 
 namespace Stagepost {
 
+// What a read of the platform's store proves. The composing program makes one only of a read after which
+// nothing is missing that the store contained when the read was sent.
+struct StoreRead {
+    // The read returned all records, not only those since the last read.
+    bool isComplete { false };
+    // The time as of which the state is proven.
+    Instant provenAt;
+    // The position in the store's records up to which the state is known.
+    uint64_t position { 0 };
+    // The store was restored from a copy that lacks its last seconds: records that are missing may be
+    // written again.
+    bool isAfterRestore { false };
+};
+
 // The daemon of one entry VM. Its configuration, its upstreams and its wire formats come from
 // outside: the composing program passes on what it reads from the platform.
 class Gateway {
@@ -30,26 +44,23 @@
     // Binds the sockets. Error: Unreachable.
     Result<void> start();
 
-    // Handles the result of a read of the store, which was sent at the given time. A configuration
+    // Handles the newest configuration that a read of the store returned, if any. A configuration
     // is applied only if its version is higher than the one in force, so the version never decreases
     // while the process runs. If the configuration cannot be parsed, the one in force stays and is not
     // confirmed. Parsing is asynchronous, so the configuration is in force only some iterations of the
-    // event loop later. The position is that of the platform's records which follow, or 0.
-    void updateSettings(std::optional<std::string> text, Instant readSentAt, uint64_t position = 0);
+    // event loop later.
+    void updateSettings(std::optional<std::string> text, StoreRead const&);
 
-    // Handles the orders to empty halls that a read of the store returned, which are all orders or
-    // those since the last read, and the position up to which they are known. After a restore of
-    // the store, which loses its last seconds, missing orders may be written again.
-    void updateHallOrders(std::vector<HallOrder> const&, bool isWhole, Instant readSentAt, uint64_t position, bool isAfterRestore);
+    // Handles the orders to empty halls that a read of the store returned.
+    void updateHallOrders(std::vector<HallOrder> const&, StoreRead const&);
 
     // Does the same for orders to roll out versions. Ignores them if roll-outs are switched off.
-    void updateRolloutOrders(std::vector<RolloutOrderRecord> const&, bool isWhole, Instant readSentAt, uint64_t position, bool isAfterRestore);
+    void updateRolloutOrders(std::vector<RolloutOrderRecord> const&, StoreRead const&);
 
     // Handles the changes since the last read, or the list of all upstreams. Returns false if the
     // read is older than what other daemons have confirmed meanwhile: it is ignored, and the whole
-    // list has to be read again. After a restore of the store, which loses its last seconds, missing
-    // records may be written again.
-    bool updateUpstreams(std::vector<UpstreamChange> const&, bool isWhole, Instant readSentAt, bool isAfterRestore = false);
+    // list has to be read again.
+    bool updateUpstreams(std::vector<UpstreamChange> const&, StoreRead const&);
 
     // Whether this daemon has to read the store now: it does so for others, or its state is stale.
     bool needsStore() const { return m_peers.needsStore(m_loop.now()); }
@@ -65,10 +76,10 @@
     // added, since their contents come from other daemons.
     bool needsSettingsRecords() const { return m_peers.isReader() || isSettingsOverdue() || isSettingsProofLate(); }
     // The store has records after the current position that were not read.
-    void notifyNewerSettings();
+    void notifyNewerSettings() { m_settingsFreshness.storeIsAhead(m_loop.now()); }
     // A read of the store has failed.
     void handleStoreFailure();
-    // The position in the platform's records up to which the configuration in force and all orders
+    // The position in the store's records up to which the configuration in force and all orders
     // are known; 0 if unknown.
     uint64_t settingsPosition() const;
     // Whether this daemon has to read the registry now: it does so for others, or they did not send
@@ -117,9 +128,8 @@
     int64_t settingsAgeMilliseconds() const;
     bool applySettings(Result<RouteTable::Parts>&& parts, SettingsLoader::PendingSettings const&);
     void applyColdStartLimits();
-    void confirmSettings(Instant);
+    void handleSettingsProof();
     void confirmParts(StateSummary const& proven, Instant provenAt);
-    void applySettingsProofs();
     uint64_t settingsVersion() const { return m_table ? m_table->version() : 0; }
     bool needsStateFrom(StateSummary const&);
     StateSummary summary() const;
@@ -149,17 +159,8 @@
     std::shared_ptr<RouteTable const> m_table;
     // Deltas that are sent to other daemons.
     SettingsHistory m_settingsHistory;
-    StalenessBound m_tableAge;
-    PendingProofs m_settingsProofs;
+    SettingsFreshness m_settingsFreshness;
     SettingsLoader m_settingsLoader;
-    // When the last read without a newer configuration was sent, while one is still waiting or
-    // being parsed. It confirms that configuration once it is in force.
-    std::optional<Instant> m_confirmAfterLoad;
-    uint64_t m_announcedVersion { 0 };
-    Instant m_announcedSince;
-    uint64_t m_settingsPosition { 0 };
-    std::optional<Instant> m_storeIsAheadSince;
-    std::optional<Instant> m_storeFailedAt;
     // Derived from the fleet's key once that is known; random until then.
     FingerprintKey m_fingerprintKey;
     CrashSuspects m_suspects;
--- a/Tests/platform/TestPlatformReaders.cpp
+++ b/Tests/platform/TestPlatformReaders.cpp
@@ -76,9 +76,10 @@
         bool isFirst = true;
         Timer reads(loop);
         reads.every(Milliseconds(20), [&] {
-            reader.updateHallOrders({}, isFirst, loop.now(), 1, false);
-            reader.updateSettings(settings.dump(), loop.now());
-            reader.updateUpstreams({ { "i-1", record } }, isFirst, loop.now());
+            StoreRead const read { isFirst, loop.now(), ++position };
+            reader.updateHallOrders({}, read);
+            reader.updateSettings(settings.dump(), read);
+            reader.updateUpstreams({ { "i-1", record } }, read);
             isFirst = false;
             if (isDone())
                 loop.stop();
@@ -97,6 +98,7 @@
 
     EventLoop loop;
     nlohmann::json settings = manifest();
+    uint64_t position { 0 };
     Gateway reader { loop, loopbackOptions(), platformDialect(), {}, [] { return 1u; } };
     Gateway follower { loop, loopbackOptions(), platformDialect(), {}, [] { return 2u; } };
     GatewayPeer first { "entry-1", "north", {} };
@@ -333,7 +335,7 @@
 {
     GatewayPair pair;
     pair.reader.setPeers({ pair.second });
-    pair.follower.updateSettings(pair.settings.dump(), pair.loop.now());
+    pair.follower.updateSettings(pair.settings.dump(), { true, pair.loop.now(), 1 });
     pair.run([&] { return pair.follower.isReady(); });
     BOOST_TEST(pair.follower.isReady());
 }
@@ -370,9 +372,41 @@
     Gateway gateway(loop, {}, platformDialect(), {}, [] { return 1u; });
     UpstreamRecord const record { "i-1", "chat", "10.1.1.1:80", "north", 64, true, Milliseconds(0) };
     Instant const sent { Seconds(10) };
-    BOOST_TEST(gateway.updateUpstreams({ { "i-1", record } }, true, sent));
-    BOOST_TEST(!gateway.updateUpstreams({}, true, sent - Milliseconds(1)));
-    BOOST_TEST(gateway.updateUpstreams({}, true, sent));
+    BOOST_TEST(gateway.updateUpstreams({ { "i-1", record } }, { true, sent, 1 }));
+    BOOST_TEST(!gateway.updateUpstreams({}, { true, sent - Milliseconds(1), 2 }));
+    BOOST_TEST(gateway.updateUpstreams({}, { true, sent, 3 }));
+}
+
+// Two reads without a configuration followed one that was rejected, and the second confirmed the configuration
+// before it. Keys that the rejected one has removed were accepted for good.
+BOOST_AUTO_TEST_CASE(RejectedConfigurationConfirmsNoEarlierOne)
+{
+    EventLoop loop;
+    auto options = GatewayPair::loopbackOptions();
+    options.keyFreshness = Milliseconds(200);
+    Gateway gateway(loop, options, platformDialect(), {}, [] { return 1u; });
+    BOOST_REQUIRE(gateway.start().has_value());
+    uint64_t position = 0;
+    auto const read = [&](std::optional<std::string> const& text) {
+        StoreRead const result { !position, loop.now(), ++position };
+        gateway.updateHallOrders({}, result);
+        gateway.updateSettings(text, result);
+        gateway.updateUpstreams({}, result);
+        loop.runFor(Milliseconds(30));
+    };
+    read(manifest().dump());
+    for (size_t count = 0; count < 10; ++count)
+        read({});
+    BOOST_TEST(gateway.isReady());
+    read("{}");
+    for (size_t count = 0; count < 10; ++count)
+        read({});
+    BOOST_TEST(!gateway.isReady());
+    auto next = manifest();
+    next["version"] = next["version"].get<uint64_t>() + 1;
+    read(next.dump());
+    read({});
+    BOOST_TEST(gateway.isReady());
 }
 
 BOOST_AUTO_TEST_CASE(StateWithThousandsOfUpstreamsIsDecoded)
