SettingsLoader: Keep the newest configuration that waits

Of the configurations that arrive while one is parsed, the one that arrived last was kept. One read from the store could give way to an older one that another daemon had sent; it then took effect only when another daemon or the next read corrected that.

Two that were sent by daemons are compared by version. One from the store has no version before it is parsed, so it is compared by position: no newer configuration precedes the position of either. WaitingConfigurationIsNotReplacedByAnOlderOne fails on the code before.

--- a/Services/stagepostd/SettingsLoader.cpp
+++ b/Services/stagepostd/SettingsLoader.cpp
@@ -19,6 +19,15 @@
         return pending && pending->update && pending->update->version >= version;
     }
 
+    // Of two configurations that other daemons have sent, the version decides. One from the store has no
+    // version before it is parsed, but no newer one precedes the position of either.
+    bool isOlder(SettingsLoader::PendingSettings const& one, SettingsLoader::PendingSettings const& other)
+    {
+        if (one.update && other.update)
+            return one.update->version < other.update->version;
+        return one.position && one.position < other.position;
+    }
+
 }
 
 SettingsLoader::SettingsLoader(EventLoop& loop, Hooks hooks)
@@ -35,10 +44,10 @@
 
 void SettingsLoader::load(PendingSettings pending)
 {
-    if (isBusy())
-        m_next = std::move(pending);
-    else
+    if (!isBusy())
         startLoading(std::move(pending));
+    else if (!m_next || !isOlder(pending, *m_next))
+        m_next = std::move(pending);
 }
 
 void SettingsLoader::startLoading(PendingSettings pending)
--- a/Tests/platform/TestSettingsLoader.cpp
+++ b/Tests/platform/TestSettingsLoader.cpp
@@ -74,6 +74,32 @@
     BOOST_TEST((world.applied == Texts { first, "newest" }));
 }
 
+// A configuration that was read from the store gave way to an older one that another daemon had sent.
+BOOST_AUTO_TEST_CASE(WaitingConfigurationIsNotReplacedByAnOlderOne)
+{
+    World world;
+    auto const first = std::string(300, 'a');
+    world.loader.load(world.pending(first));
+    auto stored = world.pending("stored");
+    stored.position = 9;
+    auto told = world.pending("told");
+    told.update = SettingsUpdate { 4, 3, {} };
+    told.position = 7;
+    auto newestTold = world.pending("newest-told");
+    newestTold.update = SettingsUpdate { 6, 4, {} };
+    newestTold.position = 11;
+    world.loader.load(stored);
+    world.loader.load(told);
+    world.run();
+    BOOST_TEST((world.applied == Texts { first, "stored" }));
+    world.loader.load(world.pending(first));
+    world.loader.load(newestTold);
+    world.loader.load(told);
+    world.loader.load(stored);
+    world.run();
+    BOOST_TEST(world.applied.back() == "newest-told");
+}
+
 // Otherwise changes in quick succession could keep any of them from taking effect.
 BOOST_AUTO_TEST_CASE(ParsingIsNotAbortedByNewerConfigurations)
 {
