--- a/Tests/platform/TestStoreReturn.cpp
+++ b/Tests/platform/TestStoreReturn.cpp
@@ -78,6 +78,7 @@
         hooks.areRecordsNeeded = [areRecordsNeeded] { return areRecordsNeeded; };
         hooks.recordsAdded = [this] { ++added; };
         hooks.storeReturned = [this] { ++returnHookCalls; };
+        hooks.knownPosition = [this] { return known; };
         follower.emplace(
             loop, store.client, metrics, "t", KeyedTopicFollower::Options { Milliseconds(0), Milliseconds(1) }, [] { return 0u; }, hooks);
         follower->start();
@@ -91,6 +92,8 @@
     size_t batchesAfterReturn { 0 };
     size_t added { 0 };
     size_t returnHookCalls { 0 };
+    // The position up to which other daemons have forwarded the records.
+    std::optional<StorePosition> known;
     std::vector<std::string> values;
     std::optional<KeyedTopicFollower> follower;
 };
@@ -191,6 +194,18 @@
     BOOST_TEST((daemon.values == std::vector<std::string> { "v2" }));
 }
 
+// Other daemons forward the restored state, after which nothing is missing. An empty read that counted as
+// the whole restored topic withdrew all orders to empty halls two seconds later.
+BOOST_AUTO_TEST_CASE(ReadAfterForwardedRestoreIsNotTheRestoredTopic)
+{
+    Follower daemon(false);
+    daemon.store.restore(1, { "v3" });
+    daemon.known = at(2, 2);
+    daemon.loop.runFor(Milliseconds(10));
+    BOOST_TEST(daemon.returnHookCalls == 1u);
+    BOOST_TEST(daemon.batchesAfterReturn == 0u);
+}
+
 // If the store rejects reads from beyond the end, the list after the last key gives the end.
 BOOST_AUTO_TEST_CASE(EndIsQueriedByListIfReadsPastEndFail)
 {
