--- a/Tests/Processes/test_store_backlog.py
+++ b/Tests/Processes/test_store_backlog.py
@@ -43,9 +43,16 @@
 
     def __init__(self):
         super().__init__()
+        # When each address was asked for configurations.
+        self.asked_at = {}
         self.interrupts = False
         self.interrupted = threading.Event()
 
+    def answer(self, handler):
+        if "topic=keyed.op&" in handler.path:
+            self.asked_at.setdefault(handler.server, []).append(time.monotonic())
+        super().answer(handler)
+
     def answer_read(self, handler, query):
         super().answer_read(handler, query)
         is_partial = query["topic"] == "keyed.op" and len(self.topics["keyed.op"]) - int(query["from"]) >= CHANGES
@@ -118,9 +125,11 @@
         return sorted((self.sent_at[run["headers"]["x-attempt-id"]] - removed_at, run["headers"]["x-attempt-id"]) for run in self.book.runs()
                       if run["headers"]["x-attempt-id"].startswith("removed-") and self.sent_at[run["headers"]["x-attempt-id"]] > limit)
 
-    def play(self, routes, halls=("north",), turned_away_again=False, storm_goes_on=False):
+    def play(self, routes, halls=("north",), turned_away_again=False, storm_goes_on=False, turned_away_longer=()):
         entries, doors = self.start(routes, halls)
-        outages = [threading.Thread(target=door.turn_away, args=(TURNED_AWAY_S,)) for door in doors]
+        for number in turned_away_longer:
+            doors[number].server.is_busy = True
+        outages = [threading.Thread(target=door.turn_away, args=(TURNED_AWAY_S,)) for number, door in enumerate(doors) if number not in turned_away_longer]
         for outage in outages:
             outage.start()
         removed_at = self.storm(routes)
@@ -165,6 +174,29 @@
     def test_two_daemons_of_a_hall_that_both_missed_a_backlog_do_not_confirm_each_other(self):
         self.play(ROUTES_125_KB, halls=("north", "north"))
 
+    def test_each_daemon_asks_often_enough_to_notice_the_return(self):
+        """One of the two reads the store for the other, which asked every two to four seconds."""
+        _, doors = self.start(ROUTES_125_KB, ("north", "north"))
+        since = time.monotonic() + 1
+        outages = [threading.Thread(target=door.turn_away, args=(16,)) for door in doors]
+        for outage in outages:
+            outage.start()
+        for outage in outages:
+            outage.join()
+        until = time.monotonic()
+        for door in doors:
+            times = [since, *(at for at in self.store.asked_at[door.server] if since < at < until), until]
+            gaps = [later - earlier for earlier, later in zip(times, times[1:])]
+            self.assertLess(max(gaps), RETURN_BOUND_S - 1, gaps)
+
+    # Either daemon may be the one that reads the store for the other.
+
+    def test_all_daemons_are_back_while_the_first_is_turned_away_longer(self):
+        self.play(ROUTES_125_KB, halls=("north", "north"), turned_away_longer=(0,))
+
+    def test_all_daemons_are_back_while_the_second_is_turned_away_longer(self):
+        self.play(ROUTES_125_KB, halls=("north", "north"), turned_away_longer=(1,))
+
     def test_a_daemon_catches_up_while_configurations_go_on_coming(self):
         self.play(ROUTES_230_KB, storm_goes_on=True)
 
