Soak, models: Let daemons miss more than one read returns

The soak's store returns 4 KB to a read, which its small configurations exceed. From seed 500 to 999 all daemons are cut from the store while 21 configurations are written, the last without a key, until its bound has passed: once among other faults and once by itself. Other seeds keep their schedules. Freshness.pml has three versions, a read that returns one of the missing records, and the variant PROVE_BY_PART.

--- a/Meta/model-check.sh
+++ b/Meta/model-check.sh
@@ -49,7 +49,7 @@
 check publication refuted Publication assertions SNAPSHOT_BLIND &
 check publication refuted Publication assertions PEER_ALWAYS &
 check freshness holds Freshness assertions &
-for variant in PROVE_ON_ARRIVAL ANSWER_EARLY READ_ON_ARRIVAL GO_BACK CHECK_ONCE; do
+for variant in PROVE_ON_ARRIVAL ANSWER_EARLY READ_ON_ARRIVAL GO_BACK CHECK_ONCE PROVE_BY_PART; do
     check freshness refuted Freshness assertions "$variant" &
 done
 check suspension holds Suspension assertions &
--- a/Specifications/Freshness.pml
+++ b/Specifications/Freshness.pml
@@ -1,7 +1,8 @@
 /* Freshness of a configuration that is confirmed through another daemon, and revocation of a key.
  *
- * The store holds a configuration with a key (version 1) until an operator revokes the
- * key (version 2). One daemon, the relay, reads the store; another one, the querier, cannot
+ * The store holds configurations with a key (versions 1 and 2) until an operator revokes the
+ * key (version 3). A read returns one of the missing records, and the end of the topic; the latest
+ * records are returned whole. One daemon, the relay, reads the store; another one, the querier, cannot
  * reach the store and queries the relay. Messages may be delayed, lost and reordered. A read
  * may take any time, and the store may evaluate it at any moment in between.
  * docs/design/platform.md maps each step to the function that implements it.
@@ -15,11 +16,12 @@
  *   -DREAD_ON_ARRIVAL    dates a read by the arrival of the store's response
  *   -DGO_BACK            replaces a configuration by an older one
  *   -DCHECK_ONCE         does not check the age again after the first time
+ *   -DPROVE_BY_PART      takes a read that returned a part of the missing records for a proof
  */
 #define LAST_TIME 4
 #define BOUND 1
 #define WITH_KEY 1
-#define WITHOUT_KEY 2
+#define WITHOUT_KEY 3
 
 byte now = 0;
 byte storedVersion = WITH_KEY;
@@ -47,17 +49,29 @@
 }
 
 active proctype Operator() {
+    storedVersion = WITH_KEY + 1;
     atomic { storedVersion = WITHOUT_KEY; revokedAt = now }
 }
 
-/* Models StoreClient::read and Gateway::applySettings. */
+/* Models KeyedTopicFollower, TopicRead and SettingsFreshness. */
 active proctype Reader() {
     byte sentAt;
     byte readVersion;
+    byte end;
+    bool readsLatest = true;
     do
     :: sentAt = now;
-       readVersion = storedVersion;
        atomic {
+           end = storedVersion;
+           readVersion = (readsLatest || relayVersion + 1 >= end -> end : relayVersion + 1)
+       }
+       atomic {
+           if
+#ifdef PROVE_BY_PART
+           :: true ->
+#else
+           :: readVersion == end ->
+#endif
            relayVersion = (readVersion > relayVersion -> readVersion : relayVersion);
 #ifdef READ_ON_ARRIVAL
            relayProvenAt = now;
@@ -65,8 +79,12 @@
            relayProvenAt = sentAt;
 #endif
            relayHasVersion = true;
+           readsLatest = false
+           :: else -> readsLatest = true
+           fi;
            sentAt = 0;
-           readVersion = 0
+           readVersion = 0;
+           end = 0
        }
     od
 }
@@ -119,7 +137,7 @@
 active proctype RequestHandler() {
     do
     :: atomic {
-           querierHasVersion && querierVersion == WITH_KEY ->
+           querierHasVersion && querierVersion < WITHOUT_KEY ->
 #ifdef CHECK_ONCE
            wasFresh = wasFresh || now - querierProvenAt <= BOUND;
 #else
--- a/Tests/Soak/faults.py
+++ b/Tests/Soak/faults.py
@@ -6,7 +6,7 @@
 import time
 
 from rollouts import Rollouts
-from world import FIRST_WITH_LINK_CUTS, FIRST_WITH_ROLLOUTS, FIRST_WITH_SUSPENSION, STOP_LIMIT
+from world import FIRST_WITH_LINK_CUTS, FIRST_WITH_ROLLOUTS, FIRST_WITH_SUSPENSION, KEY_BOUND, STOP_LIMIT
 
 # Seconds after a fault within which a disturbed daemon is connected again.
 SETTLE = 3.0
@@ -32,6 +32,10 @@
 # that they had when they were recorded.
 # Upstreams restart under their names, and invalid records are written to their topic.
 FIRST_WITH_RESTARTS = 1000
+# Seeds whose schedules include backlogs: all daemons miss more configurations than one read returns.
+SEEDS_WITH_BACKLOGS = range(500, FIRST_WITH_RESTARTS)
+# The configurations of a backlog, and the seconds between them.
+BACKLOG_SIZE, BACKLOG_GAP = 20, 0.05
 # The store is restored from backups.
 FIRST_WITH_RETURNS = 3000
 # Halls are emptied; upstreams are cold, request back-off and announce in responses that they leave.
@@ -74,6 +78,7 @@
         self.orders = random.Random(f"{seed} orders") if seed >= FIRST_WITH_ORDERS else None
         self.rollouts = Rollouts(world, random.Random(f"{seed} rollouts"), self.schedule, note) if seed >= FIRST_WITH_ROLLOUTS else None
         self.links = random.Random(f"{seed} links") if seed >= FIRST_WITH_LINK_CUTS else None
+        self.backlogs = random.Random(f"{seed} backlogs") if seed in SEEDS_WITH_BACKLOGS else None
         if self.returns:
             world.store.era = 1
         self.unplanned = [self.pause, self.pause, self.kill, self.kill_all, self.cut_from_store, self.impair_peer_link, self.reset_callers,
@@ -91,6 +96,8 @@
         if self.returns:
             for _ in range(2):
                 self.schedule.after(self.returns.uniform(0, seconds), self.copy_store)
+        if self.backlogs:
+            self.schedule.after(self.backlogs.uniform(0, seconds / 2), self.miss_backlog)
         if self.links:
             for _ in range(int(seconds)):
                 self.schedule.after(self.links.uniform(0, seconds), self.lose_links)
@@ -99,6 +106,8 @@
         self.run_phase(seconds, 0.25, self.unplanned * 2 + self.planned)
 
     def planned_phase(self, seconds):
+        if self.backlogs:
+            self.miss_backlog()
         self.add_orders(seconds)
         self.add_rollout(seconds)
         self.run_phase(seconds, 0.6, self.planned)
@@ -252,6 +261,21 @@
             link.reset_connections()
         self.disturb(f"cut {daemon.name} from the store ({how})", link.heal, longest=5.0)
 
+    def miss_backlog(self):
+        """Cuts all daemons from the store until a key that was removed last must no longer be accepted."""
+        seconds = KEY_BOUND + BACKLOG_SIZE * BACKLOG_GAP + self.backlogs.uniform(0.2, 1.0)
+        links = [daemon.to_store for daemon in self.world.daemons]
+        for link in links:
+            link.refuses = True
+            link.reset_connections()
+        for step in range(BACKLOG_SIZE):
+            self.schedule.after(BACKLOG_GAP * step, self.world.publish)
+        self.schedule.after(BACKLOG_GAP * BACKLOG_SIZE, self.world.change_keys)
+        self.schedule.after(seconds, lambda: [link.heal() for link in links])
+        self.note(f"all daemons miss a backlog for {seconds:.2f} s")
+        start = time.monotonic()
+        self.disturbances.add("backlog", start, start + seconds)
+
     def impair_peer_link(self):
         daemon = self.daemon()
         if self.random.random() < 0.5:
--- a/Tests/Soak/world.py
+++ b/Tests/Soak/world.py
@@ -15,7 +15,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "Processes"))
 # pylint: disable=wrong-import-position
 from fleet import BUILD, Ports  # noqa: E402
-from platform_stand_ins import Store, Upstream  # noqa: E402
+from platform_stand_ins import Store, StoreLimits, Upstream  # noqa: E402
 from rollout_checks import supported_flags  # noqa: E402
 from test_lost_links import CUTTABLE, UPSTREAM_ADDRESS, BlackHole, detour_flags  # noqa: E402
 from test_platform import HOST, route  # noqa: E402
@@ -39,6 +39,8 @@
 FIRST_WITH_LINK_CUTS = 6000
 TIMEOUT = 2.0
 EVENTS = 12
+# The topics of a soak are small. So are the reads, or a daemon would never miss more than one returns.
+STORE_LIMITS = StoreLimits(read_kb=4, page_bytes=4096)
 
 
 class SoakUpstream(Upstream):
@@ -283,6 +285,7 @@
         self.network = Network(seed)
         self.ports = Ports(seed)
         self.store = Store()
+        self.store.limits = STORE_LIMITS
         self.is_over = False
         self.attempts = []
         self.upstreams = []
