Gateway: Show the age of each proof

Only the ages of the configuration and of the orders to empty halls were metrics, so an operator could not tell a daemon whose upstreams, registry or roll-out orders are outdated.

--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -624,6 +624,20 @@
     }
 }
 
+// -1 for state that was never proven.
+void Gateway::setAgeGauges()
+{
+    auto const setAge = [this](char const* name, std::optional<Instant> provenAt) {
+        m_metrics.setGauge(name, provenAt ? asSeconds(m_loop.now() - *provenAt) : -1);
+    };
+    setAge("stagepost_settings_age_seconds", m_settingsFreshness.age().confirmedAt());
+    setAge("stagepost_emptied_halls_age_seconds", m_emptiedHalls.age().confirmedAt());
+    setAge("stagepost_upstreams_age_seconds", m_directory.age().confirmedAt());
+    setAge("stagepost_registry_age_seconds", m_registry.provenAt());
+    if (m_rollouts)
+        setAge("stagepost_rollouts_age_seconds", m_rollouts->provenAt());
+}
+
 HttpResponse Gateway::renderMetrics()
 {
     setServiceGauges();
@@ -640,8 +654,7 @@
     m_metrics.setGauge("stagepost_owner_asks_unanswered", static_cast<double>(m_peers.unansweredPermitRequests()));
     m_metrics.setGauge("stagepost_asks_kept_from_cold_upstreams", static_cast<double>(m_peers.deniedColdRequests()));
     m_metrics.setGauge("stagepost_control_messages_sent", static_cast<double>(m_peers.messagesSent()));
-    m_metrics.setGauge("stagepost_settings_age_seconds", m_settingsFreshness.age().isKnown() ? asSeconds(settingsAge()) : -1);
-    m_metrics.setGauge("stagepost_emptied_halls_age_seconds", m_emptiedHalls.age().isKnown() ? asSeconds(*m_emptiedHalls.age().age(m_loop.now())) : -1);
+    setAgeGauges();
     if (m_rollouts)
         setRolloutGauges(*m_rollouts, m_metrics);
     m_metrics.setGauge("stagepost_ready", isReady() ? 1 : 0);
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -120,6 +120,7 @@
     HttpResponse refuse(Refusal const&);
     HttpResponse renderMetrics();
     void setServiceGauges();
+    void setAgeGauges();
     bool areKeysFresh() const;
     bool areVersionsKnown() const;
     bool isSettingsOverdue() const;
--- a/Tests/Processes/test_platform.py
+++ b/Tests/Processes/test_platform.py
@@ -572,6 +572,8 @@
         self.assertIn("stagepost_answers_total 1", text)
         self.assertIn("stagepost_settings_version 3", text)
         self.assertIn("stagepost_control_bytes_sent", text)
+        for state in ("settings", "emptied_halls", "upstreams", "registry"):
+            self.assertRegex(text, f"stagepost_{state}_age_seconds [0-9]")
         self.assertRegex(text, r'stagepost_requests_per_place\{service="[^"]+"\} ')
         self.assertRegex(text, r'stagepost_turned_away_share\{service="[^"]+"\} 0')
         self.assertRegex(text, r'stagepost_mean_load\{service="[^"]+"\} ')
