--- a/Services/stagepostd/SettingsFreshness.cpp
+++ b/Services/stagepostd/SettingsFreshness.cpp
@@ -11,7 +11,7 @@
 
 }
 
-bool SettingsFreshness::storeRead(StoreRead const& read)
+bool SettingsFreshness::storeRead(Read const& read)
 {
     // A store without eras that has lost records assigns their positions again.
     if (read.isComplete && read.position < m_position)
--- a/Services/stagepostd/SettingsFreshness.h
+++ b/Services/stagepostd/SettingsFreshness.h
@@ -28,7 +28,7 @@
     {
     }
 
-    struct StoreRead {
+    struct Read {
         // Whether the read returned a configuration that differs from the one in force.
         bool hasNewSettings { false };
         // Whether it returned the latest record of each key, not only appended records.
@@ -38,7 +38,7 @@
         Instant provenAt;
     };
     // Each of these returns whether the configuration in force is now proven as of a later time.
-    bool storeRead(StoreRead const&);
+    bool storeRead(Read const&);
     // No version was newer than this one at the given time.
     bool versionProven(uint64_t version, Instant provenAt);
     // This version is in force and covers the position, which is 0 if unknown.
--- a/Tests/platform/TestSettingsFreshness.cpp
+++ b/Tests/platform/TestSettingsFreshness.cpp
@@ -16,12 +16,12 @@
     return SettingsFreshness({ Milliseconds(500), Milliseconds(1600) });
 }
 
-SettingsFreshness::StoreRead readWith(uint64_t position, double time)
+SettingsFreshness::Read readWith(uint64_t position, double time)
 {
     return { true, false, position, at(time) };
 }
 
-SettingsFreshness::StoreRead readWithout(uint64_t position, double time)
+SettingsFreshness::Read readWithout(uint64_t position, double time)
 {
     return { false, false, position, at(time) };
 }
