--- a/Tests/platform/TestTopicRead.cpp
+++ b/Tests/platform/TestTopicRead.cpp
@@ -79,7 +79,9 @@
         body[7] = static_cast<char>(records.size());
         for (auto at = from; at < std::min(records.size(), from + recordsPerRead); ++at) {
             auto const& [key, value] = records[at];
-            body += std::string { 0, 0, 0, static_cast<char>(1 + key.size() + value.size()), static_cast<char>(key.size()) } + key + value;
+            body += { 0, 0, 0, static_cast<char>(1 + key.size() + value.size()), static_cast<char>(key.size()) };
+            body += key;
+            body += value;
         }
         return body;
     }
