LibProxy: Take back requests that were given up

What callers and operators saw: requests reached upstreams up to 2.8 s after these were acknowledged as leaving (2 s allowed), when a cut link came back.

Cause: every path that gives a request up closed its connection in the normal way, so that the kernel went on sending what the upstream had not acknowledged: timeouts, callers that left, the stop and the death of the daemon, calls to the store and to other daemons.

Change: connections that this process opens end with a reset, which discards these bytes, also if the process is killed. Where the request was answered, or the other end has acknowledged all of it, they are closed normally. The connection's destructor does it, not each path.

Connections that end are counted by end and reason.

--- a/Libraries/LibProxy/Detail/Exchange.h
+++ b/Libraries/LibProxy/Detail/Exchange.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibProxy/Detail/Native.h>
+#include <LibProxy/Detail/UpstreamConnections.h>
 #include <LibProxy/Exchange.h>
 #include <variant>
 
@@ -40,7 +40,7 @@
     void handleClientDisconnect();
 
     // The upstream connection in use, which is closed if the client disconnects.
-    void setUpstream(TcpStream* stream) { m_upstream = stream; }
+    void setUpstream(UpstreamConnection* connection) { m_upstream = connection; }
 
 private:
     void setAction(Action);
@@ -50,7 +50,7 @@
     ClockTimer m_actionReady;
     Action m_action;
     std::function<void()> m_disconnectCallback;
-    TcpStream* m_upstream { nullptr };
+    UpstreamConnection* m_upstream { nullptr };
     bool m_isClientDisconnected { false };
     bool m_isAborted { false };
 };
--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -36,7 +36,7 @@
 
 void Forwarder::handleTimeout()
 {
-    m_connection->stream.close();
+    m_connection->close();
     if (m_isWritingToClient)
         m_client.stream.close();
 }
@@ -78,13 +78,25 @@
 
 // A connection is reused only if the response repeated the request's id. Other upstreams
 // may leave an extra response on the connection, which the next request would receive.
+bool Forwarder::mayReuseConnection() const
+{
+    return m_connection->isAnswered && m_connection->isRequestWritten && m_parser.keep_alive() && !m_connection->buffer.size() && m_parser.get()[m_plan.requestIdField] == m_requestId;
+}
+
 void Forwarder::releaseConnection()
 {
-    if (!m_connection || !m_connection->isRequestWritten || !m_parser.is_done() || !m_parser.keep_alive() || m_connection->buffer.size())
+    if (!m_connection)
         return;
     bool const isWhole = !m_result.failure || m_result.verdict == Verdict::NotRun;
-    if (isWhole && m_parser.get()[m_plan.requestIdField] == m_requestId)
+    m_connection->isAnswered = isWhole && m_parser.is_done();
+    if (mayReuseConnection()) {
         m_connections.release(m_plan.upstream, std::move(m_connection), m_plan.maxIdleConnections);
+        return;
+    }
+    // The upstream may still read the rest of a request that it has answered.
+    if (!m_connection->isAnswered || m_connection->isRequestWritten)
+        m_connection->close();
+    m_result.connectionEnd = m_connection->end;
 }
 
 Net::awaitable<bool> Forwarder::connect()
@@ -94,7 +106,7 @@
     m_result.reusedConnection = m_connection != nullptr;
     if (!m_connection)
         m_connection = std::make_shared<UpstreamConnection>(m_context);
-    m_exchange.setUpstream(&m_connection->stream);
+    m_exchange.setUpstream(m_connection.get());
     m_watchdog.emplace(m_context, m_plan.connectTimeout, m_plan.deadline, [this] { handleTimeout(); });
     if (m_result.reusedConnection)
         co_return true;
@@ -105,6 +117,7 @@
         co_return false;
     }
     reportActivity(UpstreamActivity::Connected);
+    resetWhenClosed(m_connection->stream);
     m_connection->stream.socket().set_option(Tcp::no_delay(true), failure);
     co_return true;
 }
--- a/Libraries/LibProxy/Detail/Forwarder.h
+++ b/Libraries/LibProxy/Detail/Forwarder.h
@@ -60,6 +60,7 @@
     void reportActivity(UpstreamActivity);
     void fail(RefusalReason, std::string const& detail);
     void failUpstreamRead(NetError);
+    bool mayReuseConnection() const;
     void releaseConnection();
 
     Net::io_context& m_context;
--- a/Libraries/LibProxy/Detail/UpstreamConnections.cpp
+++ b/Libraries/LibProxy/Detail/UpstreamConnections.cpp
@@ -23,6 +23,18 @@
 
 }
 
+void UpstreamConnection::close()
+{
+    if (!stream.socket().is_open())
+        return;
+    if (!isAnswered) {
+        end = closeAfterGivingUp(stream);
+        return;
+    }
+    closeAfterAnswer(stream);
+    end = ConnectionEnd::Closed;
+}
+
 // Reuses the newest connection first, so that surplus ones expire.
 std::shared_ptr<UpstreamConnection> UpstreamConnections::acquire(Endpoint const& endpoint, Milliseconds maxIdleTime)
 {
--- a/Libraries/LibProxy/Detail/UpstreamConnections.h
+++ b/Libraries/LibProxy/Detail/UpstreamConnections.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibProxy/Detail/Native.h>
+#include <LibProxy/Detail/OutgoingConnection.h>
 #include <map>
 #include <memory>
 #include <vector>
@@ -12,6 +12,13 @@
         : stream(context)
     {
     }
+    ~UpstreamConnection() { close(); }
+    UpstreamConnection(UpstreamConnection const&) = delete;
+    UpstreamConnection& operator=(UpstreamConnection const&) = delete;
+
+    // Takes the last request back as far as possible, unless it was answered.
+    void close();
+
     TcpStream stream;
     // Bytes that were read from the stream and not parsed yet.
     Beast::flat_buffer buffer { maxUnparsedBytes };
@@ -20,6 +27,9 @@
     Microseconds keepAlive { Microseconds::max() };
     // Whether the last request has been written completely.
     bool isRequestWritten { true };
+    // Whether the last request has got its whole response.
+    bool isAnswered { true };
+    ConnectionEnd end { ConnectionEnd::None };
     NetError writeFailure;
 };
 
--- a/Libraries/LibProxy/Detail/UpstreamRequest.cpp
+++ b/Libraries/LibProxy/Detail/UpstreamRequest.cpp
@@ -46,6 +46,7 @@
 {
     auto const request = std::make_shared<Request const>(buildRequest(plan, requestId));
     connection->isRequestWritten = false;
+    connection->isAnswered = false;
     Http::async_write(connection->stream, *request, [connection, request](NetError failure, size_t) {
         connection->isRequestWritten = !failure;
         connection->writeFailure = failure;
--- a/Libraries/LibProxy/ForwardResult.h
+++ b/Libraries/LibProxy/ForwardResult.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/RefusalReason.h>
+#include <LibProxy/ConnectionEnd.h>
 #include <LibProxy/HttpMessage.h>
 #include <cstdint>
 #include <optional>
@@ -28,6 +29,7 @@
     // Whether the whole body fitted into maxRecordedBytes.
     bool isRecordingComplete { false };
     bool reusedConnection { false };
+    ConnectionEnd connectionEnd { ConnectionEnd::None };
     // Whether the answer had neither a length nor chunks, so that the end of the connection ended it. A process
     // that crashes may end its connections in the same way.
     bool endedWithConnection { false };
--- a/Libraries/LibProxy/HttpClient.cpp
+++ b/Libraries/LibProxy/HttpClient.cpp
@@ -1,6 +1,6 @@
 #include <LibProxy/HttpClient.h>
 
-#include <LibProxy/Detail/Native.h>
+#include <LibProxy/Detail/UpstreamConnections.h>
 
 namespace Stagepost {
 
@@ -17,13 +17,16 @@
     // the timeout of 1 s for reads from the store.
     constexpr int maxTimeoutsPerResponse = 8;
 
-    Net::awaitable<Result<HttpResponse>> fetchResponse(Endpoint endpoint, HttpRequest httpRequest, Milliseconds timeout)
+    Net::awaitable<Result<HttpResponse>> fetchResponse(Net::io_context& context, Endpoint endpoint, HttpRequest httpRequest, Milliseconds timeout)
     {
-        TcpStream stream(co_await Net::this_coro::executor);
+        UpstreamConnection connection(context);
+        auto& stream = connection.stream;
         stream.expires_after(timeout);
         auto [connectFailure] = co_await stream.async_connect(toNativeEndpoint<Tcp>(endpoint), useTuple);
         if (connectFailure)
             co_return Error(ErrorCode::Unreachable, endpoint.toString() + ": " + connectFailure.message());
+        resetWhenClosed(stream);
+        connection.isAnswered = false;
         stream.socket().set_option(Tcp::no_delay(true));
 
         Http::request<Http::string_body> request(Http::string_to_verb(httpRequest.method), httpRequest.target, 11);
@@ -43,14 +46,14 @@
         // Each read restarts the timeout. With a fixed timeout a large response would never
         // arrive over a slow link: every retry would start again from the first byte.
         auto const deadline = TransferClock::now() + maxTimeoutsPerResponse * timeout;
-        Beast::flat_buffer buffer(maxUnparsedBytes);
         while (!parser.is_done()) {
-            auto [readFailure, read] = co_await Http::async_read_some(stream, buffer, parser, useTuple);
+            auto [readFailure, read] = co_await Http::async_read_some(stream, connection.buffer, parser, useTuple);
             if (readFailure)
                 co_return makeTransferError(endpoint, readFailure);
             stream.expires_at(std::min(TransferClock::now() + timeout, deadline));
         }
 
+        connection.isAnswered = true;
         HttpResponse response;
         response.status = parser.get().result_int();
         for (auto const& field : parser.get())
@@ -63,7 +66,8 @@
 
 void HttpClient::fetch(Endpoint const& endpoint, HttpRequest httpRequest, Milliseconds timeout, Callback callback)
 {
-    Net::co_spawn(m_loop.native().context, fetchResponse(endpoint, std::move(httpRequest), timeout),
+    auto& context = m_loop.native().context;
+    Net::co_spawn(context, fetchResponse(context, endpoint, std::move(httpRequest), timeout),
         [callback = std::move(callback)](std::exception_ptr const& exception, Result<HttpResponse> result) {
             if (exception)
                 std::rethrow_exception(exception);
--- a/Services/stagepostd/DetourClient.cpp
+++ b/Services/stagepostd/DetourClient.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Hex.h>
 #include <charconv>
+#include <stagepostd/ConnectionMetrics.h>
 #include <stagepostd/DetourServer.h>
 
 namespace Stagepost {
@@ -125,6 +126,7 @@
 
 void DetourClient::finishSend(std::shared_ptr<Detour> const& detour, VMId daemon, ForwardResult const& result)
 {
+    countConnectionEnd(m_metrics, result);
     bool const isFailure = result.failure && !result.isCallerLost();
     bool const isDaemonAtFault = isFailure && (!detour->outcome.refusal || detour->mayTryElsewhere);
     m_peers.detourEnded(daemon, isDaemonAtFault);
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -4,6 +4,7 @@
 #include <LibBase/Log.h>
 #include <algorithm>
 #include <limits>
+#include <stagepostd/ConnectionMetrics.h>
 #include <stagepostd/GatewayReply.h>
 
 namespace Stagepost {
@@ -588,6 +589,7 @@
 void GatewayRequestHandler::recordOutcome(UpstreamId upstream, ForwardResult const& result)
 {
     auto const now = m_services.loop.now();
+    countConnectionEnd(m_services.metrics, result);
     auto const outcome = [&] {
         if (result.isCallerLost())
             return SendOutcome::Unknown;
