Session: Let slow clients read their answer to its end

What callers saw: one that reads slowly and has sent more bytes meanwhile could lose the rest of its last answer by a reset. Found while looking for resets that cut answers, not seen on the platform.

Cause: the session closed the connection right after it had shut its side down. The kernel resets a connection that is closed with unread bytes, and discards what it has yet to send.

Change: the session discards what the client sends until the client has closed as well, for the time that a request may take at most.

--- a/Libraries/LibProxy/Detail/Session.cpp
+++ b/Libraries/LibProxy/Detail/Session.cpp
@@ -1,6 +1,7 @@
 #include <LibProxy/Detail/Session.h>
 
 #include <LibProxy/Detail/Forwarder.h>
+#include <array>
 #include <sys/socket.h>
 
 namespace Stagepost {
@@ -49,9 +50,21 @@
         if (m_server->stopped)
             break;
     }
+    co_await end();
     m_server->sessions.erase(this);
-    NetError ignored;
-    m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+}
+
+// Waits until the client has closed the connection as well. Closing it while bytes of the client are unread
+// would reset it, and the client would lose the part of its answer that it has yet to read.
+Net::awaitable<void> Session::end()
+{
+    m_isBusy = true;
+    NetError failure;
+    m_stream.socket().shutdown(Tcp::socket::shutdown_send, failure);
+    m_stream.expires_after(m_server->options.requestTimeout);
+    std::array<char, initialReadSize> discarded {};
+    while (!failure)
+        std::tie(failure, std::ignore) = co_await m_stream.async_read_some(Net::buffer(discarded), useTuple);
 }
 
 void Session::closeIfIdle()
--- a/Libraries/LibProxy/Detail/Session.h
+++ b/Libraries/LibProxy/Detail/Session.h
@@ -52,6 +52,7 @@
     Net::awaitable<bool> sendResponse(RequestParser const&, std::shared_ptr<SessionExchange>);
     Net::awaitable<bool> writeResponse(HttpResponse, unsigned version, bool keepAlive, bool isHead);
     Net::awaitable<void> rejectUnreadableRequest(NetError);
+    Net::awaitable<void> end();
     void watchForDisconnect(std::shared_ptr<SessionExchange> const&);
 
     std::shared_ptr<HttpServer::State> m_server;
--- /dev/null
+++ b/Tests/LibProxy/Sockets.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <LibProxy/Proxy.h>
+#include <arpa/inet.h>
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Stagepost {
+
+// A client with a blocking socket and no event loop.
+class Client {
+public:
+    explicit Client(Endpoint const& server, int receiveBufferSize = 0)
+        : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        if (receiveBufferSize)
+            ::setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receiveBufferSize, sizeof(receiveBufferSize));
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(server.port);
+        ::inet_pton(AF_INET, server.address.c_str(), &address.sin_addr);
+        BOOST_REQUIRE(::connect(m_socket, reinterpret_cast<sockaddr const*>(&address), sizeof(address)) == 0);
+    }
+    ~Client() { ::close(m_socket); }
+    Client(Client const&) = delete;
+    Client& operator=(Client const&) = delete;
+
+    void send(std::string_view bytes) const { BOOST_REQUIRE(::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size())); }
+
+    // Returns the received bytes without blocking.
+    std::string receive() const
+    {
+        std::array<char, 4096> buffer {};
+        auto const size = ::recv(m_socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        return size > 0 ? std::string(buffer.data(), static_cast<size_t>(size)) : std::string();
+    }
+
+    enum class End {
+        None,
+        Normal,
+        Reset,
+    };
+
+    // Appends what has arrived to the text, and returns whether the server has ended the connection.
+    End receiveAll(std::string& text) const
+    {
+        std::array<char, 4096> buffer {};
+        while (true) {
+            auto const size = ::recv(m_socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+            if (size == 0)
+                return End::Normal;
+            if (size < 0)
+                return errno == EAGAIN ? End::None : End::Reset;
+            text.append(buffer.data(), static_cast<size_t>(size));
+        }
+    }
+
+private:
+    int m_socket;
+};
+
+}
--- a/Tests/LibProxy/TestHttpServer.cpp
+++ b/Tests/LibProxy/TestHttpServer.cpp
@@ -1,46 +1,9 @@
-#include <LibProxy/Proxy.h>
-#include <arpa/inet.h>
+#include <LibProxy/Sockets.h>
 #include <boost/test/unit_test.hpp>
-#include <sys/socket.h>
 #include <thread>
-#include <unistd.h>
 
 using namespace Stagepost;
 
-namespace {
-
-// A client with a blocking socket and no event loop.
-class Client {
-public:
-    explicit Client(Endpoint const& server)
-        : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(server.port);
-        ::inet_pton(AF_INET, server.address.c_str(), &address.sin_addr);
-        BOOST_REQUIRE(::connect(m_socket, reinterpret_cast<sockaddr const*>(&address), sizeof(address)) == 0);
-    }
-    ~Client() { ::close(m_socket); }
-    Client(Client const&) = delete;
-    Client& operator=(Client const&) = delete;
-
-    void send(std::string_view bytes) const { BOOST_REQUIRE(::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size())); }
-
-    // Returns the received bytes without blocking.
-    std::string receive() const
-    {
-        std::array<char, 4096> buffer {};
-        auto const size = ::recv(m_socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
-        return size > 0 ? std::string(buffer.data(), static_cast<size_t>(size)) : std::string();
-    }
-
-private:
-    int m_socket;
-};
-
-}
-
 BOOST_AUTO_TEST_SUITE(HttpServerTests)
 
 // Guards against a race between a request's arrival and stopListening(). The request must either get
@@ -87,4 +50,29 @@
     BOOST_TEST(next.receive().find("Connection: close") == std::string::npos);
 }
 
+// Guards against answers that are cut by a reset: the server closes the connection after its answer, while bytes
+// of the client are unread and the client has yet to read most of the answer.
+BOOST_AUTO_TEST_CASE(SlowClientThatSendsMoreGetsTheWholeAnswer)
+{
+    constexpr size_t answerSize = 2u << 20;
+    constexpr int receiveBufferSize = 4096;
+    EventLoop loop;
+    HttpServer server(
+        loop, {}, [](std::shared_ptr<Exchange> const& exchange) { exchange->respond(makeTextResponse(200, std::string(answerSize, 'x'))); }, [](Refusal const&) { return makeTextResponse(400, ""); });
+    auto const endpoint = server.listen({ "127.0.0.1", 0 });
+    server.setCloseAfterResponse(true);
+    Client const client(*endpoint, receiveBufferSize);
+    client.send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+    loop.runFor(Milliseconds(20));
+    client.send("GET /y HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::string received;
+    auto end = Client::End::None;
+    for (int round = 0; round < 2000 && end == Client::End::None; ++round) {
+        loop.runFor(Milliseconds(1));
+        end = client.receiveAll(received);
+    }
+    BOOST_TEST((end == Client::End::Normal));
+    BOOST_TEST(received.size() > answerSize);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
