Session: End answers that were cut with a reset, where nothing else tells

What callers saw: without chunked encoding a stream that was cut looked whole.

Cause: the end of the connection is the end of an answer that has neither a length nor chunks, and each session ended its connection normally, whether the answer was whole or not. So does the kernel of a daemon that is killed.

Change: such an answer's connection is set to end with a reset from its header on, and to end normally once it is whole.

Before: 3 of 5 cases of ResponseEndsTests fail (an upstream that breaks off, an aborted stream, a server that stops).

--- a/Libraries/LibProxy/Detail/OutgoingConnection.cpp
+++ b/Libraries/LibProxy/Detail/ConnectionClose.cpp
@@ -1,4 +1,4 @@
-#include <LibProxy/Detail/OutgoingConnection.h>
+#include <LibProxy/Detail/ConnectionClose.h>
 
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
@@ -28,6 +28,11 @@
     setReset(stream, true);
 }
 
+void closeNormally(TcpStream& stream)
+{
+    setReset(stream, false);
+}
+
 void closeAfterAnswer(TcpStream& stream)
 {
     if (!stream.socket().is_open())
--- a/Libraries/LibProxy/Detail/OutgoingConnection.h
+++ b/Libraries/LibProxy/Detail/ConnectionClose.h
@@ -5,12 +5,16 @@
 
 namespace Stagepost {
 
-// The ends of connections that this process has opened. After a normal close the kernel goes on sending
-// what the peer has not acknowledged, so a request that was given up during a network outage would reach
-// its upstream seconds later. A reset discards these bytes.
+// After a normal close the kernel goes on sending what the peer has not acknowledged, and the peer reads all
+// of it before the end. A reset discards these bytes, and the peer sees that the connection broke off.
 
 // Lets the connection end with a reset, however it ends: also if this process is killed.
 void resetWhenClosed(TcpStream&);
+// Undoes that.
+void closeNormally(TcpStream&);
+
+// The following close connections that this process has opened. A request that was given up during a network
+// outage would otherwise reach its upstream seconds later.
 
 // Closes a connection whose request was answered: the peer still reads all that was sent.
 void closeAfterAnswer(TcpStream&);
--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -51,6 +51,7 @@
     m_isHeaderWritten = m_plan.progress && m_plan.progress->isHeaderSent;
     m_result.responseStarted = m_isHeaderWritten;
     m_isChunked = m_isHeaderWritten && m_client.supportsChunked;
+    m_isEndedByClose = m_isHeaderWritten && !m_isChunked;
     co_await attempt();
     m_exchange.setUpstream(nullptr);
     m_watchdog.reset();
@@ -311,6 +312,8 @@
     bool const hasBody = !m_client.isHeadRequest && mayHaveBody(m_result.status);
     m_isChunked = hasBody && !length && m_client.supportsChunked;
     m_isClientKeptAlive = m_client.keepAlive && (!hasBody || length || m_isChunked);
+    if (hasBody && !length && !m_isChunked)
+        endByClose();
     response.keep_alive(m_isClientKeptAlive);
     if (length)
         response.content_length(*length);
@@ -326,6 +329,13 @@
     co_return finishWrite(failure);
 }
 
+// Only a reset tells the client that such a response was cut.
+void Forwarder::endByClose()
+{
+    m_isEndedByClose = true;
+    resetWhenClosed(m_client.stream);
+}
+
 Net::awaitable<bool> Forwarder::writeBodyChunk(std::string_view bytes)
 {
     auto const buffer = Net::buffer(bytes.data(), bytes.size());
@@ -356,6 +366,8 @@
         if (!canContinue)
             co_return false;
     }
+    if (m_isEndedByClose)
+        closeNormally(m_client.stream);
     if (!m_isChunked)
         co_return true;
     m_isWritingToClient = true;
--- a/Libraries/LibProxy/Detail/Forwarder.h
+++ b/Libraries/LibProxy/Detail/Forwarder.h
@@ -32,6 +32,8 @@
 
     // Whether the client's connection can be used for another request.
     bool isClientKeptAlive() const { return m_isClientKeptAlive; }
+    // Whether the response has neither a length nor chunks, so that the end of the connection ends it.
+    bool isResponseEndedByClose() const { return m_isEndedByClose; }
 
 private:
     using ResponseParser = Http::response_parser<Http::buffer_body>;
@@ -54,6 +56,7 @@
     Net::awaitable<bool> finishResponse();
     Net::awaitable<void> writeErrorEvent();
     bool finishWrite(NetError);
+    void endByClose();
     HttpFields upstreamHeaders() const;
     std::optional<uint64_t> upstreamContentLength() const;
     void handleTimeout();
@@ -79,6 +82,7 @@
     std::string m_requestId;
     bool m_isHeaderWritten { false };
     bool m_isChunked { false };
+    bool m_isEndedByClose { false };
     bool m_isEventStream { false };
     bool m_isWritingToClient { false };
     bool m_isClientKeptAlive { false };
--- a/Libraries/LibProxy/Detail/Session.cpp
+++ b/Libraries/LibProxy/Detail/Session.cpp
@@ -54,10 +54,14 @@
     m_server->sessions.erase(this);
 }
 
-// Waits until the client has closed the connection as well. Closing it while bytes of the client are unread
+// Unless a cut response has to end with a reset, waits until the client has closed the connection as well. Closing it while bytes of the client are unread
 // would reset it, and the client would lose the part of its answer that it has yet to read.
 Net::awaitable<void> Session::end()
 {
+    if (m_isResponseCut) {
+        m_stream.close();
+        co_return;
+    }
     m_isBusy = true;
     NetError failure;
     m_stream.socket().shutdown(Tcp::socket::shutdown_send, failure);
@@ -151,6 +155,7 @@
             co_return false;
         Forwarder forwarder(m_server->context, *m_server->upstreams, *exchange, { m_stream, version >= 11, keepAlive, isHead }, forward->plan);
         auto const result = co_await forwarder.run();
+        m_isResponseCut = result.failure && forwarder.isResponseEndedByClose();
         forward->callback(result);
         bool const canContinue = result.failure && forward->plan.progress;
         if (result.responseStarted && !canContinue)
--- a/Libraries/LibProxy/Detail/Session.h
+++ b/Libraries/LibProxy/Detail/Session.h
@@ -60,6 +60,8 @@
     Beast::flat_buffer m_buffer { maxUnparsedBytes };
     Net::cancellation_signal m_stopWatching;
     bool m_isBusy { false };
+    // Whether the client was sent a part of a response that the end of its connection would complete.
+    bool m_isResponseCut { false };
 };
 
 }
--- a/Libraries/LibProxy/Detail/UpstreamConnections.h
+++ b/Libraries/LibProxy/Detail/UpstreamConnections.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibProxy/Detail/OutgoingConnection.h>
+#include <LibProxy/Detail/ConnectionClose.h>
 #include <map>
 #include <memory>
 #include <vector>
