GatewayRequestHandler: Move crash evidence and roll-out samples out

Change: RequestEvidence has what a request shows about crashing requests and prompt parts, AnswerSampler what its sends and answers show about versions that are rolled out.

--- /dev/null
+++ b/Services/stagepostd/AnswerSampler.cpp
@@ -0,0 +1,88 @@
+#include <stagepostd/AnswerSampler.h>
+
+namespace Stagepost {
+
+namespace {
+
+    constexpr unsigned firstServerError = 500;
+
+}
+
+AnswerSampler::AnswerSampler(GatewayServices const& services, RoutedRequest const& request, ServicePlacement const& placement, RequestEvidence const& evidence)
+    : m_services(services)
+    , m_request(request)
+    , m_placement(placement)
+    , m_evidence(evidence)
+{
+}
+
+bool AnswerSampler::startSend(ServicePlacement::Choice const& choice, UpstreamRole role, bool isContextNew, uint64_t eventsBefore)
+{
+    if (!m_services.rollouts)
+        return true;
+    m_send = m_services.rollouts->startSend(choice.upstream, role, routeId());
+    m_firstDataAt.reset();
+    m_isContextNew = isContextNew;
+    auto const forecast = m_placement.forecast(choice.upstream, m_services.loop.now());
+    m_isUpstreamCold = forecast.isCold;
+    // The owner's count is exact, but not all requests need a permit.
+    auto const inFlight = choice.reason.owner.isNull() ? forecast.inFlight : static_cast<double>(choice.reason.counted);
+    m_isUnderLoad = m_send && m_services.rollouts->isUnderLoad(*m_send, inFlight, m_placement.meanLoad());
+    m_eventsBefore = eventsBefore;
+    return m_send.has_value();
+}
+
+void AnswerSampler::recordData(Instant now)
+{
+    if (!m_firstDataAt)
+        m_firstDataAt = now;
+}
+
+void AnswerSampler::finishSend(UpstreamId upstream, ForwardResult const& result, Instant sentAt, uint64_t events)
+{
+    if (!m_services.rollouts || !m_send)
+        return;
+    auto const now = m_services.loop.now();
+    AnswerSample sample;
+    sample.route = routeId();
+    sample.upstream = upstream;
+    sample.outcome = outcomeOf(result, sentAt);
+    sample.isStream = m_request.route->kind == RequestKind::Stream;
+    sample.isContextNew = m_isContextNew;
+    sample.isUpstreamCold = m_isUpstreamCold;
+    sample.isUnderLoad = m_isUnderLoad;
+    sample.firstByteTime = sample.isStream && m_firstDataAt ? *m_firstDataAt - sentAt : result.timeToResponseHeader;
+    sample.totalTime = now - sentAt;
+    sample.events = events - m_eventsBefore;
+    auto* rollouts = m_services.rollouts;
+    rollouts->finishSend(*m_send);
+    bool const isRolledOut = rollouts->rollouts().contains(m_send->service);
+    if (isRolledOut && (sample.outcome == AnswerOutcome::Broken || sample.outcome == AnswerOutcome::TimedOut)) {
+        // When this daemon's links are lost, answers of any version break off before the loss is known.
+        m_services.links.judgeFailure([rollouts, send = *m_send, sample, now](LinkState links) {
+            if (links == LinkState::Up)
+                rollouts->recordAnswer(send, sample, false, now);
+        });
+        return;
+    }
+    bool const isAnswered = sample.outcome == AnswerOutcome::Answered || sample.outcome == AnswerOutcome::Failed;
+    rollouts->recordAnswer(*m_send, sample, isAnswered && !std::exchange(m_hasBeenAnswered, true), now);
+}
+
+AnswerOutcome AnswerSampler::outcomeOf(ForwardResult const& result, Instant sentAt) const
+{
+    if (!result.failure)
+        return result.status >= firstServerError ? AnswerOutcome::Failed : AnswerOutcome::Answered;
+    if (result.isCallerLost() || result.isUnconnected() || result.failure == RefusalReason::OverCapacity)
+        return AnswerOutcome::Irrelevant;
+    if (result.status >= firstServerError)
+        return AnswerOutcome::Failed;
+    // Lost links break off answers of any version, and so may the request itself.
+    if (m_services.links.wasLostSince(sentAt) || m_evidence.isSuspect())
+        return AnswerOutcome::Irrelevant;
+    if (result.deadlineReached || result.failure == RefusalReason::UpstreamSlow)
+        return AnswerOutcome::TimedOut;
+    return AnswerOutcome::Broken;
+}
+
+}
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -26,11 +26,6 @@
     // Each further placement asks the owners of upstreams again.
     constexpr size_t maxEndedProcesses = 3;
 
-    bool isSuccess(unsigned status)
-    {
-        return status >= 200 && status < 300;
-    }
-
     // Callers may take a stream up until their deadline, and on their way here.
     constexpr Milliseconds streamRecordMargin { 1000 };
 
@@ -42,6 +37,8 @@
     , m_request(std::move(request))
     , m_service(services.serviceTable.service(m_request.service))
     , m_attempts(attemptLimitsOf(m_request), m_service.retries)
+    , m_evidence(services, m_exchange->request(), m_request, m_service.placement)
+    , m_sampler(services, m_request, m_service.placement, m_evidence)
 {
     if (m_request.route->kind == RequestKind::Stream)
         m_progress = std::make_shared<EventProgress>();
@@ -256,30 +253,13 @@
         refuse({ RefusalReason::DeadlinePassed, m_attempts.verdict(), "no time is left for an upstream to answer", {} });
         return false;
     }
-    // A caller's retry has a new id, so only the fingerprint shows that the same request has crashed
-    // upstreams before. Without this check it would crash another one.
-    if (m_services.crashDetector.hasSuspects() && m_services.crashDetector.isPoison(fingerprint())) {
-        refuse({ RefusalReason::EndsUpstreams, Verdict::MayHaveRun, "upstreams have ended under this request: it goes to none any more", {} });
-        return false;
-    }
-    if (hasPoisonPart()) {
-        auto const pause = std::chrono::duration_cast<Milliseconds>(m_services.partSuspects.timeToTrial(sharedParts(), m_services.loop.now()));
-        refuse({ RefusalReason::EndsUpstreams, m_attempts.verdict(), "upstreams have ended under requests with a part of this prompt: they go to none any more", pause });
+    if (auto const refusal = m_evidence.refusal(m_attempts.verdict())) {
+        refuse(*refusal);
         return false;
     }
     return true;
 }
 
-// Asked again before each send, since other requests may have given evidence in the meantime.
-bool GatewayRequestHandler::hasPoisonPart()
-{
-    if (m_isPartTrial || m_services.partSuspects.evidence().isEmpty())
-        return false;
-    auto const admission = m_services.partSuspects.admit(sharedParts(), m_services.loop.now());
-    m_isPartTrial = admission == PromptPartSuspects::Admission::Trial;
-    return admission == PromptPartSuspects::Admission::Denied;
-}
-
 ServicePlacement::Request GatewayRequestHandler::makePlacementRequest() const
 {
     ServicePlacement::Request placementRequest;
@@ -394,7 +374,7 @@
         releaseInFlight();
         return placeRequest();
     }
-    if (target && startVersionedSend(*choice))
+    if (target && m_sampler.startSend(*choice, m_role, m_isContextNew, eventCount()))
         return forward(*choice, *target);
     releaseInFlight();
     if (placeAtServingInstead())
@@ -405,21 +385,6 @@
     refuseUnreachable(m_lastFailure.value_or(noUpstreamRefusal()));
 }
 
-bool GatewayRequestHandler::startVersionedSend(ServicePlacement::Choice const& choice)
-{
-    if (!m_services.rollouts)
-        return true;
-    m_versionedSend = m_services.rollouts->startSend(choice.upstream, m_role, routeId());
-    m_firstDataAt.reset();
-    auto const forecast = m_service.placement.forecast(choice.upstream, m_services.loop.now());
-    m_isUpstreamCold = forecast.isCold;
-    // The owner's count is exact, but not all requests need a permit.
-    auto const inFlight = choice.reason.owner.isNull() ? forecast.inFlight : static_cast<double>(choice.reason.counted);
-    m_isUnderLoad = m_versionedSend && m_services.rollouts->isUnderLoad(*m_versionedSend, inFlight, m_service.placement.meanLoad());
-    m_eventsBeforeSend = m_progress ? m_progress->eventCount : 0;
-    return m_versionedSend.has_value();
-}
-
 Refusal GatewayRequestHandler::loadBoundRefusal() const
 {
     auto const pause = m_service.gate.retryDelay(m_service.placement.occupancy());
@@ -529,8 +494,7 @@
         silence.answerStarted(upstream, now - m_lastActivityAt, now);
         break;
     case UpstreamActivity::ResponseDataReceived:
-        if (!m_firstDataAt)
-            m_firstDataAt = now;
+        m_sampler.recordData(now);
         beginStream();
         silence.answerContinued(upstream, now - m_lastActivityAt, now);
         break;
@@ -615,81 +579,7 @@
     m_service.placement.finished(upstream, outcome, result.timeToResponseHeader, now - m_sentAt, now);
     releaseInFlight();
     m_services.serviceTable.silence().ended(upstream, now);
-    finishVersionedSend(upstream, result);
-}
-
-void GatewayRequestHandler::finishVersionedSend(UpstreamId upstream, ForwardResult const& result)
-{
-    if (!m_services.rollouts || !m_versionedSend)
-        return;
-    auto const now = m_services.loop.now();
-    AnswerSample sample;
-    sample.route = routeId();
-    sample.upstream = upstream;
-    sample.outcome = answerOutcome(result);
-    sample.isStream = m_request.route->kind == RequestKind::Stream;
-    sample.isContextNew = m_isContextNew;
-    sample.isUpstreamCold = m_isUpstreamCold;
-    sample.isUnderLoad = m_isUnderLoad;
-    sample.firstByteTime = sample.isStream && m_firstDataAt ? *m_firstDataAt - m_sentAt : result.timeToResponseHeader;
-    sample.totalTime = now - m_sentAt;
-    sample.events = m_progress ? m_progress->eventCount - m_eventsBeforeSend : 0;
-    auto* rollouts = m_services.rollouts;
-    rollouts->finishSend(*m_versionedSend);
-    bool const isRolledOut = rollouts->rollouts().contains(m_versionedSend->service);
-    if (isRolledOut && (sample.outcome == AnswerOutcome::Broken || sample.outcome == AnswerOutcome::TimedOut)) {
-        // When this daemon's links are lost, answers of any version break off before the loss is known.
-        m_services.links.judgeFailure([rollouts, send = *m_versionedSend, sample, now](LinkState links) {
-            if (links == LinkState::Up)
-                rollouts->recordAnswer(send, sample, false, now);
-        });
-        return;
-    }
-    bool const isAnswered = sample.outcome == AnswerOutcome::Answered || sample.outcome == AnswerOutcome::Failed;
-    rollouts->recordAnswer(*m_versionedSend, sample, isAnswered && !std::exchange(m_hasBeenAnswered, true), now);
-}
-
-AnswerOutcome GatewayRequestHandler::answerOutcome(ForwardResult const& result) const
-{
-    if (!result.failure)
-        return result.status >= firstServerError ? AnswerOutcome::Failed : AnswerOutcome::Answered;
-    if (result.isCallerLost() || result.isUnconnected() || result.failure == RefusalReason::OverCapacity)
-        return AnswerOutcome::Irrelevant;
-    if (result.status >= firstServerError)
-        return AnswerOutcome::Failed;
-    // Such a request may break off answers of any version, and so does the loss of this daemon's links.
-    if (m_services.links.wasLostSince(m_sentAt))
-        return AnswerOutcome::Irrelevant;
-    if (m_services.crashDetector.hasSuspects() && m_services.crashDetector.isSuspect(fingerprint()))
-        return AnswerOutcome::Irrelevant;
-    if (m_services.partSuspects.mayCrashAgain(sharedParts()))
-        return AnswerOutcome::Irrelevant;
-    if (result.deadlineReached || result.failure == RefusalReason::UpstreamSlow)
-        return AnswerOutcome::TimedOut;
-    return AnswerOutcome::Broken;
-}
-
-void GatewayRequestHandler::reportBrokenAnswer(UpstreamId upstream)
-{
-    auto const* target = m_services.serviceTable.target(upstream);
-    if (target && !m_service.placement.mayHaveCrashedUnderLoad(upstream, m_services.loop.now()))
-        m_services.crashDetector.requestBroken({ fingerprint(), upstream, target->instance, target->endpoint, sharedParts() });
-}
-
-void GatewayRequestHandler::recordCompleteAnswer(UpstreamId upstream, ForwardResult const& result)
-{
-    if (result.status >= firstServerError)
-        return;
-    if (result.endedWithConnection) {
-        auto const* target = m_services.serviceTable.target(upstream);
-        if (target && m_progress && !m_service.placement.mayHaveCrashedUnderLoad(upstream, m_services.loop.now()))
-            m_services.crashDetector.answerEndedWithConnection({ fingerprint(), upstream, target->instance, target->endpoint, sharedParts() }, m_sentAt);
-        return;
-    }
-    if (m_services.crashDetector.hasSuspects())
-        m_services.crashDetector.requestAnswered(fingerprint());
-    if (isSuccess(result.status))
-        m_services.crashDetector.promptAnswered(sharedParts(), m_sentAt);
+    m_sampler.finishSend(upstream, result, m_sentAt, eventCount());
 }
 
 void GatewayRequestHandler::handleForwardResult(UpstreamId upstream, ForwardResult const& result)
@@ -698,20 +588,20 @@
     if (!result.failure) {
         m_service.placement.recordFirstByteWait(m_request.call.prompt.tokens(), result.timeToResponseHeader);
         m_attempts.recordResponse();
-        recordCompleteAnswer(upstream, result);
+        m_evidence.answerCompleted(upstream, result, m_progress != nullptr, m_sentAt);
         m_services.metrics.count("stagepost_answers_total");
         log("answered", result, "none", m_attempts.verdict());
         return;
     }
     if (result.failure == RefusalReason::UpstreamBroken && result.verdict == Verdict::MayHaveRun)
-        reportBrokenAnswer(upstream);
+        m_evidence.answerBroke(upstream);
     FailedAttempt attempt;
     attempt.verdict = result.verdict;
     attempt.isUnconnected = result.isUnconnected();
     attempt.isRejected = result.verdict == Verdict::NotRun && result.failure == RefusalReason::OverCapacity;
     attempt.deadlinePassed = result.deadlineReached;
     attempt.isCallerLost = result.isCallerLost();
-    attempt.mayCrashUpstreams = attempt.verdict != Verdict::NotRun && (m_isPartTrial || m_services.partSuspects.mayCrashAgain(sharedParts()));
+    attempt.mayCrashUpstreams = attempt.verdict != Verdict::NotRun && m_evidence.mayCrashUpstreams();
     if (m_attempts.recordFailure(upstream, attempt, m_services.loop.now())) {
         log("sent-again", result, nameOf(*result.failure), m_attempts.verdict());
         m_services.metrics.countRetry(nameOf(*result.failure));
@@ -772,43 +662,15 @@
     m_exchange->respond(gatewayReply(reply));
 }
 
-Fingerprint GatewayRequestHandler::fingerprint() const
-{
-    auto const& call = m_exchange->request();
-    if (!m_fingerprint)
-        m_fingerprint = m_services.fingerprintOf({ m_request.organisation, call.method, call.headers.find("Host"), call.target, call.body });
-    return *m_fingerprint;
-}
-
-std::vector<Fingerprint> const& GatewayRequestHandler::sharedParts() const
-{
-    if (!m_sharedParts) {
-        m_sharedParts.emplace();
-        for (auto const& part : m_request.call.prompt.sharedParts())
-            m_sharedParts->push_back(m_services.partFingerprintOf(m_request.service, part.idHash));
-    }
-    return *m_sharedParts;
-}
-
-std::string GatewayRequestHandler::formatSharedParts() const
-{
-    std::string text;
-    for (auto const part : sharedParts())
-        text += (text.empty() ? "" : ",") + toHex(part.value());
-    return text;
-}
-
 std::vector<LogField> GatewayRequestHandler::additionalLogFields(std::string_view outcome) const
 {
     std::vector<LogField> fields;
     if (m_services.rollouts || m_request.route->kind == RequestKind::Stream)
         fields.emplace_back("version", m_version);
-    if (m_services.rollouts) {
-        auto const send = m_versionedSend.value_or(VersionedSend {});
-        fields.emplace_back("role", send.role == UpstreamRole::Candidate ? "candidate" : "serving");
-    }
+    if (m_services.rollouts)
+        fields.emplace_back("role", m_sampler.role() == UpstreamRole::Candidate ? "candidate" : "serving");
     if (outcome != "answered") {
-        fields.emplace_back("prompt_parts", formatSharedParts());
+        fields.emplace_back("prompt_parts", m_evidence.formatSharedParts());
         auto const budget = m_service.retries.usage(m_services.loop.now());
         fields.emplace_back("budget_requests", budget.requests);
         fields.emplace_back("budget_retries", budget.retries);
@@ -822,7 +684,7 @@
 {
     auto const now = m_services.loop.now();
     logRequest(
-        { { "id", m_request.call.id }, { "request", outcome == "answered" ? "" : toHex(fingerprint().value()) }, { "outcome", outcome }, { "reason", reason }, { "verdict", nameOf(verdict) },
+        { { "id", m_request.call.id }, { "request", outcome == "answered" ? "" : toHex(m_evidence.fingerprint().value()) }, { "outcome", outcome }, { "reason", reason }, { "verdict", nameOf(verdict) },
             { "status", result.status }, { "route", m_request.route->name }, { "service", m_request.service },
             { "organisation", m_request.organisation }, { "context", toHex(m_request.call.prompt.sharedKey().value_or(0)) },
             { "upstream", m_instance }, { "context_source", m_contextSource }, { "placed_by", nameOf(m_placementReason.rule) }, { "counts_age_ms", m_placementReason.countsAge.count() / 1000 }, { "hold_ms", m_placementReason.hold.count() / 1000 }, { "owners_asked", m_placementReason.asks }, { "owner_counted", m_placementReason.counted }, { "owner_limit", m_placementReason.limit }, { "owner", m_placementReason.owner == VMId {} ? "" : toHex(m_placementReason.owner.value()) }, { "mean_load", m_placementReason.mean }, { "rest_left_ms", m_remainingBackoff.count() / 1000 }, { "sends", m_attempts.sends() }, { "detour", m_detour }, { "detour_from", m_request.detour ? toHex(m_request.detour->from.value()) : "" },
--- a/Services/stagepostd/GatewayRequestHandler.h
+++ b/Services/stagepostd/GatewayRequestHandler.h
@@ -3,7 +3,9 @@
 #include <LibBase/Log.h>
 #include <LibProxy/Exchange.h>
 #include <LibRouting/RequestAttempts.h>
+#include <stagepostd/AnswerSampler.h>
 #include <stagepostd/GatewayServices.h>
+#include <stagepostd/RequestEvidence.h>
 #include <stagepostd/RoutedRequest.h>
 
 namespace Stagepost {
@@ -62,10 +64,7 @@
     size_t idleConnectionLimit(Service const*) const;
     GatewaySend buildSend(ServicePlacement::Choice const&, ServiceTable::Target const&, Service const*, Instant now);
     ForwardPlan buildForwardPlan(ServicePlacement::Choice const&, ServiceTable::Target const&, Instant now);
-    // Returns false if the upstream's version must not get the request any more.
-    bool startVersionedSend(ServicePlacement::Choice const&);
-    void finishVersionedSend(UpstreamId, ForwardResult const&);
-    AnswerOutcome answerOutcome(ForwardResult const&) const;
+    uint64_t eventCount() const { return m_progress ? m_progress->eventCount : 0; }
     RouteId routeId() const { return RouteId::fromName(m_request.route->name); }
     void forward(ServicePlacement::Choice const&, ServiceTable::Target const&);
     void recordActivity(UpstreamId, UpstreamActivity);
@@ -74,21 +73,12 @@
     void handleBackoffRequest(UpstreamId, Milliseconds);
     size_t sizeForRetry(Instant now) const;
     bool couldSendAgain() const;
-    void recordCompleteAnswer(UpstreamId, ForwardResult const&);
     void handleForwardResult(UpstreamId, ForwardResult const&);
     void recordOutcome(UpstreamId, ForwardResult const&);
-    // Whether a part of the prompt crashes upstreams, so that the request may not be sent.
-    bool hasPoisonPart();
-    // Reports an answer that broke off to the crash detector.
-    void reportBrokenAnswer(UpstreamId);
     void failRequest(ForwardResult const&);
     // Refuses a request that reached no upstream, or passes it on if this daemon's links are at fault.
     void refuseUnreachable(Refusal const&);
     void refuse(Refusal const&);
-    Fingerprint fingerprint() const;
-    // The parts of the prompt that other requests may have as well.
-    std::vector<Fingerprint> const& sharedParts() const;
-    std::string formatSharedParts() const;
     std::vector<LogField> additionalLogFields(std::string_view outcome) const;
     // The verdict is the one that the caller gets, or would get if it had not left.
     void log(std::string_view outcome, ForwardResult const&, std::string_view reason, Verdict) const;
@@ -98,6 +88,8 @@
     RoutedRequest m_request;
     ServiceTable::Entry& m_service;
     RequestAttempts m_attempts;
+    RequestEvidence m_evidence;
+    AnswerSampler m_sampler;
     std::shared_ptr<EventProgress> m_progress;
     std::string m_instance;
     // The version of its software.
@@ -114,8 +106,6 @@
     Microseconds m_remainingBackoff { 0 };
     // The upstream at which owners count the request as in flight.
     std::optional<UpstreamId> m_countedUpstream;
-    // Whether the request is sent to find out whether a part of its prompt still crashes upstreams.
-    bool m_isPartTrial { false };
     // When the request was last sent.
     Instant m_sentAt;
     // When the upstream last showed activity, or the request was last sent, whichever is later.
@@ -123,26 +113,14 @@
     std::optional<Refusal> m_lastFailure;
     // Which upstreams the request may be sent to.
     UpstreamRole m_role { UpstreamRole::Serving };
-    // The current or latest send, where roll-outs are switched on.
-    std::optional<VersionedSend> m_versionedSend;
     // Whether the request counts for the retry budget.
     bool m_isCounted { false };
     // The daemon that the request was passed on to.
     std::string m_detour;
     // How many times the role of an upstream has changed before the request was sent there.
     size_t m_roleChanges { 0 };
-    bool m_hasBeenAnswered { false };
     // Whether the upstream's owner has not seen the request's context there.
     bool m_isContextNew { false };
-    // Whether the upstream was cold when the request was sent. Its times say nothing about its version.
-    bool m_isUpstreamCold { false };
-    bool m_isUnderLoad { false };
-    // When the first part of the answer's body arrived, and the events that were sent before.
-    std::optional<Instant> m_firstDataAt;
-    size_t m_eventsBeforeSend { 0 };
-    // Computed when first needed, since few requests fail.
-    mutable std::optional<Fingerprint> m_fingerprint;
-    mutable std::optional<std::vector<Fingerprint>> m_sharedParts;
 };
 
 }
--- /dev/null
+++ b/Services/stagepostd/RequestEvidence.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <LibProxy/ForwardResult.h>
+#include <LibRouting/ServicePlacement.h>
+#include <stagepostd/GatewayServices.h>
+#include <stagepostd/RoutedRequest.h>
+
+namespace Stagepost {
+
+// Whether a request may crash upstreams, as a whole or by a part of its prompt, and what its answers show
+// about that.
+class RequestEvidence {
+public:
+    // All references must outlive this object.
+    RequestEvidence(GatewayServices const&, HttpRequest const&, RoutedRequest const&, ServicePlacement const&);
+
+    // Why the request must go to no upstream any more; none if it may. To be asked before each send, since
+    // other requests may have given evidence in the meantime.
+    std::optional<Refusal> refusal(Verdict);
+    // Whether upstreams have crashed under a part of its prompt, and no request with it was answered since.
+    bool mayCrashUpstreams() const;
+    // Whether it may be at fault for an answer that broke off.
+    bool isSuspect() const;
+
+    // The upstream has broken its answer off.
+    void answerBroke(UpstreamId);
+    // The upstream has sent a whole answer to a request that was sent at the given time.
+    void answerCompleted(UpstreamId, ForwardResult const&, bool isStream, Instant sentAt);
+
+    Fingerprint fingerprint() const;
+    // The parts of the prompt that other requests may have as well, for the log.
+    std::string formatSharedParts() const;
+
+private:
+    bool hasPoisonPart();
+    std::vector<Fingerprint> const& sharedParts() const;
+    std::optional<CrashDetector::BrokenRequest> brokenRequest(UpstreamId) const;
+
+    GatewayServices const& m_services;
+    HttpRequest const& m_call;
+    RoutedRequest const& m_request;
+    ServicePlacement const& m_placement;
+    // Whether the request is sent to find out whether a part of its prompt still crashes upstreams.
+    bool m_isPartTrial { false };
+    // Computed when first needed, since few requests fail.
+    mutable std::optional<Fingerprint> m_fingerprint;
+    mutable std::optional<std::vector<Fingerprint>> m_sharedParts;
+};
+
+}
