--- a/Libraries/LibProxy/Detail/Session.cpp
+++ b/Libraries/LibProxy/Detail/Session.cpp
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr size_t initialReadSize = 4096; // bytes
+    // Read from a client after its last response. A client that goes on sending doesn't read it.
+    constexpr size_t maxDiscardedBytes = 256u << 10;
 
     HttpRequest toHttpRequest(Http::request<Http::string_body> const& message)
     {
@@ -67,8 +69,12 @@
     m_stream.socket().shutdown(Tcp::socket::shutdown_send, failure);
     m_stream.expires_after(m_server->options.requestTimeout);
     std::array<char, initialReadSize> discarded {};
-    while (!failure)
-        std::tie(failure, std::ignore) = co_await m_stream.async_read_some(Net::buffer(discarded), useTuple);
+    size_t total = 0;
+    while (!failure && total < maxDiscardedBytes) {
+        size_t size = 0;
+        std::tie(failure, size) = co_await m_stream.async_read_some(Net::buffer(discarded), useTuple);
+        total += size;
+    }
 }
 
 void Session::closeIfIdle()
