GatewayRequestHandler: Leave a silent upstream only for a place that is granted

Cause: the watchdog asked whether the request could be sent again, and gave the upstream up at once. Whether it is sent again was decided afterwards, by another rule, and the retry was not reserved in between, so all streams that fall silent together saw the same last retry. The log of each cut has upstream-slow, sends=1, a credit below 1 and no slack. After that, placement could refuse as well.

Change: the request waits on at the silent upstream while it reserves a retry and looks for a place as any request does. It leaves once the place is granted and the retry is spent; if the upstream goes on before, both are given back. One rule decides about both. The search for a place is PlaceFinder's, and InFlightPlace gives back what owners count for a request on every path.

OnlyOneSilentRequestTakesTheLastRetry and SilentRequestMovesOnlyIfItMayBeSentAgain show the rule; the functions that they call did not exist before.

--- a/Libraries/LibProxy/Detail/Exchange.cpp
+++ b/Libraries/LibProxy/Detail/Exchange.cpp
@@ -17,6 +17,14 @@
     co_return std::exchange(m_action, Action {});
 }
 
+void SessionExchange::stopForward()
+{
+    if (!m_upstream)
+        return;
+    m_isForwardStopped = true;
+    m_upstream->close();
+}
+
 void SessionExchange::handleClientDisconnect()
 {
     if (m_isClientDisconnected)
--- a/Libraries/LibProxy/Detail/Exchange.h
+++ b/Libraries/LibProxy/Detail/Exchange.h
@@ -25,6 +25,7 @@
     HttpRequest const& request() const override { return m_request; }
     void respond(HttpResponse response) override { setAction(std::move(response)); }
     void forward(ForwardPlan plan, ForwardCallback callback) override { setAction(ForwardAction { std::move(plan), std::move(callback) }); }
+    void stopForward() override;
     void abort() override
     {
         m_isAborted = true;
@@ -40,7 +41,12 @@
     void handleClientDisconnect();
 
     // The upstream connection in use, which is closed if the client disconnects.
-    void setUpstream(UpstreamConnection* connection) { m_upstream = connection; }
+    void setUpstream(UpstreamConnection* connection)
+    {
+        m_upstream = connection;
+        m_isForwardStopped = false;
+    }
+    bool isForwardStopped() const { return m_isForwardStopped; }
 
 private:
     void setAction(Action);
@@ -53,6 +59,7 @@
     UpstreamConnection* m_upstream { nullptr };
     bool m_isClientDisconnected { false };
     bool m_isAborted { false };
+    bool m_isForwardStopped { false };
 };
 
 }
--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -28,12 +28,21 @@
 void Forwarder::failUpstreamRead(NetError failure)
 {
     m_result.deadlineReached = m_watchdog->hasReachedDeadline();
-    if (m_watchdog->hasExpired())
+    if (m_watchdog->hasExpired() || m_exchange.isForwardStopped())
         fail(RefusalReason::UpstreamSlow, "the upstream was silent for too long");
     else
         fail(RefusalReason::UpstreamBroken, failure.message());
 }
 
+// Returns whether to go on waiting for the upstream.
+bool Forwarder::handleSilence()
+{
+    if (m_isWritingToClient || !m_plan.onSilence)
+        return false;
+    m_plan.onSilence();
+    return true;
+}
+
 void Forwarder::handleTimeout()
 {
     m_connection->close();
@@ -127,7 +136,7 @@
 {
     m_result.verdict = Verdict::MayHaveRun;
     m_watchdog->restart(m_plan.responseHeaderTimeout);
-    m_watchdog->setExtendCallback([this] { return !m_isWritingToClient && m_plan.shouldKeepWaiting && m_plan.shouldKeepWaiting(); });
+    m_watchdog->setExtendCallback([this] { return handleSilence(); });
     startWritingRequest(m_connection, m_plan, m_requestId);
 }
 
--- a/Libraries/LibProxy/Detail/Forwarder.h
+++ b/Libraries/LibProxy/Detail/Forwarder.h
@@ -59,6 +59,7 @@
     void endByClose();
     HttpFields upstreamHeaders() const;
     std::optional<uint64_t> upstreamContentLength() const;
+    bool handleSilence();
     void handleTimeout();
     void reportActivity(UpstreamActivity);
     void fail(RefusalReason, std::string const& detail);
--- a/Libraries/LibProxy/Exchange.h
+++ b/Libraries/LibProxy/Exchange.h
@@ -22,6 +22,9 @@
     virtual HttpRequest const& request() const = 0;
     virtual void respond(HttpResponse) = 0;
     virtual void forward(ForwardPlan, ForwardCallback) = 0;
+    // Gives the forward in progress up, for another one. Unless it has ended meanwhile, its callback gets
+    // UpstreamSlow as the failure.
+    virtual void stopForward() = 0;
     // Truncates the response by closing the client's connection. After a failure of a
     // stream with an EventProgress, the handler either forwards the request again or
     // aborts the exchange. Every other response that fails after its start is truncated
--- a/Libraries/LibRouting/RequestAttempts.cpp
+++ b/Libraries/LibRouting/RequestAttempts.cpp
@@ -49,7 +49,29 @@
 
 bool RequestAttempts::couldSendAgain(size_t upstreams, Instant now) const
 {
-    return m_limits.isRepeatable && m_sends < m_limits.maxSends && upstreams > m_failed.size() + 1 && m_budget.mayRetry(now);
+    return m_limits.isRepeatable && isSendLeft(now) && upstreams > m_failed.size() + 1 && m_budget.mayRetry(now);
+}
+
+std::optional<RetryBudget::Reservation> RequestAttempts::reserveMove(size_t upstreams, Instant now)
+{
+    return couldSendAgain(upstreams, now) ? m_budget.reserve(now) : std::nullopt;
+}
+
+bool RequestAttempts::spendMove(RetryBudget::Reservation& retry, Instant now)
+{
+    return isSendLeft(now) && m_budget.spend(retry, now);
+}
+
+void RequestAttempts::recordMove(UpstreamId silent)
+{
+    m_verdict = combine(m_verdict, Verdict::MayHaveRun);
+    m_failed.push_back(silent);
+}
+
+// Of those that the route allows, within the request's time.
+bool RequestAttempts::isSendLeft(Instant now) const
+{
+    return m_sends < m_limits.maxSends && m_rejections < maxRejections && !isOver(now);
 }
 
 bool RequestAttempts::mayDetour(Instant now) const
@@ -128,7 +150,7 @@
         return false;
     if (attempt.isUnconnected && m_sends == 0 && m_rejections == 0)
         return m_connectFailures < maxConnectFailures;
-    return m_sends < m_limits.maxSends && m_rejections < maxRejections && m_budget.mayRetry(now);
+    return isSendLeft(now) && m_budget.mayRetry(now);
 }
 
 Milliseconds RequestAttempts::retryAfter() const
--- a/Libraries/LibRouting/RequestAttempts.h
+++ b/Libraries/LibRouting/RequestAttempts.h
@@ -69,6 +69,13 @@
     // the current attempt fails. Also used when a response is overdue: if there is no
     // alternative, waiting longer costs nothing.
     bool couldSendAgain(size_t upstreams, Instant now) const;
+    // Keeps a retry for moving the request from a silent upstream to another one of the given number. None if
+    // it could not be sent again.
+    std::optional<RetryBudget::Reservation> reserveMove(size_t upstreams, Instant now);
+    // Spends the retry. Returns false if there is no time left or the retry is not allowed any more.
+    bool spendMove(RetryBudget::Reservation&, Instant now);
+    // The request has left the silent upstream.
+    void recordMove(UpstreamId silent);
     // Whether any upstream has got the request, and may have rejected it. Each further send counts as a
     // retry, whichever daemon it comes from.
     bool hasArrived() const { return m_sends + m_rejections > 0; }
@@ -107,6 +114,7 @@
 
 private:
     bool maySendAgain(FailedAttempt const&, Instant now) const;
+    bool isSendLeft(Instant now) const;
 
     AttemptLimits m_limits;
     RetryBudget& m_budget;
--- a/Libraries/LibRouting/RetryBudget.cpp
+++ b/Libraries/LibRouting/RetryBudget.cpp
@@ -37,7 +37,23 @@
 bool RetryBudget::mayRetry(Instant now) const
 {
     auto const available = usage(now);
-    return available.credit + std::max(0.0, available.unusedSlack) >= 1;
+    return available.credit + std::max(0.0, available.unusedSlack) >= 1 + static_cast<double>(*m_reserved);
+}
+
+std::optional<RetryBudget::Reservation> RetryBudget::reserve(Instant now)
+{
+    if (!mayRetry(now))
+        return {};
+    return Reservation(m_reserved);
+}
+
+bool RetryBudget::spend(Reservation& reservation, Instant now)
+{
+    reservation.release();
+    if (!mayRetry(now))
+        return false;
+    recordRetry(now);
+    return true;
 }
 
 // Spends the oldest credit first, since it expires first.
--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -4,6 +4,8 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <memory>
+#include <optional>
 
 namespace Stagepost {
 
@@ -51,10 +53,40 @@
     }
 
     void recordRequest(Instant now) { slotAt(now).requests += 1; }
+    // Whether a retry is allowed now, beside those that are reserved.
     bool mayRetry(Instant now) const;
     Usage usage(Instant now) const;
     void recordRetry(Instant now);
 
+    // Keeps a retry from other requests until it is spent or this object ends.
+    class Reservation {
+    public:
+        explicit Reservation(std::shared_ptr<size_t> count)
+            : m_count(std::move(count))
+        {
+            ++*m_count;
+        }
+        ~Reservation() { release(); }
+        Reservation(Reservation&&) = default;
+        Reservation& operator=(Reservation&&) = delete;
+        Reservation(Reservation const&) = delete;
+        Reservation& operator=(Reservation const&) = delete;
+
+        void release()
+        {
+            if (m_count)
+                --*m_count;
+            m_count.reset();
+        }
+
+    private:
+        std::shared_ptr<size_t> m_count;
+    };
+    // None if no retry is allowed now.
+    std::optional<Reservation> reserve(Instant now);
+    // Returns false if the credit for the retry has expired since.
+    bool spend(Reservation&, Instant now);
+
 private:
     // The window slides in steps. The additional slot keeps the retries of the partly expired step,
     // so that they are never undercounted.
@@ -84,6 +116,7 @@
     Bounds m_bounds;
     ShareHook m_slackShare;
     std::array<Slot, slotCount> m_slots {};
+    std::shared_ptr<size_t> m_reserved { std::make_shared<size_t>(0) };
 };
 
 }
--- a/Services/stagepostd/AnswerSampler.cpp
+++ b/Services/stagepostd/AnswerSampler.cpp
@@ -16,31 +16,38 @@
 {
 }
 
-bool AnswerSampler::startSend(ServicePlacement::Choice const& choice, UpstreamRole role, bool isContextNew, uint64_t eventsBefore)
+bool AnswerSampler::prepareSend(ServicePlacement::Choice const& choice, UpstreamRole role, bool isContextNew, uint64_t eventsBefore)
 {
+    m_prepared = {};
     if (!m_services.rollouts)
         return true;
-    m_send = m_services.rollouts->startSend(choice.upstream, role, routeId());
-    m_firstDataAt.reset();
-    m_isContextNew = isContextNew;
+    m_prepared.send = m_services.rollouts->startSend(choice.upstream, role, routeId());
+    m_prepared.isContextNew = isContextNew;
     auto const forecast = m_placement.forecast(choice.upstream, m_services.loop.now());
-    m_isUpstreamCold = forecast.isCold;
+    m_prepared.isUpstreamCold = forecast.isCold;
     // The owner's count is exact, but not all requests need a permit.
     auto const inFlight = choice.reason.owner.isNull() ? forecast.inFlight : static_cast<double>(choice.reason.counted);
-    m_isUnderLoad = m_send && m_services.rollouts->isUnderLoad(*m_send, inFlight, m_placement.meanLoad());
-    m_eventsBefore = eventsBefore;
-    return m_send.has_value();
+    m_prepared.isUnderLoad = m_prepared.send && m_services.rollouts->isUnderLoad(*m_prepared.send, inFlight, m_placement.meanLoad());
+    m_prepared.eventsBefore = eventsBefore;
+    return m_prepared.send.has_value();
+}
+
+void AnswerSampler::cancelPreparedSend()
+{
+    if (m_prepared.send)
+        m_services.rollouts->finishSend(*m_prepared.send);
+    m_prepared = {};
 }
 
 void AnswerSampler::recordData(Instant now)
 {
-    if (!m_firstDataAt)
-        m_firstDataAt = now;
+    if (!m_current.firstDataAt)
+        m_current.firstDataAt = now;
 }
 
 void AnswerSampler::finishSend(UpstreamId upstream, ForwardResult const& result, Instant sentAt, uint64_t events)
 {
-    if (!m_services.rollouts || !m_send)
+    if (!m_services.rollouts || !m_current.send)
         return;
     auto const now = m_services.loop.now();
     AnswerSample sample;
@@ -48,25 +55,25 @@
     sample.upstream = upstream;
     sample.outcome = outcomeOf(result, sentAt);
     sample.isStream = m_request.route->kind == RequestKind::Stream;
-    sample.isContextNew = m_isContextNew;
-    sample.isUpstreamCold = m_isUpstreamCold;
-    sample.isUnderLoad = m_isUnderLoad;
-    sample.firstByteTime = sample.isStream && m_firstDataAt ? *m_firstDataAt - sentAt : result.timeToResponseHeader;
+    sample.isContextNew = m_current.isContextNew;
+    sample.isUpstreamCold = m_current.isUpstreamCold;
+    sample.isUnderLoad = m_current.isUnderLoad;
+    sample.firstByteTime = sample.isStream && m_current.firstDataAt ? *m_current.firstDataAt - sentAt : result.timeToResponseHeader;
     sample.totalTime = now - sentAt;
-    sample.events = events - m_eventsBefore;
+    sample.events = events - m_current.eventsBefore;
     auto* rollouts = m_services.rollouts;
-    rollouts->finishSend(*m_send);
-    bool const isRolledOut = rollouts->rollouts().contains(m_send->service);
+    rollouts->finishSend(*m_current.send);
+    bool const isRolledOut = rollouts->rollouts().contains(m_current.send->service);
     if (isRolledOut && (sample.outcome == AnswerOutcome::Broken || sample.outcome == AnswerOutcome::TimedOut)) {
         // When this daemon's links are lost, answers of any version break off before the loss is known.
-        m_services.links.judgeFailure([rollouts, send = *m_send, sample, now](LinkState links) {
+        m_services.links.judgeFailure([rollouts, send = *m_current.send, sample, now](LinkState links) {
             if (links == LinkState::Up)
                 rollouts->recordAnswer(send, sample, false, now);
         });
         return;
     }
     bool const isAnswered = sample.outcome == AnswerOutcome::Answered || sample.outcome == AnswerOutcome::Failed;
-    rollouts->recordAnswer(*m_send, sample, isAnswered && !std::exchange(m_hasBeenAnswered, true), now);
+    rollouts->recordAnswer(*m_current.send, sample, isAnswered && !std::exchange(m_hasBeenAnswered, true), now);
 }
 
 AnswerOutcome AnswerSampler::outcomeOf(ForwardResult const& result, Instant sentAt) const
--- a/Services/stagepostd/AnswerSampler.h
+++ b/Services/stagepostd/AnswerSampler.h
@@ -15,18 +15,31 @@
     // All references must outlive this object.
     AnswerSampler(GatewayServices const&, RoutedRequest const&, ServicePlacement const&, RequestEvidence const&);
 
-    // Whether the chosen upstream may get the request; then it must be sent there. Takes the number of the
-    // answer's events that came from other upstreams.
-    bool startSend(ServicePlacement::Choice const&, UpstreamRole, bool isContextNew, uint64_t eventsBefore);
+    // Whether the chosen upstream may get the request. If so, the send counts until it is finished or
+    // cancelled. Takes the number of the answer's events that came from other upstreams.
+    bool prepareSend(ServicePlacement::Choice const&, UpstreamRole, bool isContextNew, uint64_t eventsBefore);
+    void cancelPreparedSend();
+    // The request is sent as prepared, after the send before has been finished.
+    void startSend() { m_current = std::exchange(m_prepared, {}); }
     // The first part of the answer's body has arrived.
     void recordData(Instant now);
     // The send has ended. Takes the number of all events of the answer so far.
     void finishSend(UpstreamId, ForwardResult const&, Instant sentAt, uint64_t events);
 
     // Where the latest send went.
-    UpstreamRole role() const { return m_send.value_or(VersionedSend {}).role; }
+    UpstreamRole role() const { return m_current.send.value_or(VersionedSend {}).role; }
 
 private:
+    struct Send {
+        std::optional<VersionedSend> send;
+        bool isContextNew { false };
+        // Whether the upstream was cold when the request was sent. Its times say nothing about its version.
+        bool isUpstreamCold { false };
+        bool isUnderLoad { false };
+        std::optional<Instant> firstDataAt;
+        uint64_t eventsBefore { 0 };
+    };
+
     AnswerOutcome outcomeOf(ForwardResult const&, Instant sentAt) const;
     RouteId routeId() const { return RouteId::fromName(m_request.route->name); }
 
@@ -34,13 +47,8 @@
     RoutedRequest const& m_request;
     ServicePlacement const& m_placement;
     RequestEvidence const& m_evidence;
-    std::optional<VersionedSend> m_send;
-    bool m_isContextNew { false };
-    // Whether the upstream was cold when the request was sent. Its times say nothing about its version.
-    bool m_isUpstreamCold { false };
-    bool m_isUnderLoad { false };
-    std::optional<Instant> m_firstDataAt;
-    uint64_t m_eventsBefore { 0 };
+    Send m_current;
+    Send m_prepared;
     bool m_hasBeenAnswered { false };
 };
 
--- a/Services/stagepostd/DetourServer.cpp
+++ b/Services/stagepostd/DetourServer.cpp
@@ -34,6 +34,7 @@
 
         HttpRequest const& request() const override { return m_request; }
         void forward(ForwardPlan plan, ForwardCallback callback) override { m_exchange->forward(std::move(plan), std::move(callback)); }
+        void stopForward() override { m_exchange->stopForward(); }
         void abort() override { m_exchange->abort(); }
         void onClientDisconnect(std::function<void()> callback) override { m_exchange->onClientDisconnect(std::move(callback)); }
         bool isClientDisconnected() const override { return m_exchange->isClientDisconnected(); }
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -39,6 +39,7 @@
     , m_attempts(attemptLimitsOf(m_request), m_service.retries)
     , m_evidence(services, m_exchange->request(), m_request, m_service.placement)
     , m_sampler(services, m_request, m_service.placement, m_evidence)
+    , m_places(services, m_service.placement)
 {
     if (m_request.route->kind == RequestKind::Stream)
         m_progress = std::make_shared<EventProgress>();
@@ -217,47 +218,36 @@
             return refuse(noVersionRefusal());
         m_role = *role;
     }
-    auto const placementRequest = makePlacementRequest();
-    if (needsPermit(placementRequest) && m_services.peers.canRequestPermits())
-        requestPermit(placementRequest);
-    else
-        placeWithoutPermit(placementRequest);
+    m_places.find({ makePlacementRequest(), m_request.route->keepsContext, [self = shared_from_this()] { return !self->endedWhileWaiting(); }, [self = shared_from_this()](PlaceFinder::Outcome&& outcome) { self->handlePlace(std::move(outcome)); } });
 }
 
-bool GatewayRequestHandler::needsPermit(ServicePlacement::Request const& placementRequest) const
+void GatewayRequestHandler::handlePlace(PlaceFinder::Outcome&& outcome)
 {
-    return placementRequest.context || m_service.placement.needsPermits(m_services.loop.now());
+    m_place = std::move(outcome.place);
+    m_isContextNew = outcome.isContextNew;
+    if (!outcome.isFull)
+        send(outcome.choice);
+    else if (!placeAtServingInstead())
+        refuse(loadBoundRefusal());
 }
 
-// Requests on routes that keep contexts are always reported to the upstream's owner; other requests
-// are counted there only if a permit was requested.
-void GatewayRequestHandler::placeWithoutPermit(ServicePlacement::Request const& placementRequest)
+bool GatewayRequestHandler::checkMaySend()
 {
-    if (m_request.route->keepsContext)
-        placeByLocalCounts(placementRequest);
-    else
-        send(m_service.placement.choose(placementRequest, m_services.loop.now()));
+    auto const refusal = refusalBeforeSend();
+    if (refusal)
+        refuse(*refusal);
+    return !refusal;
 }
 
-bool GatewayRequestHandler::checkMaySend()
+std::optional<Refusal> GatewayRequestHandler::refusalBeforeSend()
 {
-    if (m_request.needsKey && !m_services.areKeysFresh()) {
-        refuse({ RefusalReason::SettingsTooOld, m_attempts.verdict(), "the configuration is too old to tell whether the key is good", m_attempts.retryAfter() });
-        return false;
-    }
-    if (m_services.needsRevalidation()) {
-        refuse({ RefusalReason::SettingsTooOld, m_attempts.verdict(), "this daemon stood still and has not learnt yet what has changed", m_attempts.retryAfter() });
-        return false;
-    }
-    if (m_attempts.isOver(m_services.loop.now())) {
-        refuse({ RefusalReason::DeadlinePassed, m_attempts.verdict(), "no time is left for an upstream to answer", {} });
-        return false;
-    }
-    if (auto const refusal = m_evidence.refusal(m_attempts.verdict())) {
-        refuse(*refusal);
-        return false;
-    }
-    return true;
+    if (m_request.needsKey && !m_services.areKeysFresh())
+        return Refusal { RefusalReason::SettingsTooOld, m_attempts.verdict(), "the configuration is too old to tell whether the key is good", m_attempts.retryAfter() };
+    if (m_services.needsRevalidation())
+        return Refusal { RefusalReason::SettingsTooOld, m_attempts.verdict(), "this daemon stood still and has not learnt yet what has changed", m_attempts.retryAfter() };
+    if (m_attempts.isOver(m_services.loop.now()))
+        return Refusal { RefusalReason::DeadlinePassed, m_attempts.verdict(), "no time is left for an upstream to answer", {} };
+    return m_evidence.refusal(m_attempts.verdict());
 }
 
 ServicePlacement::Request GatewayRequestHandler::makePlacementRequest() const
@@ -275,108 +265,33 @@
     return placementRequest;
 }
 
-// The counts that daemons exchange are older than the duration of many requests. If a whole fleet
-// placed requests by them, it would overload an upstream and then leave it empty.
-void GatewayRequestHandler::requestPermit(ServicePlacement::Request const& placementRequest)
-{
-    auto candidates = m_service.placement.candidatesForOwners(placementRequest, m_services.loop.now());
-    if (candidates.empty()) {
-        placeWithoutPermit(placementRequest);
-        return;
-    }
-    m_services.peers.requestPermit({ placementRequest.context, std::move(candidates) }, [self = shared_from_this()](PermitExchange::Outcome const& outcome) {
-        self->handlePermitOutcome(outcome);
-    });
-}
-
-void GatewayRequestHandler::handlePermitOutcome(PermitExchange::Outcome const& outcome)
-{
-    m_countedUpstream = outcome.upstream;
-    m_isContextNew = outcome.isContextNew;
-    if (endedWhileWaiting())
-        return;
-    auto placementRequest = makePlacementRequest();
-    auto const choice = m_service.placement.choiceFromOwners(placementRequest, outcome, m_services.loop.now());
-    if (choice && outcome.isContextNew && placementRequest.context) {
-        findHolders(*placementRequest.context, *choice);
-        return;
-    }
-    if (choice) {
-        send(choice);
-        return;
-    }
-    releaseInFlight();
-    if (outcome.isFull) {
-        if (!placeAtServingInstead())
-            refuse(loadBoundRefusal());
-        return;
-    }
-    placementRequest.avoided = outcome.exhausted;
-    placeWithoutPermit(placementRequest);
-}
-
-// Asking which upstreams hold the context is faster than letting the upstream compute it again.
-void GatewayRequestHandler::findHolders(uint64_t context, ServicePlacement::Choice const& choice)
-{
-    m_services.peers.findContextHolders(context, choice.upstream, [self = shared_from_this(), choice](std::vector<UpstreamId> const& holders) {
-        self->sendWithContextSource(choice, holders);
-    });
-}
-
-void GatewayRequestHandler::sendWithContextSource(ServicePlacement::Choice choice, std::vector<UpstreamId> const& holders)
-{
-    if (endedWhileWaiting())
-        return;
-    auto const source = m_service.placement.firstUsableSource(holders, choice.upstream, m_services.loop.now(), m_streamVersion);
-    if (source)
-        choice.contextSource = source;
-    send(choice);
-}
-
 // Waiting for other daemons takes some milliseconds, in which the conditions for sending may change.
 bool GatewayRequestHandler::endedWhileWaiting()
 {
     if (m_exchange->isClientDisconnected()) {
-        releaseInFlight();
+        m_place.release();
         m_services.metrics.countRefusal({ RefusalReason::CallerGone, m_attempts.verdict(), "the caller left before its request was sent", {} });
         log("caller-gone", {}, nameOf(RefusalReason::CallerGone), m_attempts.verdict());
         return true;
     }
     if (checkMaySend())
         return false;
-    releaseInFlight();
+    m_place.release();
     return true;
 }
 
-void GatewayRequestHandler::releaseInFlight()
-{
-    if (m_countedUpstream)
-        m_services.peers.requestEnded(*std::exchange(m_countedUpstream, {}));
-}
-
-// Used if no owner can be reached or the chosen upstream was removed: places the request by the counts
-// that this daemon has.
-void GatewayRequestHandler::placeByLocalCounts(ServicePlacement::Request const& placementRequest)
-{
-    auto const choice = m_service.placement.choose(placementRequest, m_services.loop.now());
-    auto const* target = choice ? m_services.serviceTable.target(choice->upstream) : nullptr;
-    if (target) {
-        m_services.peers.requestStarted(choice->upstream, target->hall);
-        m_countedUpstream = choice->upstream;
-    }
-    send(choice);
-}
-
 void GatewayRequestHandler::send(std::optional<ServicePlacement::Choice> const& choice)
 {
     auto const* target = choice ? m_services.serviceTable.target(choice->upstream) : nullptr;
     if (target && mayHaveEnded(*choice, *target)) {
-        releaseInFlight();
+        m_place.release();
         return placeRequest();
     }
-    if (target && m_sampler.startSend(*choice, m_role, m_isContextNew, eventCount()))
+    if (target && m_sampler.prepareSend(*choice, m_role, m_isContextNew, eventCount())) {
+        m_sampler.startSend();
         return forward(*choice, *target);
-    releaseInFlight();
+    }
+    m_place.release();
     if (placeAtServingInstead())
         return;
     // The role of the chosen upstream has changed since it was chosen.
@@ -463,10 +378,9 @@
         if (auto const handler = weak.lock())
             handler->recordActivity(upstream, activity);
     };
-    // Waits on if a retry is no longer possible, for example because its budget is used up.
-    plan.shouldKeepWaiting = [weak = weak_from_this()] {
-        auto const handler = weak.lock();
-        return handler && !handler->couldSendAgain();
+    plan.onSilence = [weak = weak_from_this(), upstream] {
+        if (auto const handler = weak.lock())
+            handler->handleSilence(upstream);
     };
     m_instance = target.instance;
     m_version = target.version;
@@ -484,6 +398,7 @@
 void GatewayRequestHandler::recordActivity(UpstreamId upstream, UpstreamActivity activity)
 {
     auto const now = m_services.loop.now();
+    m_move.reset();
     auto& silence = m_services.serviceTable.silence();
     switch (activity) {
     case UpstreamActivity::Connected:
@@ -577,7 +492,7 @@
     // The time to the first byte measures the upstream. The total time of a stream measures only the
     // length of the answer.
     m_service.placement.finished(upstream, outcome, result.timeToResponseHeader, now - m_sentAt, now);
-    releaseInFlight();
+    m_place.release();
     m_services.serviceTable.silence().ended(upstream, now);
     m_sampler.finishSend(upstream, result, m_sentAt, eventCount());
 }
@@ -585,6 +500,11 @@
 void GatewayRequestHandler::handleForwardResult(UpstreamId upstream, ForwardResult const& result)
 {
     recordOutcome(upstream, result);
+    auto const move = std::exchange(m_move, nullptr);
+    if (move && move->isGranted() && result.failure == RefusalReason::UpstreamSlow && !result.deadlineReached)
+        return finishMove(upstream, *move, result);
+    // The answer's end came first.
+    m_sampler.cancelPreparedSend();
     if (!result.failure) {
         m_service.placement.recordFirstByteWait(m_request.call.prompt.tokens(), result.timeToResponseHeader);
         m_attempts.recordResponse();
@@ -603,16 +523,108 @@
     attempt.isCallerLost = result.isCallerLost();
     attempt.mayCrashUpstreams = attempt.verdict != Verdict::NotRun && m_evidence.mayCrashUpstreams();
     if (m_attempts.recordFailure(upstream, attempt, m_services.loop.now())) {
-        log("sent-again", result, nameOf(*result.failure), m_attempts.verdict());
-        m_services.metrics.countRetry(nameOf(*result.failure));
-        m_lastFailure = Refusal { *result.failure, m_attempts.verdict(), result.detail, m_attempts.retryAfter() };
-        m_role = UpstreamRole::Serving;
+        recordRetry(result);
         placeRequest();
         return;
     }
     failRequest(result);
 }
 
+// A sound upstream that is silent would go on, so the request leaves it only for a place that is granted, with
+// a retry that is taken. Otherwise it waits on, and this is called again after the next such time.
+void GatewayRequestHandler::handleSilence(UpstreamId silent)
+{
+    auto const now = m_services.loop.now();
+    if (m_move || m_evidence.mayCrashUpstreams())
+        return;
+    auto retry = m_attempts.reserveMove(sizeForRetry(now), now);
+    if (!retry)
+        return;
+    m_move = std::make_shared<Move>(std::move(*retry));
+    auto const isWanted = [self = shared_from_this(), move = std::weak_ptr(m_move)] { return self->isMoveWanted(move.lock()); };
+    if (m_services.detours.isNeeded())
+        findDetourForMove(isWanted);
+    else
+        findPlaceForMove(silent, isWanted);
+}
+
+// Waiting for other daemons takes some milliseconds, in which the upstream may go on.
+bool GatewayRequestHandler::isMoveWanted(std::shared_ptr<Move> const& move)
+{
+    if (!move || m_move != move)
+        return false;
+    if (refusalBeforeSend())
+        m_move.reset();
+    return m_move != nullptr;
+}
+
+void GatewayRequestHandler::findPlaceForMove(UpstreamId silent, std::function<bool()> const& isWanted)
+{
+    auto const role = m_streamVersion ? m_services.serviceTable.roleOfVersion(m_request.service, *m_streamVersion) : UpstreamRole::Serving;
+    if (!role) {
+        m_move.reset();
+        return;
+    }
+    auto request = makePlacementRequest();
+    request.excluded.push_back(silent);
+    request.role = *role;
+    m_places.find({ std::move(request), m_request.route->keepsContext, isWanted, [self = shared_from_this(), role = *role](PlaceFinder::Outcome&& outcome) { self->grantMove(std::move(outcome), role); } });
+}
+
+void GatewayRequestHandler::grantMove(PlaceFinder::Outcome&& outcome, UpstreamRole role)
+{
+    auto const move = std::exchange(m_move, nullptr);
+    auto const* target = outcome.choice ? m_services.serviceTable.target(outcome.choice->upstream) : nullptr;
+    if (!target || mayHaveEnded(*outcome.choice, *target))
+        return;
+    if (!m_sampler.prepareSend(*outcome.choice, role, outcome.isContextNew, eventCount()) || !m_attempts.spendMove(move->retry, m_services.loop.now())) {
+        m_sampler.cancelPreparedSend();
+        return;
+    }
+    move->granted.emplace(GrantedMove { std::move(outcome), *target, role });
+    m_move = move;
+    m_exchange->stopForward();
+}
+
+// This daemon has lost its links, so that no upstream's place can be granted.
+void GatewayRequestHandler::findDetourForMove(std::function<bool()> const& isWanted)
+{
+    if (m_request.detour)
+        return m_move.reset();
+    m_services.peers.chooseDetour({}, [self = shared_from_this(), isWanted](std::optional<VMId> daemon) {
+        if (!isWanted())
+            return;
+        auto const move = std::exchange(self->m_move, nullptr);
+        if (!daemon || !self->m_attempts.spendMove(move->retry, self->m_services.loop.now()))
+            return;
+        move->isDetour = true;
+        self->m_move = move;
+        self->m_exchange->stopForward();
+    });
+}
+
+void GatewayRequestHandler::finishMove(UpstreamId silent, Move& move, ForwardResult const& result)
+{
+    m_attempts.recordMove(silent);
+    recordRetry(result);
+    if (move.isDetour)
+        return placeRequest();
+    m_role = move.granted->role;
+    m_isContextNew = move.granted->place.isContextNew;
+    m_place = std::move(move.granted->place.place);
+    m_sampler.startSend();
+    forward(*move.granted->place.choice, move.granted->target);
+}
+
+// The request goes to another upstream.
+void GatewayRequestHandler::recordRetry(ForwardResult const& result)
+{
+    log("sent-again", result, nameOf(*result.failure), m_attempts.verdict());
+    m_services.metrics.countRetry(nameOf(*result.failure));
+    m_lastFailure = Refusal { *result.failure, m_attempts.verdict(), result.detail, m_attempts.retryAfter() };
+    m_role = UpstreamRole::Serving;
+}
+
 void GatewayRequestHandler::failRequest(ForwardResult const& result)
 {
     bool const isCallerGone = result.isCallerLost();
--- a/Services/stagepostd/GatewayRequestHandler.h
+++ b/Services/stagepostd/GatewayRequestHandler.h
@@ -5,6 +5,7 @@
 #include <LibRouting/RequestAttempts.h>
 #include <stagepostd/AnswerSampler.h>
 #include <stagepostd/GatewayServices.h>
+#include <stagepostd/PlaceFinder.h>
 #include <stagepostd/RequestEvidence.h>
 #include <stagepostd/RoutedRequest.h>
 
@@ -19,6 +20,26 @@
     void start();
 
 private:
+    // A place at another upstream for a request whose own is silent.
+    struct GrantedMove {
+        PlaceFinder::Outcome place;
+        ServiceTable::Target target;
+        UpstreamRole role { UpstreamRole::Serving };
+    };
+    // The search for such a place, and what it has found.
+    struct Move {
+        explicit Move(RetryBudget::Reservation&& reserved)
+            : retry(std::move(reserved))
+        {
+        }
+        bool isGranted() const { return granted || isDetour; }
+
+        RetryBudget::Reservation retry;
+        std::optional<GrantedMove> granted;
+        // Another daemon takes the request.
+        bool isDetour { false };
+    };
+
     // Decides whether the first send goes to a version that is being tried.
     void chooseRole();
     void chooseRoleAndPlace();
@@ -45,19 +66,12 @@
     bool placeAtServingInstead();
     // Whether the request may be sent now. If not, it is refused.
     bool checkMaySend();
+    std::optional<Refusal> refusalBeforeSend();
     ServicePlacement::Request makePlacementRequest() const;
-    bool needsPermit(ServicePlacement::Request const&) const;
-    void requestPermit(ServicePlacement::Request const&);
-    void handlePermitOutcome(PermitExchange::Outcome const&);
-    void findHolders(uint64_t context, ServicePlacement::Choice const&);
-    void sendWithContextSource(ServicePlacement::Choice, std::vector<UpstreamId> const& holders);
+    void handlePlace(PlaceFinder::Outcome&&);
     // Whether the caller has left, or the request may no longer be sent, since an answer of another
     // daemon was awaited. If so, the request is finished.
     bool endedWhileWaiting();
-    // Stops counting the request as in flight: it has ended, or was not sent.
-    void releaseInFlight();
-    void placeWithoutPermit(ServicePlacement::Request const&);
-    void placeByLocalCounts(ServicePlacement::Request const&);
     Refusal noUpstreamRefusal() const;
     Refusal loadBoundRefusal() const;
     void send(std::optional<ServicePlacement::Choice> const&);
@@ -73,6 +87,14 @@
     void handleBackoffRequest(UpstreamId, Milliseconds);
     size_t sizeForRetry(Instant now) const;
     bool couldSendAgain() const;
+    // The upstream has sent nothing for longer than another one would need.
+    void handleSilence(UpstreamId silent);
+    bool isMoveWanted(std::shared_ptr<Move> const&);
+    void findPlaceForMove(UpstreamId silent, std::function<bool()> const& isWanted);
+    void grantMove(PlaceFinder::Outcome&&, UpstreamRole);
+    void findDetourForMove(std::function<bool()> const& isWanted);
+    void finishMove(UpstreamId silent, Move&, ForwardResult const&);
+    void recordRetry(ForwardResult const&);
     void handleForwardResult(UpstreamId, ForwardResult const&);
     void recordOutcome(UpstreamId, ForwardResult const&);
     void failRequest(ForwardResult const&);
@@ -90,6 +112,7 @@
     RequestAttempts m_attempts;
     RequestEvidence m_evidence;
     AnswerSampler m_sampler;
+    PlaceFinder m_places;
     std::shared_ptr<EventProgress> m_progress;
     std::string m_instance;
     // The version of its software.
@@ -104,8 +127,9 @@
     PlacementReason m_placementReason;
     // The remaining backoff that the upstream had asked for when the request was sent.
     Microseconds m_remainingBackoff { 0 };
-    // The upstream at which owners count the request as in flight.
-    std::optional<UpstreamId> m_countedUpstream;
+    InFlightPlace m_place;
+    // Null unless the upstream is silent and another one is looked for.
+    std::shared_ptr<Move> m_move;
     // When the request was last sent.
     Instant m_sentAt;
     // When the upstream last showed activity, or the request was last sent, whichever is later.
--- a/Services/stagepostd/GatewayServices.h
+++ b/Services/stagepostd/GatewayServices.h
@@ -3,6 +3,7 @@
 #include <LibBase/FingerprintKey.h>
 #include <LibBase/Metrics.h>
 #include <LibProxy/EventLoop.h>
+#include <memory>
 #include <stagepostd/CrashDetector.h>
 #include <stagepostd/DetourClient.h>
 #include <stagepostd/GatewayDialect.h>
@@ -40,6 +41,8 @@
     std::function<bool(Endpoint const&)> dropClosedConnections;
     // Null where roll-outs are switched off.
     RolloutController* rollouts { nullptr };
+    // Expires with the gateway, which ends before the last of its requests does.
+    std::shared_ptr<void const> lifetime { std::make_shared<bool>(true) };
 };
 
 }
--- a/Tests/LibRouting/TestRequestAttempts.cpp
+++ b/Tests/LibRouting/TestRequestAttempts.cpp
@@ -101,6 +101,51 @@
     BOOST_TEST(again.rejections() == 1u);
 }
 
+// Guards against answers that are given up for a retry that others take first: many upstreams fall silent at the
+// same moment, and each request saw the same last retry.
+BOOST_AUTO_TEST_CASE(OnlyOneSilentRequestTakesTheLastRetry)
+{
+    Fixture fixture;
+    fixture.share = 0.024;
+    auto first = fixture.attempts(true, 2, true);
+    auto second = fixture.attempts(true, 2, true);
+    first.recordSend();
+    second.recordSend();
+    BOOST_TEST(second.couldSendAgain(3, at(5)));
+    auto taken = first.reserveMove(3, at(5));
+    BOOST_REQUIRE(taken.has_value());
+    BOOST_TEST(!second.couldSendAgain(3, at(5)));
+    BOOST_TEST(!second.reserveMove(3, at(5)).has_value());
+    // The silent upstream has gone on.
+    taken.reset();
+    auto again = second.reserveMove(3, at(5));
+    BOOST_REQUIRE(again.has_value());
+    BOOST_TEST(second.spendMove(*again, at(5)));
+    BOOST_TEST(!first.reserveMove(3, at(5)).has_value());
+    second.recordMove(UpstreamId(1));
+    BOOST_TEST((second.failedUpstreams() == std::vector { UpstreamId(1) }));
+    BOOST_TEST((second.verdict() == Verdict::MayHaveRun));
+}
+
+// Guards against answers that are given up by one rule and could not be sent again by another.
+BOOST_AUTO_TEST_CASE(SilentRequestMovesOnlyIfItMayBeSentAgain)
+{
+    Fixture fixture;
+    auto late = fixture.attempts(true, 2, true);
+    late.recordSend();
+    BOOST_TEST(!late.reserveMove(3, at(11.999)).has_value());
+    auto rejectedTwice = fixture.attempts(true, 3, true);
+    for (size_t upstream = 1; upstream <= 2; ++upstream) {
+        rejectedTwice.recordSend();
+        rejectedTwice.recordFailure(UpstreamId(upstream), rejected(), at(5));
+    }
+    rejectedTwice.recordSend();
+    BOOST_TEST(!rejectedTwice.reserveMove(5, at(5)).has_value());
+    auto once = fixture.attempts(false, 1, true);
+    once.recordSend();
+    BOOST_TEST(!once.reserveMove(3, at(5)).has_value());
+}
+
 // Each attempt adds load, even a rejected one, so retries after rejections need budget.
 BOOST_AUTO_TEST_CASE(RejectionIsFinalWithoutRetryBudget)
 {
--- a/Tests/platform/TestDetourServer.cpp
+++ b/Tests/platform/TestDetourServer.cpp
@@ -11,6 +11,7 @@
     HttpRequest const& request() const override { return m_request; }
     void respond(HttpResponse response) override { answer = std::move(response); }
     void forward(ForwardPlan, ForwardCallback) override { wasForwarded = true; }
+    void stopForward() override { }
     void abort() override { }
     void onClientDisconnect(std::function<void()>) override { }
     bool isClientDisconnected() const override { return false; }
