StreamOriginExchange: Tell a stream's version only by what proves it

Cause: where no record was left, the only version that all answering daemons had seen since they started was taken for the one that began the stream.

Change: a version is told by a record, or by a history that covers the stream's life. Otherwise it is unknown. Weighed: the log of upstreams alone (it is shorter than a stream's life and has no times), and refusing for 30 s after each start.

WithOneVersionStreamsGoOnAfterAllDaemonsHaveStartedAgain demanded the guess. It now demands that such streams are refused until the store has told that there was one version, and go on then, also while the store is away and after another version has joined.

--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -60,7 +60,7 @@
 StreamOriginReply StreamOriginExchange::replyTo(StreamId stream, std::string const& service, Instant now) const
 {
     auto const versions = m_hooks.versions(service, now);
-    return { 0, m_table.find(stream, now), keepsAllRecords(now), versions.isUniform, versions.withoutRecords, versions.onlySeen };
+    return { 0, m_table.find(stream, now), keepsAllRecords(now) || versions.hasRestoredUniform, versions.uniform, versions.withoutRecords };
 }
 
 void StreamOriginExchange::find(StreamId stream, std::string const& service, Callback callback, Instant now)
@@ -99,13 +99,23 @@
     bool const areRecordsRuledOut = haveKeepersReplied || isUnrecorded(pending);
     if (!areRecordsRuledOut && !isOver)
         return {};
-    for (auto const& [daemon, reply] : pending.replies) {
-        if (reply.isUniform && haveOthersReplied(pending))
-            return Origin { reply.onlySeen, haveKeepersReplied };
-    }
+    if (auto const version = provenVersion(pending))
+        return Origin { version, haveKeepersReplied };
     if (!isOver)
         return {};
-    return Origin { isUnrecorded(pending) ? versionWithoutRecords(pending) : onlySeenVersion(pending), haveKeepersReplied };
+    return Origin { isUnrecorded(pending) ? versionWithoutRecords(pending) : std::nullopt, haveKeepersReplied };
+}
+
+// Two daemons with complete histories can differ for a moment, while a version joins or leaves.
+std::optional<VersionId> StreamOriginExchange::provenVersion(Pending const& pending)
+{
+    if (!haveOthersReplied(pending))
+        return {};
+    for (auto const& [daemon, reply] : pending.replies) {
+        if (reply.uniform)
+            return reply.uniform;
+    }
+    return {};
 }
 
 bool StreamOriginExchange::haveOthersReplied(Pending const& pending)
@@ -131,20 +141,9 @@
         if (reply.withoutRecords)
             versions.insert(*reply.withoutRecords);
     }
-    if (versions.empty())
-        return onlySeenVersion(pending);
     return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
 }
 
-// When daemons have just started, none of them knows what there was before. The version is taken for the
-// one that began the stream only if all have seen it alone.
-std::optional<VersionId> StreamOriginExchange::onlySeenVersion(Pending const& pending)
-{
-    auto const first = pending.replies.begin()->second.onlySeen;
-    bool const isUnanimous = std::all_of(pending.replies.begin(), pending.replies.end(), [&](auto const& entry) { return entry.second.onlySeen == first; });
-    return haveOthersReplied(pending) && isUnanimous ? first : std::nullopt;
-}
-
 void StreamOriginExchange::complete(uint64_t queryId, Origin const& origin)
 {
     auto pending = m_pending.extract(queryId);
--- a/Libraries/LibRouting/StreamOriginExchange.h
+++ b/Libraries/LibRouting/StreamOriginExchange.h
@@ -20,8 +20,9 @@
 // While a service has upstreams of several versions, a daemon sends the version of each stream to a few
 // keepers before it forwards the first event. Rendezvous hashing of the stream's id chooses them, in
 // different halls, so every daemon knows whom to ask. A stream without a record has begun while there
-// was one version, if a keeper can rule out that it has lost the record. In doubt the version stays
-// unknown.
+// was one version, if a keeper can rule out that it has lost the record. Only a record or a history of the
+// versions that covers the stream's whole life tells its version. Otherwise it stays unknown, however many
+// daemons have seen a single version since they started.
 //
 // A daemon that starts gets the records that it keeps from all that have them.
 class StreamOriginExchange {
@@ -42,9 +43,9 @@
     // What this daemon knows of a service's versions.
     struct VersionKnowledge {
         // See StreamOriginReply and VersionHistory.
-        bool isUniform { false };
+        std::optional<VersionId> uniform;
         std::optional<VersionId> withoutRecords;
-        std::optional<VersionId> onlySeen;
+        bool hasRestoredUniform { false };
     };
 
     struct Hooks {
@@ -112,8 +113,8 @@
     std::optional<Origin> resolve(Pending const&, Instant now) const;
     static bool haveOthersReplied(Pending const&);
     static bool isUnrecorded(Pending const&);
+    static std::optional<VersionId> provenVersion(Pending const&);
     static std::optional<VersionId> versionWithoutRecords(Pending const&);
-    static std::optional<VersionId> onlySeenVersion(Pending const&);
     void complete(uint64_t queryId, Origin const&);
     bool keepsAllRecords(Instant now) const { return now - m_keepsSince >= VersionHistory::memory; }
 
--- a/Libraries/LibRouting/StreamOriginMessage.cpp
+++ b/Libraries/LibRouting/StreamOriginMessage.cpp
@@ -38,9 +38,9 @@
     {
         writer.number(reply.queryId);
         writer.id(reply.recorded.value_or(VersionId()));
-        writer.number((reply.isComplete ? completeFlag : 0) | (reply.isUniform ? uniformFlag : 0));
+        writer.number((reply.isComplete ? completeFlag : 0) | (reply.uniform ? uniformFlag : 0));
         writer.id(reply.withoutRecords.value_or(VersionId()));
-        writer.id(reply.onlySeen.value_or(VersionId()));
+        writer.id(reply.uniform.value_or(VersionId()));
     }
 
     std::optional<VersionId> readVersion(MessageReader& reader)
@@ -67,6 +67,7 @@
         return query;
     }
 
+    // Daemons of an earlier version also send the only version that they have seen since they started.
     StreamOriginReply readReply(MessageReader& reader)
     {
         StreamOriginReply reply;
@@ -74,9 +75,10 @@
         reply.recorded = readVersion(reader);
         auto const flags = reader.number();
         reply.isComplete = (flags & completeFlag) != 0;
-        reply.isUniform = (flags & uniformFlag) != 0;
         reply.withoutRecords = readVersion(reader);
-        reply.onlySeen = readVersion(reader);
+        auto const onlySeen = readVersion(reader);
+        if (flags & uniformFlag)
+            reply.uniform = onlySeen;
         return reply;
     }
 
--- a/Libraries/LibRouting/StreamOriginMessage.h
+++ b/Libraries/LibRouting/StreamOriginMessage.h
@@ -32,11 +32,10 @@
     std::optional<VersionId> recorded;
     // Whether it has kept all records that it got for as long as streams can be taken up.
     bool isComplete { false };
-    // Whether its list of upstreams is proven, and all of that time shows one version of the service.
-    bool isUniform { false };
+    // The service's only version for as long as streams can be taken up, by a list of upstreams that is proven.
+    std::optional<VersionId> uniform;
     // See VersionHistory.
     std::optional<VersionId> withoutRecords;
-    std::optional<VersionId> onlySeen;
 };
 
 using StreamOriginMessage = std::variant<StreamOriginRecord, StreamOriginQuery, StreamOriginReply>;
--- a/Libraries/LibRouting/VersionHistory.cpp
+++ b/Libraries/LibRouting/VersionHistory.cpp
@@ -19,39 +19,56 @@
 void VersionHistory::restart(Instant now)
 {
     m_since = now;
+    m_provenSince = now;
+    m_hasRestoredUniform = false;
     std::erase_if(m_spans, [](auto const& entry) { return entry.second.vanishedAt.has_value(); });
     for (auto& [version, span] : m_spans)
         span.firstSeen = now;
 }
 
-bool VersionHistory::isUniform(Instant now) const
+// A version that has left may have had upstreams until just now. One that was alone is known for as long as
+// the history is.
+void VersionHistory::restore(std::set<VersionId> const& earlier, Instant now)
 {
-    return isComplete(now) && onlySeenVersion(now);
+    for (auto const version : earlier) {
+        auto& span = m_spans.try_emplace(version, Span { now, now }).first->second;
+        if (span.vanishedAt)
+            span.vanishedAt = now;
+    }
+    m_since = std::min(m_since, now - memory);
+    m_provenSince = m_since;
+    auto const recent = recentVersions(now);
+    m_hasRestoredUniform = recent.size() == 1;
+    if (m_hasRestoredUniform)
+        m_spans.at(*recent.begin()).firstSeen = m_since;
 }
 
-// All daemons record the streams that begin once they know of several versions. A version that was added
-// of late was not alone when its streams began, so all of them are recorded.
-std::optional<VersionId> VersionHistory::versionWithoutRecords(Instant now) const
+std::set<VersionId> VersionHistory::recentVersions(Instant now) const
 {
-    std::optional<VersionId> result;
-    if (!isComplete(now))
-        return result;
+    std::set<VersionId> result;
     for (auto const& [version, span] : m_spans) {
-        bool const isLongKnown = isUniform(now) || now - span.firstSeen >= memory;
-        if (!isRecent(span, now) || !isLongKnown)
-            continue;
-        if (result)
-            return {};
-        result = version;
+        if (isRecent(span, now))
+            result.insert(version);
     }
     return result;
 }
 
-std::optional<VersionId> VersionHistory::onlySeenVersion(Instant now) const
+std::optional<VersionId> VersionHistory::uniformVersion(Instant now) const
+{
+    auto const recent = recentVersions(now);
+    return now - m_provenSince >= memory && recent.size() == 1 ? std::optional(*recent.begin()) : std::nullopt;
+}
+
+// All daemons record the streams that begin once they know of several versions. A version that was added
+// of late was not alone when its streams began, so all of them are recorded.
+std::optional<VersionId> VersionHistory::versionWithoutRecords(Instant now) const
 {
     std::optional<VersionId> result;
+    if (!isComplete(now))
+        return result;
     for (auto const& [version, span] : m_spans) {
-        if (!isRecent(span, now))
+        bool const isLongKnown = uniformVersion(now) || now - span.firstSeen >= memory;
+        if (!isRecent(span, now) || !isLongKnown)
             continue;
         if (result)
             return {};
--- a/Libraries/LibRouting/VersionHistory.h
+++ b/Libraries/LibRouting/VersionHistory.h
@@ -4,6 +4,7 @@
 #include <LibBase/Time.h>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace Stagepost {
 
@@ -16,6 +17,7 @@
 
     explicit VersionHistory(Instant since)
         : m_since(since)
+        , m_provenSince(since)
     {
     }
 
@@ -24,16 +26,25 @@
     void vanished(VersionId, Instant now);
     // This daemon may have missed versions that came and went.
     void restart(Instant now);
+    // The list of upstreams was outdated for a while. All versions that others have used meanwhile had
+    // records for their streams, unless that took as long as streams can be taken up.
+    void requireProof(Instant now) { m_provenSince = now; }
+    // These are all versions that upstreams have had before, or while this daemon may have missed some.
+    void restore(std::set<VersionId> const& earlier, Instant now);
+    // Whether a restored history has shown a single version. Then no stream that began before this daemon
+    // started needs a record.
+    bool hasRestoredUniform() const { return m_hasRestoredUniform; }
 
     // Whether everything since then was seen, without a gap.
     bool isComplete(Instant now) const { return now - m_since >= memory; }
-    // Whether all streams that callers can take up have begun at one version.
-    bool isUniform(Instant now) const;
     // The version at which a stream has begun of which no daemon has a record. None if that may have been
     // one of several.
     std::optional<VersionId> versionWithoutRecords(Instant now) const;
-    // The only version that was seen of late; none if there were several. Streams need a record only then.
-    std::optional<VersionId> onlySeenVersion(Instant now) const;
+    // The only version that upstreams have had for as long as streams can be taken up. None if there were
+    // several, or if some may not have been seen. Streams need a record then.
+    std::optional<VersionId> uniformVersion(Instant now) const;
+    // The versions that were seen of late.
+    std::set<VersionId> recentVersions(Instant now) const;
     // Whether a version at which a stream has begun must have joined without this daemon's knowledge.
     bool isYetUnseen(VersionId, Instant now) const;
 
@@ -47,6 +58,9 @@
     bool isRecent(Span const& span, Instant now) const { return !span.vanishedAt || now - *span.vanishedAt < memory; }
 
     Instant m_since;
+    // As m_since, but without the times at which the list of upstreams was outdated.
+    Instant m_provenSince;
+    bool m_hasRestoredUniform { false };
     std::map<VersionId, Span> m_spans;
 };
 
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -18,7 +18,6 @@
     constexpr Milliseconds linkProbeTimeout { 100 };
     constexpr unsigned statusUnready = 503;
     // An older list of upstreams does not show that a service has one version only.
-    constexpr Microseconds maxListAge { 2500000 };
 
     HttpServerOptions serverOptions(CallerLimits const& limits)
     {
@@ -107,33 +106,13 @@
     hooks.forecast = [this](UpstreamId upstream) { return forecast(upstream); };
     hooks.takesDetours = [this] { return m_detourServer.isAvailable(); };
     hooks.detourLoad = [this] { return m_detourServer.load(); };
-    hooks.versions = [this](std::string const& service, Instant now) { return versionKnowledge(service, now); };
+    hooks.versions = [this](std::string const& service, Instant now) { return m_serviceTable.versionKnowledge(service, now); };
     hooks.handleDetour = [this](auto exchange, auto const& terms) { m_detourServer.serve(std::move(exchange), terms); };
     if (m_options.rollouts.isEnabled())
         addRolloutHooks(hooks);
     return hooks;
 }
 
-StreamOriginExchange::VersionKnowledge Gateway::versionKnowledge(std::string const& service, Instant now) const
-{
-    auto const* history = m_serviceTable.versions(service);
-    if (!history)
-        return {};
-    auto const age = m_directory.age().age(now);
-    bool const isProven = age && *age <= maxListAge;
-    return { isProven && history->isUniform(now), history->versionWithoutRecords(now), history->onlySeenVersion(now) };
-}
-
-// After a long gap, upstreams of another version may have come and gone unseen.
-void Gateway::restartVersionHistoryAfterGap()
-{
-    auto const age = m_directory.age().age(m_loop.now());
-    bool const isOutdated = age && *age > maxListAge;
-    if (m_isListOutdated && !isOutdated)
-        m_serviceTable.restartVersionHistory(m_loop.now());
-    m_isListOutdated = isOutdated;
-}
-
 void Gateway::addRolloutHooks(GatewayPeers::Hooks& hooks)
 {
     hooks.localState.rollouts = [this] { return m_rollouts->states(); };
@@ -562,7 +541,7 @@
 {
     if (stall > Microseconds(0))
         m_serviceTable.silence().excludePause(stall);
-    if (stall <= maxListAge)
+    if (stall <= ServiceTable::maxListAge)
         return;
     m_serviceTable.restartVersionHistory(m_loop.now());
     m_peers.restartStreamOrigins();
@@ -577,7 +556,7 @@
 {
     handleStall(m_stallDetector.tick(m_loop.now(), m_server.openExchanges()));
     auto const upstreamsBefore = m_directory.hash();
-    restartVersionHistoryAfterGap();
+    m_serviceTable.setListAge(m_directory.age().age(m_loop.now()), m_loop.now());
     m_directory.tick(m_loop.now());
     m_emptiedHalls.tick(m_loop.now());
     logUpstreamsIfChanged("not-written-again", upstreamsBefore);
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -100,11 +100,10 @@
     Endpoint const& readyEndpoint() const { return m_readyEndpoint; }
     Endpoint const& peerEndpoint() const { return m_peerEndpoint; }
     Metrics& metrics() { return m_metrics; }
+    ServiceTable& serviceTable() { return m_serviceTable; }
 
 private:
     GatewayPeers::Hooks peerHooks();
-    StreamOriginExchange::VersionKnowledge versionKnowledge(std::string const& service, Instant now) const;
-    void restartVersionHistoryAfterGap();
     void addRolloutHooks(GatewayPeers::Hooks&);
     std::unique_ptr<RolloutController> makeRollouts(RolloutRecordHooks);
     CrashDetector::Hooks crashDetectorHooks();
@@ -168,7 +167,6 @@
     PromptPartSuspects m_partSuspects;
     ServiceTable m_serviceTable;
     // Whether changes of the list of upstreams may be missed.
-    bool m_isListOutdated { false };
     UpstreamDirectory m_directory;
     EmptiedHalls m_emptiedHalls;
     GatewayPeers m_peers;
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -131,7 +131,7 @@
     if (!m_progress || !m_request.route->isRepeatable())
         return false;
     auto const* versions = m_services.serviceTable.versions(m_request.service);
-    return versions && !versions->onlySeenVersion(m_services.loop.now());
+    return versions && !versions->uniformVersion(m_services.loop.now());
 }
 
 bool GatewayRequestHandler::mayHaveEnded(ServicePlacement::Choice const& choice, ServiceTable::Target const& target)
--- a/Services/stagepostd/ServiceTable.cpp
+++ b/Services/stagepostd/ServiceTable.cpp
@@ -130,6 +130,62 @@
         history.restart(now);
 }
 
+void ServiceTable::restoreVersionHistory(std::map<std::string, std::set<VersionId>> const& versions, Instant now)
+{
+    for (auto const& [service, earlier] : versions)
+        m_versionHistories.try_emplace(service, m_historySince);
+    for (auto& [service, history] : m_versionHistories) {
+        auto const earlier = versions.find(service);
+        history.restore(earlier == versions.end() ? std::set<VersionId> {} : earlier->second, now);
+    }
+    m_historySince = std::min(m_historySince, now - VersionHistory::memory);
+}
+
+// While a list is outdated, upstreams of another version may come and go unseen.
+void ServiceTable::setListAge(std::optional<Microseconds> age, Instant now)
+{
+    bool const wasOutdated = m_listAge && *m_listAge > maxListAge;
+    m_listAge = age;
+    if (!age || *age > maxListAge)
+        return;
+    if (wasOutdated && now - m_listCurrentAt >= VersionHistory::memory / 2)
+        restartVersionHistory(now);
+    else if (wasOutdated)
+        requireVersionProof(now);
+    m_listCurrentAt = now;
+}
+
+void ServiceTable::requireVersionProof(Instant now)
+{
+    m_historySince = now;
+    for (auto& [service, history] : m_versionHistories)
+        history.requireProof(now);
+}
+
+std::optional<std::map<std::string, std::set<VersionId>>> ServiceTable::recentVersions(Instant now) const
+{
+    if (now - m_historySince < VersionHistory::memory)
+        return {};
+    std::map<std::string, std::set<VersionId>> result;
+    for (auto const& [service, history] : m_versionHistories)
+        result[service] = history.recentVersions(now);
+    return result;
+}
+
+bool ServiceTable::lacksVersionHistory(Instant now) const
+{
+    return m_listAge && *m_listAge <= maxListAge && now - m_historySince < VersionHistory::memory;
+}
+
+StreamOriginExchange::VersionKnowledge ServiceTable::versionKnowledge(std::string const& service, Instant now) const
+{
+    auto const* history = versions(service);
+    if (!history)
+        return {};
+    bool const isListProven = m_listAge && *m_listAge <= maxListAge;
+    return { isListProven ? history->uniformVersion(now) : std::nullopt, history->versionWithoutRecords(now), history->hasRestoredUniform() };
+}
+
 std::optional<UpstreamRole> ServiceTable::roleOfVersion(std::string const& service, VersionId version) const
 {
     std::optional<UpstreamRole> result;
--- a/Services/stagepostd/ServiceTable.h
+++ b/Services/stagepostd/ServiceTable.h
@@ -5,6 +5,7 @@
 #include <LibRouting/AdmissionGate.h>
 #include <LibRouting/RetryBudget.h>
 #include <LibRouting/ServicePlacement.h>
+#include <LibRouting/StreamOriginExchange.h>
 #include <LibRouting/UpstreamRole.h>
 #include <LibRouting/VersionHistory.h>
 #include <map>
@@ -105,6 +106,19 @@
     VersionHistory const* versions(std::string const& service) const;
     // This daemon may have missed upstreams that came and went.
     void restartVersionHistory(Instant now);
+    // These are all versions that upstreams have had before, or while this daemon may have missed some.
+    void restoreVersionHistory(std::map<std::string, std::set<VersionId>> const&, Instant now);
+    // Sets how old the list of upstreams is, none before there is one. To be called at each tick.
+    void setListAge(std::optional<Microseconds>, Instant now);
+    // The versions that upstreams have had for as long as streams can be taken up, by service; none if some
+    // may have been missed.
+    std::optional<std::map<std::string, std::set<VersionId>>> recentVersions(Instant now) const;
+    // Whether the list is current, and recentVersions() needs what was missed.
+    bool lacksVersionHistory(Instant now) const;
+    StreamOriginExchange::VersionKnowledge versionKnowledge(std::string const& service, Instant now) const;
+
+    // A list that is older proves nothing. Reads of the store may fail once and are repeated within a second.
+    static constexpr Microseconds maxListAge { 2500000 };
     // The role of the version's upstreams that take requests of it; none if there are none.
     std::optional<UpstreamRole> roleOfVersion(std::string const& service, VersionId) const;
     // The number of this daemon's requests in flight at upstreams of these versions. Requests at an
@@ -124,6 +138,7 @@
 
 private:
     void remove(std::string const& instance, Instant now);
+    void requireVersionProof(Instant now);
     void countVersion(Target const&, Instant now);
     void uncountVersion(Target const&, Instant now);
     void updatePlacement(UpstreamId, Target const&);
@@ -145,6 +160,9 @@
     std::map<std::string, VersionHistory> m_versionHistories;
     // Since when this daemon has seen all changes of upstreams.
     Instant m_historySince;
+    std::optional<Microseconds> m_listAge;
+    // When the list was last current.
+    Instant m_listCurrentAt;
     std::set<HallId> m_emptiedHalls;
     // Upstreams that announced in an answer that they are leaving, with the time of the first such
     // answer.
--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -41,11 +41,9 @@
     void restart(VMId id)
     {
         auto const peer = *std::find_if(m_peers.begin(), m_peers.end(), [id](auto const& each) { return each.id == id; });
-        auto const present = daemons[id].versions.onlySeenVersion(now);
         start(peer, now);
-        daemons[id].versions.appeared(present.value_or(first), now);
-        if (!present)
-            daemons[id].versions.appeared(second, now);
+        for (auto const version : m_present)
+            daemons[id].versions.appeared(version, now);
         for (auto& [other, daemon] : daemons) {
             if (other != id)
                 daemon.exchange->peerStarted(id, now);
@@ -53,8 +51,31 @@
         deliver();
     }
 
+    void restartAll()
+    {
+        for (auto const& peer : m_peers) {
+            start(peer, now);
+            for (auto const version : m_present)
+                daemons[peer.id].versions.appeared(version, now);
+        }
+    }
+
+    void restoreHistoryEverywhere(std::set<VersionId> const& versions)
+    {
+        for (auto& [id, daemon] : daemons)
+            daemon.versions.restore(versions, now);
+    }
+
+    void vanishEverywhere(VersionId version)
+    {
+        m_present.erase(version);
+        for (auto& [id, daemon] : daemons)
+            daemon.versions.vanished(version, now);
+    }
+
     void appearEverywhere(VersionId version)
     {
+        m_present.insert(version);
         for (auto& [id, daemon] : daemons)
             daemon.versions.appeared(version, now);
     }
@@ -108,7 +129,7 @@
         StreamOriginExchange::Hooks hooks;
         hooks.send = [this, from = peer.id](VMId to, std::string const& bytes) { m_messages.push_back({ from, to, bytes }); };
         hooks.versions = [&daemon](std::string const&, Instant time) {
-            return StreamOriginExchange::VersionKnowledge { daemon.isListProven && daemon.versions.isUniform(time), daemon.versions.versionWithoutRecords(time), daemon.versions.onlySeenVersion(time) };
+            return StreamOriginExchange::VersionKnowledge { daemon.isListProven ? daemon.versions.uniformVersion(time) : std::nullopt, daemon.versions.versionWithoutRecords(time), daemon.versions.hasRestoredUniform() };
         };
         daemon.exchange = std::make_unique<StreamOriginExchange>(peer, StreamOriginExchange::Bounds {}, std::move(hooks), since);
         daemon.exchange->setPeers(m_peers);
@@ -132,6 +153,7 @@
     };
 
     std::vector<FleetPeer> m_peers;
+    std::set<VersionId> m_present { first };
     std::vector<Message> m_messages;
 };
 
@@ -195,14 +217,41 @@
     BOOST_TEST(origin.haveKeepersReplied);
 }
 
+// Guards against streams of two versions: after all daemons were killed they agree on what none of them knows.
+BOOST_AUTO_TEST_CASE(AVersionThatLeftBeforeAllDaemonsStartedAgainIsNotTakenForTheOther)
+{
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    fleet.record(VMId(1), StreamId(7), first);
+    fleet.run(5);
+    fleet.vanishEverywhere(first);
+    fleet.run(1);
+    fleet.restartAll();
+    BOOST_TEST(!fleet.find(VMId(2), StreamId(7)).version.has_value());
+    fleet.restoreHistoryEverywhere({ first, second });
+    BOOST_TEST(!fleet.find(VMId(2), StreamId(7)).version.has_value());
+    // No caller takes up a stream of the first version any more.
+    fleet.run(31);
+    BOOST_TEST((fleet.find(VMId(2), StreamId(8)).version == second));
+}
+
 BOOST_AUTO_TEST_CASE(WithOneVersionStreamsGoOnAfterAllDaemonsHaveStartedAgain)
 {
     Fleet fleet;
-    for (uint64_t id = 1; id <= 9; ++id)
-        fleet.restart(VMId(id));
+    fleet.restartAll();
+    BOOST_TEST(!fleet.find(VMId(2), StreamId(7)).version.has_value());
+    fleet.restoreHistoryEverywhere({ first });
     BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version == first));
     fleet.daemons[VMId(3)].isDown = true;
     BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version == first));
+    // Also while the store is away, and after another version has joined.
+    for (auto& [id, daemon] : fleet.daemons)
+        daemon.isListProven = false;
+    BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version == first));
+    fleet.appearEverywhere(second);
+    fleet.record(VMId(1), StreamId(8), second);
+    BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version == first));
+    BOOST_TEST((fleet.find(VMId(2), StreamId(8)).version == second));
 }
 
 BOOST_AUTO_TEST_CASE(ADaemonThatMayHaveMissedAVersionDoesNotGuess)
@@ -269,13 +318,13 @@
 
 BOOST_AUTO_TEST_CASE(DamagedStreamOriginMessagesAreRefused)
 {
-    StreamOriginReply reply { 5, first, true, false, second, {} };
+    StreamOriginReply reply { 5, first, true, {}, second };
     auto const bytes = encodeStreamOriginMessage(reply);
     auto const decoded = decodeStreamOriginMessage(bytes);
     BOOST_REQUIRE(decoded.has_value());
     BOOST_TEST((std::get<StreamOriginReply>(*decoded).recorded == first));
     BOOST_TEST((std::get<StreamOriginReply>(*decoded).withoutRecords == second));
-    BOOST_TEST(!std::get<StreamOriginReply>(*decoded).onlySeen.has_value());
+    BOOST_TEST(!std::get<StreamOriginReply>(*decoded).uniform.has_value());
     for (size_t length = 0; length < bytes.size(); ++length)
         BOOST_TEST(!decodeStreamOriginMessage(std::string_view(bytes).substr(0, length)).has_value());
     BOOST_TEST(rc::check("any bytes", [](std::string const& any) { (void)decodeStreamOriginMessage(any); }));
@@ -289,17 +338,31 @@
 {
     VersionHistory history(at(0));
     history.appeared(first, at(0));
-    BOOST_TEST(!history.isUniform(at(29)));
-    BOOST_TEST(history.isUniform(at(30)));
+    BOOST_TEST(!history.uniformVersion(at(29)).has_value());
+    BOOST_TEST((history.uniformVersion(at(30)) == first));
     history.appeared(second, at(40));
     history.vanished(first, at(50));
-    BOOST_TEST(!history.isUniform(at(79)));
-    BOOST_TEST(!history.onlySeenVersion(at(79)).has_value());
-    BOOST_TEST(history.isUniform(at(80)));
-    BOOST_TEST((history.onlySeenVersion(at(80)) == second));
+    BOOST_TEST(!history.uniformVersion(at(79)).has_value());
+    BOOST_TEST((history.recentVersions(at(79)) == std::set { first, second }));
+    BOOST_TEST((history.uniformVersion(at(80)) == second));
     history.restart(at(90));
-    BOOST_TEST(!history.isUniform(at(100)));
-    BOOST_TEST((history.onlySeenVersion(at(100)) == second));
+    BOOST_TEST(!history.uniformVersion(at(100)).has_value());
+    BOOST_TEST((history.recentVersions(at(100)) == std::set { second }));
+}
+
+BOOST_AUTO_TEST_CASE(AnOutdatedListProvesNothingUntilTheHistoryIsRestored)
+{
+    VersionHistory history(at(0));
+    history.appeared(first, at(0));
+    history.requireProof(at(40));
+    BOOST_TEST(!history.uniformVersion(at(41)).has_value());
+    BOOST_TEST((history.versionWithoutRecords(at(41)) == first));
+    history.restore({ first }, at(42));
+    BOOST_TEST((history.uniformVersion(at(42)) == first));
+    history.requireProof(at(50));
+    history.restore({ first, second }, at(51));
+    BOOST_TEST(!history.uniformVersion(at(80)).has_value());
+    BOOST_TEST((history.uniformVersion(at(81)) == first));
 }
 
 // A stream of a version that has joined goes on once this daemon knows of it; one of a version that has left does not.
--- a/Tests/Processes/test_stream_versions.py
+++ b/Tests/Processes/test_stream_versions.py
@@ -320,6 +320,40 @@
             if attempt.status >= 500 and not attempt.events:
                 self.assertLess(attempt.refused_after, 1.0, f"{attempt}, its daemon: {self.log_of(attempt)}")
 
+    def check_order(self):
+        """After a kill of all daemons no record of a stream is left, so that streams may be refused, but not mixed."""
+        self.end_traffic()
+        taken_up = [attempt for stream in self.streams for attempt in stream.taken_up()]
+        went_on = [attempt for attempt in taken_up if attempt.events]
+        mixed = [(stream.key, stream.versions) for stream in self.streams if len(stream.versions) > 1]
+        print(f"{self.id()}: seed {SEED}, {len(self.streams)} streams, {len(mixed)} of two versions, {len(went_on)} of {len(taken_up)} taken up went on")
+        self.assertEqual([stream for stream in self.streams if not stream.is_in_order], [], f"seed {SEED}")
+        self.assertEqual(mixed, [], f"seed {SEED}")
+        return taken_up
+
+    def test_all_daemons_killed_after_a_version_has_left(self):
+        """Guards against daemons that agree on what none of them knows: the version that was there before they started."""
+        self.start(6, 4)
+        for version in ("v1", "v2"):
+            time.sleep(0.3 * PLAY_SECONDS)
+            for upstream in self.of_version(version):
+                self.store.put("keyed.servers", upstream.instance, None)
+                upstream.crash()
+            for_each(self.members, Member.restart)
+            time.sleep(0.1 * PLAY_SECONDS)
+            self.add_upstreams("v3" if version == "v1" else "v4", 4)
+        time.sleep(0.2 * PLAY_SECONDS)
+        self.check_order()
+
+    def test_all_daemons_killed(self):
+        """The same while both versions have upstreams."""
+        self.start(6, 4)
+        for _ in range(2):
+            time.sleep(0.3 * PLAY_SECONDS)
+            for_each(self.members, Member.restart)
+        time.sleep(0.3 * PLAY_SECONDS)
+        self.check_order()
+
     def test_a_second_version_joins(self):
         """Guards against streams that begin while daemons learn of a new version at different times."""
         self.start(6, 0)
@@ -366,10 +400,20 @@
         self.assertEqual([attempt for attempt in taken_up if attempt.status == 503], [], f"seed {SEED}")
         return taken_up
 
+    def check_order(self):
+        """The store tells that there was one version, so that streams also go on after a kill of all daemons."""
+        taken_up = super().check_order()
+        first = [stream.attempts[0] for stream in self.streams if stream.attempts]
+        begun = sum(bool(attempt.events) for attempt in first) / max(1, len(first))
+        went_on = sum(bool(attempt.events) for attempt in taken_up) / max(1, len(taken_up))
+        self.assertGreaterEqual(went_on, MIN_RELATIVE_SHARE * begun, f"seed {SEED}")
+        return taken_up
+
     # These cases need two versions.
     test_upstreams_crash_and_come_back_with_the_other_version = None
     test_addresses_pass_to_upstreams_of_the_other_version = None
     test_one_version_leaves = test_a_second_version_joins = None
+    test_all_daemons_killed_after_a_version_has_left = None
     test_suspended_daemons_wake_after_a_version_has_left = None
 
 
