Soak: Let a whole service fall silent under load

Cause: silence came alone in the soak, with few streams at once and none near the limits of the budget, and all callers knew chunks.

Change: with the seeds 400 to 499 sixty more callers read streams, half of all callers use HTTP/1.0, and all upstreams of their service send nothing for about a second each two seconds of the planned phases, beside changes of the configuration and signals. It is no disturbance: what upstreams hold must go on. Streams have 6 s there, so that none runs out of time.

--- a/Tests/Soak/faults.py
+++ b/Tests/Soak/faults.py
@@ -6,7 +6,7 @@
 import time
 
 from rollouts import Rollouts
-from world import FIRST_WITH_LINK_CUTS, FIRST_WITH_ROLLOUTS, FIRST_WITH_SUSPENSION, KEY_BOUND, STOP_LIMIT
+from world import FIRST_WITH_LINK_CUTS, FIRST_WITH_ROLLOUTS, FIRST_WITH_SUSPENSION, KEY_BOUND, SEEDS_WITH_SILENCES, STOP_LIMIT
 
 # Seconds after a fault within which a disturbed daemon is connected again.
 SETTLE = 3.0
@@ -79,6 +79,7 @@
         self.rollouts = Rollouts(world, random.Random(f"{seed} rollouts"), self.schedule, note) if seed >= FIRST_WITH_ROLLOUTS else None
         self.links = random.Random(f"{seed} links") if seed >= FIRST_WITH_LINK_CUTS else None
         self.backlogs = random.Random(f"{seed} backlogs") if seed in SEEDS_WITH_BACKLOGS else None
+        self.silences = random.Random(f"{seed} silences") if seed in SEEDS_WITH_SILENCES else None
         if self.returns:
             world.store.era = 1
         self.unplanned = [self.pause, self.pause, self.kill, self.kill_all, self.cut_from_store, self.impair_peer_link, self.reset_callers,
@@ -108,6 +109,9 @@
     def planned_phase(self, seconds):
         if self.backlogs:
             self.miss_backlog()
+        if self.silences:
+            for begin in range(0, int(seconds), 2):
+                self.schedule.after(begin + self.silences.uniform(0, 0.4), self.silence_service)
         self.add_orders(seconds)
         self.add_rollout(seconds)
         self.run_phase(seconds, 0.6, self.planned)
@@ -276,6 +280,17 @@
         start = time.monotonic()
         self.disturbances.add("backlog", start, start + seconds)
 
+    def silence_service(self):
+        """Lets all upstreams of a service send nothing, for longer than a stream may pause and for less than its time.
+        They are sound, so this is no disturbance: what they hold must go on."""
+        links = [upstream.link for upstream in self.world.living("chat")]
+        seconds = self.silences.uniform(0.8, 1.2)
+        self.note(f"chat is silent for {seconds:.2f} s")
+        for link in links:
+            link.is_backward_open = False
+        self.schedule.after(seconds, lambda: [setattr(link, "is_backward_open", True) for link in links])
+        self.schedule.after(0.2, self.silences.choice((self.configure, self.stop_gracefully, self.reload)))
+
     def impair_peer_link(self):
         daemon = self.daemon()
         if self.random.random() < 0.5:
--- a/Tests/Soak/promises.py
+++ b/Tests/Soak/promises.py
@@ -7,7 +7,7 @@
 
 import rollout_checks
 from fleet import PATIENCE
-from world import EMPTY_BOUND, EVENTS, KEY_BOUND, LEAVE_BOUND, TIMEOUT
+from world import EMPTY_BOUND, EVENTS, KEY_BOUND, LEAVE_BOUND
 
 # Tolerance for time limits on a loaded machine. Checks that use it consider calm periods only.
 SLACK = 3.0
@@ -104,7 +104,7 @@
         return "interrupted in a calm period" if self.runs[attempt.id] else None
 
     def answered_in_time(self, attempt):
-        is_late = attempt.outcome == "late" or attempt.ended_at - attempt.sent_at > TIMEOUT + SLACK
+        is_late = attempt.outcome == "late" or attempt.ended_at - attempt.sent_at > self.world.timeout + SLACK
         return "no complete response within the route's timeout" if is_late and self.is_calm(attempt.sent_at, attempt.ended_at) else None
 
     def check_version_markers(self):
--- a/Tests/Soak/world.py
+++ b/Tests/Soak/world.py
@@ -37,7 +37,12 @@
 ROLLOUT_SERVICE = "chat"
 # The lowest seed whose schedule cuts daemons off from all upstreams.
 FIRST_WITH_LINK_CUTS = 6000
+# Seeds whose schedules include silences of a whole service. Many callers stream then, and some know no chunks.
+SEEDS_WITH_SILENCES = range(400, 500)
+STREAMING_CALLERS = 60
 TIMEOUT = 2.0
+# Streams then wait for several silences.
+TIMEOUT_WITH_SILENCES = 6.0
 EVENTS = 12
 # The topics of a soak are small. So are the reads, or a daemon would never miss more than one returns.
 STORE_LIMITS = StoreLimits(read_kb=4, page_bytes=4096)
@@ -222,10 +227,13 @@
         self.random = random.Random(f"{world.seed}-{number}")
         self.connection, self.daemon = None, None
         self.count = 0
+        is_more = world.seed in SEEDS_WITH_SILENCES
+        self.knows_chunks = not is_more or number % 2 == 0
+        self.kinds = ("resumable",) if is_more and number < STREAMING_CALLERS else ("safe", "unsafe", "unsafe", "resumable", "once", "mark")
 
     def run(self):
         while not self.world.is_over:
-            self.call(self.random.choice(("safe", "unsafe", "unsafe", "resumable", "once", "mark")))
+            self.call(self.random.choice(self.kinds))
             time.sleep(self.random.uniform(0, 0.1))
 
     def call(self, kind):
@@ -249,11 +257,13 @@
         ready = [daemon for daemon in self.world.daemons if daemon.misses < 2]
         self.daemon = self.random.choice(ready or self.world.daemons)
         host, port = self.daemon.callers.endpoint.rsplit(":", 1)
-        self.connection = http.client.HTTPConnection(host, int(port), timeout=TIMEOUT + 3)
+        self.connection = http.client.HTTPConnection(host, int(port), timeout=self.world.timeout + 3)
+        if not self.knows_chunks:
+            self.connection._http_vsn, self.connection._http_vsn_str = 10, "HTTP/1.0"
 
     def exchange(self, attempt):
         method = "POST" if attempt.kind in ("unsafe", "resumable", "once") else "GET"
-        headers = {"Host": HOST, "X-Attempt-Id": attempt.id, "X-Deadline-Ms": str(int(TIMEOUT * 1000)), "X-Api-Key": attempt.key}
+        headers = {"Host": HOST, "X-Attempt-Id": attempt.id, "X-Deadline-Ms": str(int(self.world.timeout * 1000)), "X-Api-Key": attempt.key}
         if attempt.kind in ("resumable", "once"):
             headers["X-Prompt-Prefix"] = f"aa:500,b{self.random.randrange(20)}:900,{attempt.id.replace('-', '')}:30"
         try:
@@ -282,6 +292,7 @@
 
     def __init__(self, seed, directory, daemons=4, callers=12):
         self.seed, self.directory = seed, directory
+        self.timeout = TIMEOUT_WITH_SILENCES if seed in SEEDS_WITH_SILENCES else TIMEOUT
         self.network = Network(seed)
         self.ports = Ports(seed)
         self.store = Store()
@@ -317,6 +328,7 @@
         self.daemons = [Daemon(self, number) for number in range(daemons)]
         for daemon in self.daemons:
             daemon.start()
+        callers += STREAMING_CALLERS if seed in SEEDS_WITH_SILENCES else 0
         self.threads = [threading.Thread(target=Caller(self, number).run, daemon=True) for number in range(callers)]
         self.threads.append(threading.Thread(target=self.balance, daemon=True))
 
@@ -340,10 +352,10 @@
 
     def manifest(self):
         return {"version": self.version,
-                "routes": [route("lookup", "/lookup/", "safe", "book", timeoutMs=TIMEOUT * 1000),
+                "routes": [route("lookup", "/lookup/", "safe", "book", timeoutMs=self.timeout * 1000),
                            route("confirm", "/confirm/", "unsafe", "book", maxAttempts=1),
-                           route("digest", "/stream/again/", "streaming", "chat", sticky=True, resumable=True, targetGapMs=200),
-                           route("draft", "/stream/once/", "streaming", "chat", sticky=True, targetGapMs=200),
+                           route("digest", "/stream/again/", "streaming", "chat", sticky=True, resumable=True, targetGapMs=200, timeoutMs=self.timeout * 1000),
+                           route("draft", "/stream/once/", "streaming", "chat", sticky=True, targetGapMs=200, timeoutMs=self.timeout * 1000),
                            route("mark", f"/mark/{self.version}/", "safe", "book", public=True)],
                 "services": [{"name": "book", "healthPath": "/healthz", "maxConns": 200},
                              {"name": "chat", "healthPath": "/healthz", "maxConns": 300, "coldS": 1.0, "coldPerS": 8.0, "engine": {"kvCapacityTokens": 400000, "moves": True}}],
@@ -395,7 +407,7 @@
     def stop(self):
         self.is_over = True
         for thread in self.threads:
-            thread.join(TIMEOUT + 10)
+            thread.join(self.timeout + 10)
         for daemon in self.daemons:
             daemon.stop()
         for upstream in self.upstreams:
