GatewayRequestHandler: Don't send events again that the caller has

What callers could see: events that come twice (ORDER). Found by reading, not seen on the platform.

Cause: forwarded events are left out by their ids, but the last id that a caller names when it takes a stream up was not known to the splitter, so an upstream that begins the stream again sent all events again. And a stream whose events have no ids was continued, though nothing tells which events the caller has.

Change: a stream that is taken up starts at the caller's last id, where the route's streams may be resumed. After data without an id, an answer is not continued at another upstream.

Before: test_platform's two new cases fail: the caller got 1 to 6 where it had 1 and 2, and 1, 2, 1, 2. After: they pass.

--- a/Libraries/LibProxy/EventProgress.h
+++ b/Libraries/LibProxy/EventProgress.h
@@ -11,8 +11,10 @@
     bool isHeaderSent { false };
     // The number of events that were forwarded.
     uint64_t eventCount { 0 };
-    // The highest event id that was forwarded.
+    // The highest event id that the client has.
     std::optional<uint64_t> lastForwardedId;
+    // Whether data without an id was forwarded. Another upstream would send it again, and nothing would show that.
+    bool hasUnnumberedData { false };
 };
 
 }
--- a/Libraries/LibProxy/EventSplitter.cpp
+++ b/Libraries/LibProxy/EventSplitter.cpp
@@ -34,6 +34,11 @@
         return {};
     }
 
+    bool hasData(std::string_view event)
+    {
+        return event.starts_with("data") || event.find("\ndata") != std::string_view::npos;
+    }
+
 }
 
 std::string EventSplitter::append(std::string_view bytes)
@@ -61,6 +66,8 @@
         return false;
     if (id)
         m_progress.lastForwardedId = id;
+    else if (hasData(event))
+        m_progress.hasUnnumberedData = true;
     ++m_progress.eventCount;
     return true;
 }
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -43,6 +43,9 @@
 {
     if (m_request.route->kind == RequestKind::Stream)
         m_progress = std::make_shared<EventProgress>();
+    // An upstream may begin the stream again from its first event.
+    if (m_progress && m_request.route->isRepeatable())
+        m_progress->lastForwardedId = m_request.call.lastEvent;
     if (m_request.detour)
         m_streamVersion = m_request.detour->streamVersion;
 }
@@ -521,6 +524,7 @@
     attempt.isRejected = result.verdict == Verdict::NotRun && result.failure == RefusalReason::OverCapacity;
     attempt.deadlinePassed = result.deadlineReached;
     attempt.isCallerLost = result.isCallerLost();
+    attempt.cannotBeContinued = !canBeContinued();
     attempt.mayCrashUpstreams = attempt.verdict != Verdict::NotRun && m_evidence.mayCrashUpstreams();
     if (m_attempts.recordFailure(upstream, attempt, m_services.loop.now())) {
         recordRetry(result);
@@ -535,7 +539,7 @@
 void GatewayRequestHandler::handleSilence(UpstreamId silent)
 {
     auto const now = m_services.loop.now();
-    if (m_move || m_evidence.mayCrashUpstreams())
+    if (m_move || m_evidence.mayCrashUpstreams() || !canBeContinued())
         return;
     auto retry = m_attempts.reserveMove(sizeForRetry(now), now);
     if (!retry)
--- a/Services/stagepostd/GatewayRequestHandler.h
+++ b/Services/stagepostd/GatewayRequestHandler.h
@@ -78,6 +78,8 @@
     size_t idleConnectionLimit(Service const*) const;
     GatewaySend buildSend(ServicePlacement::Choice const&, ServiceTable::Target const&, Service const*, Instant now);
     ForwardPlan buildForwardPlan(ServicePlacement::Choice const&, ServiceTable::Target const&, Instant now);
+    // Whether another upstream may go on with the answer.
+    bool canBeContinued() const { return !m_progress || !m_progress->hasUnnumberedData; }
     uint64_t eventCount() const { return m_progress ? m_progress->eventCount : 0; }
     RouteId routeId() const { return RouteId::fromName(m_request.route->name); }
     void forward(ServicePlacement::Choice const&, ServiceTable::Target const&);
--- a/Tests/LibProxy/TestEventSplitter.cpp
+++ b/Tests/LibProxy/TestEventSplitter.cpp
@@ -43,6 +43,17 @@
     BOOST_TEST(splitter.append(": comment\n\ndata: x\n\n") == ": comment\n\ndata: x\n\n");
 }
 
+// Guards against data that comes twice when a stream without ids is continued.
+BOOST_AUTO_TEST_CASE(RecordsDataWithoutId)
+{
+    EventProgress progress;
+    EventSplitter splitter(progress);
+    splitter.append(": comment\n\nid: 1\ndata: x\n\nretry: 5\n\n");
+    BOOST_TEST(!progress.hasUnnumberedData);
+    splitter.append("event: y\ndata: x\n\n");
+    BOOST_TEST(progress.hasUnnumberedData);
+}
+
 BOOST_AUTO_TEST_CASE(EventsAreIndependentOfReadBoundaries)
 {
     BOOST_TEST(rc::check("split at any byte", [](std::vector<uint8_t> const& readSizes, uint8_t count) {
--- a/Tests/Processes/platform_stand_ins.py
+++ b/Tests/Processes/platform_stand_ins.py
@@ -350,6 +350,9 @@
         self.lock = threading.Lock()
         self.events = 6
         self.event_pause = 0.0
+        # Whether it begins each stream at its first event, also for callers that have some events already.
+        self.begins_again = False
+        self.numbers_events = True
         self.stop_after = None
         self.cancelled = 0
         self.connections_open = 0
@@ -464,10 +467,11 @@
             self.released.wait(self.event_pause * request.get("slowdown", 1.0))
 
     def stream(self, connection, request, fault):
-        start = int(request["headers"].get("last-event-id", 0))
+        start = 0 if self.begins_again else int(request["headers"].get("last-event-id", 0))
         connection.sendall(self.head(request, 200, None, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"))
         for number in range(start + 1, self.events + 1):
-            event = f"id: {number}\ndata: word{number} {request['headers'].get('x-attempt-id')}\n\n".encode()
+            field = f"id: {number}\n" if self.numbers_events else ""
+            event = f"{field}data: word{number} {request['headers'].get('x-attempt-id')}\n\n".encode()
             if fault == "cut" and number == self.stop_after:
                 connection.sendall(b"%x\r\n%s\r\n" % (len(event) // 2, event[:len(event) // 2]))
                 return False
--- a/Tests/Processes/test_platform.py
+++ b/Tests/Processes/test_platform.py
@@ -306,6 +306,22 @@
         other = self.chats[1 - self.chats.index(chosen)]
         self.assertEqual(other.runs()[-1]["headers"]["last-event-id"], "3")
 
+    def test_events_that_a_caller_has_are_not_sent_again(self):
+        """Guards against events that come twice: the upstream begins a stream that is taken up at its first event."""
+        for chat in self.chats:
+            chat.begins_again = True
+        answer = self.stream("/stream/again/x", Last_Event_Id="2")
+        self.assertEqual(self.words(answer), [3, 4, 5, 6])
+
+    def test_a_stream_without_ids_is_not_continued(self):
+        """Guards against events that come twice: nothing tells which ones the caller has."""
+        for chat in self.chats:
+            chat.numbers_events, chat.fault, chat.stop_after = False, "cut", 3
+        answer = self.stream("/stream/again/x")
+        self.assertEqual(self.words(answer), [1, 2])
+        self.assertIn("X-Test-Broken", answer.headers)
+        self.assertEqual(self.runs(self.chats), 1)
+
     def preferred_chat(self):
         self.stream("/stream/again/x")
         return max(self.chats, key=lambda chat: len(chat.runs()))
