ServerDrain: Name the requests that the end of the drain cuts off

Cause: the log said how many requests a daemon cut off when its drain ended, and not which, so that the users' record of lost answers around SIGTERM has no line of the daemon that cut them.

Before: the new case of test_platform finds no such line. After: it passes.

--- a/Libraries/LibProxy/Detail/Session.cpp
+++ b/Libraries/LibProxy/Detail/Session.cpp
@@ -98,11 +98,13 @@
     }
     auto exchange = std::make_shared<SessionExchange>(m_server->context, toHttpRequest(parser.get()));
     ++m_server->openExchanges;
+    m_exchange = exchange;
     watchForDisconnect(exchange);
     m_server->handler(exchange);
     bool const keepAlive = co_await sendResponse(parser, exchange);
     m_stopWatching.emit(Net::cancellation_type::terminal);
     --m_server->openExchanges;
+    m_exchange.reset();
     m_isBusy = false;
     co_return keepAlive;
 }
--- a/Libraries/LibProxy/Detail/Session.h
+++ b/Libraries/LibProxy/Detail/Session.h
@@ -43,6 +43,8 @@
     // Closes the connection unless it is reading or serving a request.
     void closeIfIdle();
     void close();
+    // Null unless a request is being served.
+    std::shared_ptr<SessionExchange> openExchange() const { return m_exchange.lock(); }
 
 private:
     using RequestParser = Http::request_parser<Http::string_body>;
@@ -59,6 +61,7 @@
     TcpStream m_stream;
     Beast::flat_buffer m_buffer { maxUnparsedBytes };
     Net::cancellation_signal m_stopWatching;
+    std::weak_ptr<SessionExchange> m_exchange;
     bool m_isBusy { false };
     // Whether the client was sent a part of a response that the end of its connection would complete.
     bool m_isResponseCut { false };
--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -105,6 +105,14 @@
         session->closeIfIdle();
 }
 
+void HttpServer::forEachOpenRequest(std::function<void(HttpRequest const&)> const& callback) const
+{
+    for (auto const* session : m_state->sessions) {
+        if (auto const exchange = session->openExchange())
+            callback(exchange->request());
+    }
+}
+
 size_t HttpServer::openExchanges() const
 {
     return m_state->openExchanges;
--- a/Libraries/LibProxy/HttpServer.h
+++ b/Libraries/LibProxy/HttpServer.h
@@ -53,6 +53,8 @@
 
     // The number of requests that have been read and whose responses are incomplete.
     size_t openExchanges() const;
+    // Calls back for each of them.
+    void forEachOpenRequest(std::function<void(HttpRequest const&)> const&) const;
 
     struct State;
 
--- a/Services/stagepostd/Daemon.cpp
+++ b/Services/stagepostd/Daemon.cpp
@@ -67,7 +67,7 @@
     , m_server(
           loop, m_options.http, [this](std::shared_ptr<Exchange> const& exchange) { handleRequest(exchange); }, [this](Refusal const& refusal) { return refuse(refusal); })
     , m_tickTimer(loop)
-    , m_drain(loop, m_server)
+    , m_drain(loop, m_server, "X-Request-Id")
 {
 }
 
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -77,7 +77,7 @@
           loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handleReady(*exchange); }, [this](Refusal const& refusal) { return refuse(refusal); })
     , m_ticker(loop)
     , m_stallDetector(m_metrics, { tickInterval, m_options.directory.outageThreshold })
-    , m_drain(loop, m_server, [this] { return m_detourServer.load(); })
+    , m_drain(loop, m_server, m_dialect.idField, [this] { return m_detourServer.load(); })
 {
     m_peers.shareUpstreamConnections(m_server);
 }
--- a/Tests/Processes/test_platform.py
+++ b/Tests/Processes/test_platform.py
@@ -570,6 +570,21 @@
         self.assertEqual(len(self.words(replies[0])), 40)
         self.assertEqual(self.entry.process.wait(PATIENCE), 0)
 
+    def test_the_log_names_requests_that_the_end_of_the_drain_cuts_off(self):
+        """Without them nobody can tell whose answers a daemon has cut."""
+        self.entry.stop()
+        self.entry = self.start("--drain-s", "1")
+        self.set_fault(self.books, "mute")
+        self.entry.process.send_signal(signal.SIGTERM)
+        # Late in the time for which a daemon that stops still takes requests.
+        time.sleep(2)
+        caller = threading.Thread(target=lambda: self.call("/confirm/x", "POST", "body", X_Deadline_Ms="5000"), daemon=True)
+        caller.start()
+        eventually(lambda: self.runs(self.books) == 1, "sent")
+        self.entry.process.wait(PATIENCE)
+        self.entry.reader.join()
+        self.assertEqual(len([line for line in self.entry.lines if f"event=cut-off id=attempt-{self.attempts}" in line]), 1)
+
     def test_a_reload_aborts_no_stream(self):
         for chat in self.chats:
             chat.events, chat.event_pause = 20, 0.01
