HttpFields: Apply a caller's Connection field to its own message only

An upstream could remove its own signature from an answer.

Cause: the fields that Connection names were removed after the gateway had added its own.

Change: they are removed from the message that was received, before anything is added (RFC 9110, section 7.6.1), for requests to upstreams, for those that are passed on to other daemons, and in the product's own daemon. Fields that concern the upstream or the caller in any case are kept. All Connection fields count. A metric counts requests that name a reserved field.

Before: test_platform's two new cases fail: no x-tenant arrives, and the answer has no id.

--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -210,7 +210,7 @@
     if (m_plan.maxRecordedBytes) {
         m_result.recordedResponse.status = m_result.status;
         m_result.recordedResponse.headers = upstreamHeaders();
-        m_result.recordedResponse.headers.removeHopByHop();
+        m_result.recordedResponse.headers.removeHopByHop(m_plan.endToEndFields);
         m_result.recordedResponse.headers.remove("Content-Length");
     }
     if (m_plan.progress && m_isEventStream)
@@ -309,7 +309,7 @@
 Net::awaitable<bool> Forwarder::writeHeader(std::optional<uint64_t> length)
 {
     auto headers = upstreamHeaders();
-    headers.removeHopByHop();
+    headers.removeHopByHop(m_plan.endToEndFields);
     headers.remove("Content-Length");
     for (auto const& field : m_plan.extraResponseHeaders)
         headers.set(field.name, field.value);
--- a/Libraries/LibProxy/Detail/UpstreamRequest.cpp
+++ b/Libraries/LibProxy/Detail/UpstreamRequest.cpp
@@ -17,7 +17,7 @@
         request.target(plan.request.target);
         request.version(11);
         HttpFields headers = plan.request.headers;
-        headers.removeHopByHop();
+        headers.removeFixedHopByHop();
         headers.remove("Content-Length");
         headers.remove("Expect");
         for (auto const& field : headers)
--- a/Libraries/LibProxy/ForwardPlan.h
+++ b/Libraries/LibProxy/ForwardPlan.h
@@ -8,6 +8,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
+#include <string_view>
 
 namespace Stagepost {
 
@@ -32,7 +34,10 @@
 // How to forward one request to one upstream.
 struct ForwardPlan {
     Endpoint upstream;
+    // Without the connection-specific fields of the client's request. All fields are sent.
     HttpRequest request;
+    // Fields of the response that are forwarded even if the upstream's Connection field names them.
+    std::span<std::string_view const> endToEndFields {};
     // Added to the upstream's response, where they replace fields of the same name.
     HttpFields extraResponseHeaders;
     Milliseconds connectTimeout { 1000 };
--- a/Libraries/LibProxy/HttpMessage.cpp
+++ b/Libraries/LibProxy/HttpMessage.cpp
@@ -14,23 +14,19 @@
 
     std::string_view trimmed(std::string_view text)
     {
-        while (!text.empty() && text.front() == ' ')
-            text.remove_prefix(1);
-        while (!text.empty() && text.back() == ' ')
-            text.remove_suffix(1);
-        return text;
+        constexpr std::string_view blanks = " \t";
+        auto const begin = std::min(text.find_first_not_of(blanks), text.size());
+        text.remove_prefix(begin);
+        return text.substr(0, text.find_last_not_of(blanks) + 1);
     }
 
-    // The field names that a Connection field lists, which are hop-by-hop as well.
-    std::vector<std::string> parseConnectionOptions(std::string_view list)
+    void appendListed(std::vector<std::string>& names, std::string_view list)
     {
-        std::vector<std::string> names;
         while (!list.empty()) {
             auto const comma = std::min(list.find(','), list.size());
             names.emplace_back(trimmed(list.substr(0, comma)));
             list.remove_prefix(std::min(comma + 1, list.size()));
         }
-        return names;
     }
 
 }
@@ -72,10 +68,34 @@
     return std::any_of(m_fields.begin(), m_fields.end(), [&](auto const& field) { return equalsIgnoringCase(field.name, name); });
 }
 
-void HttpFields::removeHopByHop()
+std::vector<std::string> HttpFields::connectionOptions() const
+{
+    std::vector<std::string> names;
+    for (auto const& field : m_fields) {
+        if (equalsIgnoringCase(field.name, "Connection") || equalsIgnoringCase(field.name, "Proxy-Connection"))
+            appendListed(names, field.value);
+    }
+    return names;
+}
+
+bool HttpFields::isNamedByConnection(std::string_view name) const
+{
+    auto const names = connectionOptions();
+    return std::any_of(names.begin(), names.end(), [name](auto const& each) { return equalsIgnoringCase(each, name); });
+}
+
+void HttpFields::removeHopByHop(std::span<std::string_view const> endToEnd)
+{
+    for (auto const& name : connectionOptions()) {
+        bool const isEndToEnd = std::any_of(endToEnd.begin(), endToEnd.end(), [&](auto each) { return equalsIgnoringCase(each, name); });
+        if (!isEndToEnd)
+            remove(name);
+    }
+    removeFixedHopByHop();
+}
+
+void HttpFields::removeFixedHopByHop()
 {
-    for (auto const& name : parseConnectionOptions(find("Connection")))
-        remove(name);
     for (auto const name : hopByHopFieldNames)
         remove(name);
 }
--- a/Libraries/LibProxy/HttpMessage.h
+++ b/Libraries/LibProxy/HttpMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,13 +30,22 @@
     std::string_view find(std::string_view name) const;
     bool contains(std::string_view name) const;
 
-    // Removes the hop-by-hop fields, including those that the Connection field lists.
-    void removeHopByHop();
+    // Removes the fields that concern one connection only: those that the Connection fields name, unless they
+    // are end-to-end, and the ones that always do. To be called on a message that was received, before
+    // anything is added to it (RFC 9110, section 7.6.1).
+    void removeHopByHop(std::span<std::string_view const> endToEnd = {});
+    // Removes only the ones that always do.
+    void removeFixedHopByHop();
+    // Whether a Connection field names the field.
+    bool isNamedByConnection(std::string_view name) const;
 
     auto begin() const { return m_fields.begin(); }
     auto end() const { return m_fields.end(); }
 
 private:
+    // The names that all Connection fields list.
+    std::vector<std::string> connectionOptions() const;
+
     std::vector<HttpField> m_fields;
 };
 
--- a/Services/stagepostd/DetourClient.cpp
+++ b/Services/stagepostd/DetourClient.cpp
@@ -77,6 +77,7 @@
     plan.upstream = endpoint;
     plan.request = m_dialect.writeDetour(request.exchange->request(), attempts.timeLeft(now), lastEvent);
     plan.request.headers.set(DetourServer::termsHeader, m_peers.signDetour(terms));
+    plan.endToEndFields = m_dialect.endToEndResponseFields;
     plan.requestIdField = m_dialect.idField;
     plan.requestId = terms.id;
     plan.preserveHost = true;
--- a/Services/stagepostd/GatewayDialect.h
+++ b/Services/stagepostd/GatewayDialect.h
@@ -7,7 +7,9 @@
 #include <LibSettings/RouteTable.h>
 #include <functional>
 #include <optional>
+#include <span>
 #include <stagepostd/IncrementalSettingsParser.h>
+#include <string_view>
 
 namespace Stagepost {
 
@@ -23,6 +25,8 @@
     std::optional<uint64_t> lastEvent;
     // The id of the attempt that brought the first event of that stream; empty if the caller does not say.
     std::string firstAttempt {};
+    // Whether the caller's Connection field names a field that the gateway reads or sets.
+    bool namesReservedField { false };
 };
 
 // What the gateway adds to a caller's request when it sends it to an upstream.
@@ -69,6 +73,8 @@
     // the last event that it has received.
     std::function<HttpRequest(HttpRequest const&, Milliseconds timeLeft, std::optional<uint64_t> lastEvent)> writeDetour;
     std::function<UpstreamResponseInfo(unsigned status, HttpFields const&)> readResponseHeader;
+    // The fields of an upstream's answer that its Connection field can't make connection-specific.
+    std::span<std::string_view const> endToEndResponseFields {};
 };
 
 }
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -52,6 +52,8 @@
 
 void GatewayRequestHandler::start()
 {
+    if (m_request.call.namesReservedField)
+        m_services.metrics.count("stagepost_reserved_fields_named_total");
     m_isCounted = m_request.detour && m_request.detour->isCounted;
     if (m_services.detours.isNeeded() && (!checkMaySend() || startDetour()))
         return;
@@ -352,6 +354,7 @@
     ForwardPlan plan;
     plan.upstream = target.endpoint;
     plan.request = m_services.dialect.writeCall(m_exchange->request(), buildSend(choice, target, service, now));
+    plan.endToEndFields = m_services.dialect.endToEndResponseFields;
     plan.requestIdField = m_services.dialect.idField;
     plan.requestId = m_request.call.id;
     plan.preserveHost = true;
--- a/Services/stagepostd/OnceGateway.cpp
+++ b/Services/stagepostd/OnceGateway.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+    // Read by the daemon that a request is passed on to, even if the caller's Connection field names them.
+    constexpr std::array<std::string_view, 8> fieldsOfOtherDaemon {
+        "Host", "Authorization", "Idempotency-Key", "Stagepost-Ticket", "Stagepost-Hint", "Stagepost-Deadline-Ms", "Priority", "X-Request-Id"
+    };
+
     constexpr char const* forwardedField = "Stagepost-Passed-On";
     constexpr uint64_t maxTicketsPerRequest = 256;
     constexpr size_t maxRecordsPerRead = 500;
@@ -150,6 +155,7 @@
     ForwardPlan plan;
     plan.upstream = daemon;
     plan.request = exchange->request();
+    plan.request.headers.removeHopByHop(fieldsOfOtherDaemon);
     plan.request.headers.set(forwardedField, bytesToHex(m_authenticator.computeTag(forwardedTagText(exchange->request()))));
     plan.responseHeaderTimeout = answerTimeout;
     plan.requireNewConnection = true;
--- a/Services/stagepostd/RequestReader.cpp
+++ b/Services/stagepostd/RequestReader.cpp
@@ -100,6 +100,7 @@
         request.upstreamCall = call;
         request.upstreamCall.target = std::move(target);
         auto& headers = request.upstreamCall.headers;
+        headers.removeHopByHop();
         for (auto const* name : { "Authorization", "Host", "Stagepost-Ticket", "Stagepost-Hint", "Stagepost-Deadline-Ms" })
             headers.remove(name);
         headers.set("Priority", request.placement.priority == Priority::Urgent ? "u=1" : "u=5");
--- a/Tests/Processes/platform_stand_ins.py
+++ b/Tests/Processes/platform_stand_ins.py
@@ -353,6 +353,8 @@
         # Whether it begins each stream at its first event, also for callers that have some events already.
         self.begins_again = False
         self.numbers_events = True
+        # The value of the Connection field of its answers.
+        self.connection_field = None
         self.stop_after = None
         self.cancelled = 0
         self.connections_open = 0
@@ -441,6 +443,7 @@
     def head(self, request, status, length, extra=""):
         identifier = request["headers"].get("x-attempt-id", "")
         extra += "Server-Leaving: 1\r\n" if self.says_leaving else ""
+        extra += f"Connection: {self.connection_field}\r\n" if self.connection_field else ""
         extra += "" if self.brittle_limit is None else f"Server-Brittle: {self.brittle_limit}\r\n"
         framing = "" if length is None else f"Content-Length: {length}\r\n"
         return (f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {identifier}\r\nX-Response-Signature: by-{self.instance}\r\n"
--- a/Tests/Processes/test_platform.py
+++ b/Tests/Processes/test_platform.py
@@ -163,6 +163,31 @@
         self.assertIn(headers["x-expect-instance"], ("book-1", "book-2"))
         self.assertLessEqual(int(headers["x-deadline-ms"]), 1500)
 
+    def test_connection_fields_dont_remove_what_the_daemon_adds(self):
+        """Guards against callers that make the daemon's own fields connection-specific by naming them."""
+        expected = {"x-tenant": "club", "x-expect-instance": None, "x-deadline-ms": None, "host": HOST}
+        variants = ("Connection: keep-alive, X-Tenant, X-Expect-Instance", "Connection: X-TENANT\r\nConnection:\tx-expect-instance ,x-deadline-ms",
+                    "Proxy-Connection: X-Tenant", "TE: X-Tenant", "Trailer: X-Tenant", "Connection: Host, X-Attempt-Id, X-Deadline-Ms, X-Api-Key")
+        for number, fields in enumerate(variants):
+            for trailer in ("", "X-Tenant: forged\r\nConnection: X-Tenant, X-Expect-Instance\r\n"):
+                identifier = f"named-{number}-{bool(trailer)}"
+                with raw(self.entry.endpoint) as connection:
+                    connection.sendall(f"POST /confirm/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {identifier}\r\nX-Deadline-Ms: 1500\r\nX-Api-Key: {KEY}\r\n"
+                                       f"X-Tenant: forged\r\n{fields}\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n{trailer}\r\n".encode())
+                    self.assertIn(b" 200 ", connection.recv(65536), fields)
+                run = next(run for run in self.books[0].runs() + self.books[1].runs() if run["headers"]["x-attempt-id"] == identifier)
+                for name, value in expected.items():
+                    self.assertIn(name, run["headers"], fields)
+                    self.assertIn(run["headers"][name], (value or run["headers"][name],), fields)
+        self.assertIn("stagepost_reserved_fields_named_total", self.entry.get_ready("/metrics").body)
+
+    def test_connection_fields_of_an_upstream_dont_remove_its_signature(self):
+        for book in self.books:
+            book.connection_field = "X-Response-Signature, X-Attempt-Id, X-Server-Load"
+        answer = self.call("/lookup/x")
+        self.assertEqual((answer.status, answer.headers["X-Attempt-Id"]), (200, f"attempt-{self.attempts}"))
+        self.assertTrue(answer.headers["X-Response-Signature"].startswith("by-"))
+
     def test_routes_keys_and_limits_are_enforced(self):
         self.assertEqual(self.call("/elsewhere/").status, 404)
         self.assertEqual(self.call("/lookup/x", key="wrong").status, 401)
--- a/Tests/platform/TestPlatformReaders.cpp
+++ b/Tests/platform/TestPlatformReaders.cpp
@@ -281,6 +281,45 @@
     BOOST_TEST(!dialect.writeCall(original, send).headers.contains("X-Tenant"));
 }
 
+// Guards against callers that remove what the gateway tells an upstream, by naming it in a Connection field.
+BOOST_AUTO_TEST_CASE(ConnectionFieldsDontChangeWhatTheGatewaySends)
+{
+    auto const dialect = platformDialect();
+    std::vector<std::string> const gatewayFields { "X-Tenant", "X-Expect-Instance", "X-Request-Priority", "X-Deadline-Ms", "Kv-Fetch", "Last-Event-Id" };
+    std::vector<std::string> names = gatewayFields;
+    for (auto const* other : { "Host", "X-Attempt-Id", "X-Model", "X-Token-Count", "X-Prompt-Prefix", "Resumes", "close", "keep-alive", "X-Other", "" })
+        names.emplace_back(other);
+    GatewaySend const send { "i-1", "club", 3, Milliseconds(300), 4, "10.0.0.1:80" };
+    HttpFields const plain { { "Host", "h" }, { "X-Attempt-Id", "9c" }, { "X-Model", "m" }, { "X-Token-Count", "1,2" }, { "X-Prompt-Prefix", "a:1" }, { "Resumes", "8b" }, { "X-Tenant", "forged" } };
+    BOOST_TEST(rc::check("any Connection fields", [&](std::vector<std::vector<std::pair<uint8_t, uint8_t>>> const& lists) {
+        auto named = plain;
+        for (auto const& list : lists) {
+            std::string value;
+            for (auto const& [index, spelling] : list) {
+                auto name = names[index % names.size()];
+                if (spelling % 2)
+                    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) { return std::toupper(letter); });
+                value += (value.empty() ? "" : ",") + std::string(spelling % 3, ' ') + name + (spelling % 5 ? "" : "\t ");
+            }
+            named.add(lists.size() % 4 ? "Connection" : "proxy-connection", value);
+        }
+        HttpRequest request { "POST", "/d/x", plain, "body" };
+        auto const expected = dialect.writeCall(request, send);
+        request.headers = named;
+        auto const written = dialect.writeCall(request, send);
+        auto kept = gatewayFields;
+        for (auto const* own : { "Host", "X-Attempt-Id", "X-Model", "X-Token-Count", "X-Prompt-Prefix", "Resumes" })
+            kept.emplace_back(own);
+        for (auto const& name : kept)
+            RC_ASSERT(written.headers.find(name) == expected.headers.find(name));
+        RC_ASSERT(!written.headers.contains("Connection"));
+        auto const detour = dialect.writeDetour(request, Milliseconds(300), 4);
+        RC_ASSERT(detour.headers.find("X-Deadline-Ms") == "300" && detour.headers.find("Host") == "h");
+    }));
+    BOOST_TEST(dialect.readCall(call({ { "Connection", "keep-alive" }, { "Connection", "close, x-tenant" } })).namesReservedField);
+    BOOST_TEST(!dialect.readCall(call({ { "Connection", "keep-alive, X-Other" }, { "X-Tenant", "forged" } })).namesReservedField);
+}
+
 BOOST_AUTO_TEST_CASE(AnswerHeadsAreParsed)
 {
     auto const dialect = platformDialect();
