SessionExchange: End each forward, also one that does not take place

Cause: a forward that the session had not taken up when its client left, or that was asked for after that, was dropped without a call of its callback, which gives back what the handler counts for it.

Change: such a forward fails as one whose client has left.

--- a/Libraries/LibProxy/Detail/Exchange.cpp
+++ b/Libraries/LibProxy/Detail/Exchange.cpp
@@ -2,6 +2,35 @@
 
 namespace Stagepost {
 
+namespace {
+
+    ForwardResult callerGone()
+    {
+        ForwardResult result;
+        result.failure = RefusalReason::CallerGone;
+        result.detail = "the client left before its request was sent";
+        return result;
+    }
+
+}
+
+// Each callback runs exactly once, since handlers count their requests from the call of forward() on.
+void SessionExchange::forward(ForwardPlan plan, ForwardCallback callback)
+{
+    if (m_isEnded)
+        Net::post(m_context, [callback = std::move(callback)] { callback(callerGone()); });
+    else
+        setAction(ForwardAction { std::move(plan), std::move(callback) });
+}
+
+void SessionExchange::end()
+{
+    m_isEnded = true;
+    auto const action = std::exchange(m_action, Action {});
+    if (auto const* forward = std::get_if<ForwardAction>(&action))
+        forward->callback(callerGone());
+}
+
 void SessionExchange::setAction(Action action)
 {
     m_action = std::move(action);
@@ -12,8 +41,10 @@
 {
     while (std::holds_alternative<std::monostate>(m_action) && !m_isClientDisconnected && !m_isAborted)
         co_await m_actionReady.async_wait(useTuple);
-    if (m_isClientDisconnected || m_isAborted)
+    if (m_isClientDisconnected || m_isAborted) {
+        end();
         co_return Action {};
+    }
     co_return std::exchange(m_action, Action {});
 }
 
--- a/Libraries/LibProxy/Detail/Exchange.h
+++ b/Libraries/LibProxy/Detail/Exchange.h
@@ -17,14 +17,15 @@
     using Action = std::variant<std::monostate, HttpResponse, ForwardAction>;
 
     SessionExchange(Net::io_context& context, HttpRequest request)
-        : m_request(std::move(request))
+        : m_context(context)
+        , m_request(std::move(request))
         , m_actionReady(context, ClockTimer::time_point::max())
     {
     }
 
     HttpRequest const& request() const override { return m_request; }
     void respond(HttpResponse response) override { setAction(std::move(response)); }
-    void forward(ForwardPlan plan, ForwardCallback callback) override { setAction(ForwardAction { std::move(plan), std::move(callback) }); }
+    void forward(ForwardPlan, ForwardCallback) override;
     void stopForward() override;
     void abort() override
     {
@@ -35,7 +36,8 @@
     bool isClientDisconnected() const override { return m_isClientDisconnected; }
 
     // Waits for the handler's next action. The action is empty if the client has
-    // disconnected or the exchange was aborted.
+    // disconnected or the exchange was aborted. A forward that does not take place any more
+    // fails as one whose client has left.
     Net::awaitable<Action> nextAction();
 
     void handleClientDisconnect();
@@ -50,7 +52,9 @@
 
 private:
     void setAction(Action);
+    void end();
 
+    Net::io_context& m_context;
     HttpRequest m_request;
     // Never expires: cancelling it wakes nextAction().
     ClockTimer m_actionReady;
@@ -59,6 +63,8 @@
     UpstreamConnection* m_upstream { nullptr };
     bool m_isClientDisconnected { false };
     bool m_isAborted { false };
+    // The session waits for no further action.
+    bool m_isEnded { false };
     bool m_isForwardStopped { false };
 };
 
