--- a/Tests/LibProxy/Sockets.h
+++ b/Tests/LibProxy/Sockets.h
@@ -7,9 +7,44 @@
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace Stagepost {
 
+// A listening TCP port, until close() is called.
+class ListeningPort {
+public:
+    ListeningPort()
+        : m_listener(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        BOOST_REQUIRE(::bind(m_listener, reinterpret_cast<sockaddr const*>(&address), sizeof(address)) == 0);
+        BOOST_REQUIRE(::listen(m_listener, 1) == 0);
+        socklen_t size = sizeof(address);
+        BOOST_REQUIRE(::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+        endpoint = { "127.0.0.1", ntohs(address.sin_port) };
+    }
+    ~ListeningPort() { close(); }
+    ListeningPort(ListeningPort const&) = delete;
+    ListeningPort& operator=(ListeningPort const&) = delete;
+
+    void close()
+    {
+        if (m_listener >= 0)
+            ::close(std::exchange(m_listener, -1));
+    }
+
+    // Blocks until a client connects. The caller closes the connection.
+    int accept() const { return ::accept(m_listener, nullptr, nullptr); }
+
+    Endpoint endpoint;
+
+private:
+    int m_listener;
+};
+
 // A client with a blocking socket and no event loop.
 class Client {
 public:
--- a/Tests/LibProxy/TestResponseEnds.cpp
+++ b/Tests/LibProxy/TestResponseEnds.cpp
@@ -12,27 +12,12 @@
 // An upstream that the test answers for, without an event loop.
 class Upstream {
 public:
-    Upstream()
-        : m_listener(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        BOOST_REQUIRE(::bind(m_listener, reinterpret_cast<sockaddr const*>(&address), sizeof(address)) == 0);
-        BOOST_REQUIRE(::listen(m_listener, 1) == 0);
-        socklen_t size = sizeof(address);
-        BOOST_REQUIRE(::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size) == 0);
-        endpoint = { "127.0.0.1", ntohs(address.sin_port) };
-    }
-    ~Upstream()
-    {
-        close();
-        ::close(m_listener);
-    }
+    Upstream() = default;
+    ~Upstream() { close(); }
     Upstream(Upstream const&) = delete;
     Upstream& operator=(Upstream const&) = delete;
 
-    void accept() { m_connection = ::accept(m_listener, nullptr, nullptr); }
+    void accept() { m_connection = m_port.accept(); }
     void send(std::string const& bytes) const { BOOST_REQUIRE(::send(m_connection, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size())); }
     void beginStream() const { send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n" + std::string(event) + "\r\n"); }
     void endStream() const { send("0\r\n\r\n"); }
@@ -42,10 +27,10 @@
             ::close(std::exchange(m_connection, -1));
     }
 
-    Endpoint endpoint;
+    Endpoint const& endpoint() const { return m_port.endpoint; }
 
 private:
-    int m_listener;
+    ListeningPort m_port;
     int m_connection { -1 };
 };
 
@@ -56,7 +41,7 @@
         server.emplace(
             loop, HttpServerOptions {}, [this, progress](std::shared_ptr<Exchange> const& exchange) {
                 ForwardPlan plan;
-                plan.upstream = upstream.endpoint;
+                plan.upstream = upstream.endpoint();
                 plan.request = exchange->request();
                 plan.progress = progress;
                 plan.sendErrorEvent = false;
--- a/Tests/platform/TestVersionHistoryReader.cpp
+++ b/Tests/platform/TestVersionHistoryReader.cpp
@@ -79,7 +79,10 @@
         auto body = bigEndian(upstreams.size(), 8) + bigEndian(first, 8);
         for (size_t offset = from; offset < std::min(upstreams.size(), from + recordsPerRead); ++offset) {
             auto const& [key, value] = upstreams[offset];
-            body += bigEndian(1 + key.size() + value.size(), 4) + static_cast<char>(key.size()) + key + value;
+            body += bigEndian(1 + key.size() + value.size(), 4);
+            body += static_cast<char>(key.size());
+            body += key;
+            body += value;
         }
         return { 200, {}, body };
     }
