LibProxy, GatewayRequestHandler: Name what the move and the reset do

closeNormally() closed nothing, and the outcome of a search for a place was called a place. Comments say when a move's retry is spent and why a short gap of the list keeps the history. No behaviour changes.

--- a/Libraries/LibProxy/Detail/ConnectionClose.cpp
+++ b/Libraries/LibProxy/Detail/ConnectionClose.cpp
@@ -28,7 +28,7 @@
     setReset(stream, true);
 }
 
-void closeNormally(TcpStream& stream)
+void endNormallyWhenClosed(TcpStream& stream)
 {
     setReset(stream, false);
 }
--- a/Libraries/LibProxy/Detail/ConnectionClose.h
+++ b/Libraries/LibProxy/Detail/ConnectionClose.h
@@ -11,7 +11,7 @@
 // Lets the connection end with a reset, however it ends: also if this process is killed.
 void resetWhenClosed(TcpStream&);
 // Undoes that.
-void closeNormally(TcpStream&);
+void endNormallyWhenClosed(TcpStream&);
 
 // The following close connections that this process has opened. A request that was given up during a network
 // outage would otherwise reach its upstream seconds later.
--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -376,7 +376,7 @@
             co_return false;
     }
     if (m_isEndedByClose)
-        closeNormally(m_client.stream);
+        endNormallyWhenClosed(m_client.stream);
     if (!m_isChunked)
         co_return true;
     m_isWritingToClient = true;
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -617,10 +617,10 @@
     if (move.isDetour)
         return placeRequest();
     m_role = move.granted->role;
-    m_isContextNew = move.granted->place.isContextNew;
-    m_place = std::move(move.granted->place.place);
+    m_isContextNew = move.granted->outcome.isContextNew;
+    m_place = std::move(move.granted->outcome.place);
     m_sampler.startSend();
-    forward(*move.granted->place.choice, move.granted->target);
+    forward(*move.granted->outcome.choice, move.granted->target);
 }
 
 // The request goes to another upstream.
--- a/Services/stagepostd/GatewayRequestHandler.h
+++ b/Services/stagepostd/GatewayRequestHandler.h
@@ -22,11 +22,11 @@
 private:
     // A place at another upstream for a request whose own is silent.
     struct GrantedMove {
-        PlaceFinder::Outcome place;
+        PlaceFinder::Outcome outcome;
         ServiceTable::Target target;
         UpstreamRole role { UpstreamRole::Serving };
     };
-    // The search for such a place, and what it has found.
+    // The search for such a place, and what it has found. The retry is spent when the place is granted.
     struct Move {
         explicit Move(RetryBudget::Reservation&& reserved)
             : retry(std::move(reserved))
@@ -91,8 +91,10 @@
     bool couldSendAgain() const;
     // The upstream has sent nothing for longer than another one would need.
     void handleSilence(UpstreamId silent);
+    // Whether the move is still the current one, and the request may be sent now.
     bool isMoveWanted(std::shared_ptr<Move> const&);
     void findPlaceForMove(UpstreamId silent, std::function<bool()> const& isWanted);
+    // Gives the silent upstream up. finishMove() goes on once its forward has ended.
     void grantMove(PlaceFinder::Outcome&&, UpstreamRole);
     void findDetourForMove(std::function<bool()> const& isWanted);
     void finishMove(UpstreamId silent, Move&, ForwardResult const&);
--- a/Services/stagepostd/ServiceTable.cpp
+++ b/Services/stagepostd/ServiceTable.cpp
@@ -141,7 +141,8 @@
     m_historySince = std::min(m_historySince, now - VersionHistory::memory);
 }
 
-// While a list is outdated, upstreams of another version may come and go unseen.
+// While a list is outdated, upstreams of another version may come and go unseen. After a short time, that version
+// was new to the daemons that used it, so its streams have records.
 void ServiceTable::setListAge(std::optional<Microseconds> age, Instant now)
 {
     bool const wasOutdated = m_listAge && *m_listAge > maxListAge;
