ServiceTable: Take no read from before a gap for a proof of versions

Cause: the history of versions was restored by a read whenever its answer arrived. One that was sent before a suspension or an outage of the store says nothing of versions that came and went meanwhile. Found by reading.

--- a/Libraries/LibProxy/Detail/Session.cpp
+++ b/Libraries/LibProxy/Detail/Session.cpp
@@ -56,8 +56,9 @@
     m_server->sessions.erase(this);
 }
 
-// Unless a cut response has to end with a reset, waits until the client has closed the connection as well. Closing it while bytes of the client are unread
-// would reset it, and the client would lose the part of its answer that it has yet to read.
+// Unless a cut response has to end with a reset, waits until the client has closed the connection as well.
+// Closing it while bytes of the client are unread would reset it, and the client would lose the part of its
+// answer that it has yet to read.
 Net::awaitable<void> Session::end()
 {
     if (m_isResponseCut) {
--- a/Services/stagepostd/ServiceTable.cpp
+++ b/Services/stagepostd/ServiceTable.cpp
@@ -130,8 +130,10 @@
         history.restart(now);
 }
 
-void ServiceTable::restoreVersionHistory(std::map<std::string, std::set<VersionId>> const& versions, Instant now)
+void ServiceTable::restoreVersionHistory(std::map<std::string, std::set<VersionId>> const& versions, Instant readSentAt, Instant now)
 {
+    if (readSentAt < m_historySince)
+        return;
     for (auto const& [service, earlier] : versions)
         m_versionHistories.try_emplace(service, m_historySince);
     for (auto& [service, history] : m_versionHistories) {
--- a/Services/stagepostd/ServiceTable.h
+++ b/Services/stagepostd/ServiceTable.h
@@ -107,7 +107,8 @@
     // This daemon may have missed upstreams that came and went.
     void restartVersionHistory(Instant now);
     // These are all versions that upstreams have had before, or while this daemon may have missed some.
-    void restoreVersionHistory(std::map<std::string, std::set<VersionId>> const&, Instant now);
+    // Ignored if the read that has told them was sent before the latest such gap was noticed.
+    void restoreVersionHistory(std::map<std::string, std::set<VersionId>> const&, Instant readSentAt, Instant now);
     // Sets how old the list of upstreams is, none before there is one. To be called at each tick.
     void setListAge(std::optional<Microseconds>, Instant now);
     // The versions that upstreams have had for as long as streams can be taken up, by service; none if some
--- a/Tests/platform/TestServiceTable.cpp
+++ b/Tests/platform/TestServiceTable.cpp
@@ -281,4 +281,20 @@
     BOOST_TEST(world.table.inFlightAt("book", { "v1" }) == 1u);
 }
 
+// Guards against a read that was sent before a suspension or an outage and is taken for a proof of what came and
+// went meanwhile.
+BOOST_AUTO_TEST_CASE(AReadFromBeforeAGapProvesNoVersions)
+{
+    World world;
+    world.put(upstream("a", 1));
+    std::map<std::string, std::set<VersionId>> const versions { { "book", { VersionId::fromName("") } } };
+    auto const sentAt = world.now;
+    world.now += Seconds(1);
+    world.table.restartVersionHistory(world.now);
+    world.table.restoreVersionHistory(versions, sentAt, world.now);
+    BOOST_TEST(!world.table.recentVersions(world.now).has_value());
+    world.table.restoreVersionHistory(versions, world.now, world.now);
+    BOOST_TEST(world.table.recentVersions(world.now).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/platform/TestVersionHistoryReader.cpp
+++ b/Tests/platform/TestVersionHistoryReader.cpp
@@ -101,7 +101,7 @@
 {
     EventLoop loop;
     std::optional<ServiceVersions> result;
-    VersionHistoryReader reader(loop, store.client, [] { return uint64_t { 0 }; }, { [&] { return !result; }, [&](auto const& versions) { result = versions; } });
+    VersionHistoryReader reader(loop, store.client, [] { return uint64_t { 0 }; }, { [&] { return !result; }, [&](auto const& versions, Instant) { result = versions; } });
     reader.start();
     loop.runFor(Milliseconds(200));
     return result;
