StreamOriginExchange: Log what has told a stream's version

The log named only streams that were refused. Whether one that went on was told by a record, by a list of upstreams or by the absence of a record could not be seen, so that the causes of a joined stream could not be told apart. Each stream that is taken up gets a line, and the metric counts them by origin.

--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -92,7 +92,7 @@
     bool const haveKeepersReplied = std::all_of(pending.keepers.begin(), pending.keepers.end(), hasReplied);
     for (auto const& [daemon, reply] : pending.replies) {
         if (reply.recorded)
-            return Origin { reply.recorded, haveKeepersReplied };
+            return Origin { reply.recorded, haveKeepersReplied, Source::Record };
     }
     bool const isOver = now >= pending.deadline || std::all_of(pending.asked.begin(), pending.asked.end(), hasReplied);
     // A list that is a moment old lacks a version that has just joined, whose streams have records.
@@ -100,10 +100,11 @@
     if (!areRecordsRuledOut && !isOver)
         return {};
     if (auto const version = provenVersion(pending))
-        return Origin { version, haveKeepersReplied };
+        return Origin { version, haveKeepersReplied, Source::OneVersion };
     if (!isOver)
         return {};
-    return Origin { isUnrecorded(pending) ? versionWithoutRecords(pending) : std::nullopt, haveKeepersReplied };
+    auto const version = isUnrecorded(pending) ? versionWithoutRecords(pending) : std::nullopt;
+    return Origin { version, haveKeepersReplied, version ? Source::NoRecord : Source::None };
 }
 
 // Two daemons with complete histories can differ for a moment, while a version joins or leaves.
@@ -199,4 +200,19 @@
         complete(queryId, origin);
 }
 
+std::string_view nameOf(StreamOriginExchange::Source source)
+{
+    switch (source) {
+    case StreamOriginExchange::Source::None:
+        return "unknown";
+    case StreamOriginExchange::Source::Record:
+        return "record";
+    case StreamOriginExchange::Source::OneVersion:
+        return "one-version";
+    case StreamOriginExchange::Source::NoRecord:
+        return "no-record";
+    }
+    return "unknown";
+}
+
 }
--- a/Libraries/LibRouting/StreamOriginExchange.h
+++ b/Libraries/LibRouting/StreamOriginExchange.h
@@ -53,11 +53,21 @@
         std::function<VersionKnowledge(std::string const& service, Instant now)> versions;
     };
 
+    // What has told the version at which a stream has begun.
+    enum class Source {
+        None,
+        Record,
+        // A list of upstreams that shows a single version.
+        OneVersion,
+        // No daemon has a record, so the stream began while there was one version.
+        NoRecord,
+    };
     struct Origin {
         // None if it can't be told.
         std::optional<VersionId> version;
         // Whether all keepers have replied. If not, another daemon may find out.
         bool haveKeepersReplied { false };
+        Source source { Source::None };
     };
     using Callback = std::function<void(Origin const&)>;
 
@@ -129,4 +139,7 @@
     uint64_t m_lastQueryId { 0 };
 };
 
+// The name in logs and metrics.
+std::string_view nameOf(StreamOriginExchange::Source);
+
 }
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -109,7 +109,8 @@
 // version that may not have begun it.
 void GatewayRequestHandler::handleStreamOrigin(StreamOriginExchange::Origin const& origin)
 {
-    m_services.metrics.count("stagepost_streams_taken_up_total", origin.version ? "origin=\"known\"" : "origin=\"unknown\"");
+    m_services.metrics.count("stagepost_streams_taken_up_total", "origin=\"" + std::string(nameOf(origin.source)) + "\"");
+    logEvent(LogLevel::Info, "stream-taken-up", { { "id", m_request.call.id }, { "first_attempt", m_request.call.firstAttempt }, { "version_id", toHex(origin.version.value_or(VersionId()).value()) }, { "origin", nameOf(origin.source) }, { "keepers_replied", origin.haveKeepersReplied ? 1 : 0 } });
     if (endedWhileWaiting())
         return;
     if (!origin.version) {
