--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -17,13 +17,13 @@
     return Instant(Microseconds(static_cast<int64_t>(seconds * 1e6)));
 }
 
-// Nine daemons in three halls that have run for long, unless they are restarted.
+// Daemons in several halls that have run for long, unless they are restarted.
 class Fleet {
 public:
-    Fleet()
+    explicit Fleet(uint64_t daemonCount = 9, uint64_t hallCount = 3)
     {
-        for (uint64_t number = 1; number <= 9; ++number)
-            m_peers.push_back({ VMId(number), HallId(number % 3) });
+        for (uint64_t number = 1; number <= daemonCount; ++number)
+            m_peers.push_back({ VMId(number), HallId(number % hallCount) });
         for (auto const& peer : m_peers)
             start(peer, at(0));
         for (auto& [id, daemon] : daemons)
@@ -35,6 +35,8 @@
         VersionHistory versions { at(0) };
         std::unique_ptr<StreamOriginExchange> exchange {};
         bool isListProven { true };
+        // Set if the list of upstreams has not been confirmed since.
+        std::optional<Instant> listProvenAt {};
         bool isDown { false };
     };
 
@@ -51,6 +53,39 @@
         deliver();
     }
 
+    // Started again, without records from the others.
+    void killAndRestart(VMId id)
+    {
+        start(*std::find_if(m_peers.begin(), m_peers.end(), [id](auto const& each) { return each.id == id; }), now);
+        for (auto const version : m_present)
+            daemons[id].versions.appeared(version, now);
+    }
+
+    // The daemons are gone for good, and the others' lists no longer have them.
+    void remove(std::set<VMId> const& gone)
+    {
+        for (auto const id : gone)
+            daemons[id].isDown = true;
+        std::erase_if(m_peers, [&](auto const& peer) { return gone.contains(peer.id); });
+        setPeersEverywhere();
+    }
+
+    // What a hall and the rest of the fleet do not see of each other.
+    void setOthersDown(HallId hall, bool areDown)
+    {
+        for (auto const id : daemonsOutside(hall))
+            daemons[id].isDown = areDown;
+    }
+    std::set<VMId> daemonsOutside(HallId hall) const
+    {
+        std::set<VMId> result;
+        for (auto const& peer : m_peers) {
+            if (peer.hall != hall)
+                result.insert(peer.id);
+        }
+        return result;
+    }
+
     void restartAll()
     {
         for (auto const& peer : m_peers) {
@@ -122,6 +157,12 @@
     bool areMessagesLost { false };
 
 private:
+    void setPeersEverywhere()
+    {
+        for (auto const& peer : m_peers)
+            daemons[peer.id].exchange->setPeers(m_peers);
+    }
+
     void start(FleetPeer const& peer, Instant since)
     {
         auto& daemon = daemons[peer.id];
@@ -316,6 +357,90 @@
     BOOST_TEST(fleet.holders().empty());
 }
 
+// Guards against a list from before a version has joined, which tells the version of streams whose records are lost.
+BOOST_AUTO_TEST_CASE(AListFromBeforeTheKeepersStartIsNoProof)
+{
+    size_t unrecorded = 0;
+    for (uint64_t stream = 1; stream <= 40; ++stream) {
+        Fleet fleet;
+        fleet.daemons[VMId(9)].listProvenAt = fleet.now;
+        for (auto& [id, daemon] : fleet.daemons) {
+            if (id != VMId(9))
+                daemon.versions.appeared(second, fleet.now);
+        }
+        fleet.record(VMId(1), StreamId(stream), second);
+        if (fleet.holders().contains(VMId(9)))
+            continue;
+        ++unrecorded;
+        for (uint64_t number = 1; number <= 8; ++number) {
+            fleet.killAndRestart(VMId(number));
+            fleet.daemons[VMId(number)].versions.appeared(second, fleet.now);
+        }
+        BOOST_TEST(!fleet.find(VMId(9), StreamId(stream)).version.has_value());
+    }
+    BOOST_TEST(unrecorded > 0u);
+}
+
+// Guards against daemons that are keepers now and say that there is no record, which others had that have left.
+BOOST_AUTO_TEST_CASE(KeepersThatHaveLeftMayHaveHadTheRecord)
+{
+    for (uint64_t const daemonCount : { 9, 200 }) {
+        for (double const age : { 3.0, 10.0, 25.0, 40.0 }) {
+            size_t joined = 0;
+            for (uint64_t stream = 1; stream <= (daemonCount > 9 ? 5 : 40); ++stream) {
+                Fleet fleet(daemonCount, daemonCount > 9 ? 6 : 3);
+                fleet.appearEverywhere(second);
+                fleet.run(age);
+                fleet.record(VMId(1), StreamId(stream), second);
+                auto const holders = fleet.holders();
+                fleet.remove(holders);
+                fleet.run(5);
+                for (uint64_t id = 2; id <= 9; ++id)
+                    joined += !holders.contains(VMId(id)) && fleet.find(VMId(id), StreamId(stream)).version == first;
+            }
+            BOOST_TEST(joined == 0u, daemonCount << " daemons, the version joined " << age << " s before: " << joined);
+        }
+    }
+}
+
+// Guards against streams of a version that only a hall still used that was cut off: elsewhere, its upstreams' records have lapsed.
+BOOST_AUTO_TEST_CASE(AHallThatWasCutOffMayHaveBegunStreamsAtAVersionThatElsewhereIsGone)
+{
+    HallId const cutOff(1);
+    auto const play = [&](double cutFor, bool areKilled, bool isBack) {
+        size_t joined = 0;
+        for (uint64_t stream = 1; stream <= 60; ++stream) {
+            Fleet fleet;
+            fleet.appearEverywhere(second);
+            fleet.run(60);
+            fleet.setOthersDown(cutOff, true);
+            for (auto const id : fleet.daemonsOutside(cutOff))
+                fleet.daemons[id].versions.vanished(second, fleet.now);
+            fleet.run(cutFor);
+            fleet.record(VMId(1), StreamId(stream), second);
+            fleet.run(1);
+            for (uint64_t const id : { 1, 4, 7 }) {
+                if (areKilled)
+                    fleet.killAndRestart(VMId(id));
+            }
+            fleet.setOthersDown(cutOff, false);
+            for (auto const id : fleet.daemonsOutside(cutOff)) {
+                if (isBack)
+                    fleet.daemons[id].versions.appeared(second, fleet.now);
+            }
+            for (uint64_t const id : { 2, 3 })
+                joined += fleet.find(VMId(id), StreamId(stream)).version == first;
+        }
+        return joined;
+    };
+    for (double const cutFor : { 20.0, 35.0, 300.0 }) {
+        for (bool const areKilled : { false, true }) {
+            for (bool const isBack : { false, true })
+                BOOST_TEST(play(cutFor, areKilled, isBack) == 0u, "cut off for " << cutFor << " s, killed " << areKilled << ", known again " << isBack);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(DamagedStreamOriginMessagesAreRefused)
 {
     StreamOriginReply reply { 5, first, true, {}, second };
@@ -332,6 +457,28 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(StreamOriginTableTests)
+
+// Guards against a full table that drops the streams whose callers may come back for the longest.
+BOOST_AUTO_TEST_CASE(AFullTableDropsTheRecordThatExpiresFirst)
+{
+    StreamOriginTable table(10);
+    for (uint64_t stream = 1; stream <= 10; ++stream)
+        table.record(StreamId(stream), first, at(20));
+    table.record(StreamId(1), first, at(30));
+    table.record(StreamId(11), second, at(25));
+    BOOST_TEST((table.find(StreamId(1), at(21)) == first));
+    BOOST_TEST((table.find(StreamId(11), at(21)) == second));
+    table.record(StreamId(12), second, at(5));
+    BOOST_TEST(!table.find(StreamId(12), at(1)).has_value());
+    BOOST_TEST((table.find(StreamId(1), at(21)) == first));
+    BOOST_TEST(table.records().size() == 10u);
+    table.expire(at(26));
+    BOOST_TEST(table.records().size() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(VersionHistoryTests)
 
 BOOST_AUTO_TEST_CASE(AVersionThatLeftIsRememberedAsLongAsItsStreams)
