StreamOriginTable: Drop the record that expires first when the table is full

A full table dropped the record whose first expiry came first, also if the stream had been extended since: the callers with the longest time left lost theirs, and the table did not tell that it had dropped a record at all. The order of expiry now follows each extension, and a dropped record is reported.

--- a/Libraries/LibRouting/StreamOriginTable.h
+++ b/Libraries/LibRouting/StreamOriginTable.h
@@ -5,6 +5,8 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
 
 namespace Stagepost {
 
@@ -16,8 +18,9 @@
     {
     }
 
-    // A stream has one origin: a later record only extends the lifetime of the first one.
-    void record(StreamId, VersionId, Instant expiresAt);
+    // A stream has one origin: a later record only extends the lifetime of the first one. A full table drops the
+    // record that expires first. Returns when that one would have expired, if one was dropped.
+    std::optional<Instant> record(StreamId, VersionId, Instant expiresAt);
     std::optional<VersionId> find(StreamId, Instant now) const;
     void expire(Instant now);
 
@@ -28,10 +31,12 @@
     std::map<StreamId, Record> const& records() const { return m_records; }
 
 private:
+    void eraseFirst();
+
     size_t m_maxRecords;
     std::map<StreamId, Record> m_records;
     // The same records in the order in which they expire.
-    std::multimap<Instant, StreamId> m_expiries;
+    std::set<std::pair<Instant, StreamId>> m_expiries;
 };
 
 }
