VersionHistory: Remember versions whose upstreams lapsed for as long as halls are cut off

A hall that is cut off from the store goes on serving at upstreams whose records have lapsed. A version of which an upstream went without having announced that it leaves is remembered for an hour now, also by daemons that start (the fleet's record of versions names them). A version whose upstreams all announced that they leave is forgotten after 30 s as before, so that an ordinary release costs nothing.

--- a/Libraries/LibRouting/VersionHistory.cpp
+++ b/Libraries/LibRouting/VersionHistory.cpp
@@ -7,7 +7,7 @@
 void VersionHistory::appeared(VersionId version, Instant now)
 {
     std::erase_if(m_spans, [&](auto const& entry) { return !isRecent(entry.second, now); });
-    m_spans.try_emplace(version, Span { now, {} }).first->second.vanishedAt.reset();
+    m_spans.try_emplace(version, Span { now, {}, {} }).first->second.vanishedAt.reset();
 }
 
 void VersionHistory::vanished(VersionId version, Instant now)
@@ -16,30 +16,38 @@
         found->second.vanishedAt = now;
 }
 
+void VersionHistory::lapsed(VersionId version, Instant now)
+{
+    if (auto const found = m_spans.find(version); found != m_spans.end())
+        found->second.lapsedAt = now;
+}
+
 void VersionHistory::restart(Instant now)
 {
     m_since = now;
     m_provenSince = now;
-    m_hasRestoredUniform = false;
-    std::erase_if(m_spans, [](auto const& entry) { return entry.second.vanishedAt.has_value(); });
+    m_restoredUniformAt.reset();
+    std::erase_if(m_spans, [now](auto const& entry) { return entry.second.vanishedAt && !hasLapsed(entry.second, now); });
     for (auto& [version, span] : m_spans)
         span.firstSeen = now;
 }
 
 // A version that has left may have had upstreams until just now. One that was alone is known for as long as
 // the history is.
-void VersionHistory::restore(std::set<VersionId> const& earlier, Instant now)
+void VersionHistory::restore(std::set<VersionId> const& earlier, std::set<VersionId> const& lapsed, Instant readAt, Instant now)
 {
     for (auto const version : earlier) {
-        auto& span = m_spans.try_emplace(version, Span { now, now }).first->second;
+        auto& span = m_spans.try_emplace(version, Span { now, now, {} }).first->second;
         if (span.vanishedAt)
             span.vanishedAt = now;
+        if (lapsed.contains(version))
+            span.lapsedAt = now;
     }
     m_since = std::min(m_since, now - memory);
     m_provenSince = m_since;
     auto const recent = recentVersions(now);
-    m_hasRestoredUniform = recent.size() == 1;
-    if (m_hasRestoredUniform)
+    m_restoredUniformAt = recent.size() == 1 ? std::optional(readAt) : std::nullopt;
+    if (m_restoredUniformAt)
         m_spans.at(*recent.begin()).firstSeen = m_since;
 }
 
@@ -53,6 +61,16 @@
     return result;
 }
 
+std::set<VersionId> VersionHistory::lapsedVersions(Instant now) const
+{
+    std::set<VersionId> result;
+    for (auto const& [version, span] : m_spans) {
+        if (hasLapsed(span, now))
+            result.insert(version);
+    }
+    return result;
+}
+
 std::optional<VersionId> VersionHistory::uniformVersion(Instant now) const
 {
     auto const recent = recentVersions(now);
--- a/Libraries/LibRouting/VersionHistory.h
+++ b/Libraries/LibRouting/VersionHistory.h
@@ -5,16 +5,27 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 
 namespace Stagepost {
 
+// Versions by service.
+using ServiceVersions = std::map<std::string, std::set<VersionId>>;
+
 // The software versions that the upstreams of a service have had of late, as this daemon saw them.
 // Streams are only recorded while they can have begun at several versions; see StreamOriginExchange.
+//
+// A version is remembered for as long as any daemon of the fleet can have begun a stream at it that a caller may still take up.
+// Where its upstreams have announced that they leave, that is the time within which streams can be taken up. Where their records
+// have lapsed instead, a hall that is cut off may still use them, so the version is remembered for longer.
 class VersionHistory {
 public:
     // No caller takes up a stream that began longer ago.
     static constexpr Microseconds memory { 30000000 };
 
+    // Halls lose each other, and the store, for an hour now and then.
+    static constexpr Microseconds lapsedMemory { 3600000000 };
+
     explicit VersionHistory(Instant since)
         : m_since(since)
         , m_provenSince(since)
@@ -24,16 +35,21 @@
     // The first upstream of the version was added, or the last one was removed.
     void appeared(VersionId, Instant now);
     void vanished(VersionId, Instant now);
+    // An upstream of the version is no longer listed although it has not announced that it leaves.
+    void lapsed(VersionId, Instant now);
     // This daemon may have missed versions that came and went.
     void restart(Instant now);
     // The list of upstreams was outdated for a while. All versions that others have used meanwhile had
     // records for their streams, unless that took as long as streams can be taken up.
     void requireProof(Instant now) { m_provenSince = now; }
-    // These are all versions that upstreams have had before, or while this daemon may have missed some.
-    void restore(std::set<VersionId> const& earlier, Instant now);
+    // These are all versions that upstreams have had before, or while this daemon may have missed some, and those of
+    // them of which upstreams may have lapsed, as of a read of the store.
+    void restore(std::set<VersionId> const& earlier, std::set<VersionId> const& lapsed, Instant readAt, Instant now);
     // Whether a restored history has shown a single version. Then no stream that began before this daemon
     // started needs a record.
-    bool hasRestoredUniform() const { return m_hasRestoredUniform; }
+    bool hasRestoredUniform() const { return m_restoredUniformAt.has_value(); }
+    // As of when that history is known.
+    std::optional<Instant> restoredUniformAt() const { return m_restoredUniformAt; }
 
     // Whether everything since then was seen, without a gap.
     bool isComplete(Instant now) const { return now - m_since >= memory; }
@@ -45,6 +61,8 @@
     std::optional<VersionId> uniformVersion(Instant now) const;
     // The versions that were seen of late.
     std::set<VersionId> recentVersions(Instant now) const;
+    // Those of which upstreams have lapsed.
+    std::set<VersionId> lapsedVersions(Instant now) const;
     // Whether a version at which a stream has begun must have joined without this daemon's knowledge.
     bool isYetUnseen(VersionId, Instant now) const;
 
@@ -53,14 +71,17 @@
         Instant firstSeen;
         // Not set while it has upstreams.
         std::optional<Instant> vanishedAt;
+        // When an upstream last lapsed.
+        std::optional<Instant> lapsedAt {};
     };
 
-    bool isRecent(Span const& span, Instant now) const { return !span.vanishedAt || now - *span.vanishedAt < memory; }
+    static bool hasLapsed(Span const& span, Instant now) { return span.lapsedAt && now - *span.lapsedAt < lapsedMemory; }
+    static bool isRecent(Span const& span, Instant now) { return !span.vanishedAt || now - *span.vanishedAt < memory || hasLapsed(span, now); }
 
     Instant m_since;
     // As m_since, but without the times at which the list of upstreams was outdated.
     Instant m_provenSince;
-    bool m_hasRestoredUniform { false };
+    std::optional<Instant> m_restoredUniformAt;
     std::map<VersionId, Span> m_spans;
 };
 
--- a/Services/stagepostd/ServiceTable.cpp
+++ b/Services/stagepostd/ServiceTable.cpp
@@ -30,14 +30,14 @@
 void ServiceTable::apply(UpstreamChange const& change, Instant now)
 {
     if (!change.record) {
-        remove(change.instance, now);
+        remove(change.instance, Removal::MayServe, now);
         return;
     }
     auto const& record = *change.record;
     auto endpoint = Endpoint::parse(record.address);
     if (!endpoint) {
         logEvent(LogLevel::Warning, "upstream-skipped", { { "instance", record.instance }, { "reason", "its address is not IP:PORT" }, { "address", record.address } });
-        remove(record.instance, now);
+        remove(record.instance, Removal::MayServe, now);
         return;
     }
     removeReplaced(record, now);
@@ -130,16 +130,18 @@
         history.restart(now);
 }
 
-void ServiceTable::restoreVersionHistory(std::map<std::string, std::set<VersionId>> const& versions, Instant readSentAt, Instant now)
+void ServiceTable::restoreVersionHistory(ServiceVersions const& versions, ServiceVersions const& lapsed, Instant readSentAt, Instant now)
 {
     if (readSentAt < m_historySince)
         return;
     for (auto const& [service, earlier] : versions)
         m_versionHistories.try_emplace(service, m_historySince);
-    for (auto& [service, history] : m_versionHistories) {
-        auto const earlier = versions.find(service);
-        history.restore(earlier == versions.end() ? std::set<VersionId> {} : earlier->second, now);
-    }
+    auto const versionsOf = [](ServiceVersions const& services, std::string const& service) {
+        auto const found = services.find(service);
+        return found == services.end() ? std::set<VersionId> {} : found->second;
+    };
+    for (auto& [service, history] : m_versionHistories)
+        history.restore(versionsOf(versions, service), versionsOf(lapsed, service), readSentAt, now);
     m_historySince = std::min(m_historySince, now - VersionHistory::memory);
 }
 
@@ -149,6 +151,7 @@
 {
     bool const wasOutdated = m_listAge && *m_listAge > maxListAge;
     m_listAge = age;
+    m_listProvenAt = now - age.value_or(Microseconds(0));
     if (!age || *age > maxListAge)
         return;
     if (wasOutdated && now - m_listCurrentAt >= VersionHistory::memory / 2)
@@ -165,16 +168,24 @@
         history.requireProof(now);
 }
 
-std::optional<std::map<std::string, std::set<VersionId>>> ServiceTable::recentVersions(Instant now) const
+std::optional<ServiceVersions> ServiceTable::recentVersions(Instant now) const
 {
     if (now - m_historySince < VersionHistory::memory)
         return {};
-    std::map<std::string, std::set<VersionId>> result;
+    ServiceVersions result;
     for (auto const& [service, history] : m_versionHistories)
         result[service] = history.recentVersions(now);
     return result;
 }
 
+ServiceVersions ServiceTable::lapsedVersions(Instant now) const
+{
+    ServiceVersions result;
+    for (auto const& [service, history] : m_versionHistories)
+        result[service] = history.lapsedVersions(now);
+    return result;
+}
+
 bool ServiceTable::lacksVersionHistory(Instant now) const
 {
     return m_listAge && *m_listAge <= maxListAge && now - m_historySince < VersionHistory::memory;
@@ -186,7 +197,8 @@
     if (!history)
         return {};
     bool const isListProven = m_listAge && *m_listAge <= maxListAge;
-    return { isListProven ? history->uniformVersion(now) : std::nullopt, history->versionWithoutRecords(now), history->hasRestoredUniform() };
+    auto const uniform = history->uniformVersion(now);
+    return { isListProven ? uniform : std::nullopt, m_listProvenAt, history->versionWithoutRecords(now), history->restoredUniformAt(), history->recentVersions(now).size() > 1, !uniform };
 }
 
 std::optional<UpstreamRole> ServiceTable::roleOfVersion(std::string const& service, VersionId version) const
@@ -279,16 +291,19 @@
     if (known->second != record.id())
         logEvent(LogLevel::Info, "upstream-restarted", { { "instance", record.instance }, { "address", record.address }, { "incarnation", record.incarnation.value() } });
     if (known->second != record.id() || m_targets.at(known->second).service != record.service)
-        remove(record.instance, now);
+        remove(record.instance, Removal::HasEnded, now);
 }
 
-void ServiceTable::remove(std::string const& instance, Instant now)
+void ServiceTable::remove(std::string const& instance, Removal removal, Instant now)
 {
     auto const known = m_currentIds.find(instance);
     if (known == m_currentIds.end())
         return;
     auto const target = m_targets.extract(known->second);
     m_currentIds.erase(known);
+    bool const hasAnnounced = target.mapped().isLeaving || m_announcedLeaving.contains(target.key());
+    if (removal == Removal::MayServe && !hasAnnounced)
+        m_versionHistories.at(target.mapped().service).lapsed(VersionId::fromName(target.mapped().version), now);
     uncountVersion(target.mapped(), now);
     service(target.mapped().service).placement.removeUpstream(target.key());
     m_silence.remove(target.key());
--- a/Services/stagepostd/ServiceTable.h
+++ b/Services/stagepostd/ServiceTable.h
@@ -107,13 +107,15 @@
     // This daemon may have missed upstreams that came and went.
     void restartVersionHistory(Instant now);
     // These are all versions that upstreams have had before, or while this daemon may have missed some.
-    // Ignored if the read that has told them was sent before the latest such gap was noticed.
-    void restoreVersionHistory(std::map<std::string, std::set<VersionId>> const&, Instant readSentAt, Instant now);
+    // Ignored if the read that has told them was sent before the latest such gap was noticed. Of the lapsed ones, upstreams may
+    // still be in use; see VersionHistory.
+    void restoreVersionHistory(ServiceVersions const&, ServiceVersions const& lapsed, Instant readSentAt, Instant now);
     // Sets how old the list of upstreams is, none before there is one. To be called at each tick.
     void setListAge(std::optional<Microseconds>, Instant now);
     // The versions that upstreams have had for as long as streams can be taken up, by service; none if some
     // may have been missed.
-    std::optional<std::map<std::string, std::set<VersionId>>> recentVersions(Instant now) const;
+    std::optional<ServiceVersions> recentVersions(Instant now) const;
+    ServiceVersions lapsedVersions(Instant now) const;
     // Whether the list is current, and recentVersions() needs what was missed.
     bool lacksVersionHistory(Instant now) const;
     StreamOriginExchange::VersionKnowledge versionKnowledge(std::string const& service, Instant now) const;
@@ -138,7 +140,12 @@
     size_t upstreamCount() const { return m_targets.size(); }
 
 private:
-    void remove(std::string const& instance, Instant now);
+    // Whether an upstream may go on serving after its removal.
+    enum class Removal {
+        MayServe,
+        HasEnded,
+    };
+    void remove(std::string const& instance, Removal, Instant now);
     void requireVersionProof(Instant now);
     void countVersion(Target const&, Instant now);
     void uncountVersion(Target const&, Instant now);
@@ -162,6 +169,8 @@
     // Since when this daemon has seen all changes of upstreams.
     Instant m_historySince;
     std::optional<Microseconds> m_listAge;
+    // As of when the list is known, if it has an age.
+    Instant m_listProvenAt;
     // When the list was last current.
     Instant m_listCurrentAt;
     std::set<HallId> m_emptiedHalls;
--- a/Tests/platform/TestServiceTable.cpp
+++ b/Tests/platform/TestServiceTable.cpp
@@ -281,6 +281,30 @@
     BOOST_TEST(world.table.inFlightAt("book", { "v1" }) == 1u);
 }
 
+// Guards against a version that is forgotten while a hall that is cut off still begins streams at it.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatIsGoneWithoutLeavingMayStillBeInUse)
+{
+    World world;
+    auto lapsed = upstream("a", 5);
+    lapsed.version = "v1";
+    auto leaving = upstream("b", 6);
+    leaving.version = "v2";
+    leaving.isLeaving = true;
+    auto announced = upstream("c", 7);
+    announced.version = "v3";
+    auto replaced = upstream("d", 8);
+    replaced.version = "v4";
+    for (auto const& each : { lapsed, leaving, announced, replaced })
+        world.put(each);
+    world.table.markLeaving(announced.id(), world.now);
+    for (auto const* instance : { "a", "b", "c" })
+        world.table.apply({ instance, {} }, world.now);
+    replaced.incarnation = Incarnation(9);
+    replaced.version = "v5";
+    world.put(replaced);
+    BOOST_TEST((world.table.lapsedVersions(world.now).at("book") == std::set { VersionId::fromName("v1") }));
+}
+
 // Guards against a read that was sent before a suspension or an outage and is taken for a proof of what came and
 // went meanwhile.
 BOOST_AUTO_TEST_CASE(AReadFromBeforeAGapProvesNoVersions)
@@ -291,9 +315,9 @@
     auto const sentAt = world.now;
     world.now += Seconds(1);
     world.table.restartVersionHistory(world.now);
-    world.table.restoreVersionHistory(versions, sentAt, world.now);
+    world.table.restoreVersionHistory(versions, {}, sentAt, world.now);
     BOOST_TEST(!world.table.recentVersions(world.now).has_value());
-    world.table.restoreVersionHistory(versions, world.now, world.now);
+    world.table.restoreVersionHistory(versions, {}, world.now, world.now);
     BOOST_TEST(world.table.recentVersions(world.now).has_value());
 }
 
--- a/Tests/platform/TestVersionHistoryReader.cpp
+++ b/Tests/platform/TestVersionHistoryReader.cpp
@@ -46,9 +46,9 @@
                                 callback(answer(call));
                         } };
 
-    void addUpstream(std::string const& name, std::string const& version)
+    void addUpstream(std::string const& name, std::string const& version, std::string const& state = "ready")
     {
-        upstreams.emplace_back(name, R"({"service":"chat","address":"10.0.0.1:80","zone":"north","version":")" + version + R"(","slots":8,"state":"ready","seq":1})");
+        upstreams.emplace_back(name, R"({"service":"chat","address":"10.0.0.1:80","zone":"north","version":")" + version + R"(","slots":8,"state":")" + state + R"(","seq":1})");
     }
     void removeUpstream(std::string const& name) { upstreams.emplace_back(name, ""); }
 
@@ -96,17 +96,28 @@
     }
 };
 
+struct History {
+    ServiceVersions versions;
+    ServiceVersions lapsed;
+};
+
 // Returns what a daemon learns within some tenths of a second from its start.
-std::optional<ServiceVersions> readHistory(FakeStore& store)
+std::optional<History> readWholeHistory(FakeStore& store)
 {
     EventLoop loop;
-    std::optional<ServiceVersions> result;
-    VersionHistoryReader reader(loop, store.client, [] { return uint64_t { 0 }; }, { [&] { return !result; }, [&](auto const& versions, Instant) { result = versions; } });
+    std::optional<History> result;
+    VersionHistoryReader reader(loop, store.client, [] { return uint64_t { 0 }; }, { [&] { return !result; }, [&](auto const& versions, auto const& lapsed, Instant) { result = History { versions, lapsed }; } });
     reader.start();
     loop.runFor(Milliseconds(200));
     return result;
 }
 
+std::optional<ServiceVersions> readHistory(FakeStore& store)
+{
+    auto const history = readWholeHistory(store);
+    return history ? std::optional(history->versions) : std::nullopt;
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(VersionHistoryReaderTests)
@@ -127,6 +138,26 @@
     BOOST_TEST((versions->at("book") == std::set { version("v7") }));
 }
 
+// Guards against daemons that forget, when they start, a version that a hall that is cut off still uses.
+BOOST_AUTO_TEST_CASE(TellsOfWhichVersionsUpstreamsHaveLapsed)
+{
+    FakeStore store;
+    store.addUpstream("a", "v1");
+    store.addUpstream("b", "v2");
+    store.addUpstream("b", "v2", "draining");
+    store.removeUpstream("b");
+    store.record = formatVersionRecord({ { {}, Offset(0) }, { { "chat", { version("v0") } } }, { { "chat", { version("v0") } } } });
+    BOOST_TEST((readWholeHistory(store)->lapsed == ServiceVersions { { "chat", { version("v0") } } }));
+    store.removeUpstream("a");
+    BOOST_TEST((readWholeHistory(store)->lapsed == ServiceVersions { { "chat", { version("v0"), version("v1") } } }));
+    // The record of this one is older than the read.
+    store.record = formatVersionRecord({ { {}, Offset(4) }, { { "chat", { version("v1"), version("v2") } } }, {} });
+    BOOST_TEST((readWholeHistory(store)->lapsed == ServiceVersions { { "chat", { version("v1"), version("v2") } } }));
+    // An earlier version of the daemon has written the record.
+    store.record = R"({"position":5,"services":{"chat":[7]}})";
+    BOOST_TEST((readWholeHistory(store)->lapsed == ServiceVersions { { "chat", { VersionId(7) } } }));
+}
+
 BOOST_AUTO_TEST_CASE(WithoutARecordAllUpstreamsAreRead)
 {
     FakeStore store;
@@ -160,7 +191,7 @@
     FakeStore store;
     EventLoop loop;
     std::optional<ServiceVersions> versions;
-    VersionRecordWriter writer(loop, store.client, { [] { return true; }, [&] { return versions; } });
+    VersionRecordWriter writer(loop, store.client, { [] { return true; }, [&] { return versions; }, [] { return ServiceVersions {}; } });
     writer.start();
     auto const run = [&] { loop.runFor(Milliseconds(2050)); };
     writer.upstreamsApplied({ {}, Offset(3) });
