StreamOriginExchange: Take no record for an absence only where none can be lost

Callers could get a stream of two versions: 'nobody has a record' was concluded from whoever is a keeper now, also from one that had just started, and any list of upstreams that showed one version told the version, also one that was a moment old.

A version is told by a record; by a list that was current when the stream was taken up; by an earlier list, if no record can have been lost since then; or by the absence of a record, if none can have been lost for 30 s. 'None can have been lost' means that all daemons that were keepers by any list of that time answer, and have kept all records since. Replies carry both ages, in bits that daemons of the earlier version ignore; a reply of theirs proves no version. A reply that knows of several versions outweighs lists that show one. A stream waits up to 0.8 s for the confirmation of the list and for the records of keepers that have just started, so that fewer are refused.

When a second version appears, the streams that are under way get a record, the latest first, 100 a second (30 in large fleets).

--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -6,143 +6,281 @@
 
 namespace Stagepost {
 
-void StreamOriginExchange::setPeers(std::vector<FleetPeer> peers)
+// The lists are ordered by time, so that those that nobody can have used for a stream are at the front.
+void StreamOriginExchange::setPeers(std::vector<FleetPeer> peers, Instant now)
 {
-    m_peers = std::move(peers);
-    m_knowsPeers = true;
+    std::erase_if(peers, [this](auto const& peer) { return peer.id == m_self.id; });
+    peers.push_back(m_self);
+    std::sort(peers.begin(), peers.end(), [](auto const& one, auto const& other) { return one.id < other.id; });
+    auto const isSame = [](auto const& one, auto const& other) { return one.id == other.id && one.hall == other.hall; };
+    if (!m_lists.empty() && std::equal(peers.begin(), peers.end(), this->peers().begin(), this->peers().end(), isSame))
+        return;
+    m_lists.push_back({ std::move(peers), now });
+    auto const oldest = now - VersionHistory::memory - m_bounds.peerListLag;
+    while (m_lists.size() > m_bounds.maxEarlierLists || (m_lists.size() > 1 && m_lists[1].since <= oldest))
+        m_lists.pop_front();
 }
 
-size_t StreamOriginExchange::keeperCount() const
+void StreamOriginExchange::restart(Instant now)
 {
-    return m_peers.size() < m_bounds.largeFleet ? m_bounds.keepers : m_bounds.keepersInLargeFleet;
+    m_startedAt = now;
+    m_keepsSince = now;
+    if (m_lists.empty())
+        return;
+    m_lists.erase(m_lists.begin(), m_lists.end() - 1);
+    m_lists.back().since = now;
+}
+
+size_t StreamOriginExchange::keeperCount(std::vector<FleetPeer> const& peers) const
+{
+    return peers.size() <= m_bounds.largeFleet ? m_bounds.keepers : m_bounds.keepersInLargeFleet;
 }
 
 // The first daemons in the stream's rendezvous order, those of different halls before others: a hall may
 // be lost as a whole.
-std::vector<VMId> StreamOriginExchange::chooseDaemons(StreamId stream, size_t count) const
+std::vector<VMId> StreamOriginExchange::chooseDaemons(std::vector<FleetPeer> const& peers, StreamId stream, size_t count) const
 {
-    auto daemons = m_peers;
-    std::erase_if(daemons, [this](auto const& peer) { return peer.id == m_self.id; });
-    daemons.push_back(m_self);
-    std::sort(daemons.begin(), daemons.end(), [stream](auto const& one, auto const& other) {
-        return mixHashes(stream.value(), one.id.value()) > mixHashes(stream.value(), other.id.value());
-    });
+    std::vector<std::pair<uint64_t, FleetPeer>> daemons;
+    daemons.reserve(peers.size());
+    for (auto const& peer : peers)
+        daemons.emplace_back(mixHashes(stream.value(), peer.id.value()), peer);
+    std::sort(daemons.begin(), daemons.end(), [](auto const& one, auto const& other) { return one.first > other.first; });
     std::set<HallId> halls;
     std::vector<VMId> result;
     std::vector<VMId> others;
-    for (auto const& peer : daemons)
+    for (auto const& [rank, peer] : daemons)
         (halls.insert(peer.hall).second ? result : others).push_back(peer.id);
     result.insert(result.end(), others.begin(), others.end());
     result.resize(std::min(result.size(), count));
     return result;
 }
 
-void StreamOriginExchange::record(StreamId stream, VersionId version, Microseconds lifetime, Instant now)
+std::vector<StreamOriginExchange::Keepers> StreamOriginExchange::keepersByAllLists(StreamId stream, Instant now) const
+{
+    std::vector<Keepers> result;
+    for (size_t index = 0; index < m_lists.size(); ++index) {
+        bool const isPresent = index + 1 == m_lists.size();
+        auto const& peers = m_lists[index].peers;
+        result.push_back({ chooseDaemons(peers, stream, keeperCount(peers)), isPresent ? now : m_lists[index + 1].since });
+    }
+    return result;
+}
+
+void StreamOriginExchange::addToTable(StreamId stream, VersionId version, Instant expiresAt, Instant now)
+{
+    auto const dropped = m_table.record(stream, version, expiresAt);
+    if (dropped && *dropped > now)
+        m_keepsSince = now;
+}
+
+void StreamOriginExchange::record(StreamId stream, std::string const& service, VersionId version, Microseconds lifetime, Instant now)
 {
     auto const kept = std::min(lifetime, VersionHistory::memory);
-    m_table.record(stream, version, now + kept);
-    auto const message = encodeStreamOriginMessage(StreamOriginRecord { stream, version, kept });
-    for (auto const keeper : chooseDaemons(stream, keeperCount())) {
+    addToTable(stream, version, now + kept, now);
+    if (m_hooks.versions(service, now).needsRecords)
+        return sendToKeepers(stream, version, kept);
+    auto& late = m_lateRecords[service];
+    late.push_back({ stream, version, now + kept });
+    if (late.size() > m_bounds.maxRecords)
+        late.pop_front();
+}
+
+void StreamOriginExchange::sendToKeepers(StreamId stream, VersionId version, Microseconds lifetime)
+{
+    StreamOriginRecord const record { stream, version, lifetime };
+    m_hooks.persist(record);
+    if (!knowsPeers())
+        return;
+    auto const message = encodeStreamOriginMessage(record);
+    for (auto const keeper : chooseKeepers(stream)) {
         if (keeper != m_self.id)
             m_hooks.send(keeper, message);
     }
 }
 
+// The latest streams come first, since they last longest.
+void StreamOriginExchange::sendLateRecords(Instant now)
+{
+    for (auto& [service, late] : m_lateRecords) {
+        while (!late.empty() && late.front().expiresAt <= now)
+            late.pop_front();
+    }
+    std::erase_if(m_lateRecords, [](auto const& entry) { return entry.second.empty(); });
+    auto const perSecond = knowsPeers() && peers().size() > m_bounds.largeFleet ? m_bounds.lateRecordsPerSecondInLargeFleet : m_bounds.lateRecordsPerSecond;
+    Microseconds const interval(static_cast<int64_t>(1e6 / perSecond));
+    for (auto& [service, late] : m_lateRecords) {
+        if (!m_hooks.versions(service, now).needsRecords)
+            continue;
+        // Ticks come tens of milliseconds apart.
+        m_nextLateRecordAt = std::max(m_nextLateRecordAt, now - Milliseconds(100));
+        for (; !late.empty() && m_nextLateRecordAt <= now; late.pop_back()) {
+            if (late.back().expiresAt <= now)
+                continue;
+            sendToKeepers(late.back().stream, late.back().version, late.back().expiresAt - now);
+            m_nextLateRecordAt += interval;
+        }
+    }
+}
+
+void StreamOriginExchange::restore(std::vector<StreamOriginRecord> const& records, Instant now)
+{
+    for (auto const& record : records)
+        addToTable(record.stream, record.version, now + std::min(record.lifetime, VersionHistory::memory), now);
+}
+
 void StreamOriginExchange::peerStarted(VMId peer, Instant now)
 {
+    if (!knowsPeers())
+        return;
     for (auto const& [stream, record] : m_table.records()) {
-        auto const keepers = chooseDaemons(stream, keeperCount());
+        auto const keepers = chooseKeepers(stream);
         if (record.expiresAt > now && std::find(keepers.begin(), keepers.end(), peer) != keepers.end())
             m_hooks.send(peer, encodeStreamOriginMessage(StreamOriginRecord { stream, record.version, record.expiresAt - now }));
     }
 }
 
-StreamOriginReply StreamOriginExchange::replyTo(StreamId stream, std::string const& service, Instant now) const
+// If a restored history has shown one version, streams that began before needed no record.
+StreamOriginReply StreamOriginExchange::makeReply(StreamId stream, VersionKnowledge const& versions, Instant now) const
+{
+    auto const keptFor = versions.restoredUniformAt ? StreamOriginReply::maxKeptFor : now - m_keepsSince;
+    return { 0, m_table.find(stream, now), std::min<Microseconds>(keptFor, StreamOriginReply::maxKeptFor), versions.uniform, now - versions.listProvenAt, versions.withoutRecords, versions.hasSeveral };
+}
+
+// The reply was written between the two times.
+StreamOriginExchange::Answer StreamOriginExchange::answerFrom(StreamOriginReply const& reply, Instant sentAfter, Instant receivedAt)
+{
+    return { reply.recorded, receivedAt - reply.keptFor, reply.uniform, sentAfter - reply.listAge, reply.withoutRecords, reply.hasSeveral };
+}
+
+void StreamOriginExchange::updateOwnAnswer(Pending& pending, Instant now) const
 {
-    auto const versions = m_hooks.versions(service, now);
-    return { 0, m_table.find(stream, now), keepsAllRecords(now) || versions.hasRestoredUniform, versions.uniform, versions.withoutRecords };
+    pending.own = m_hooks.versions(pending.service, now);
+    pending.answers[m_self.id] = answerFrom(makeReply(pending.stream, pending.own, now), now, now);
 }
 
 void StreamOriginExchange::find(StreamId stream, std::string const& service, Callback callback, Instant now)
 {
     auto const queryId = ++m_lastQueryId;
-    auto asked = chooseDaemons(stream, m_bounds.askedDaemons);
-    auto const keepers = std::vector<VMId>(asked.begin(), asked.begin() + static_cast<ptrdiff_t>(std::min(asked.size(), keeperCount())));
-    std::erase(asked, m_self.id);
-    Pending pending { stream, service, keepers, std::move(asked), {}, now + m_bounds.repetitionInterval, now + m_bounds.timeout, std::move(callback) };
-    pending.replies[m_self.id] = replyTo(stream, service, now);
+    Pending pending { stream, service, keepersByAllLists(stream, now), chooseDaemons(peers(), stream, m_bounds.askedDaemons), {}, {}, now, now + m_bounds.repetitionInterval, std::move(callback) };
+    for (auto const& keepers : pending.keepers) {
+        for (auto const daemon : keepers.daemons) {
+            bool const isListed = std::any_of(peers().begin(), peers().end(), [daemon](auto const& peer) { return peer.id == daemon; });
+            if (isListed && std::find(pending.asked.begin(), pending.asked.end(), daemon) == pending.asked.end())
+                pending.asked.push_back(daemon);
+        }
+    }
+    std::erase(pending.asked, m_self.id);
+    updateOwnAnswer(pending, now);
     if (auto const origin = resolve(pending, now))
         return pending.callback(*origin);
     auto const& entry = m_pending.emplace(queryId, std::move(pending)).first->second;
-    sendQueries(queryId, entry);
+    sendQueries(queryId, entry, true);
 }
 
-void StreamOriginExchange::sendQueries(uint64_t queryId, Pending const& pending)
+void StreamOriginExchange::sendQueries(uint64_t queryId, Pending const& pending, bool isForAll)
 {
     auto const query = encodeStreamOriginMessage(StreamOriginQuery { queryId, pending.stream, pending.service });
     for (auto const daemon : pending.asked) {
-        if (!pending.replies.contains(daemon))
+        if (isForAll || !pending.answers.contains(daemon))
             m_hooks.send(daemon, query);
     }
 }
 
 std::optional<StreamOriginExchange::Origin> StreamOriginExchange::resolve(Pending const& pending, Instant now) const
 {
-    auto const hasReplied = [&](VMId id) { return pending.replies.contains(id); };
-    bool const haveKeepersReplied = std::all_of(pending.keepers.begin(), pending.keepers.end(), hasReplied);
-    for (auto const& [daemon, reply] : pending.replies) {
-        if (reply.recorded)
-            return Origin { reply.recorded, haveKeepersReplied, Source::Record };
+    for (auto const& [daemon, answer] : pending.answers) {
+        if (answer.recorded)
+            return Origin { answer.recorded, true, Source::Record };
     }
-    bool const isOver = now >= pending.deadline || std::all_of(pending.asked.begin(), pending.asked.end(), hasReplied);
-    // A list that is a moment old lacks a version that has just joined, whose streams have records.
-    bool const areRecordsRuledOut = haveKeepersReplied || isUnrecorded(pending);
-    if (!areRecordsRuledOut && !isOver)
+    if (auto const version = versionOfEarlierList(pending))
+        return Origin { version, true, Source::OneVersion };
+    bool const haveAllReplied = std::all_of(pending.asked.begin(), pending.asked.end(), [&](VMId id) { return pending.answers.contains(id); });
+    if (!haveAllReplied && now < pending.startedAt + m_bounds.timeout)
         return {};
-    if (auto const version = provenVersion(pending))
-        return Origin { version, haveKeepersReplied, Source::OneVersion };
-    if (!isOver)
+    if (auto const version = versionOfCurrentList(pending))
+        return Origin { version, true, Source::OneVersion };
+    if (auto const version = versionWithoutRecord(pending))
+        return Origin { version, true, Source::NoRecord };
+    if (now < pending.startedAt + m_bounds.timeout + m_bounds.proofTimeout && mayBeProvenSoon(pending, now))
         return {};
-    auto const version = isUnrecorded(pending) ? versionWithoutRecords(pending) : std::nullopt;
-    return Origin { version, haveKeepersReplied, version ? Source::NoRecord : Source::None };
+    return Origin { {}, haveKeepersReplied(pending) && !areKeepersRecovering(pending, now), Source::None };
 }
 
-// Two daemons with complete histories can differ for a moment, while a version joins or leaves.
-std::optional<VersionId> StreamOriginExchange::provenVersion(Pending const& pending)
+// Whether a record may have been lost, or may not have been found, of a stream that began at that time or later.
+bool StreamOriginExchange::hasRecordSince(Pending const& pending, Instant since) const
 {
-    if (!haveOthersReplied(pending))
-        return {};
-    for (auto const& [daemon, reply] : pending.replies) {
-        if (reply.uniform)
-            return reply.uniform;
+    if (m_lists.front().since > since)
+        return true;
+    auto const mayLack = [&](VMId id) {
+        auto const answer = pending.answers.find(id);
+        return answer == pending.answers.end() || answer->second.keepsSince > since;
+    };
+    return std::any_of(pending.keepers.begin(), pending.keepers.end(), [&](Keepers const& keepers) {
+        return keepers.until >= since - m_bounds.peerListLag && std::any_of(keepers.daemons.begin(), keepers.daemons.end(), mayLack);
+    });
+}
+
+// Daemons differ for a moment while a version joins or leaves.
+std::optional<VersionId> StreamOriginExchange::onlyVersionNamed(Pending const& pending)
+{
+    std::set<VersionId> versions;
+    for (auto const& [daemon, answer] : pending.answers) {
+        for (auto const& version : { answer.uniform, answer.withoutRecords }) {
+            if (version)
+                versions.insert(*version);
+        }
     }
-    return {};
+    return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
+}
+
+// One that knows of several versions goes before all lists that show one.
+std::optional<VersionId> StreamOriginExchange::uniformVersion(Pending const& pending)
+{
+    bool const hasSeveral = std::any_of(pending.answers.begin(), pending.answers.end(), [](auto const& entry) { return entry.second.hasSeveral; });
+    return hasSeveral ? std::nullopt : onlyVersionNamed(pending);
 }
 
-bool StreamOriginExchange::haveOthersReplied(Pending const& pending)
+std::optional<VersionId> StreamOriginExchange::versionOfCurrentList(Pending const& pending)
 {
-    return pending.replies.size() > 1 || pending.asked.empty();
+    return pending.own.uniform && pending.own.listProvenAt >= pending.startedAt ? uniformVersion(pending) : std::nullopt;
 }
 
-// Records are sent to all keepers. Two that have kept all they got can only lack it if two messages were
-// lost, or if the stream has none.
-bool StreamOriginExchange::isUnrecorded(Pending const& pending)
+std::optional<VersionId> StreamOriginExchange::versionOfEarlierList(Pending const& pending) const
 {
-    auto const count = std::count_if(pending.keepers.begin(), pending.keepers.end(), [&](VMId id) {
-        auto const reply = pending.replies.find(id);
-        return reply != pending.replies.end() && reply->second.isComplete;
+    bool const isProven = std::any_of(pending.answers.begin(), pending.answers.end(), [&](auto const& entry) {
+        return entry.second.uniform && !hasRecordSince(pending, entry.second.uniformAsOf);
     });
-    return static_cast<size_t>(count) >= std::min<size_t>(2, pending.keepers.size());
+    return isProven ? uniformVersion(pending) : std::nullopt;
 }
 
-std::optional<VersionId> StreamOriginExchange::versionWithoutRecords(Pending const& pending)
+std::optional<VersionId> StreamOriginExchange::versionWithoutRecord(Pending const& pending) const
 {
-    std::set<VersionId> versions;
-    for (auto const& [daemon, reply] : pending.replies) {
-        if (reply.withoutRecords)
-            versions.insert(*reply.withoutRecords);
-    }
-    return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
+    auto const version = onlyVersionNamed(pending);
+    auto since = pending.startedAt - VersionHistory::memory;
+    if (pending.own.restoredUniformAt && pending.own.withoutRecords == version)
+        since = std::max(since, *pending.own.restoredUniformAt);
+    return version && !hasRecordSince(pending, since) ? version : std::nullopt;
+}
+
+bool StreamOriginExchange::haveKeepersReplied(Pending const& pending) const
+{
+    auto const& keepers = pending.keepers.back().daemons;
+    return std::all_of(keepers.begin(), keepers.end(), [&](VMId id) { return pending.answers.contains(id); });
+}
+
+bool StreamOriginExchange::areKeepersRecovering(Pending const& pending, Instant now) const
+{
+    auto const& keepers = pending.keepers.back().daemons;
+    return std::any_of(keepers.begin(), keepers.end(), [&](VMId id) {
+        auto const answer = pending.answers.find(id);
+        return answer != pending.answers.end() && now - answer->second.keepsSince < m_bounds.recoveryTime;
+    });
+}
+
+// While several versions are known and all keepers have run for long, nothing more is to be expected.
+bool StreamOriginExchange::mayBeProvenSoon(Pending const& pending, Instant now) const
+{
+    return now - m_startedAt < m_bounds.recoveryTime || areKeepersRecovering(pending, now) || (pending.own.uniform && !pending.own.hasSeveral);
 }
 
 void StreamOriginExchange::complete(uint64_t queryId, Origin const& origin)
@@ -155,11 +293,11 @@
 {
     auto const message = TRY(decodeStreamOriginMessage(bytes));
     if (auto const* record = std::get_if<StreamOriginRecord>(&message)) {
-        m_table.record(record->stream, record->version, now + std::min(record->lifetime, VersionHistory::memory));
+        restore({ *record }, now);
         return {};
     }
     if (auto const* query = std::get_if<StreamOriginQuery>(&message)) {
-        auto reply = replyTo(query->stream, query->service, now);
+        auto reply = makeReply(query->stream, m_hooks.versions(query->service, now), now);
         reply.queryId = query->queryId;
         m_hooks.send(from, encodeStreamOriginMessage(reply));
         return {};
@@ -168,7 +306,7 @@
     auto const found = m_pending.find(reply.queryId);
     if (found == m_pending.end() || std::find(found->second.asked.begin(), found->second.asked.end(), from) == found->second.asked.end())
         return {};
-    found->second.replies[from] = reply;
+    found->second.answers[from] = answerFrom(reply, found->second.startedAt, now);
     if (auto const origin = resolve(found->second, now))
         complete(reply.queryId, *origin);
     return {};
@@ -177,23 +315,25 @@
 std::optional<Instant> StreamOriginExchange::nextTimeout() const
 {
     std::optional<Instant> next;
-    for (auto const& [queryId, pending] : m_pending) {
-        auto const due = std::min(pending.repeatAt, pending.deadline);
-        next = std::min(next.value_or(due), due);
-    }
+    for (auto const& [queryId, pending] : m_pending)
+        next = std::min(next.value_or(pending.repeatAt), pending.repeatAt);
     return next;
 }
 
 void StreamOriginExchange::tick(Instant now)
 {
     m_table.expire(now);
+    sendLateRecords(now);
     std::vector<std::pair<uint64_t, Origin>> resolved;
     for (auto& [queryId, pending] : m_pending) {
+        updateOwnAnswer(pending, now);
         if (auto const origin = resolve(pending, now)) {
             resolved.emplace_back(queryId, *origin);
         } else if (now >= pending.repeatAt) {
-            pending.repeatAt = now + m_bounds.repetitionInterval;
-            sendQueries(queryId, pending);
+            auto const timeout = pending.startedAt + m_bounds.timeout;
+            bool const isLate = now >= timeout;
+            pending.repeatAt = isLate ? now + m_bounds.proofInterval : std::min(now + m_bounds.repetitionInterval, timeout);
+            sendQueries(queryId, pending, isLate);
         }
     }
     for (auto const& [queryId, origin] : resolved)
--- a/Libraries/LibRouting/StreamOriginExchange.h
+++ b/Libraries/LibRouting/StreamOriginExchange.h
@@ -5,6 +5,7 @@
 #include <LibRouting/StreamOriginMessage.h>
 #include <LibRouting/StreamOriginTable.h>
 #include <LibRouting/VersionHistory.h>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -19,10 +20,17 @@
 //
 // While a service has upstreams of several versions, a daemon sends the version of each stream to a few
 // keepers before it forwards the first event. Rendezvous hashing of the stream's id chooses them, in
-// different halls, so every daemon knows whom to ask. A stream without a record has begun while there
-// was one version, if a keeper can rule out that it has lost the record. Only a record or a history of the
-// versions that covers the stream's whole life tells its version. Otherwise it stays unknown, however many
-// daemons have seen a single version since they started.
+// different halls, so every daemon knows whom to ask. When a second version appears, the streams that are
+// under way get such records as well.
+//
+// Only what is certain tells a version:
+// - a record;
+// - a list of upstreams that has shown a single version for as long as streams can be taken up, and that was
+//   current when the stream was taken up. A list from before may lack a version that has joined since, so it counts only
+//   if the stream has no record from that time on;
+// - that the stream has no record at all, if it then must have begun while there was one version.
+// "No record" counts only if all daemons say so that were keepers of the stream by any list of daemons of that time, and
+// if each has kept all records since. One that has left, started, was suspended or was full since makes the version unknown.
 //
 // A daemon that starts gets the records that it keeps from all that have them.
 class StreamOriginExchange {
@@ -37,27 +45,47 @@
         // A round trip between regions takes 16 ms. Queries and replies may be lost.
         Microseconds repetitionInterval { 25000 };
         Microseconds timeout { 80000 };
+        // How long a stream may wait beyond that for what is about to arrive: a confirmation of the list of upstreams, and
+        // the records of a daemon that has just started. Lists are confirmed at least every 0.6 s.
+        Microseconds proofTimeout { 800000 };
+        Microseconds proofInterval { 100000 };
+        // A daemon that has just started gets its records within this time.
+        Microseconds recoveryTime { 2000000 };
+        // Other daemons may use a list of daemons that is older by this.
+        Microseconds peerListLag { 3000000 };
+        // The earlier lists of daemons that are remembered.
+        size_t maxEarlierLists { 64 };
+        // How many streams a second get their record late, when a second version has appeared.
+        double lateRecordsPerSecond { 100 };
+        double lateRecordsPerSecondInLargeFleet { 30 };
         size_t maxRecords { 65536 };
     };
 
-    // What this daemon knows of a service's versions.
+    // What this daemon knows of a service's versions. See StreamOriginReply and VersionHistory.
     struct VersionKnowledge {
-        // See StreamOriginReply and VersionHistory.
-        std::optional<VersionId> uniform;
-        std::optional<VersionId> withoutRecords;
-        bool hasRestoredUniform { false };
+        std::optional<VersionId> uniform {};
+        // As of when the list of upstreams is known.
+        Instant listProvenAt {};
+        std::optional<VersionId> withoutRecords {};
+        // All streams that began before were of the version withoutRecords.
+        std::optional<Instant> restoredUniformAt {};
+        bool hasSeveral { false };
+        // Whether streams that begin now need a record.
+        bool needsRecords { false };
     };
 
     struct Hooks {
         std::function<void(VMId to, std::string bytes)> send;
         std::function<VersionKnowledge(std::string const& service, Instant now)> versions;
+        // Keeps the record beyond the lives of all daemons.
+        std::function<void(StreamOriginRecord const&)> persist { [](StreamOriginRecord const&) {} };
     };
 
     // What has told the version at which a stream has begun.
     enum class Source {
         None,
         Record,
-        // A list of upstreams that shows a single version.
+        // A list of upstreams that has shown a single version for long.
         OneVersion,
         // No daemon has a record, so the stream began while there was one version.
         NoRecord,
@@ -65,8 +93,8 @@
     struct Origin {
         // None if it can't be told.
         std::optional<VersionId> version;
-        // Whether all keepers have replied. If not, another daemon may find out.
-        bool haveKeepersReplied { false };
+        // Whether it can't be told later or by another daemon either: all keepers have replied, and none has just started.
+        bool isFinal { false };
         Source source { Source::None };
     };
     using Callback = std::function<void(Origin const&)>;
@@ -75,23 +103,27 @@
         : m_self(self)
         , m_bounds(bounds)
         , m_hooks(std::move(hooks))
+        , m_startedAt(now)
         , m_keepsSince(now)
         , m_table(bounds.maxRecords)
     {
     }
 
     // Sets the other registered daemons.
-    void setPeers(std::vector<FleetPeer>);
+    void setPeers(std::vector<FleetPeer>, Instant now);
     // Whether the other daemons have been set. Before, nobody could be asked.
-    bool knowsPeers() const { return m_knowsPeers; }
-    // This daemon was suspended, so records sent to it may have been lost.
-    void restart(Instant now) { m_keepsSince = now; }
+    bool knowsPeers() const { return !m_lists.empty(); }
+    // This daemon was suspended, so records sent to it may have been lost, and lists of daemons missed.
+    void restart(Instant now);
 
     // The daemon has started and lacks the records that it is a keeper of.
     void peerStarted(VMId, Instant now);
 
-    // Records at which version the stream has begun, here and at its keepers.
-    void record(StreamId, VersionId, Microseconds lifetime, Instant now);
+    // Records at which version the stream has begun: here, and, once the service may have several, at the stream's
+    // keepers.
+    void record(StreamId, std::string const& service, VersionId, Microseconds lifetime, Instant now);
+    // Adds records that were kept beyond the lives of all daemons.
+    void restore(std::vector<StreamOriginRecord> const&, Instant now);
     // Finds that version. The callback may be called synchronously.
     void find(StreamId, std::string const& service, Callback, Instant now);
 
@@ -104,39 +136,83 @@
     size_t recordCount() const { return m_table.records().size(); }
 
 private:
+    // What a daemon has replied, with times of this daemon's clock. Where a time isn't known exactly, it is the one that
+    // proves less.
+    struct Answer {
+        std::optional<VersionId> recorded;
+        // Since when it has kept all records that it got.
+        Instant keepsSince;
+        std::optional<VersionId> uniform;
+        Instant uniformAsOf;
+        std::optional<VersionId> withoutRecords;
+        bool hasSeveral { false };
+    };
+    struct PeerList {
+        std::vector<FleetPeer> peers;
+        Instant since;
+    };
+    // The keepers of a stream by a list of daemons that was in force until then.
+    struct Keepers {
+        std::vector<VMId> daemons;
+        Instant until;
+    };
     struct Pending {
         StreamId stream;
         std::string service;
-        std::vector<VMId> keepers;
+        // By all lists that are known, those by the present one last.
+        std::vector<Keepers> keepers;
         std::vector<VMId> asked;
-        std::map<VMId, StreamOriginReply> replies;
+        std::map<VMId, Answer> answers;
+        VersionKnowledge own;
+        Instant startedAt;
         Instant repeatAt;
-        Instant deadline;
         Callback callback;
     };
+    struct LateRecord {
+        StreamId stream;
+        VersionId version;
+        Instant expiresAt;
+    };
 
-    std::vector<VMId> chooseDaemons(StreamId, size_t count) const;
-    size_t keeperCount() const;
-    StreamOriginReply replyTo(StreamId, std::string const& service, Instant now) const;
-    void sendQueries(uint64_t queryId, Pending const&);
+    std::vector<FleetPeer> const& peers() const { return m_lists.back().peers; }
+    std::vector<VMId> chooseDaemons(std::vector<FleetPeer> const&, StreamId, size_t count) const;
+    size_t keeperCount(std::vector<FleetPeer> const&) const;
+    std::vector<VMId> chooseKeepers(StreamId stream) const { return chooseDaemons(peers(), stream, keeperCount(peers())); }
+    std::vector<Keepers> keepersByAllLists(StreamId, Instant now) const;
+    void sendToKeepers(StreamId, VersionId, Microseconds lifetime);
+    void sendLateRecords(Instant now);
+    void addToTable(StreamId, VersionId, Instant expiresAt, Instant now);
+    StreamOriginReply makeReply(StreamId, VersionKnowledge const&, Instant now) const;
+    static Answer answerFrom(StreamOriginReply const&, Instant sentAfter, Instant receivedAt);
+    void updateOwnAnswer(Pending&, Instant now) const;
+    void sendQueries(uint64_t queryId, Pending const&, bool isForAll);
     // None while further replies may decide.
     std::optional<Origin> resolve(Pending const&, Instant now) const;
-    static bool haveOthersReplied(Pending const&);
-    static bool isUnrecorded(Pending const&);
-    static std::optional<VersionId> provenVersion(Pending const&);
-    static std::optional<VersionId> versionWithoutRecords(Pending const&);
+    bool hasRecordSince(Pending const&, Instant since) const;
+    static std::optional<VersionId> onlyVersionNamed(Pending const&);
+    static std::optional<VersionId> uniformVersion(Pending const&);
+    static std::optional<VersionId> versionOfCurrentList(Pending const&);
+    std::optional<VersionId> versionOfEarlierList(Pending const&) const;
+    std::optional<VersionId> versionWithoutRecord(Pending const&) const;
+    bool haveKeepersReplied(Pending const&) const;
+    bool areKeepersRecovering(Pending const&, Instant now) const;
+    bool mayBeProvenSoon(Pending const&, Instant now) const;
     void complete(uint64_t queryId, Origin const&);
-    bool keepsAllRecords(Instant now) const { return now - m_keepsSince >= VersionHistory::memory; }
 
     FleetPeer m_self;
     Bounds m_bounds;
     Hooks m_hooks;
+    // When this daemon has started, or was last suspended.
+    Instant m_startedAt;
     Instant m_keepsSince;
     StreamOriginTable m_table;
-    std::vector<FleetPeer> m_peers;
-    bool m_knowsPeers { false };
+    // The lists of daemons that have been in force, the present one last. Empty before the first one.
+    std::deque<PeerList> m_lists;
     std::map<uint64_t, Pending> m_pending;
     uint64_t m_lastQueryId { 0 };
+    // By service: the streams that began while it had one version, in that order.
+    std::map<std::string, std::deque<LateRecord>> m_lateRecords;
+    Instant m_nextLateRecordAt;
 };
 
 // The name in logs and metrics.
--- a/Libraries/LibRouting/StreamOriginMessage.cpp
+++ b/Libraries/LibRouting/StreamOriginMessage.cpp
@@ -2,6 +2,8 @@
 
 #include <LibBase/MessageReader.h>
 #include <LibBase/MessageWriter.h>
+#include <LibRouting/VersionHistory.h>
+#include <algorithm>
 
 namespace Stagepost {
 
@@ -15,9 +17,26 @@
         Reply,
     };
 
-    // Bits of a reply's flags field.
+    // Bits of a reply's flags field. Daemons of an earlier version know the first two and ignore the others.
     constexpr uint64_t completeFlag = 1;
     constexpr uint64_t uniformFlag = 2;
+    constexpr uint64_t severalFlag = 4;
+    constexpr uint64_t agesFlag = 8;
+    constexpr unsigned keptForShift = 8;
+    constexpr unsigned listAgeShift = 32;
+    constexpr uint64_t maxAge = (1U << 24U) - 1;
+
+    uint64_t wholeMilliseconds(Microseconds time)
+    {
+        return std::min(static_cast<uint64_t>(std::max<int64_t>(0, time.count() / 1000)), maxAge);
+    }
+
+    // A list may be older than said by less than the unit.
+    uint64_t packFlags(StreamOriginReply const& reply)
+    {
+        return (reply.keptFor >= VersionHistory::memory ? completeFlag : 0) | (reply.uniform ? uniformFlag : 0) | (reply.hasSeveral ? severalFlag : 0)
+            | agesFlag | wholeMilliseconds(reply.keptFor) << keptForShift | wholeMilliseconds(reply.listAge + Milliseconds(1)) << listAgeShift;
+    }
 
     void write(MessageWriter& writer, StreamOriginRecord const& record)
     {
@@ -38,7 +57,7 @@
     {
         writer.number(reply.queryId);
         writer.id(reply.recorded.value_or(VersionId()));
-        writer.number((reply.isComplete ? completeFlag : 0) | (reply.uniform ? uniformFlag : 0));
+        writer.number(packFlags(reply));
         writer.id(reply.withoutRecords.value_or(VersionId()));
         writer.id(reply.uniform.value_or(VersionId()));
     }
@@ -67,18 +86,24 @@
         return query;
     }
 
-    // Daemons of an earlier version also send the only version that they have seen since they started.
+    // Daemons of an earlier version don't say how old their list is, so that it proves nothing.
     StreamOriginReply readReply(MessageReader& reader)
     {
         StreamOriginReply reply;
         reply.queryId = reader.number();
         reply.recorded = readVersion(reader);
         auto const flags = reader.number();
-        reply.isComplete = (flags & completeFlag) != 0;
+        reply.hasSeveral = (flags & severalFlag) != 0;
         reply.withoutRecords = readVersion(reader);
-        auto const onlySeen = readVersion(reader);
-        if (flags & uniformFlag)
-            reply.uniform = onlySeen;
+        auto const uniform = readVersion(reader);
+        if (flags & agesFlag) {
+            reply.keptFor = Milliseconds(flags >> keptForShift & maxAge);
+            reply.listAge = Milliseconds(flags >> listAgeShift & maxAge);
+            if (flags & uniformFlag)
+                reply.uniform = uniform;
+        } else if (flags & completeFlag) {
+            reply.keptFor = VersionHistory::memory;
+        }
         return reply;
     }
 
--- a/Libraries/LibRouting/StreamOriginMessage.h
+++ b/Libraries/LibRouting/StreamOriginMessage.h
@@ -28,14 +28,20 @@
 
 // What a daemon knows of a stream that another one is asked to continue.
 struct StreamOriginReply {
+    // Longer times are not told apart. More than the time for which streams can be taken up.
+    static constexpr Microseconds maxKeptFor { 60000000 };
+
     uint64_t queryId { 0 };
     std::optional<VersionId> recorded;
-    // Whether it has kept all records that it got for as long as streams can be taken up.
-    bool isComplete { false };
-    // The service's only version for as long as streams can be taken up, by a list of upstreams that is proven.
+    // For how long it has kept all records that it got.
+    Microseconds keptFor { 0 };
+    // The service's only version for as long as streams can be taken up, by a list of upstreams of this age.
     std::optional<VersionId> uniform;
+    Microseconds listAge { 0 };
     // See VersionHistory.
     std::optional<VersionId> withoutRecords;
+    // Whether it knows of several versions for this time.
+    bool hasSeveral { false };
 };
 
 using StreamOriginMessage = std::variant<StreamOriginRecord, StreamOriginQuery, StreamOriginReply>;
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -203,10 +203,10 @@
     return hooks;
 }
 
-void GatewayPeers::recordStreamOrigin(StreamId stream, VersionId version, Microseconds lifetime)
+void GatewayPeers::recordStreamOrigin(StreamId stream, std::string const& service, VersionId version, Microseconds lifetime)
 {
     if (m_streamOrigins)
-        m_streamOrigins->record(stream, version, lifetime, m_loop.now());
+        m_streamOrigins->record(stream, service, version, lifetime, m_loop.now());
 }
 
 void GatewayPeers::findStreamOrigin(StreamId stream, std::string const& service, StreamOriginExchange::Callback callback)
@@ -343,7 +343,7 @@
     m_partCrashExchange->setPeers(list, m_loop.now());
     m_holderExchange->setPeers(list, m_stateExchange->relays());
     m_detourExchange->setPeers(list);
-    m_streamOrigins->setPeers(list);
+    m_streamOrigins->setPeers(list, m_loop.now());
     findWaitingOrigins();
     applyRoster();
     m_metrics.setGauge("stagepost_daemons", static_cast<double>(m_stateExchange->peerCount() + 1));
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -127,7 +127,7 @@
     void findContextHolders(uint64_t context, UpstreamId, HolderExchange::Callback);
     // See StreamOriginExchange. Before this daemon has joined and knows the others, origins are found a
     // little later, or not at all.
-    void recordStreamOrigin(StreamId, VersionId, Microseconds lifetime);
+    void recordStreamOrigin(StreamId, std::string const& service, VersionId, Microseconds lifetime);
     void findStreamOrigin(StreamId, std::string const& service, StreamOriginExchange::Callback);
     size_t streamOriginCount() const { return m_streamOrigins ? m_streamOrigins->recordCount() : 0; }
     // This daemon was suspended or cut off and may have lost messages.
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -110,11 +110,11 @@
 void GatewayRequestHandler::handleStreamOrigin(StreamOriginExchange::Origin const& origin)
 {
     m_services.metrics.count("stagepost_streams_taken_up_total", "origin=\"" + std::string(nameOf(origin.source)) + "\"");
-    logEvent(LogLevel::Info, "stream-taken-up", { { "id", m_request.call.id }, { "first_attempt", m_request.call.firstAttempt }, { "version_id", toHex(origin.version.value_or(VersionId()).value()) }, { "origin", nameOf(origin.source) }, { "keepers_replied", origin.haveKeepersReplied ? 1 : 0 } });
+    logEvent(LogLevel::Info, "stream-taken-up", { { "id", m_request.call.id }, { "first_attempt", m_request.call.firstAttempt }, { "version_id", toHex(origin.version.value_or(VersionId()).value()) }, { "origin", nameOf(origin.source) }, { "final", origin.isFinal ? 1 : 0 } });
     if (endedWhileWaiting())
         return;
     if (!origin.version) {
-        auto const retryAfter = origin.haveKeepersReplied ? std::nullopt : std::optional(m_attempts.retryAfter());
+        auto const retryAfter = origin.isFinal ? std::nullopt : std::optional(m_attempts.retryAfter());
         refuse({ RefusalReason::NoUpstream, m_attempts.verdict(), "it can't be told at which version the stream has begun", retryAfter });
         return;
     }
@@ -127,9 +127,7 @@
     if (!m_progress || !m_request.route->isRepeatable() || std::exchange(m_isStreamRecorded, true))
         return;
     m_streamVersion = VersionId::fromName(m_version);
-    auto const now = m_services.loop.now();
-    if (needsVersion())
-        m_services.peers.recordStreamOrigin(streamId(), *m_streamVersion, m_attempts.timeLeft(now) + streamRecordMargin);
+    m_services.peers.recordStreamOrigin(streamId(), m_request.service, *m_streamVersion, m_attempts.timeLeft(m_services.loop.now()) + streamRecordMargin);
 }
 
 bool GatewayRequestHandler::needsVersion() const
--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -1,3 +1,4 @@
+#include <LibBase/MessageWriter.h>
 #include <LibRouting/StreamOriginExchange.h>
 #include <boost/test/unit_test.hpp>
 #include <memory>
@@ -11,6 +12,7 @@
 constexpr VersionId first { 11 };
 constexpr VersionId second { 12 };
 constexpr std::string_view service { "chat" };
+constexpr Milliseconds listConfirmationInterval { 400 };
 
 Instant at(double seconds)
 {
@@ -54,13 +56,20 @@
     }
 
     // Started again, without records from the others.
-    void killAndRestart(VMId id)
+    void killAndRestart(VMId id, std::set<VersionId> const& present)
     {
         start(*std::find_if(m_peers.begin(), m_peers.end(), [id](auto const& each) { return each.id == id; }), now);
-        for (auto const version : m_present)
+        for (auto const version : present)
             daemons[id].versions.appeared(version, now);
     }
 
+    // The daemon's list of upstreams is from now, and is not confirmed any more.
+    void keepListOf(VMId id)
+    {
+        daemons[id].listProvenAt = now;
+        run(0.5);
+    }
+
     // The daemons are gone for good, and the others' lists no longer have them.
     void remove(std::set<VMId> const& gone)
     {
@@ -98,7 +107,7 @@
     void restoreHistoryEverywhere(std::set<VersionId> const& versions)
     {
         for (auto& [id, daemon] : daemons)
-            daemon.versions.restore(versions, now);
+            daemon.versions.restore(versions, {}, now, now);
     }
 
     void vanishEverywhere(VersionId version)
@@ -117,7 +126,7 @@
 
     void record(VMId at, StreamId stream, VersionId version, Microseconds lifetime = Seconds(12))
     {
-        daemons[at].exchange->record(stream, version, lifetime, now);
+        daemons[at].exchange->record(stream, std::string(service), version, lifetime, now);
         deliver();
     }
 
@@ -126,7 +135,7 @@
         std::optional<StreamOriginExchange::Origin> result;
         daemons[at].exchange->find(
             stream, std::string(service), [&](auto const& origin) { result = origin; }, now);
-        for (auto const end = now + Milliseconds(100); !result && now < end; now += Milliseconds(5)) {
+        for (auto const end = now + Seconds(1); !result && now < end; now += Milliseconds(5)) {
             deliver();
             daemons[at].exchange->tick(now);
         }
@@ -152,15 +161,25 @@
             daemon.exchange->tick(now);
     }
 
+    void runInTicks(double seconds)
+    {
+        for (auto const end = now + Microseconds(static_cast<int64_t>(seconds * 1e6)); now < end;) {
+            run(0.05);
+            deliver();
+        }
+    }
+
     Instant now { at(0) };
     std::map<VMId, Daemon> daemons;
+    // What would outlive all daemons.
+    std::vector<StreamOriginRecord> persisted;
     bool areMessagesLost { false };
 
 private:
     void setPeersEverywhere()
     {
         for (auto const& peer : m_peers)
-            daemons[peer.id].exchange->setPeers(m_peers);
+            daemons[peer.id].exchange->setPeers(m_peers, now);
     }
 
     void start(FleetPeer const& peer, Instant since)
@@ -170,10 +189,13 @@
         StreamOriginExchange::Hooks hooks;
         hooks.send = [this, from = peer.id](VMId to, std::string const& bytes) { m_messages.push_back({ from, to, bytes }); };
         hooks.versions = [&daemon](std::string const&, Instant time) {
-            return StreamOriginExchange::VersionKnowledge { daemon.isListProven ? daemon.versions.uniformVersion(time) : std::nullopt, daemon.versions.versionWithoutRecords(time), daemon.versions.hasRestoredUniform() };
+            auto const uniform = daemon.versions.uniformVersion(time);
+            auto const lastConfirmation = time - time.time_since_epoch() % listConfirmationInterval;
+            return StreamOriginExchange::VersionKnowledge { daemon.isListProven ? uniform : std::nullopt, daemon.listProvenAt.value_or(lastConfirmation), daemon.versions.versionWithoutRecords(time), daemon.versions.restoredUniformAt(), daemon.versions.recentVersions(time).size() > 1, !uniform };
         };
+        hooks.persist = [this](StreamOriginRecord const& record) { persisted.push_back(record); };
         daemon.exchange = std::make_unique<StreamOriginExchange>(peer, StreamOriginExchange::Bounds {}, std::move(hooks), since);
-        daemon.exchange->setPeers(m_peers);
+        daemon.exchange->setPeers(m_peers, now);
     }
 
     void deliver()
@@ -255,7 +277,7 @@
     fleet.run(40);
     auto const origin = fleet.find(VMId(2), StreamId(7));
     BOOST_TEST(!origin.version.has_value());
-    BOOST_TEST(origin.haveKeepersReplied);
+    BOOST_TEST(origin.isFinal);
 }
 
 // Guards against streams of two versions: after all daemons were killed they agree on what none of them knows.
@@ -304,7 +326,7 @@
         daemon.isDown = id != VMId(2);
     auto const origin = fleet.find(VMId(2), StreamId(7));
     BOOST_TEST(!origin.version.has_value());
-    BOOST_TEST(!origin.haveKeepersReplied);
+    BOOST_TEST(!origin.isFinal);
     // Started again, among daemons that have seen both.
     Fleet other;
     other.appearEverywhere(second);
@@ -319,6 +341,7 @@
 BOOST_AUTO_TEST_CASE(ADaemonThatLearnsLateOfAVersionFollowsTheRecord)
 {
     Fleet fleet;
+    fleet.keepListOf(VMId(2));
     for (auto& [id, daemon] : fleet.daemons) {
         if (id != VMId(2))
             daemon.versions.appeared(second, fleet.now);
@@ -363,7 +386,7 @@
     size_t unrecorded = 0;
     for (uint64_t stream = 1; stream <= 40; ++stream) {
         Fleet fleet;
-        fleet.daemons[VMId(9)].listProvenAt = fleet.now;
+        fleet.keepListOf(VMId(9));
         for (auto& [id, daemon] : fleet.daemons) {
             if (id != VMId(9))
                 daemon.versions.appeared(second, fleet.now);
@@ -372,10 +395,8 @@
         if (fleet.holders().contains(VMId(9)))
             continue;
         ++unrecorded;
-        for (uint64_t number = 1; number <= 8; ++number) {
-            fleet.killAndRestart(VMId(number));
-            fleet.daemons[VMId(number)].versions.appeared(second, fleet.now);
-        }
+        for (uint64_t number = 1; number <= 8; ++number)
+            fleet.killAndRestart(VMId(number), { first, second });
         BOOST_TEST(!fleet.find(VMId(9), StreamId(stream)).version.has_value());
     }
     BOOST_TEST(unrecorded > 0u);
@@ -414,14 +435,16 @@
             fleet.appearEverywhere(second);
             fleet.run(60);
             fleet.setOthersDown(cutOff, true);
-            for (auto const id : fleet.daemonsOutside(cutOff))
+            for (auto const id : fleet.daemonsOutside(cutOff)) {
+                fleet.daemons[id].versions.lapsed(second, fleet.now);
                 fleet.daemons[id].versions.vanished(second, fleet.now);
+            }
             fleet.run(cutFor);
             fleet.record(VMId(1), StreamId(stream), second);
             fleet.run(1);
             for (uint64_t const id : { 1, 4, 7 }) {
                 if (areKilled)
-                    fleet.killAndRestart(VMId(id));
+                    fleet.killAndRestart(VMId(id), isBack ? std::set { first, second } : std::set { first });
             }
             fleet.setOthersDown(cutOff, false);
             for (auto const id : fleet.daemonsOutside(cutOff)) {
@@ -441,15 +464,124 @@
     }
 }
 
+// Guards against streams that are refused because they began just before a second version appeared.
+BOOST_AUTO_TEST_CASE(StreamsUnderWayGetARecordWhenASecondVersionAppears)
+{
+    Fleet fleet;
+    for (uint64_t stream = 1; stream <= 30; ++stream)
+        fleet.record(VMId(1), StreamId(stream), first);
+    fleet.runInTicks(1);
+    BOOST_TEST((fleet.holders() == std::set { VMId(1) }));
+    BOOST_TEST(fleet.persisted.empty());
+    fleet.appearEverywhere(second);
+    fleet.runInTicks(0.5);
+    BOOST_TEST(fleet.persisted.size() == 30u);
+    for (auto const& record : fleet.persisted)
+        BOOST_TEST((record.version == first && record.lifetime > Seconds(10) && record.lifetime <= Seconds(11)));
+    fleet.killAndRestart(VMId(1), { first, second });
+    for (uint64_t stream = 1; stream <= 30; ++stream)
+        BOOST_TEST((fleet.find(VMId(2), StreamId(stream)).version == first));
+    fleet.run(12);
+    BOOST_TEST(fleet.holders().empty());
+}
+
+BOOST_AUTO_TEST_CASE(LateRecordsAreSpreadOverTime)
+{
+    Fleet fleet;
+    for (uint64_t stream = 1; stream <= 300; ++stream)
+        fleet.record(VMId(1), StreamId(stream), first);
+    fleet.runInTicks(1);
+    fleet.appearEverywhere(second);
+    fleet.runInTicks(1);
+    BOOST_TEST(fleet.persisted.size() >= 95u);
+    BOOST_TEST(fleet.persisted.size() <= 115u);
+    // The latest ones last longest.
+    BOOST_TEST((fleet.persisted.front().stream == StreamId(300)));
+}
+
+// Guards against streams that are refused after a kill of all daemons although records of them are kept elsewhere.
+BOOST_AUTO_TEST_CASE(RecordsThatOutlivedAllDaemonsTellTheVersion)
+{
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    fleet.record(VMId(1), StreamId(7), first);
+    fleet.record(VMId(1), StreamId(8), second);
+    fleet.restartAll();
+    BOOST_TEST(!fleet.find(VMId(2), StreamId(7)).version.has_value());
+    for (auto& [id, daemon] : fleet.daemons)
+        daemon.exchange->restore(fleet.persisted, fleet.now);
+    BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version == first));
+    BOOST_TEST((fleet.find(VMId(3), StreamId(8)).version == second));
+    BOOST_TEST(!fleet.find(VMId(2), StreamId(9)).version.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AStreamWaitsUntilItsListIsConfirmed)
+{
+    Fleet fleet;
+    fleet.run(0.1);
+    fleet.record(VMId(1), StreamId(7), first);
+    for (uint64_t number = 1; number <= 8; ++number)
+        fleet.killAndRestart(VMId(number), { first });
+    auto const begin = fleet.now;
+    auto const origin = fleet.find(VMId(9), StreamId(7));
+    BOOST_TEST((origin.version == first));
+    BOOST_TEST((origin.source == StreamOriginExchange::Source::OneVersion));
+    BOOST_TEST((fleet.now - begin <= listConfirmationInterval));
+    // If it is not, the stream is refused, and its caller may come back.
+    fleet.keepListOf(VMId(9));
+    for (uint64_t number = 1; number <= 8; ++number)
+        fleet.killAndRestart(VMId(number), { first });
+    auto const other = fleet.find(VMId(9), StreamId(8));
+    BOOST_TEST(!other.version.has_value());
+    BOOST_TEST(!other.isFinal);
+}
+
+// Guards against a table that has dropped records and still says that it has all.
+BOOST_AUTO_TEST_CASE(ADaemonThatDroppedRecordsProvesNoAbsence)
+{
+    Fleet fleet;
+    BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version == first));
+    fleet.appearEverywhere(second);
+    std::vector<StreamOriginRecord> records;
+    for (uint64_t stream = 100; stream <= 100 + StreamOriginExchange::Bounds {}.maxRecords; ++stream)
+        records.push_back({ StreamId(stream), second, Seconds(12) });
+    BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version == first));
+    for (auto& [id, daemon] : fleet.daemons)
+        daemon.exchange->restore(records, fleet.now);
+    BOOST_TEST(!fleet.find(VMId(2), StreamId(7)).version.has_value());
+}
+
+// Guards against daemons of an earlier version, which don't say how old their list is.
+BOOST_AUTO_TEST_CASE(AReplyWithoutAgesProvesNoVersion)
+{
+    constexpr uint64_t replyKind = 2;
+    constexpr uint64_t completeAndUniform = 3;
+    MessageWriter writer;
+    writer.number(replyKind);
+    writer.number(5);
+    writer.id(VersionId());
+    writer.number(completeAndUniform);
+    writer.id(first);
+    writer.id(first);
+    auto const decoded = decodeStreamOriginMessage(writer.release());
+    BOOST_REQUIRE(decoded.has_value());
+    auto const& reply = std::get<StreamOriginReply>(*decoded);
+    BOOST_TEST(!reply.uniform.has_value());
+    BOOST_TEST((reply.withoutRecords == first));
+    BOOST_TEST((reply.keptFor == VersionHistory::memory));
+}
+
 BOOST_AUTO_TEST_CASE(DamagedStreamOriginMessagesAreRefused)
 {
-    StreamOriginReply reply { 5, first, true, {}, second };
+    StreamOriginReply reply { 5, first, Seconds(40), {}, Microseconds(0), second, true };
     auto const bytes = encodeStreamOriginMessage(reply);
     auto const decoded = decodeStreamOriginMessage(bytes);
     BOOST_REQUIRE(decoded.has_value());
     BOOST_TEST((std::get<StreamOriginReply>(*decoded).recorded == first));
     BOOST_TEST((std::get<StreamOriginReply>(*decoded).withoutRecords == second));
     BOOST_TEST(!std::get<StreamOriginReply>(*decoded).uniform.has_value());
+    BOOST_TEST((std::get<StreamOriginReply>(*decoded).keptFor == Seconds(40)));
+    BOOST_TEST(std::get<StreamOriginReply>(*decoded).hasSeveral);
     for (size_t length = 0; length < bytes.size(); ++length)
         BOOST_TEST(!decodeStreamOriginMessage(std::string_view(bytes).substr(0, length)).has_value());
     BOOST_TEST(rc::check("any bytes", [](std::string const& any) { (void)decodeStreamOriginMessage(any); }));
@@ -504,14 +636,40 @@
     history.requireProof(at(40));
     BOOST_TEST(!history.uniformVersion(at(41)).has_value());
     BOOST_TEST((history.versionWithoutRecords(at(41)) == first));
-    history.restore({ first }, at(42));
+    history.restore({ first }, {}, at(42), at(42));
     BOOST_TEST((history.uniformVersion(at(42)) == first));
     history.requireProof(at(50));
-    history.restore({ first, second }, at(51));
+    history.restore({ first, second }, {}, at(51), at(51));
     BOOST_TEST(!history.uniformVersion(at(80)).has_value());
     BOOST_TEST((history.uniformVersion(at(81)) == first));
 }
 
+// Guards against a version that is forgotten while a hall that is cut off still begins streams at it.
+BOOST_AUTO_TEST_CASE(AVersionWhoseUpstreamsLapsedIsRememberedForAsLongAsHallsAreCutOff)
+{
+    VersionHistory history(at(0));
+    history.appeared(first, at(0));
+    history.appeared(second, at(10));
+    history.lapsed(first, at(40));
+    history.vanished(first, at(50));
+    BOOST_TEST(!history.uniformVersion(at(3600)).has_value());
+    BOOST_TEST(!history.versionWithoutRecords(at(3600)).has_value());
+    BOOST_TEST((history.lapsedVersions(at(3600)) == std::set { first }));
+    BOOST_TEST((history.uniformVersion(at(3641)) == second));
+    history.restart(at(3000));
+    BOOST_TEST((history.recentVersions(at(3001)) == std::set { first, second }));
+    // A daemon that has just started learns of it from the store.
+    VersionHistory other(at(3000));
+    other.appeared(second, at(3000));
+    other.restore({ first, second }, { first }, at(3000), at(3001));
+    BOOST_TEST(!other.uniformVersion(at(3100)).has_value());
+    // One whose upstreams have announced that they leave is forgotten as before.
+    VersionHistory third(at(3000));
+    third.appeared(second, at(3000));
+    third.restore({ first, second }, {}, at(3000), at(3001));
+    BOOST_TEST((third.uniformVersion(at(3032)) == second));
+}
+
 // A stream of a version that has joined goes on once this daemon knows of it; one of a version that has left does not.
 BOOST_AUTO_TEST_CASE(AVersionThatLeftIsNotTakenForOneThatHasJoined)
 {
