GatewayRequestHandler: Ask for a stream's version also if no detour is found

A daemon without links passes a stream that is taken up on before it asks for its version. If it found no other daemon, it placed the stream itself, at any version: links may be back by then.

--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -193,7 +193,11 @@
     if (m_detour.empty() && m_attempts.connectFailures()) {
         refuse({ RefusalReason::NoUpstream, m_attempts.verdict(), "this daemon reaches no upstream and no daemon that does", m_attempts.retryAfter() });
     } else if (m_detour.empty()) {
-        placeHere();
+        // No other daemon was asked, so none has found out at which version the stream has begun.
+        if (needsStreamOrigin())
+            findStreamOrigin();
+        else
+            placeHere();
     } else if (!result.failure) {
         m_attempts.recordResponse();
         m_services.metrics.count("stagepost_answers_total");
--- a/Tests/Processes/test_detours.py
+++ b/Tests/Processes/test_detours.py
@@ -169,6 +169,46 @@
         numbers = [int(line.split(":")[1]) for line in result[0].body.splitlines() if line.startswith("id:")]
         self.assertEqual(numbers, list(range(1, 31)))
 
+    def test_a_stream_that_finds_no_detour_stays_at_its_version(self):
+        """Guards against streams that go on at any version when no other daemon can be found for them."""
+        added = []
+        for number in range(3):
+            upstream = CuttableUpstream(f"chat-v2-{number}", "chat", HALLS[number], version="v2")
+            self.addCleanup(upstream.stop)
+            added.append(upstream)
+            self.store.put("keyed.servers", upstream.instance, upstream.record())
+        self.upstreams += added
+        time.sleep(1)
+        # Nobody has a record of it, so it began before v2 joined.
+        fields = {"Last_Event_Id": "3", "Resumes": "begun-before"}
+        self.assertEqual(self.call(self.members[0], "/stream/again/x", **fields).status, 200)
+        is_over = threading.Event()
+
+        def take_up_repeatedly(caller):
+            number = 0
+            while not is_over.is_set():
+                number += 1
+                # Prompts of different contexts, as upstreams that hold one are preferred.
+                self.call(self.members[0], "/stream/again/x", X_Attempt_Id=f"again-{caller}-{number}", X_Prompt_Prefix=f"e{caller}x{number}:500", **fields)
+
+        for cut in range(3):
+            self.cut(*self.members)
+            time.sleep(0.5)
+            is_over.clear()
+            callers = [threading.Thread(target=take_up_repeatedly, args=(f"{cut}-{caller}",)) for caller in range(8)]
+            for caller in callers:
+                caller.start()
+            time.sleep(0.1)
+            # Some requests arrive before the daemon knows that its links are back.
+            for member in self.members:
+                member.heal()
+            time.sleep(0.2)
+            is_over.set()
+            for caller in callers:
+                caller.join()
+        eventually(lambda: self.call(self.members[0], "/stream/again/x", **fields).status == 200, "the stream goes on once the links are back")
+        self.assertEqual([run["headers"]["x-attempt-id"] for upstream in added for run in upstream.runs() if "last-event-id" in run["headers"]], [])
+
     def test_forged_terms_are_refused(self):
         peer = self.members[1].entry
         address = f"127.0.0.1:{self.members[1].ports[2].rsplit(':', 1)[1]}"
