StreamOriginExchange: Tell keepers of streams that began before the other daemons were known

A daemon that has just started may begin streams before it has joined or has its first list of daemons. The records are sent once the other daemons are known.

--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -77,7 +77,8 @@
 {
     auto const kept = std::min(lifetime, VersionHistory::memory);
     addToTable(stream, version, now + kept, now);
-    if (m_hooks.versions(service, now).needsRecords)
+    // Until the other daemons are known, no keepers can be told.
+    if (knowsPeers() && m_hooks.versions(service, now).needsRecords)
         return sendToKeepers(stream, version, kept);
     auto& late = m_lateRecords[service];
     late.push_back({ stream, version, now + kept });
@@ -89,8 +90,6 @@
 {
     StreamOriginRecord const record { stream, version, lifetime };
     m_hooks.persist(record);
-    if (!knowsPeers())
-        return;
     auto const message = encodeStreamOriginMessage(record);
     for (auto const keeper : chooseKeepers(stream)) {
         if (keeper != m_self.id)
@@ -106,7 +105,9 @@
             late.pop_front();
     }
     std::erase_if(m_lateRecords, [](auto const& entry) { return entry.second.empty(); });
-    auto const perSecond = knowsPeers() && peers().size() > m_bounds.largeFleet ? m_bounds.lateRecordsPerSecondInLargeFleet : m_bounds.lateRecordsPerSecond;
+    if (!knowsPeers())
+        return;
+    auto const perSecond = peers().size() > m_bounds.largeFleet ? m_bounds.lateRecordsPerSecondInLargeFleet : m_bounds.lateRecordsPerSecond;
     Microseconds const interval(static_cast<int64_t>(1e6 / perSecond));
     for (auto& [service, late] : m_lateRecords) {
         if (!m_hooks.versions(service, now).needsRecords)
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -33,6 +33,8 @@
     // A daemon is usually ready some milliseconds before it has joined. Callers that take up a stream wait
     // this long for that.
     constexpr Milliseconds maxJoinWait { 250 };
+    // A daemon joins within a second, and begins some tens of streams a second.
+    constexpr size_t maxWaitingRecords = 4096;
     // For the terms of a request, besides the header fields of its caller.
     constexpr size_t detourHeaderSize = 2048;
     // In a larger fleet, a relay needs its whole bandwidth budget for the state that it sends, so it
@@ -133,6 +135,8 @@
         m_detourExchange = std::make_unique<DetourExchange>(peer, DetourExchange::Bounds {}, detourHooks());
     if (!m_streamOrigins)
         m_streamOrigins = std::make_unique<StreamOriginExchange>(peer, StreamOriginExchange::Bounds {}, streamOriginHooks(), m_loop.now());
+    for (auto const& record : std::exchange(m_waitingRecords, {}))
+        record();
     m_ticker.every(tickInterval, [this] {
         if (m_roster.expire(m_loop.now()))
             applyRoster();
@@ -207,6 +211,8 @@
 {
     if (m_streamOrigins)
         m_streamOrigins->record(stream, service, version, lifetime, m_loop.now());
+    else if (m_waitingRecords.size() < maxWaitingRecords)
+        m_waitingRecords.push_back([this, stream, service, version, lifetime] { recordStreamOrigin(stream, service, version, lifetime); });
 }
 
 void GatewayPeers::findStreamOrigin(StreamId stream, std::string const& service, StreamOriginExchange::Callback callback)
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -214,6 +214,8 @@
     std::unique_ptr<HolderExchange> m_holderExchange;
     std::unique_ptr<DetourExchange> m_detourExchange;
     std::unique_ptr<StreamOriginExchange> m_streamOrigins;
+    // Records of streams that began before this daemon has joined.
+    std::vector<std::function<void()>> m_waitingRecords;
     // Until this daemon knows the others.
     std::vector<std::function<void()>> m_waitingOrigins;
     Timer m_waitingOriginsTimer;
--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -79,6 +79,16 @@
         setPeersEverywhere();
     }
 
+    // Started again, and does not know the other daemons yet.
+    void killAndRestartWithoutPeers(VMId id)
+    {
+        auto const peer = *std::find_if(m_peers.begin(), m_peers.end(), [id](auto const& each) { return each.id == id; });
+        start(peer, now, false);
+        for (auto const version : m_present)
+            daemons[id].versions.appeared(version, now);
+    }
+    void setPeersOf(VMId id) { daemons[id].exchange->setPeers(m_peers, now); }
+
     // What a hall and the rest of the fleet do not see of each other.
     void setOthersDown(HallId hall, bool areDown)
     {
@@ -182,7 +192,7 @@
             daemons[peer.id].exchange->setPeers(m_peers, now);
     }
 
-    void start(FleetPeer const& peer, Instant since)
+    void start(FleetPeer const& peer, Instant since, bool knowsPeers = true)
     {
         auto& daemon = daemons[peer.id];
         daemon.versions = VersionHistory(since);
@@ -195,7 +205,8 @@
         };
         hooks.persist = [this](StreamOriginRecord const& record) { persisted.push_back(record); };
         daemon.exchange = std::make_unique<StreamOriginExchange>(peer, StreamOriginExchange::Bounds {}, std::move(hooks), since);
-        daemon.exchange->setPeers(m_peers, now);
+        if (knowsPeers)
+            daemon.exchange->setPeers(m_peers, now);
     }
 
     void deliver()
@@ -551,6 +562,26 @@
     BOOST_TEST(!fleet.find(VMId(2), StreamId(7)).version.has_value());
 }
 
+// Guards against streams that a daemon began before it knew any other one, and of which no keeper is ever told.
+BOOST_AUTO_TEST_CASE(AStreamThatBeganBeforeTheOtherDaemonsWereKnownGetsARecord)
+{
+    size_t joined = 0;
+    for (uint64_t stream = 1; stream <= 40; ++stream) {
+        Fleet fleet;
+        fleet.appearEverywhere(second);
+        fleet.run(5);
+        fleet.killAndRestartWithoutPeers(VMId(1));
+        fleet.record(VMId(1), StreamId(stream), second);
+        fleet.run(0.1);
+        fleet.setPeersOf(VMId(1));
+        fleet.runInTicks(0.5);
+        fleet.daemons[VMId(1)].isDown = true;
+        for (uint64_t id = 2; id <= 9; ++id)
+            joined += fleet.find(VMId(id), StreamId(stream)).version == first;
+    }
+    BOOST_TEST(joined == 0u, joined);
+}
+
 // Guards against daemons of an earlier version, which don't say how old their list is.
 BOOST_AUTO_TEST_CASE(AReplyWithoutAgesProvesNoVersion)
 {
