StreamOriginExchange: Report dropped records also after a restored history

A daemon whose history the store had restored replied for as long as it ran that it had kept all records, also after its table was full or if it joined only after the read. The stream of the new unit test was taken for the other version; it is refused now.

--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -140,10 +140,11 @@
     }
 }
 
-// If a restored history has shown one version, streams that began before needed no record.
+// If a restored history has shown one version, streams that began before needed no record. Records that were lost since are missing.
 StreamOriginReply StreamOriginExchange::makeReply(StreamId stream, VersionKnowledge const& versions, Instant now) const
 {
-    auto const keptFor = versions.restoredUniformAt ? StreamOriginReply::maxKeptFor : now - m_keepsSince;
+    bool const hasAllSinceRestored = versions.restoredUniformAt && m_keepsSince <= *versions.restoredUniformAt;
+    auto const keptFor = hasAllSinceRestored ? StreamOriginReply::maxKeptFor : now - m_keepsSince;
     return { 0, m_table.find(stream, now), std::min<Microseconds>(keptFor, StreamOriginReply::maxKeptFor), versions.uniform, now - versions.listProvenAt, versions.withoutRecords, versions.hasSeveral };
 }
 
--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -582,6 +582,25 @@
     BOOST_TEST(joined == 0u, joined);
 }
 
+// Guards against a table that has dropped records and still says that it has all, because the store has shown one version
+// at the daemon's start.
+BOOST_AUTO_TEST_CASE(ADaemonThatDroppedRecordsProvesNoAbsenceAfterARestoredHistoryEither)
+{
+    Fleet fleet;
+    fleet.restartAll();
+    fleet.restoreHistoryEverywhere({ first });
+    fleet.run(60);
+    fleet.appearEverywhere(second);
+    fleet.run(1);
+    fleet.record(VMId(1), StreamId(7), second, Seconds(5));
+    std::vector<StreamOriginRecord> records;
+    for (uint64_t stream = 100; stream <= 100 + StreamOriginExchange::Bounds {}.maxRecords; ++stream)
+        records.push_back({ StreamId(stream), second, Seconds(12) });
+    for (auto& [id, daemon] : fleet.daemons)
+        daemon.exchange->restore(records, fleet.now);
+    BOOST_TEST(!fleet.find(VMId(2), StreamId(7)).version.has_value());
+}
+
 // Guards against daemons of an earlier version, which don't say how old their list is.
 BOOST_AUTO_TEST_CASE(AReplyWithoutAgesProvesNoVersion)
 {
