TestStreamOriginExchange: Show that keepers which were cut off from the starter prove an absence

Each record is one datagram to each keeper, without an acknowledgement, and a keeper's age tells only that it has run, not that it could be reached. If all keepers are in halls that the starter does not reach, they say later that there is no record.

--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -601,6 +601,36 @@
     BOOST_TEST(!fleet.find(VMId(2), StreamId(7)).version.has_value());
 }
 
+// Guards against streams that began while their starter was cut off from all their keepers, which have run on and say that
+// there is no record.
+BOOST_AUTO_TEST_CASE(KeepersThatWereCutOffFromTheStarterProveNoAbsence)
+{
+    HallId const cutOff(1);
+    struct Shape {
+        uint64_t daemons;
+        uint64_t halls;
+    };
+    for (auto const& shape : { Shape { 9, 3 }, Shape { 8, 4 }, Shape { 20, 5 }, Shape { 150, 3 } }) {
+        for (bool const isStarterKilled : { false, true }) {
+            size_t joined = 0;
+            for (uint64_t stream = 1; stream <= (shape.daemons > 20 ? 10 : 40); ++stream) {
+                Fleet fleet(shape.daemons, shape.halls);
+                fleet.appearEverywhere(second);
+                fleet.run(5);
+                fleet.setOthersDown(cutOff, true);
+                fleet.record(VMId(1), StreamId(stream), second);
+                fleet.run(1);
+                fleet.setOthersDown(cutOff, false);
+                if (isStarterKilled)
+                    fleet.killAndRestart(VMId(1), { first, second });
+                fleet.run(1);
+                joined += fleet.find(VMId(2), StreamId(stream)).version == first;
+            }
+            BOOST_TEST(joined == 0u, shape.daemons << " daemons in " << shape.halls << " halls, starter killed " << isStarterKilled << ": " << joined);
+        }
+    }
+}
+
 // Guards against daemons of an earlier version, which don't say how old their list is.
 BOOST_AUTO_TEST_CASE(AReplyWithoutAgesProvesNoVersion)
 {
