TestStreamOriginExchange: Show that a list of daemons older than the lag hides the keepers

Others remember lists of daemons for 33 s. A daemon that has not read the registry for longer tells keepers by a list that others have forgotten.

--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -89,6 +89,22 @@
     }
     void setPeersOf(VMId id) { daemons[id].exchange->setPeers(m_peers, now); }
 
+    // More daemons join. The ones that are named have not read the registry since, so their lists of daemons are older.
+    void add(uint64_t count, uint64_t hallCount, std::set<VMId> const& withOldLists)
+    {
+        for (uint64_t added = 0; added < count; ++added) {
+            uint64_t const number = daemons.size() + 1;
+            m_peers.push_back({ VMId(number), HallId(number % hallCount) });
+            start(m_peers.back(), now);
+            for (auto const version : m_present)
+                daemons[VMId(number)].versions.appeared(version, now);
+        }
+        for (auto const& peer : m_peers) {
+            if (!withOldLists.contains(peer.id))
+                daemons[peer.id].exchange->setPeers(m_peers, now);
+        }
+    }
+
     // What a hall and the rest of the fleet do not see of each other.
     void setOthersDown(HallId hall, bool areDown)
     {
@@ -631,6 +647,25 @@
     }
 }
 
+// Guards against streams of a daemon that has not read the registry for a while, whose keepers are others than those by the
+// lists of the rest.
+BOOST_AUTO_TEST_CASE(KeepersByAListOfDaemonsThatIsOlderThanOthersRememberAreNotOverlooked)
+{
+    size_t joined = 0;
+    for (uint64_t stream = 1; stream <= 40; ++stream) {
+        Fleet fleet;
+        fleet.add(50, 3, { VMId(1) });
+        fleet.run(40);
+        fleet.add(1, 3, { VMId(1) });
+        fleet.run(1);
+        fleet.appearEverywhere(second);
+        fleet.run(1);
+        fleet.record(VMId(1), StreamId(stream), second);
+        joined += fleet.find(VMId(2), StreamId(stream)).version == first;
+    }
+    BOOST_TEST(joined == 0u, joined);
+}
+
 // Guards against daemons of an earlier version, which don't say how old their list is.
 BOOST_AUTO_TEST_CASE(AReplyWithoutAgesProvesNoVersion)
 {
