TestStreamOriginExchange: Show that streams with a long deadline lose their version

Records and versions are kept for 30 s, but a route's timeoutMs may allow callers more. A stream that is taken up 42 s after its start, 40 s after its version has left, goes on at the other one.

--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -666,6 +666,18 @@
     BOOST_TEST(joined == 0u, joined);
 }
 
+// Guards against streams that callers may take up for longer than versions are remembered.
+BOOST_AUTO_TEST_CASE(AStreamWithALongDeadlineIsNotTakenForTheOtherVersion)
+{
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    fleet.record(VMId(1), StreamId(7), first, Seconds(120));
+    fleet.run(2);
+    fleet.vanishEverywhere(first);
+    fleet.run(40);
+    BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version != second));
+}
+
 // Guards against daemons of an earlier version, which don't say how old their list is.
 BOOST_AUTO_TEST_CASE(AReplyWithoutAgesProvesNoVersion)
 {
