TestStreamOriginExchange: Show that a lapsed version is remembered without end while daemons start again

A daemon that reads the fleet's record takes its lapsed versions as lapsed just now, and writes them again. With a start every 50 minutes the version is still remembered after 4 hours, for which its service counts as one with several versions.

--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -678,6 +678,22 @@
     BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version != second));
 }
 
+// Guards against a version that is remembered without end because each daemon that starts takes it as just lapsed.
+BOOST_AUTO_TEST_CASE(ALapsedVersionIsForgottenAlsoIfDaemonsStartAgain)
+{
+    std::set<VersionId> lapsed { first };
+    for (double hour = 0; hour < 5; ++hour) {
+        double const started = 3000 * (hour + 1);
+        VersionHistory history(at(started));
+        history.appeared(second, at(started));
+        std::set<VersionId> known { second };
+        known.insert(lapsed.begin(), lapsed.end());
+        history.restore(known, lapsed, at(started), at(started));
+        lapsed = history.lapsedVersions(at(started + 2900));
+    }
+    BOOST_TEST(lapsed.empty());
+}
+
 // Guards against daemons of an earlier version, which don't say how old their list is.
 BOOST_AUTO_TEST_CASE(AReplyWithoutAgesProvesNoVersion)
 {
