--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -192,12 +192,11 @@
     auto const& result = outcome.result;
     if (m_detour.empty() && m_attempts.connectFailures()) {
         refuse({ RefusalReason::NoUpstream, m_attempts.verdict(), "this daemon reaches no upstream and no daemon that does", m_attempts.retryAfter() });
-    } else if (m_detour.empty()) {
+    } else if (m_detour.empty() && needsStreamOrigin()) {
         // No other daemon was asked, so none has found out at which version the stream has begun.
-        if (needsStreamOrigin())
-            findStreamOrigin();
-        else
-            placeHere();
+        findStreamOrigin();
+    } else if (m_detour.empty()) {
+        placeHere();
     } else if (!result.failure) {
         m_attempts.recordResponse();
         m_services.metrics.count("stagepost_answers_total");
@@ -692,12 +691,8 @@
     if (m_services.rollouts)
         fields.emplace_back("role", m_sampler.role() == UpstreamRole::Candidate ? "candidate" : "serving");
     if (outcome != "answered") {
-        fields.emplace_back("prompt_parts", m_evidence.formatSharedParts());
         auto const budget = m_service.retries.usage(m_services.loop.now());
-        fields.emplace_back("budget_requests", budget.requests);
-        fields.emplace_back("budget_retries", budget.retries);
-        fields.emplace_back("budget_credit", budget.credit);
-        fields.emplace_back("budget_slack", budget.slack);
+        fields.insert(fields.end(), { { "prompt_parts", m_evidence.formatSharedParts() }, { "budget_requests", budget.requests }, { "budget_retries", budget.retries }, { "budget_credit", budget.credit }, { "budget_slack", budget.slack } });
     }
     return fields;
 }
