StreamOriginExchange: Prove no version by a missing record while several are known

Each record is one datagram to each keeper. Since streams that began before the second version get records too, one without any is refused while an answer knows of several. Four checks asked that a stream that nobody ever recorded goes on after a second version has joined; they begin that stream at a daemon now, and ask the same of it. The two tests of a full table look at a store that is away, where the absence of a record still decides.

--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -255,9 +255,11 @@
     return isProven ? uniformVersion(pending) : std::nullopt;
 }
 
+// While several versions are known, streams that began before have records as well. One that has none may have begun where its
+// keepers could not be reached.
 std::optional<VersionId> StreamOriginExchange::versionWithoutRecord(Pending const& pending) const
 {
-    auto const version = onlyVersionNamed(pending);
+    auto const version = uniformVersion(pending);
     auto since = pending.startedAt - VersionHistory::memory;
     if (pending.own.restoredUniformAt && pending.own.withoutRecords == version)
         since = std::max(since, *pending.own.restoredUniformAt);
--- a/Libraries/LibRouting/StreamOriginExchange.h
+++ b/Libraries/LibRouting/StreamOriginExchange.h
@@ -28,7 +28,7 @@
 // - a list of upstreams that has shown a single version for as long as streams can be taken up, and that was
 //   current when the stream was taken up. A list from before may lack a version that has joined since, so it counts only
 //   if the stream has no record from that time on;
-// - that the stream has no record at all, if it then must have begun while there was one version.
+// - that the stream has no record at all, while no daemon that answers knows of a second version.
 // "No record" counts only if all daemons say so that were keepers of the stream by any list of daemons of that time, and
 // if each has kept all records since. One that has left, started, was suspended or was full since makes the version unknown.
 //
@@ -87,7 +87,7 @@
         Record,
         // A list of upstreams that has shown a single version for long.
         OneVersion,
-        // No daemon has a record, so the stream began while there was one version.
+        // No daemon has a record, or knows of several versions.
         NoRecord,
     };
     struct Origin {
--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -293,14 +293,17 @@
     BOOST_TEST((fleet.find(VMId(9), StreamId(7)).version == second));
 }
 
-BOOST_AUTO_TEST_CASE(AStreamWithoutARecordBeganAtTheVersionThatWasAlone)
+BOOST_AUTO_TEST_CASE(AStreamThatBeganWhileThereWasOneVersionGoesOn)
 {
     Fleet fleet;
+    fleet.record(VMId(1), StreamId(7), first);
     BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version == first));
+    BOOST_TEST((fleet.find(VMId(2), StreamId(8)).version == first));
     fleet.appearEverywhere(second);
-    fleet.run(2);
+    fleet.runInTicks(2);
     BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version == first));
     // By now, every stream has a record.
+    BOOST_TEST(!fleet.find(VMId(2), StreamId(8)).version.has_value());
     fleet.run(40);
     auto const origin = fleet.find(VMId(2), StreamId(7));
     BOOST_TEST(!origin.version.has_value());
@@ -334,11 +337,13 @@
     BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version == first));
     fleet.daemons[VMId(3)].isDown = true;
     BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version == first));
+    fleet.record(VMId(1), StreamId(7), first);
     // Also while the store is away, and after another version has joined.
     for (auto& [id, daemon] : fleet.daemons)
         daemon.isListProven = false;
     BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version == first));
     fleet.appearEverywhere(second);
+    fleet.runInTicks(0.5);
     fleet.record(VMId(1), StreamId(8), second);
     BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version == first));
     BOOST_TEST((fleet.find(VMId(2), StreamId(8)).version == second));
@@ -369,15 +374,17 @@
 {
     Fleet fleet;
     fleet.keepListOf(VMId(2));
+    fleet.record(VMId(3), StreamId(21), first);
     for (auto& [id, daemon] : fleet.daemons) {
         if (id != VMId(2))
             daemon.versions.appeared(second, fleet.now);
     }
+    fleet.runInTicks(0.5);
     for (uint64_t stream = 1; stream <= 20; ++stream)
         fleet.record(VMId(1), StreamId(stream), second);
     for (uint64_t stream = 1; stream <= 20; ++stream)
         BOOST_TEST((fleet.find(VMId(2), StreamId(stream)).version == second));
-    // Begun before, so without a record.
+    // Begun before.
     BOOST_TEST((fleet.find(VMId(2), StreamId(21)).version == first));
     // Nobody can tell it of a version that has joined.
     for (auto& [id, daemon] : fleet.daemons)
@@ -567,8 +574,9 @@
 BOOST_AUTO_TEST_CASE(ADaemonThatDroppedRecordsProvesNoAbsence)
 {
     Fleet fleet;
-    BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version == first));
-    fleet.appearEverywhere(second);
+    // The store is away.
+    for (auto& [id, daemon] : fleet.daemons)
+        daemon.isListProven = false;
     std::vector<StreamOriginRecord> records;
     for (uint64_t stream = 100; stream <= 100 + StreamOriginExchange::Bounds {}.maxRecords; ++stream)
         records.push_back({ StreamId(stream), second, Seconds(12) });
@@ -606,9 +614,9 @@
     fleet.restartAll();
     fleet.restoreHistoryEverywhere({ first });
     fleet.run(60);
-    fleet.appearEverywhere(second);
-    fleet.run(1);
-    fleet.record(VMId(1), StreamId(7), second, Seconds(5));
+    for (auto& [id, daemon] : fleet.daemons)
+        daemon.isListProven = false;
+    BOOST_TEST((fleet.find(VMId(2), StreamId(7)).version == first));
     std::vector<StreamOriginRecord> records;
     for (uint64_t stream = 100; stream <= 100 + StreamOriginExchange::Bounds {}.maxRecords; ++stream)
         records.push_back({ StreamId(stream), second, Seconds(12) });
