UpstreamDirectory: Count a whole list as a gap in the histories of versions

Callers could get a stream of two versions: a daemon that gets a whole list (more changes missed than the history of changes holds, a read of the latest records, a restore of the store) goes on with a history of versions that it takes for proven and complete, although versions whose upstreams came and went in between are in neither list. Their streams were then told by 'there was one version'.

Without the report, AWholeListProvesNothingOfWhatCameAndWentBefore fails (4 checks: the history is still proven after a whole list and after one of a restored store), and WholeListsMayLackWhatCameAndWent counts 0 gaps instead of 1, 1, 2 and 3. Both pass with it.

--- a/Libraries/LibMembership/UpstreamDirectory.cpp
+++ b/Libraries/LibMembership/UpstreamDirectory.cpp
@@ -69,7 +69,7 @@
     auto const& stored = m_records[instance] = std::move(record);
     if (!idBefore || before != after)
         recordChange(instance, idBefore, before ^ after);
-    m_changed({ instance, stored });
+    m_hooks.changed({ instance, stored });
 }
 
 void UpstreamDirectory::remove(std::string const& instance, Instant now)
@@ -87,7 +87,7 @@
     if (now < until)
         m_expired.emplace(instance, until);
     else
-        m_changed({ instance, {} });
+        m_hooks.changed({ instance, {} });
 }
 
 // The hash of the list is the XOR of the hashes of its records, so a change of one record
@@ -156,6 +156,7 @@
 std::vector<std::string> UpstreamDirectory::putAllAndFindMissing(std::vector<UpstreamRecord> const& list, Instant now)
 {
     m_hasList = true;
+    m_hooks.changesMissed();
     std::set<std::string> listed;
     for (auto const& record : list) {
         listed.insert(record.instance);
@@ -229,7 +230,7 @@
     }
     for (auto const& instance : expired) {
         m_expired.erase(instance);
-        m_changed({ instance, {} });
+        m_hooks.changed({ instance, {} });
     }
     std::vector<UpstreamRecord> accepted;
     for (auto const& [instance, earlier] : m_earlierStarts) {
--- a/Libraries/LibMembership/UpstreamDirectory.h
+++ b/Libraries/LibMembership/UpstreamDirectory.h
@@ -35,10 +35,16 @@
         Microseconds earlierStartTimeout { 10000000 };
     };
 
-    // The hook is called for each upstream that was added, changed or removed.
-    UpstreamDirectory(Bounds bounds, std::function<void(UpstreamChange const&)> changed)
+    struct Hooks {
+        // Called for each upstream that was added, changed or removed.
+        std::function<void(UpstreamChange const&)> changed;
+        // Called before a whole list is applied. Upstreams that came and went since the list before it are in neither.
+        std::function<void()> changesMissed { [] {} };
+    };
+
+    UpstreamDirectory(Bounds bounds, Hooks hooks)
         : m_bounds(bounds)
-        , m_changed(std::move(changed))
+        , m_hooks(std::move(hooks))
     {
     }
 
@@ -104,7 +110,7 @@
     void removeExpiredMissing(Instant now);
 
     Bounds m_bounds;
-    std::function<void(UpstreamChange const&)> m_changed;
+    Hooks m_hooks;
     std::map<std::string, UpstreamRecord> m_records;
     // Upstreams whose records expired, and until when they stay in use.
     std::map<std::string, Instant> m_expired;
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -17,7 +17,6 @@
     constexpr Milliseconds portTimeout { 500 };
     constexpr Milliseconds linkProbeTimeout { 100 };
     constexpr unsigned statusUnready = 503;
-    // An older list of upstreams does not show that a service has one version only.
 
     HttpServerOptions serverOptions(CallerLimits const& limits)
     {
@@ -60,7 +59,7 @@
     , m_partSuspects(VMId::fromName(m_options.name), {}, [this](Fingerprint fingerprint) { return m_peers.triesParts(fingerprint); })
     , m_serviceTable(
           { m_options.hall, m_options.placement, m_options.retries, [this](Instant) { return m_peers.usableShare(); } }, m_random, [this](Endpoint const& upstream) { m_server.dropIdleConnections(upstream); }, loop.now())
-    , m_directory(m_options.directory, [this](UpstreamChange const& change) { applyUpstream(change); })
+    , m_directory(m_options.directory, { [this](UpstreamChange const& change) { applyUpstream(change); }, [this] { m_serviceTable.restartVersionHistory(m_loop.now()); } })
     , m_emptiedHalls({ m_options.directory.returnGrace }, [this](HallOrder const& order) { applyHallOrder(order); })
     , m_peers(loop, m_metrics, m_options.exchange, makeFleetShare(m_options, loop.now()), m_suspects, m_partSuspects, m_random, peerHooks())
     , m_rollouts(makeRollouts(std::move(rolloutRecords)))
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -166,7 +166,6 @@
     CrashSuspects m_suspects;
     PromptPartSuspects m_partSuspects;
     ServiceTable m_serviceTable;
-    // Whether changes of the list of upstreams may be missed.
     UpstreamDirectory m_directory;
     EmptiedHalls m_emptiedHalls;
     GatewayPeers m_peers;
--- a/Tests/LibMembership/TestUpstreamDirectory.cpp
+++ b/Tests/LibMembership/TestUpstreamDirectory.cpp
@@ -19,10 +19,12 @@
     size_t changes { 0 };
     // The last reported record of each upstream.
     std::map<std::string, std::optional<UpstreamRecord>> lastChange;
-    UpstreamDirectory directory { {}, [this](UpstreamChange const& change) {
-                                     ++changes;
-                                     lastChange[change.instance] = change.record;
-                                 } };
+    size_t gaps { 0 };
+    UpstreamDirectory directory { {}, { [this](UpstreamChange const& change) {
+                                           ++changes;
+                                           lastChange[change.instance] = change.record;
+                                       },
+                                         [this] { ++gaps; } } };
 
     // Confirms a read that was sent at this time and answered at once.
     void confirm(double seconds) { directory.confirm(at(seconds)); }
@@ -44,6 +46,21 @@
     BOOST_TEST(fixture.isInUse("b"));
 }
 
+// Guards against versions that are in no list and were yet in use: their upstreams came and went between two lists.
+BOOST_AUTO_TEST_CASE(WholeListsMayLackWhatCameAndWent)
+{
+    DirectoryFixture fixture;
+    fixture.directory.replace({ record("a") }, at(1));
+    BOOST_TEST(fixture.gaps == 1u);
+    fixture.directory.put(record("b"), at(2));
+    fixture.directory.remove("b", at(2));
+    BOOST_TEST(fixture.gaps == 1u);
+    fixture.directory.replaceByPeer({ record("a") }, at(3));
+    BOOST_TEST(fixture.gaps == 2u);
+    fixture.directory.replaceAfterRestore({ record("a") }, at(4), at(4));
+    BOOST_TEST(fixture.gaps == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(AnUnchangedRecordIsNotReported)
 {
     DirectoryFixture fixture;
--- a/Tests/platform/TestPlatformReaders.cpp
+++ b/Tests/platform/TestPlatformReaders.cpp
@@ -416,6 +416,34 @@
     BOOST_TEST(gateway.updateUpstreams({}, { true, sent, 3 }));
 }
 
+// Guards against streams that go on at another version: upstreams of it came and went between two whole lists, and
+// the history still proved that there was one version.
+BOOST_AUTO_TEST_CASE(AWholeListProvesNothingOfWhatCameAndWentBefore)
+{
+    EventLoop loop;
+    Gateway gateway(loop, {}, platformDialect(), {}, [] { return 1u; });
+    auto& table = gateway.serviceTable();
+    UpstreamRecord record { "i-1", "chat", "10.1.1.1:80", "north", 64, false, Milliseconds(0) };
+    record.version = "v1";
+    ServiceVersions const versions { { "chat", { VersionId::fromName("v1") } } };
+    auto const restore = [&] { table.restoreVersionHistory(versions, {}, loop.now(), loop.now()); };
+    auto const isProven = [&] { return table.versions("chat")->uniformVersion(loop.now()).has_value() && table.versions("chat")->isComplete(loop.now()); };
+    gateway.updateUpstreams({ { "i-1", record } }, { true, loop.now(), 1 });
+    BOOST_TEST(!isProven());
+    restore();
+    BOOST_TEST(isProven());
+    gateway.updateUpstreams({}, { false, loop.now(), 2 });
+    BOOST_TEST(isProven());
+    for (bool const isAfterRestore : { false, true }) {
+        restore();
+        gateway.updateUpstreams({ { "i-1", record } }, { true, loop.now(), 3, isAfterRestore });
+        BOOST_TEST(!isProven());
+        BOOST_TEST(!table.recentVersions(loop.now()).has_value());
+    }
+    restore();
+    BOOST_TEST(isProven());
+}
+
 // Two reads without a configuration followed one that was rejected, and the second confirmed the configuration
 // before it. Keys that the rejected one has removed were accepted for good.
 BOOST_AUTO_TEST_CASE(RejectedConfigurationConfirmsNoEarlierOne)
