VersionHistory: Keep versions that have just left over a gap

A gap forgot the versions that had left within the last 30 s. A restore of the history then proved that there was one version where the store's records did not name the other one, although this daemon had seen it and callers could still take up its streams.

A gap only adds to what may have been: versions that are recent stay until their time is over.

--- a/Libraries/LibRouting/VersionHistory.cpp
+++ b/Libraries/LibRouting/VersionHistory.cpp
@@ -27,7 +27,7 @@
     m_since = now;
     m_provenSince = now;
     m_restoredUniformAt.reset();
-    std::erase_if(m_spans, [now](auto const& entry) { return entry.second.vanishedAt && !hasLapsed(entry.second, now); });
+    std::erase_if(m_spans, [now](auto const& entry) { return !isRecent(entry.second, now); });
     for (auto& [version, span] : m_spans)
         span.firstSeen = now;
 }
--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -629,6 +629,21 @@
     BOOST_TEST((history.recentVersions(at(100)) == std::set { second }));
 }
 
+// Guards against a version that is forgotten because of a gap just after it has left: a record of the store that was
+// written before it joined would then prove that there was another one only.
+BOOST_AUTO_TEST_CASE(AGapForgetsNoVersionThatHasJustLeft)
+{
+    VersionHistory history(at(0));
+    history.appeared(first, at(0));
+    history.appeared(second, at(40));
+    history.vanished(first, at(50));
+    history.restart(at(60));
+    history.restore({ second }, {}, at(61), at(61));
+    BOOST_TEST(!history.uniformVersion(at(61)).has_value());
+    BOOST_TEST((history.recentVersions(at(61)) == std::set { first, second }));
+    BOOST_TEST((history.uniformVersion(at(80)) == second));
+}
+
 BOOST_AUTO_TEST_CASE(AnOutdatedListProvesNothingUntilTheHistoryIsRestored)
 {
     VersionHistory history(at(0));
