--- a/Tests/platform/TestVersionHistoryReader.cpp
+++ b/Tests/platform/TestVersionHistoryReader.cpp
@@ -156,6 +156,11 @@
     // An earlier version of the daemon has written the record.
     store.record = R"({"position":5,"services":{"chat":[7]}})";
     BOOST_TEST((readWholeHistory(store)->lapsed == ServiceVersions { { "chat", { VersionId(7) } } }));
+    // Daemons stop using an upstream whose record becomes invalid, which may not know of that.
+    store.addUpstream("d", "v4");
+    store.upstreams.emplace_back("d", "{}");
+    store.record = formatVersionRecord({ { {}, Offset(5) }, { { "chat", { version("v2") } } }, {} });
+    BOOST_TEST((readWholeHistory(store)->lapsed == ServiceVersions { { "chat", { version("v4") } } }));
 }
 
 BOOST_AUTO_TEST_CASE(WithoutARecordAllUpstreamsAreRead)
