UpstreamDirectory: Report and forward versions that came and went

Callers could get a stream of two versions: a daemon's history lacked a version that others had used, and proved that there was one. Two ways led there. A record of an earlier start than the known one is kept aside, while daemons that start meanwhile use it. And equal lists have equal hashes: a daemon whose list is fed by others learned nothing of an upstream that came and went between two confirmations, since the list was the same before and after.

The directory reports each record that it passes over, when it is put aside and when that ends, and the service table counts its version as seen and gone. changesSince() adds, for 3 s, the changes between two times at which the list had the hash, as far as they added versions that are not listed now. 3 s is longer than the age up to which a list proves anything. The receiver counts such a record without using its upstream, forwards it in turn, and ignores one that its history of changes has, so that it is not passed around for ever. Daemons of the earlier version apply both changes one after the other.

AVersionThatWasPassedOverIsRemembered covers the service table, and a batch that adds an upstream and removes it, which was right before, has a check now.

--- a/Libraries/LibMembership/UpstreamDirectory.cpp
+++ b/Libraries/LibMembership/UpstreamDirectory.cpp
@@ -5,6 +5,25 @@
 
 namespace Stagepost {
 
+namespace {
+
+    // Whether the upstream of the record, one of several changes, leaves the store without having announced that.
+    bool lapses(std::vector<UpstreamChange>::const_iterator change, std::vector<UpstreamChange>::const_iterator end)
+    {
+        auto const id = change->record->id();
+        for (auto later = change; later != end; ++later) {
+            if (later->instance != change->instance)
+                continue;
+            if (!later->record)
+                return true;
+            if (later->record->id() != id || later->record->isLeaving)
+                return false;
+        }
+        return false;
+    }
+
+}
+
 // The grace period counts from when the read was sent, because a slow response would
 // otherwise extend it.
 void UpstreamDirectory::confirm(Instant readSentAt)
@@ -35,21 +54,82 @@
 {
     auto const known = m_records.find(record.instance);
     if (known == m_records.end() || record.incarnation >= known->second.incarnation) {
-        m_earlierStarts.erase(record.instance);
+        endEarlierStart(record.instance, false);
         return false;
     }
-    auto& earlier = m_earlierStarts.try_emplace(record.instance, EarlierStart { record, now }).first->second;
-    earlier.record = record;
+    auto const [earlier, isNew] = m_earlierStarts.try_emplace(record.instance, EarlierStart { record, now });
+    if (isNew || earlier->second.record.id() != record.id() || earlier->second.record.version != record.version)
+        passOver(record, false, now);
+    earlier->second.record = record;
     return true;
 }
 
+// Daemons that have started meanwhile have used the record until now.
+void UpstreamDirectory::endEarlierStart(std::string const& instance, bool mayServe)
+{
+    auto const earlier = m_earlierStarts.extract(instance);
+    if (!earlier.empty())
+        m_hooks.passedOver(earlier.mapped().record, mayServe && !earlier.mapped().record.isLeaving);
+}
+
+void UpstreamDirectory::apply(std::vector<UpstreamChange> const& changes, Instant now)
+{
+    for (auto const& change : changes) {
+        if (change.record)
+            put(*change.record, now);
+        else
+            remove(change.instance, now);
+    }
+}
+
+// Records of an upstream that is listed here are applied one by one, so that it is known whether it has announced
+// that it leaves.
+void UpstreamDirectory::applyForwarded(std::vector<UpstreamChange> const& changes, Instant now)
+{
+    for (auto change = changes.begin(); change != changes.end(); ++change) {
+        bool const isLast = std::none_of(change + 1, changes.end(), [&](auto const& later) { return later.instance == change->instance; });
+        auto const known = m_records.find(change->instance);
+        bool const isListed = change->record && known != m_records.end() && known->second.id() == change->record->id();
+        if (isLast || isListed || !change->record)
+            apply({ *change }, now);
+        else if (!isInHistory(*change->record) && !isVersionListed(*change->record))
+            passOver(*change->record, lapses(change, changes.end()), now);
+    }
+}
+
+// A change that this daemon knows is not counted and forwarded again, or daemons would pass it to each other for ever.
+bool UpstreamDirectory::isInHistory(UpstreamRecord const& record) const
+{
+    return std::any_of(m_history.begin(), m_history.end(), [&](auto const& past) {
+        return past.change.record && past.change.record->id() == record.id() && past.change.record->version == record.version;
+    });
+}
+
+bool UpstreamDirectory::isVersionListed(UpstreamRecord const& record) const
+{
+    return std::any_of(m_records.begin(), m_records.end(), [&](auto const& entry) {
+        return entry.second.service == record.service && entry.second.version == record.version;
+    });
+}
+
+// Other daemons learn of the record as of one that came and went.
+void UpstreamDirectory::passOver(UpstreamRecord const& record, bool mayServe, Instant now)
+{
+    auto const known = m_records.find(record.instance);
+    bool const isKnown = known != m_records.end();
+    auto const hashWithRecord = m_hash ^ record.hash() ^ (isKnown ? known->second.hash() : 0);
+    addToHistory({ m_hash, isKnown ? std::optional(known->second.id()) : std::nullopt, { record.instance, record }, now });
+    addToHistory({ hashWithRecord, record.id(), { record.instance, isKnown ? std::optional(known->second) : std::nullopt }, now });
+    m_hooks.passedOver(record, mayServe);
+}
+
 void UpstreamDirectory::put(UpstreamRecord record, Instant now)
 {
     if (!deferIfEarlierStart(record, now))
-        store(std::move(record));
+        store(std::move(record), now);
 }
 
-void UpstreamDirectory::store(UpstreamRecord record)
+void UpstreamDirectory::store(UpstreamRecord record, Instant now)
 {
     m_expired.erase(record.instance);
     m_missing.erase(record.instance);
@@ -68,13 +148,13 @@
     auto const after = record.hash();
     auto const& stored = m_records[instance] = std::move(record);
     if (!idBefore || before != after)
-        recordChange(instance, idBefore, before ^ after);
+        recordChange(instance, idBefore, before ^ after, now);
     m_hooks.changed({ instance, stored });
 }
 
 void UpstreamDirectory::remove(std::string const& instance, Instant now)
 {
-    m_earlierStarts.erase(instance);
+    endEarlierStart(instance, true);
     m_missing.erase(instance);
     auto const known = m_records.find(instance);
     if (known == m_records.end())
@@ -82,7 +162,7 @@
     auto const before = known->second.hash();
     auto const idBefore = known->second.id();
     m_records.erase(known);
-    recordChange(instance, idBefore, before);
+    recordChange(instance, idBefore, before, now);
     auto const until = removalDeadline();
     if (now < until)
         m_expired.emplace(instance, until);
@@ -92,26 +172,50 @@
 
 // The hash of the list is the XOR of the hashes of its records, so a change of one record
 // updates it without rehashing the others.
-void UpstreamDirectory::recordChange(std::string const& instance, std::optional<UpstreamId> idBefore, uint64_t difference)
+void UpstreamDirectory::recordChange(std::string const& instance, std::optional<UpstreamId> idBefore, uint64_t difference, Instant now)
 {
     auto const found = m_records.find(instance);
     UpstreamChange change { instance, found == m_records.end() ? std::nullopt : std::optional(found->second) };
-    m_history.push_back({ m_hash, idBefore, std::move(change) });
+    addToHistory({ m_hash, idBefore, std::move(change), now });
+    m_hash ^= difference;
+}
+
+void UpstreamDirectory::addToHistory(PastChange change)
+{
+    m_history.push_back(std::move(change));
     if (m_history.size() > maxHistory)
         m_history.pop_front();
-    m_hash ^= difference;
 }
 
-std::optional<std::vector<UpstreamChange>> UpstreamDirectory::changesSince(uint64_t hash) const
+// The other daemon may have had this list the first time or the last time, since equal lists have the same hash.
+std::optional<std::vector<UpstreamChange>> UpstreamDirectory::changesSince(uint64_t hash, Instant now) const
+{
+    auto begin = m_history.end();
+    if (hash != m_hash) {
+        auto const found = std::find_if(m_history.rbegin(), m_history.rend(), [hash](auto const& past) { return past.hashBefore == hash; });
+        if (found == m_history.rend())
+            return {};
+        begin = found.base() - 1;
+    }
+    auto const first = std::find_if(m_history.begin(), begin, [&](auto const& past) { return past.hashBefore == hash && now - past.at < m_bounds.undoneChangeRetention; });
+    auto changes = undoneChanges(first, begin);
+    for (auto past = begin; past != m_history.end(); ++past)
+        changes.push_back(past->change);
+    return changes;
+}
+
+// The list is the same before and after these changes. Returns those that added versions that are not listed now, each
+// followed by the next change of its upstream.
+std::vector<UpstreamChange> UpstreamDirectory::undoneChanges(History::const_iterator begin, History::const_iterator end) const
 {
     std::vector<UpstreamChange> changes;
-    if (hash == m_hash)
-        return changes;
-    auto const found = std::find_if(m_history.rbegin(), m_history.rend(), [hash](auto const& past) { return past.hashBefore == hash; });
-    if (found == m_history.rend())
-        return {};
-    for (auto past = found.base() - 1; past != m_history.end(); ++past)
+    for (auto past = begin; past != end; ++past) {
+        auto const next = std::find_if(past + 1, end, [past](auto const& later) { return later.change.instance == past->change.instance; });
+        if (next == end || !past->change.record || isVersionListed(*past->change.record))
+            continue;
         changes.push_back(past->change);
+        changes.push_back(next->change);
+    }
     return changes;
 }
 
@@ -239,7 +343,7 @@
     }
     for (auto& record : accepted) {
         m_earlierStarts.erase(record.instance);
-        store(std::move(record));
+        store(std::move(record), now);
     }
 }
 
--- a/Libraries/LibMembership/UpstreamDirectory.h
+++ b/Libraries/LibMembership/UpstreamDirectory.h
@@ -33,6 +33,9 @@
         // known one. A delayed write can take effect up to six seconds after its process
         // died. The record of a process whose clock was set back before its start persists.
         Microseconds earlierStartTimeout { 10000000 };
+        // How long changes that were undone are forwarded. A list that was confirmed longer ago proves nothing about
+        // versions (ServiceTable::maxListAge), so its daemon does not rely on having seen them.
+        Microseconds undoneChangeRetention { 3000000 };
     };
 
     struct Hooks {
@@ -40,6 +43,9 @@
         std::function<void(UpstreamChange const&)> changed;
         // Called before a whole list is applied. Upstreams that came and went since the list before it are in neither.
         std::function<void()> changesMissed { [] {} };
+        // Called for a record that is not used here, although other daemons may have used it, and whether its upstream may
+        // serve on without a record.
+        std::function<void(UpstreamRecord const&, bool mayServe)> passedOver { [](auto const&, bool) {} };
     };
 
     UpstreamDirectory(Bounds bounds, Hooks hooks)
@@ -48,6 +54,10 @@
     {
     }
 
+    // Applies changes in the order in which the store has them.
+    void apply(std::vector<UpstreamChange> const&, Instant now);
+    // Applies changes that another daemon has forwarded. A record of a start that a later change ends is passed over.
+    void applyForwarded(std::vector<UpstreamChange> const&, Instant now);
     void put(UpstreamRecord, Instant now);
     void remove(std::string const& instance, Instant now);
     // Replaces the list by the result of a complete read.
@@ -80,8 +90,9 @@
     uint64_t hash() const { return m_hash; }
 
     // Returns the changes since the records had this hash, or none if the hash is unknown
-    // or no longer in the history.
-    std::optional<std::vector<UpstreamChange>> changesSince(uint64_t hash) const;
+    // or no longer in the history. If the records had it several times of late, the versions that came and went
+    // in between are included.
+    std::optional<std::vector<UpstreamChange>> changesSince(uint64_t hash, Instant now) const;
 
     // Returns the upstreams at the time when the records had this hash, sorted by instance
     // name, or null if the hash is unknown or no longer in the history.
@@ -98,12 +109,20 @@
         uint64_t hashBefore { 0 };
         std::optional<UpstreamId> idBefore;
         UpstreamChange change;
+        Instant at;
     };
+    using History = std::deque<PastChange>;
 
     Instant removalDeadline() const;
     std::shared_ptr<UpstreamList const> reconstructList(uint64_t hash) const;
-    void recordChange(std::string const& instance, std::optional<UpstreamId> idBefore, uint64_t difference);
-    void store(UpstreamRecord);
+    void recordChange(std::string const& instance, std::optional<UpstreamId> idBefore, uint64_t difference, Instant now);
+    void addToHistory(PastChange);
+    std::vector<UpstreamChange> undoneChanges(History::const_iterator begin, History::const_iterator end) const;
+    bool isInHistory(UpstreamRecord const&) const;
+    bool isVersionListed(UpstreamRecord const&) const;
+    void passOver(UpstreamRecord const&, bool mayServe, Instant now);
+    void endEarlierStart(std::string const& instance, bool mayServe);
+    void store(UpstreamRecord, Instant now);
     bool deferIfEarlierStart(UpstreamRecord const&, Instant now);
     std::vector<std::string> putAllAndFindMissing(std::vector<UpstreamRecord> const&, Instant now);
     bool isKnownToLeave(UpstreamRecord const&) const;
@@ -125,7 +144,7 @@
     };
     // Upstreams whose latest record is of an earlier start than the known one.
     std::map<std::string, EarlierStart> m_earlierStarts;
-    std::deque<PastChange> m_history;
+    History m_history;
     // The list of a hash never changes, so it can be cached.
     mutable std::deque<std::pair<uint64_t, std::shared_ptr<UpstreamList const>>> m_cachedLists;
     uint64_t m_hash { 0 };
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -59,7 +59,7 @@
     , m_partSuspects(VMId::fromName(m_options.name), {}, [this](Fingerprint fingerprint) { return m_peers.triesParts(fingerprint); })
     , m_serviceTable(
           { m_options.hall, m_options.placement, m_options.retries, [this](Instant) { return m_peers.usableShare(); } }, m_random, [this](Endpoint const& upstream) { m_server.dropIdleConnections(upstream); }, loop.now())
-    , m_directory(m_options.directory, { [this](UpstreamChange const& change) { applyUpstream(change); }, [this] { m_serviceTable.restartVersionHistory(m_loop.now()); } })
+    , m_directory(m_options.directory, { [this](UpstreamChange const& change) { applyUpstream(change); }, [this] { m_serviceTable.restartVersionHistory(m_loop.now()); }, [this](UpstreamRecord const& record, bool mayServe) { m_serviceTable.notePassedOver(record, mayServe, m_loop.now()); } })
     , m_emptiedHalls({ m_options.directory.returnGrace }, [this](HallOrder const& order) { applyHallOrder(order); })
     , m_peers(loop, m_metrics, m_options.exchange, makeFleetShare(m_options, loop.now()), m_suspects, m_partSuspects, m_random, peerHooks())
     , m_rollouts(makeRollouts(std::move(rolloutRecords)))
@@ -88,8 +88,8 @@
     hooks.localState.provenAt = [this] { return provenAt(); };
     hooks.localState.confirm = [this](Instant provenAt) { confirmState(provenAt); };
     hooks.localState.confirmParts = [this](StateSummary const& summary, Instant provenAt) { confirmParts(summary, provenAt); };
-    hooks.localState.upstreamChangesSince = [this](uint64_t hash) { return m_directory.changesSince(hash).value_or(std::vector<UpstreamChange> {}); };
-    hooks.localState.applyUpstreamChanges = [this](auto const& changes, Instant provenAt) { applyChanges("changes", changes, provenAt); };
+    hooks.localState.upstreamChangesSince = [this](uint64_t hash) { return m_directory.changesSince(hash, m_loop.now()).value_or(std::vector<UpstreamChange> {}); };
+    hooks.localState.applyUpstreamChanges = [this](auto const& changes, Instant provenAt) { changeUpstreams("changes", provenAt, [&](Instant now) { m_directory.applyForwarded(changes, now); }); };
     hooks.localState.registryChangesSince = m_registry.changesSince;
     hooks.localState.applyRegistryChanges = m_registry.apply;
     hooks.localState.registryProvenAt = m_registry.provenAt;
@@ -351,10 +351,14 @@
         logEvent(LogLevel::Info, "upstreams-read-outdated", { { "behind_ms", (*known - read.provenAt).count() / 1000 }, { "changes", changes.size() } });
         return false;
     }
-    if (read.isComplete)
-        replaceUpstreams("store", recordsOf(changes), read.provenAt, read.isAfterRestore);
-    else
-        applyChanges("store", changes, read.provenAt);
+    changeUpstreams("store", read.provenAt, [&](Instant now) {
+        if (!read.isComplete)
+            m_directory.apply(changes, now);
+        else if (read.isAfterRestore)
+            m_directory.replaceAfterRestore(recordsOf(changes), read.provenAt, now);
+        else
+            m_directory.replace(recordsOf(changes), now);
+    });
     updateReadiness();
     m_peers.stateConfirmed(m_loop.now());
     return true;
@@ -371,15 +375,11 @@
             { "age_ms", m_directory.age().age(m_loop.now()).value_or(Microseconds(0)).count() / 1000 } });
 }
 
-void Gateway::replaceUpstreams(std::string_view source, std::vector<UpstreamRecord> const& all, Instant provenAt, bool isAfterRestore)
+void Gateway::changeUpstreams(std::string_view source, Instant provenAt, std::function<void(Instant now)> const& change)
 {
     auto const hashBefore = m_directory.hash();
-    auto const now = m_loop.now();
     m_directory.confirm(provenAt);
-    if (isAfterRestore)
-        m_directory.replaceAfterRestore(all, provenAt, now);
-    else
-        m_directory.replace(all, now);
+    change(m_loop.now());
     logUpstreamsIfChanged(source, hashBefore);
 }
 
@@ -422,20 +422,6 @@
     handleSettingsProof();
 }
 
-void Gateway::applyChanges(std::string_view source, std::vector<UpstreamChange> const& changes, Instant provenAt)
-{
-    auto const hashBefore = m_directory.hash();
-    auto const now = m_loop.now();
-    m_directory.confirm(provenAt);
-    for (auto const& change : changes) {
-        if (change.record)
-            m_directory.put(*change.record, now);
-        else
-            m_directory.remove(change.instance, now);
-    }
-    logUpstreamsIfChanged(source, hashBefore);
-}
-
 GatewayState Gateway::state(StateSummary const& known) const
 {
     GatewayState state { m_settingsHistory.updateSince(known.settingsVersion), m_directory.hash(), {} };
@@ -479,10 +465,7 @@
     auto const known = m_directory.age().confirmedAt();
     if (!state.upstreams || (known && provenAt <= *known))
         return;
-    auto const hashBefore = m_directory.hash();
-    m_directory.confirm(provenAt);
-    m_directory.replaceByPeer(*state.upstreams, m_loop.now());
-    logUpstreamsIfChanged("state", hashBefore);
+    changeUpstreams("state", provenAt, [&](Instant now) { m_directory.replaceByPeer(*state.upstreams, now); });
 }
 
 // This daemon's state may have changed since the other daemon computed the update for it.
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -137,8 +137,7 @@
     void confirmState(Instant);
     void logUpstreamsIfChanged(std::string_view source, uint64_t hashBefore);
     // The source is only logged.
-    void replaceUpstreams(std::string_view source, std::vector<UpstreamRecord> const& all, Instant provenAt, bool isAfterRestore = false);
-    void applyChanges(std::string_view source, std::vector<UpstreamChange> const&, Instant provenAt);
+    void changeUpstreams(std::string_view source, Instant provenAt, std::function<void(Instant now)> const& change);
     GatewayState state(StateSummary const& known) const;
     void mergeState(GatewayState const&, std::optional<Instant> provenAt);
     void mergeUpstreams(GatewayState const&, Instant provenAt);
--- a/Services/stagepostd/ServiceTable.cpp
+++ b/Services/stagepostd/ServiceTable.cpp
@@ -117,6 +117,21 @@
     m_versionHistories.at(target.service).vanished(version, now);
 }
 
+void ServiceTable::noteVersion(std::string const& service, VersionId version, bool hasLapsed, Instant now)
+{
+    auto& history = m_versionHistories.try_emplace(service, m_historySince).first->second;
+    history.appeared(version, now);
+    if (hasLapsed)
+        history.lapsed(version, now);
+    if (!m_versionCounts[service].contains(version))
+        history.vanished(version, now);
+}
+
+void ServiceTable::notePassedOver(UpstreamRecord const& record, bool mayServe, Instant now)
+{
+    noteVersion(record.service, VersionId::fromName(record.version), mayServe, now);
+}
+
 VersionHistory const* ServiceTable::versions(std::string const& service) const
 {
     auto const found = m_versionHistories.find(service);
--- a/Services/stagepostd/ServiceTable.h
+++ b/Services/stagepostd/ServiceTable.h
@@ -104,6 +104,9 @@
     UpstreamRole role(UpstreamId) const;
     // The versions that the service's upstreams have had of late; null if it has had no upstream.
     VersionHistory const* versions(std::string const& service) const;
+    // Other daemons may have used the upstream of this record, which is not in this daemon's list, until now. Whether it may
+    // serve on without a record, see VersionHistory::lapsed().
+    void notePassedOver(UpstreamRecord const&, bool mayServe, Instant now);
     // This daemon may have missed upstreams that came and went.
     void restartVersionHistory(Instant now);
     // These are all versions that upstreams have had before, or while this daemon may have missed some.
@@ -147,6 +150,7 @@
     };
     void remove(std::string const& instance, Removal, Instant now);
     void requireVersionProof(Instant now);
+    void noteVersion(std::string const& service, VersionId, bool hasLapsed, Instant now);
     void countVersion(Target const&, Instant now);
     void uncountVersion(Target const&, Instant now);
     void updatePlacement(UpstreamId, Target const&);
--- a/Tests/LibMembership/TestUpstreamDirectory.cpp
+++ b/Tests/LibMembership/TestUpstreamDirectory.cpp
@@ -20,11 +20,13 @@
     // The last reported record of each upstream.
     std::map<std::string, std::optional<UpstreamRecord>> lastChange;
     size_t gaps { 0 };
+    // The version of each record that was passed over, and whether its upstream may serve on.
+    std::vector<std::pair<std::string, bool>> passedOver;
     UpstreamDirectory directory { {}, { [this](UpstreamChange const& change) {
                                            ++changes;
                                            lastChange[change.instance] = change.record;
                                        },
-                                         [this] { ++gaps; } } };
+                                          [this] { ++gaps; }, [this](UpstreamRecord const& record, bool mayServe) { passedOver.emplace_back(record.version, mayServe); } } };
 
     // Confirms a read that was sent at this time and answered at once.
     void confirm(double seconds) { directory.confirm(at(seconds)); }
@@ -61,6 +63,85 @@
     BOOST_TEST(fixture.gaps == 3u);
 }
 
+using PassedOver = std::vector<std::pair<std::string, bool>>;
+
+UpstreamRecord ofVersion(std::string instance, std::string version, uint64_t incarnation)
+{
+    auto result = record(std::move(instance));
+    result.version = std::move(version);
+    result.incarnation = Incarnation(incarnation);
+    return result;
+}
+
+// Guards against a version that is unknown here although daemons that start meanwhile use it: its record is of an
+// earlier start.
+BOOST_AUTO_TEST_CASE(ARecordOfAnEarlierStartIsReportedAsPassedOver)
+{
+    DirectoryFixture fixture;
+    fixture.directory.put(ofVersion("a", "v2", 6), at(1));
+    fixture.directory.put(ofVersion("a", "v1", 5), at(2));
+    fixture.directory.put(ofVersion("a", "v1", 5), at(3));
+    BOOST_TEST((fixture.passedOver == PassedOver { { "v1", false } }));
+    fixture.directory.remove("a", at(4));
+    BOOST_TEST((fixture.passedOver == PassedOver { { "v1", false }, { "v1", true } }));
+    // Other daemons learn of it, although the list is the same before and after.
+    DirectoryFixture relay;
+    DirectoryFixture follower;
+    for (auto* each : { &relay, &follower })
+        each->directory.put(ofVersion("a", "v2", 6), at(1));
+    relay.directory.put(ofVersion("a", "v1", 5), at(2));
+    auto const hash = follower.directory.hash();
+    BOOST_TEST(relay.directory.hash() == hash);
+    follower.directory.applyForwarded(*relay.directory.changesSince(hash, at(2)), at(2));
+    BOOST_TEST((follower.passedOver == PassedOver { { "v1", false } }));
+    BOOST_TEST(follower.directory.hash() == hash);
+    BOOST_TEST(follower.directory.records().at("a").version == "v2");
+}
+
+// Guards against a version that came and went between two forwarded lists that are equal, or within one message.
+BOOST_AUTO_TEST_CASE(AVersionThatCameAndWentIsForwarded)
+{
+    DirectoryFixture relay;
+    DirectoryFixture follower;
+    for (auto* each : { &relay, &follower })
+        each->directory.put(ofVersion("a", "v1", 1), at(1));
+    auto const hash = follower.directory.hash();
+    relay.directory.put(ofVersion("b", "v2", 2), at(2));
+    relay.directory.remove("b", at(2.2));
+    BOOST_TEST(relay.directory.hash() == hash);
+    auto const changesBefore = follower.changes;
+    auto const forward = [&](DirectoryFixture& from, DirectoryFixture& to, double seconds) { to.directory.applyForwarded(*from.directory.changesSince(hash, at(seconds)), at(seconds)); };
+    forward(relay, follower, 2.5);
+    BOOST_TEST((follower.passedOver == PassedOver { { "v2", true } }));
+    BOOST_TEST(follower.directory.hash() == hash);
+    BOOST_TEST(follower.changes == changesBefore);
+    // It goes on to further daemons, and back to none that knows it.
+    DirectoryFixture third;
+    third.directory.put(ofVersion("a", "v1", 1), at(1));
+    forward(follower, third, 2.6);
+    BOOST_TEST((third.passedOver == PassedOver { { "v2", true } }));
+    forward(third, relay, 2.7);
+    forward(third, follower, 2.7);
+    forward(relay, follower, 2.8);
+    BOOST_TEST(relay.passedOver.empty());
+    BOOST_TEST(follower.passedOver.size() == 1u);
+    BOOST_TEST(relay.directory.changesSince(hash, at(5.3))->empty());
+    // Beside another change, and as one that has announced that it leaves.
+    auto leaving = ofVersion("c", "v3", 3);
+    relay.directory.put(leaving, at(10));
+    leaving.isLeaving = true;
+    relay.directory.put(leaving, at(10));
+    relay.directory.put(ofVersion("d", "v1", 4), at(10));
+    relay.directory.remove("c", at(10));
+    forward(relay, follower, 10);
+    BOOST_TEST((follower.passedOver.back() == std::pair<std::string, bool>("v3", false)));
+    BOOST_TEST(follower.isInUse("d"));
+    BOOST_TEST(follower.directory.hash() == relay.directory.hash());
+    // The earlier lists can still be told from the history.
+    BOOST_TEST(relay.directory.listForHash(hash)->size() == 1u);
+    BOOST_TEST(follower.directory.listForHash(hash)->size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(AnUnchangedRecordIsNotReported)
 {
     DirectoryFixture fixture;
@@ -96,7 +177,7 @@
     auto const list = fixture.directory.listForHash(fixture.directory.hash());
     BOOST_REQUIRE((listBefore && list));
     BOOST_TEST((listBefore->front() == startedAt("a", 5).id() && list->front() == startedAt("a", 6).id()));
-    auto const changes = fixture.directory.changesSince(before);
+    auto const changes = fixture.directory.changesSince(before, at(9));
     BOOST_REQUIRE((changes && changes->size() == 1u));
     BOOST_TEST((changes->front().record->incarnation == Incarnation(6)));
 }
@@ -266,7 +347,7 @@
     first.directory.put(record("a", true), at(1));
     first.directory.put(record("c"), at(1));
     first.directory.remove("a", at(1));
-    auto const changes = first.directory.changesSince(earlier);
+    auto const changes = first.directory.changesSince(earlier, at(9));
     BOOST_REQUIRE(changes.has_value());
     BOOST_TEST(changes->size() == 3u);
     for (auto const& change : *changes) {
@@ -277,8 +358,8 @@
     }
     BOOST_TEST(second.directory.hash() == first.directory.hash());
     BOOST_TEST((second.directory.records() == first.directory.records()));
-    BOOST_TEST(first.directory.changesSince(first.directory.hash())->empty());
-    BOOST_TEST(!first.directory.changesSince(12345).has_value());
+    BOOST_TEST(first.directory.changesSince(first.directory.hash(), at(9))->empty());
+    BOOST_TEST(!first.directory.changesSince(12345, at(9)).has_value());
 }
 
 // A daemon keeps expired records in use after an outage. They must not reach daemons that
@@ -297,7 +378,7 @@
     other.directory.replace({ record("b") }, at(9));
     BOOST_TEST(cutOff.directory.hash() == other.directory.hash());
     BOOST_TEST(!cutOff.directory.records().contains("a"));
-    auto const changes = cutOff.directory.changesSince(before);
+    auto const changes = cutOff.directory.changesSince(before, at(99));
     BOOST_REQUIRE(changes.has_value() && changes->size() == 1u);
     BOOST_TEST(!changes->front().record.has_value());
     cutOff.directory.tick(at(12));
--- a/Tests/platform/TestPlatformReaders.cpp
+++ b/Tests/platform/TestPlatformReaders.cpp
@@ -442,6 +442,12 @@
     }
     restore();
     BOOST_TEST(isProven());
+    // One batch adds an upstream and removes it.
+    auto other = record;
+    other.instance = "i-2";
+    other.version = "v2";
+    gateway.updateUpstreams({ { "i-2", other }, { "i-2", {} } }, { false, loop.now(), 4 });
+    BOOST_TEST(!isProven());
 }
 
 // Two reads without a configuration followed one that was rejected, and the second confirmed the configuration
--- a/Tests/platform/TestServiceTable.cpp
+++ b/Tests/platform/TestServiceTable.cpp
@@ -305,6 +305,30 @@
     BOOST_TEST((world.table.lapsedVersions(world.now).at("book") == std::set { VersionId::fromName("v1") }));
 }
 
+// Guards against a proof of one version although other daemons have used one whose upstream was never listed here.
+BOOST_AUTO_TEST_CASE(AVersionThatWasPassedOverIsRemembered)
+{
+    World world;
+    auto listed = upstream("a", 1);
+    listed.version = "v1";
+    world.put(listed);
+    world.now += VersionHistory::memory;
+    auto const uniform = [&] { return world.table.versions("book")->uniformVersion(world.now); };
+    BOOST_TEST((uniform() == VersionId::fromName("v1")));
+    world.table.notePassedOver(listed, false, world.now);
+    BOOST_TEST((uniform() == VersionId::fromName("v1")));
+    auto other = upstream("b", 2);
+    other.version = "v2";
+    world.table.notePassedOver(other, false, world.now);
+    BOOST_TEST(!uniform().has_value());
+    world.now += VersionHistory::memory;
+    BOOST_TEST((uniform() == VersionId::fromName("v1")));
+    world.table.notePassedOver(other, true, world.now);
+    world.now += VersionHistory::memory;
+    BOOST_TEST(!uniform().has_value());
+    BOOST_TEST((world.table.lapsedVersions(world.now).at("book") == std::set { VersionId::fromName("v2") }));
+}
+
 // Guards against a read that was sent before a suspension or an outage and is taken for a proof of what came and
 // went meanwhile.
 BOOST_AUTO_TEST_CASE(AReadFromBeforeAGapProvesNoVersions)
