VersionHistoryReader: Remember versions whose records are gone as lapsed

A daemon that starts after the store has dropped the upstreams' records since the fleet's record of versions proves nothing for 30 s. After that it took its own 30 s for a proof of one version, and as a writer of the fleet's record it overwrote the versions that had lapsed within the hour with none. Streams that a hall had begun there while it was cut off were then told by 'there was one version'.

The versions of the record count as lapsed at such a daemon, since nothing tells what has become of their upstreams: they are remembered for an hour, and named in what it writes.

--- a/Services/stagepostd/ServiceTable.cpp
+++ b/Services/stagepostd/ServiceTable.cpp
@@ -132,6 +132,14 @@
     noteVersion(record.service, VersionId::fromName(record.version), mayServe, now);
 }
 
+void ServiceTable::noteLapsed(ServiceVersions const& services, Instant now)
+{
+    for (auto const& [service, versions] : services) {
+        for (auto const version : versions)
+            noteVersion(service, version, true, now);
+    }
+}
+
 VersionHistory const* ServiceTable::versions(std::string const& service) const
 {
     auto const found = m_versionHistories.find(service);
--- a/Services/stagepostd/ServiceTable.h
+++ b/Services/stagepostd/ServiceTable.h
@@ -107,6 +107,8 @@
     // Other daemons may have used the upstream of this record, which is not in this daemon's list, until now. Whether it may
     // serve on without a record, see VersionHistory::lapsed().
     void notePassedOver(UpstreamRecord const&, bool mayServe, Instant now);
+    // Upstreams of these versions may still be in use, although no history of the store proves it.
+    void noteLapsed(ServiceVersions const&, Instant now);
     // This daemon may have missed upstreams that came and went.
     void restartVersionHistory(Instant now);
     // These are all versions that upstreams have had before, or while this daemon may have missed some.
--- a/Tests/platform/TestVersionHistoryReader.cpp
+++ b/Tests/platform/TestVersionHistoryReader.cpp
@@ -191,6 +191,23 @@
     BOOST_TEST(!readHistory(store).has_value());
 }
 
+// Guards against daemons that take half a minute without changes for a proof although a hall that is cut off still uses a
+// version of the record: the store no longer tells whether its upstreams have lapsed.
+BOOST_AUTO_TEST_CASE(VersionsWhoseHistoryIsGoneMayHaveLapsed)
+{
+    FakeStore store;
+    for (auto const* name : { "a", "b", "c" })
+        store.addUpstream(name, "v2");
+    store.first = 2;
+    store.record = formatVersionRecord({ { {}, Offset(1) }, { { "chat", { version("v1"), version("v2") } } } });
+    EventLoop loop;
+    ServiceVersions found;
+    VersionHistoryReader reader(loop, store.client, [] { return uint64_t { 0 }; }, { [] { return true; }, [](auto const&, auto const&, Instant) {}, [&](auto const& versions) { found = versions; } });
+    reader.start();
+    loop.runFor(Milliseconds(50));
+    BOOST_TEST((found == ServiceVersions { { "chat", { version("v1"), version("v2") } } }));
+}
+
 BOOST_AUTO_TEST_CASE(TheRecordIsWrittenWhenItHasChanged)
 {
     FakeStore store;
