StreamOriginExchange: Bound the work for streams that are taken up

The keepers are now the first of each hall without sorting the fleet, 4,096 streams wait at most, a record of this daemon's own decides at once, and a stream waits only for an answer or a confirmation that may still arrive.

--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Hash.h>
 #include <algorithm>
+#include <functional>
 #include <set>
 
 namespace Stagepost {
@@ -40,18 +41,30 @@
 // be lost as a whole.
 std::vector<VMId> StreamOriginExchange::chooseDaemons(std::vector<FleetPeer> const& peers, StreamId stream, size_t count) const
 {
-    std::vector<std::pair<uint64_t, FleetPeer>> daemons;
-    daemons.reserve(peers.size());
-    for (auto const& peer : peers)
-        daemons.emplace_back(mixHashes(stream.value(), peer.id.value()), peer);
-    std::sort(daemons.begin(), daemons.end(), [](auto const& one, auto const& other) { return one.first > other.first; });
-    std::set<HallId> halls;
+    using Ranked = std::pair<uint64_t, VMId>;
+    std::map<HallId, Ranked> firstOfHalls;
+    std::vector<Ranked> others;
+    for (auto const& peer : peers) {
+        Ranked daemon { mixHashes(stream.value(), peer.id.value()), peer.id };
+        auto const [first, isNew] = firstOfHalls.try_emplace(peer.hall, daemon);
+        if (isNew)
+            continue;
+        if (daemon > first->second)
+            std::swap(daemon, first->second);
+        others.push_back(daemon);
+    }
+    std::vector<Ranked> daemons;
+    for (auto const& [hall, first] : firstOfHalls)
+        daemons.push_back(first);
+    std::sort(daemons.begin(), daemons.end(), std::greater());
+    // The order of the others matters only as far as they are chosen.
+    auto const chosen = std::min(count - std::min(count, daemons.size()), others.size());
+    std::partial_sort(others.begin(), others.begin() + static_cast<ptrdiff_t>(chosen), others.end(), std::greater());
+    daemons.insert(daemons.end(), others.begin(), others.begin() + static_cast<ptrdiff_t>(chosen));
+    daemons.resize(std::min(daemons.size(), count));
     std::vector<VMId> result;
-    std::vector<VMId> others;
-    for (auto const& [rank, peer] : daemons)
-        (halls.insert(peer.hall).second ? result : others).push_back(peer.id);
-    result.insert(result.end(), others.begin(), others.end());
-    result.resize(std::min(result.size(), count));
+    for (auto const& [rank, daemon] : daemons)
+        result.push_back(daemon);
     return result;
 }
 
@@ -162,6 +175,10 @@
 
 void StreamOriginExchange::find(StreamId stream, std::string const& service, Callback callback, Instant now)
 {
+    if (auto const version = m_table.find(stream, now))
+        return callback({ version, true, Source::Record });
+    if (m_pending.size() >= m_bounds.maxPending)
+        return callback({});
     auto const queryId = ++m_lastQueryId;
     Pending pending { stream, service, keepersByAllLists(stream, now), chooseDaemons(peers(), stream, m_bounds.askedDaemons), {}, {}, now, now + m_bounds.repetitionInterval, std::move(callback) };
     for (auto const& keepers : pending.keepers) {
@@ -284,7 +301,9 @@
 // While several versions are known and all keepers have run for long, nothing more is to be expected.
 bool StreamOriginExchange::mayBeProvenSoon(Pending const& pending, Instant now) const
 {
-    return now - m_startedAt < m_bounds.recoveryTime || areKeepersRecovering(pending, now) || (pending.own.uniform && !pending.own.hasSeveral);
+    bool const hasJustStarted = now - m_startedAt < m_bounds.recoveryTime;
+    bool const mayListProve = !pending.own.hasSeveral && (pending.own.uniform || hasJustStarted);
+    return mayListProve || areKeepersRecovering(pending, now) || (hasJustStarted && !haveKeepersReplied(pending));
 }
 
 void StreamOriginExchange::complete(uint64_t queryId, Origin const& origin)
--- a/Libraries/LibRouting/StreamOriginExchange.h
+++ b/Libraries/LibRouting/StreamOriginExchange.h
@@ -59,6 +59,8 @@
         double lateRecordsPerSecond { 100 };
         double lateRecordsPerSecondInLargeFleet { 30 };
         size_t maxRecords { 65536 };
+        // The streams that may wait at a time. Further ones are refused.
+        size_t maxPending { 4096 };
     };
 
     // What this daemon knows of a service's versions. See StreamOriginReply and VersionHistory.
--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -722,6 +722,22 @@
     BOOST_TEST((reply.keptFor == VersionHistory::memory));
 }
 
+// Guards against callers that take up unknown streams faster than they can be refused.
+BOOST_AUTO_TEST_CASE(ABoundedNumberOfStreamsWaits)
+{
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    auto& exchange = *fleet.daemons[VMId(2)].exchange;
+    size_t refused = 0;
+    auto const count = StreamOriginExchange::Bounds {}.maxPending + 10;
+    for (uint64_t stream = 1; stream <= count; ++stream)
+        exchange.find(
+            StreamId(stream), std::string(service), [&](auto const& origin) { refused += !origin.version; }, fleet.now);
+    BOOST_TEST(refused == 10u);
+    fleet.runInTicks(0.2);
+    BOOST_TEST(refused == count);
+}
+
 BOOST_AUTO_TEST_CASE(DamagedStreamOriginMessagesAreRefused)
 {
     StreamOriginReply reply { 5, first, Seconds(40), {}, Microseconds(0), second, true };
