StreamOriginLogRelay: Bring records of where streams began to a hall's reader

The records are to go to the store's log, whose calls have a price and a limit for the whole fleet. Were each of 330 daemons to append its own every 100 ms, that would be 3,300 calls a second of the 400 that the store takes (arithmetic). A daemon passes them to the one through which it gets the confirmations of its state, which appends them if it is the reader of the hall, and passes them on otherwise: 60 calls a second with six readers.

Messages are not acknowledged, which would cost a reader a message to each daemon of its hall. Instead, a daemon keeps what it has passed on for 3 s, and passes it on again when another daemon takes over or the same one has started. StreamOriginBatch is the format of these messages and of the records in the log. Nothing uses the class yet.

--- a/Libraries/LibRouting/Routing.h
+++ b/Libraries/LibRouting/Routing.h
@@ -46,6 +46,7 @@
 #include <LibRouting/ShareExchange.h>
 #include <LibRouting/SilenceDetector.h>
 #include <LibRouting/StreamOriginExchange.h>
+#include <LibRouting/StreamOriginLogRelay.h>
 #include <LibRouting/UpstreamBackoff.h>
 #include <LibRouting/UpstreamHealth.h>
 #include <LibRouting/UpstreamOwner.h>
