StreamOriginExchange: Don't send restored records to daemons that start

Records that outlived all daemons in the store are read by every daemon that starts. They have a table of their own now, from which any daemon answers. Records that come from other daemons are sent to those that start as before.

TestRouting, RecordsThatOutlivedAllDaemonsAreNotSentToThoseThatStart: 0 messages.

--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -66,9 +66,9 @@
     return result;
 }
 
-void StreamOriginExchange::addToTable(StreamId stream, VersionId version, Instant expiresAt, Instant now)
+void StreamOriginExchange::addTo(StreamOriginTable& table, StreamId stream, VersionId version, Instant expiresAt, Instant now)
 {
-    auto const dropped = m_table.record(stream, version, expiresAt);
+    auto const dropped = table.record(stream, version, expiresAt);
     if (dropped && *dropped > now)
         m_keepsSince = now;
 }
@@ -76,7 +76,7 @@
 void StreamOriginExchange::record(StreamId stream, std::string const& service, VersionId version, Microseconds lifetime, Instant now)
 {
     auto const kept = std::min(lifetime, VersionHistory::memory);
-    addToTable(stream, version, now + kept, now);
+    addTo(m_table, stream, version, now + kept, now);
     // Until the other daemons are known, no keepers can be told.
     if (knowsPeers() && m_hooks.versions(service, now).needsRecords)
         return sendToKeepers(stream, version, kept);
@@ -126,7 +126,7 @@
 void StreamOriginExchange::restore(std::vector<StreamOriginRecord> const& records, Instant now)
 {
     for (auto const& record : records)
-        addToTable(record.stream, record.version, now + std::min(record.lifetime, VersionHistory::memory), now);
+        addTo(m_restored, record.stream, record.version, now + std::min(record.lifetime, VersionHistory::memory), now);
 }
 
 void StreamOriginExchange::peerStarted(VMId peer, Instant now)
@@ -145,7 +145,8 @@
 {
     bool const hasAllSinceRestored = versions.restoredUniformAt && m_keepsSince <= *versions.restoredUniformAt;
     auto const keptFor = hasAllSinceRestored ? StreamOriginReply::maxKeptFor : now - m_keepsSince;
-    return { 0, m_table.find(stream, now), std::min<Microseconds>(keptFor, StreamOriginReply::maxKeptFor), versions.uniform, now - versions.listProvenAt, versions.withoutRecords, versions.hasSeveral };
+    auto const recorded = m_table.find(stream, now);
+    return { 0, recorded ? recorded : m_restored.find(stream, now), std::min<Microseconds>(keptFor, StreamOriginReply::maxKeptFor), versions.uniform, now - versions.listProvenAt, versions.withoutRecords, versions.hasSeveral };
 }
 
 // The reply was written between the two times.
@@ -297,7 +298,7 @@
 {
     auto const message = TRY(decodeStreamOriginMessage(bytes));
     if (auto const* record = std::get_if<StreamOriginRecord>(&message)) {
-        restore({ *record }, now);
+        addTo(m_table, record->stream, record->version, now + std::min(record->lifetime, VersionHistory::memory), now);
         return {};
     }
     if (auto const* query = std::get_if<StreamOriginQuery>(&message)) {
@@ -327,6 +328,7 @@
 void StreamOriginExchange::tick(Instant now)
 {
     m_table.expire(now);
+    m_restored.expire(now);
     sendLateRecords(now);
     std::vector<std::pair<uint64_t, Origin>> resolved;
     for (auto& [queryId, pending] : m_pending) {
--- a/Libraries/LibRouting/StreamOriginExchange.h
+++ b/Libraries/LibRouting/StreamOriginExchange.h
@@ -106,6 +106,7 @@
         , m_startedAt(now)
         , m_keepsSince(now)
         , m_table(bounds.maxRecords)
+        , m_restored(bounds.maxRecords)
     {
     }
 
@@ -133,7 +134,7 @@
     // The earliest time at which a pending query has to be repeated or given up.
     std::optional<Instant> nextTimeout() const;
 
-    size_t recordCount() const { return m_table.records().size(); }
+    size_t recordCount() const { return m_table.records().size() + m_restored.records().size(); }
 
 private:
     // What a daemon has replied, with times of this daemon's clock. Where a time isn't known exactly, it is the one that
@@ -181,7 +182,7 @@
     std::vector<Keepers> keepersByAllLists(StreamId, Instant now) const;
     void sendToKeepers(StreamId, VersionId, Microseconds lifetime);
     void sendLateRecords(Instant now);
-    void addToTable(StreamId, VersionId, Instant expiresAt, Instant now);
+    void addTo(StreamOriginTable&, StreamId, VersionId, Instant expiresAt, Instant now);
     StreamOriginReply makeReply(StreamId, VersionKnowledge const&, Instant now) const;
     static Answer answerFrom(StreamOriginReply const&, Instant sentAfter, Instant receivedAt);
     void updateOwnAnswer(Pending&, Instant now) const;
@@ -206,6 +207,8 @@
     Instant m_startedAt;
     Instant m_keepsSince;
     StreamOriginTable m_table;
+    // What was kept beyond the lives of all daemons. It is not sent to daemons that start, since each gets all of it by itself.
+    StreamOriginTable m_restored;
     // The lists of daemons that have been in force, the present one last. Empty before the first one.
     std::deque<PeerList> m_lists;
     std::map<uint64_t, Pending> m_pending;
--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -200,6 +200,7 @@
     // What would outlive all daemons.
     std::vector<StreamOriginRecord> persisted;
     bool areMessagesLost { false };
+    size_t sentMessages { 0 };
 
 private:
     void setPeersEverywhere()
@@ -213,7 +214,10 @@
         auto& daemon = daemons[peer.id];
         daemon.versions = VersionHistory(since);
         StreamOriginExchange::Hooks hooks;
-        hooks.send = [this, from = peer.id](VMId to, std::string const& bytes) { m_messages.push_back({ from, to, bytes }); };
+        hooks.send = [this, from = peer.id](VMId to, std::string const& bytes) {
+            ++sentMessages;
+            m_messages.push_back({ from, to, bytes });
+        };
         hooks.versions = [&daemon](std::string const&, Instant time) {
             auto const uniform = daemon.versions.uniformVersion(time);
             auto const lastConfirmation = time - time.time_since_epoch() % listConfirmationInterval;
@@ -549,6 +553,25 @@
     BOOST_TEST(!fleet.find(VMId(2), StreamId(9)).version.has_value());
 }
 
+// Guards against a fleet that starts as a whole and in which every daemon sends each other one what all have read.
+BOOST_AUTO_TEST_CASE(RecordsThatOutlivedAllDaemonsAreNotSentToThoseThatStart)
+{
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    for (uint64_t stream = 100; stream < 200; ++stream)
+        fleet.record(VMId(1), StreamId(stream), first);
+    fleet.restartAll();
+    for (auto& [id, daemon] : fleet.daemons)
+        daemon.exchange->restore(fleet.persisted, fleet.now);
+    fleet.sentMessages = 0;
+    for (auto& [started, peer] : fleet.daemons) {
+        for (auto& [id, daemon] : fleet.daemons)
+            daemon.exchange->peerStarted(started, fleet.now);
+    }
+    BOOST_TEST(fleet.sentMessages == 0u);
+    BOOST_TEST((fleet.find(VMId(2), StreamId(150)).version == first));
+}
+
 BOOST_AUTO_TEST_CASE(AStreamWaitsUntilItsListIsConfirmed)
 {
     Fleet fleet;
