stagepostd-platform: Continue streams of several versions after a kill of all daemons

Callers who took up a stream of a service with several versions after all daemons were killed, or all keepers of the stream, were refused with 503, since the records of which version began it were lost.

The records also go to the store now, and daemons that start read them. They go to the daemon through which this one gets the confirmations of its state (StateExchange::pathToReader), so that the reader of a hall appends for all. A daemon that nobody answers appends by itself, every second.

What GatewayPeers had for the origins of streams is a class of its own, StreamOriginFinder, with the path to the log. The store's stand-in has topics without keys; one that was never written is answered with 404.

--- a/Libraries/LibMembership/StateExchange.cpp
+++ b/Libraries/LibMembership/StateExchange.cpp
@@ -152,6 +152,13 @@
     return m_isRelay && std::all_of(m_precedingRelays.begin(), m_precedingRelays.end(), [this](auto id) { return m_suspectRetryAt.contains(id); });
 }
 
+std::optional<VMId> StateExchange::pathToReader() const
+{
+    if (isReader() || !m_queriedPeer || m_suspectRetryAt.contains(*m_queriedPeer))
+        return {};
+    return m_queriedPeer;
+}
+
 bool StateExchange::needsStore(Instant now) const
 {
     return isReader() || isStale(now);
--- a/Libraries/LibMembership/StateExchange.h
+++ b/Libraries/LibMembership/StateExchange.h
@@ -134,6 +134,9 @@
     // Whether this daemon reads the store for others: it is a relay, and all relays of its
     // hall before it are suspected.
     bool isReader() const;
+    // The daemon that confirms this daemon's state, which is the reader or a relay that knows it. None if this daemon is the
+    // reader, or if nobody responds.
+    std::optional<VMId> pathToReader() const;
     // Whether this daemon has to read the store now.
     bool needsStore(Instant now) const;
     // Whether this daemon has to read the registry now: it is the reader, gets no
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -46,7 +46,7 @@
 
 }
 
-Gateway::Gateway(EventLoop& loop, GatewayOptions options, GatewayDialect dialect, GatewayRegistryHooks registry, RandomHook random, RolloutRecordHooks rolloutRecords)
+Gateway::Gateway(EventLoop& loop, GatewayOptions options, GatewayDialect dialect, GatewayRegistryHooks registry, RandomHook random, RolloutRecordHooks rolloutRecords, StreamOriginLogHooks streamOriginLog)
     : m_loop(loop)
     , m_options(std::move(options))
     , m_dialect(std::move(dialect))
@@ -61,7 +61,7 @@
           { m_options.hall, m_options.placement, m_options.retries, [this](Instant) { return m_peers.usableShare(); } }, m_random, [this](Endpoint const& upstream) { m_server.dropIdleConnections(upstream); }, loop.now())
     , m_directory(m_options.directory, { [this](UpstreamChange const& change) { applyUpstream(change); }, [this] { m_serviceTable.restartVersionHistory(m_loop.now()); }, [this](UpstreamRecord const& record, bool mayServe) { m_serviceTable.notePassedOver(record, mayServe, m_loop.now()); } })
     , m_emptiedHalls({ m_options.directory.returnGrace }, [this](HallOrder const& order) { applyHallOrder(order); })
-    , m_peers(loop, m_metrics, m_options.exchange, makeFleetShare(m_options, loop.now()), m_suspects, m_partSuspects, m_random, peerHooks())
+    , m_peers(loop, m_metrics, m_options.exchange, makeFleetShare(m_options, loop.now()), m_suspects, m_partSuspects, m_random, peerHooks(std::move(streamOriginLog)))
     , m_rollouts(makeRollouts(std::move(rolloutRecords)))
     , m_portProbe(loop)
     , m_links(m_options.maxDetoured > 0, loop, m_metrics, m_serviceTable, linkHooks())
@@ -81,9 +81,10 @@
     m_peers.shareUpstreamConnections(m_server);
 }
 
-GatewayPeers::Hooks Gateway::peerHooks()
+GatewayPeers::Hooks Gateway::peerHooks(StreamOriginLogHooks streamOriginLog)
 {
     GatewayPeers::Hooks hooks;
+    hooks.streamOriginLog = std::move(streamOriginLog);
     hooks.localState.summary = [this] { return summary(); };
     hooks.localState.provenAt = [this] { return provenAt(); };
     hooks.localState.confirm = [this](Instant provenAt) { confirmState(provenAt); };
@@ -526,7 +527,7 @@
     if (stall <= ServiceTable::maxListAge)
         return;
     m_serviceTable.restartVersionHistory(m_loop.now());
-    m_peers.restartStreamOrigins();
+    m_peers.streamOrigins().restart();
 }
 
 bool Gateway::needsRevalidation() const
@@ -608,7 +609,6 @@
     m_metrics.setGauge("stagepost_suspect_requests", static_cast<double>(m_suspects.suspects().size()));
     m_metrics.setGauge("stagepost_suspect_prompt_parts", static_cast<double>(m_partSuspects.evidence().suspects().size()));
     m_metrics.setGauge("stagepost_poison_prompt_parts", static_cast<double>(m_partSuspects.poisonCount(m_loop.now())));
-    m_metrics.setGauge("stagepost_stream_origins", static_cast<double>(m_peers.streamOriginCount()));
     m_metrics.setGauge("stagepost_retry_slack_share", m_peers.usableShare());
     m_metrics.setGauge("stagepost_control_bytes_sent", static_cast<double>(m_peers.bytesSent()));
     m_metrics.setGauge("stagepost_peer_unreadable_counts", static_cast<double>(m_peers.unreadableCounts()));
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -37,7 +37,7 @@
 class Gateway {
 public:
     // The hooks for roll-outs are not used if the options switch these off.
-    Gateway(EventLoop&, GatewayOptions, GatewayDialect, GatewayRegistryHooks, RandomHook, RolloutRecordHooks = {});
+    Gateway(EventLoop&, GatewayOptions, GatewayDialect, GatewayRegistryHooks, RandomHook, RolloutRecordHooks = {}, StreamOriginLogHooks = {});
     Gateway(Gateway const&) = delete;
     Gateway& operator=(Gateway const&) = delete;
 
@@ -66,8 +66,7 @@
     bool needsStore() const { return m_peers.needsStore(m_loop.now()); }
     // Whether other daemons may be waiting for the state of this one.
     bool isRelay() const { return m_peers.isRelay(); }
-    // Whether it exchanges messages with other daemons, and so can tell whether one reads the store
-    // for it.
+    // Whether it exchanges messages with other daemons, and so can tell whether one reads the store for it.
     bool hasJoined() const { return m_peers.hasJoined(); }
     // Whether to read the configuration: the store is to be read anyway, or a newer configuration is
     // known to exist and did not arrive from another daemon in time.
@@ -101,9 +100,10 @@
     Endpoint const& peerEndpoint() const { return m_peerEndpoint; }
     Metrics& metrics() { return m_metrics; }
     ServiceTable& serviceTable() { return m_serviceTable; }
+    StreamOriginFinder& streamOrigins() { return m_peers.streamOrigins(); }
 
 private:
-    GatewayPeers::Hooks peerHooks();
+    GatewayPeers::Hooks peerHooks(StreamOriginLogHooks);
     void addRolloutHooks(GatewayPeers::Hooks&);
     std::unique_ptr<RolloutController> makeRollouts(RolloutRecordHooks);
     CrashDetector::Hooks crashDetectorHooks();
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -30,11 +30,6 @@
     constexpr unsigned statusForbidden = 403;
     // A free port for datagrams is seldom in use for connections.
     constexpr size_t maxFreePortsTried = 16;
-    // A daemon is usually ready some milliseconds before it has joined. Callers that take up a stream wait
-    // this long for that.
-    constexpr Milliseconds maxJoinWait { 250 };
-    // A daemon joins within a second, and begins some tens of streams a second.
-    constexpr size_t maxWaitingRecords = 4096;
     // For the terms of a request, besides the header fields of its caller.
     constexpr size_t detourHeaderSize = 2048;
     // In a larger fleet, a relay needs its whole bandwidth budget for the state that it sends, so it
@@ -77,7 +72,7 @@
           loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handleRequest(exchange); }, plainRefusal)
     , m_socket(loop, [this](Endpoint const& source, std::string_view datagram) { handleDatagram(source, datagram); })
     , m_fleetShare(std::move(share))
-    , m_waitingOriginsTimer(loop)
+    , m_streamOrigins(loop, metrics, streamOriginHooks())
     , m_startedAt(loop.now())
     , m_waitingForPartsTimer(loop)
     , m_ticker(loop)
@@ -133,10 +128,7 @@
         m_holderExchange = std::make_unique<HolderExchange>(peer, HolderExchange::Bounds {}, HolderExchange::Hooks { [this](VMId to, std::string const& body) { send(to, PeerMessageKind::Holders, body); } });
     if (!m_detourExchange)
         m_detourExchange = std::make_unique<DetourExchange>(peer, DetourExchange::Bounds {}, detourHooks());
-    if (!m_streamOrigins)
-        m_streamOrigins = std::make_unique<StreamOriginExchange>(peer, StreamOriginExchange::Bounds {}, streamOriginHooks(), m_loop.now());
-    for (auto const& record : std::exchange(m_waitingRecords, {}))
-        record();
+    m_streamOrigins.join(peer);
     m_ticker.every(tickInterval, [this] {
         if (m_roster.expire(m_loop.now()))
             applyRoster();
@@ -146,7 +138,7 @@
         m_permitExchange->tick(m_loop.now());
         m_holderExchange->tick(m_loop.now());
         m_detourExchange->tick(m_loop.now());
-        m_streamOrigins->tick(m_loop.now());
+        m_streamOrigins.tick();
     });
     logEvent(LogLevel::Info, "joined", { { "name", self.name }, { "daemon", toHex(self.id().value()) }, { "hall", self.hall }, { "peer_listen", m_endpoint.toString() }, { "incarnation", incarnation.value() } });
 }
@@ -182,7 +174,7 @@
     };
     hooks.arrived = [this](FleetPeer peer) {
         updateRoster([&] { m_roster.arrived(peer, m_loop.now()); });
-        m_streamOrigins->peerStarted(peer.id, m_loop.now());
+        m_streamOrigins.peerStarted(peer.id);
     };
     hooks.left = [this](VMId id) { updateRoster([&] { m_roster.left(id, m_loop.now()); }); };
     hooks.replaces = [](VMId owner) { logEvent(LogLevel::Info, "owner-replaced", { { "daemon", toHex(owner.value()) } }); };
@@ -199,52 +191,18 @@
     return hooks;
 }
 
-StreamOriginExchange::Hooks GatewayPeers::streamOriginHooks()
+StreamOriginFinder::Hooks GatewayPeers::streamOriginHooks()
 {
-    StreamOriginExchange::Hooks hooks;
-    hooks.send = [this](VMId to, std::string const& body) { send(to, PeerMessageKind::StreamOrigins, body); };
-    hooks.versions = m_hooks.versions;
+    StreamOriginFinder::Hooks hooks;
+    hooks.exchange.send = [this](VMId to, std::string const& body) { send(to, PeerMessageKind::StreamOrigins, body); };
+    hooks.exchange.versions = m_hooks.versions;
+    hooks.appender = [this] { return m_stateExchange->pathToReader(); };
+    hooks.sendToAppender = [this](VMId to, std::string const& body) { send(to, PeerMessageKind::StreamOriginLog, body); };
+    hooks.log = m_hooks.streamOriginLog;
+    hooks.queriesSent = [this] { scheduleResponseTimeout(); };
     return hooks;
 }
 
-void GatewayPeers::recordStreamOrigin(StreamId stream, std::string const& service, VersionId version, Microseconds lifetime)
-{
-    if (m_streamOrigins)
-        m_streamOrigins->record(stream, service, version, lifetime, m_loop.now());
-    else if (m_waitingRecords.size() < maxWaitingRecords)
-        m_waitingRecords.push_back([this, stream, service, version, lifetime] { recordStreamOrigin(stream, service, version, lifetime); });
-}
-
-void GatewayPeers::findStreamOrigin(StreamId stream, std::string const& service, StreamOriginExchange::Callback callback)
-{
-    if (m_streamOrigins && m_streamOrigins->knowsPeers()) {
-        m_streamOrigins->find(stream, service, std::move(callback), m_loop.now());
-        scheduleResponseTimeout();
-        return;
-    }
-    m_waitingOrigins.push_back([this, stream, service, callback = std::move(callback)] {
-        if (m_streamOrigins && m_streamOrigins->knowsPeers())
-            findStreamOrigin(stream, service, callback);
-        else
-            callback({});
-    });
-    if (m_waitingOrigins.size() == 1)
-        m_waitingOriginsTimer.once(maxJoinWait, [this] { findWaitingOrigins(); });
-}
-
-void GatewayPeers::findWaitingOrigins()
-{
-    m_waitingOriginsTimer.cancel();
-    for (auto const& find : std::exchange(m_waitingOrigins, {}))
-        find();
-}
-
-void GatewayPeers::restartStreamOrigins()
-{
-    if (m_streamOrigins)
-        m_streamOrigins->restart(m_loop.now());
-}
-
 void GatewayPeers::setSearchingDetours(bool isSearching)
 {
     if (m_detourExchange)
@@ -285,7 +243,7 @@
 void GatewayPeers::scheduleResponseTimeout()
 {
     auto due = m_permitExchange->nextTimeout();
-    for (auto const& other : { m_holderExchange->nextTimeout(), m_streamOrigins->nextTimeout() }) {
+    for (auto const& other : { m_holderExchange->nextTimeout(), m_streamOrigins.nextTimeout() }) {
         if (other)
             due = std::min(due.value_or(*other), *other);
     }
@@ -294,7 +252,7 @@
     m_responseTimer.once(std::max<Microseconds>(Microseconds(0), *due - m_loop.now()), [this] {
         m_permitExchange->tick(m_loop.now());
         m_holderExchange->tick(m_loop.now());
-        m_streamOrigins->tick(m_loop.now());
+        m_streamOrigins.tick();
         scheduleResponseTimeout();
     });
 }
@@ -349,8 +307,7 @@
     m_partCrashExchange->setPeers(list, m_loop.now());
     m_holderExchange->setPeers(list, m_stateExchange->relays());
     m_detourExchange->setPeers(list);
-    m_streamOrigins->setPeers(list, m_loop.now());
-    findWaitingOrigins();
+    m_streamOrigins.setPeers(list);
     applyRoster();
     m_metrics.setGauge("stagepost_daemons", static_cast<double>(m_stateExchange->peerCount() + 1));
     logEvent(LogLevel::Info, "peers", { { "others", m_stateExchange->peerCount() }, { "relay", m_stateExchange->isRelay() ? 1 : 0 } });
@@ -536,7 +493,9 @@
         case PeerMessageKind::Detours:
             return m_detourExchange && m_detourExchange->receive(from, body, m_loop.now());
         case PeerMessageKind::StreamOrigins:
-            return m_streamOrigins && m_streamOrigins->receive(from, body, m_loop.now());
+            return m_streamOrigins.receive(from, body);
+        case PeerMessageKind::StreamOriginLog:
+            return m_streamOrigins.receiveForLog(body);
         case PeerMessageKind::Rollouts:
             return m_hooks.handleRolloutMessage(from, body);
         default:
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -12,11 +12,11 @@
 #include <LibRouting/HolderExchange.h>
 #include <LibRouting/PermitExchange.h>
 #include <LibRouting/PromptPartSuspects.h>
-#include <LibRouting/StreamOriginExchange.h>
 #include <memory>
 #include <stagepostd/DetourTerms.h>
 #include <stagepostd/GatewayState.h>
 #include <stagepostd/PeerChannel.h>
+#include <stagepostd/StreamOriginFinder.h>
 
 namespace Stagepost {
 
@@ -67,6 +67,7 @@
         std::function<bool(VMId from, std::string_view body)> handleRolloutMessage { [](VMId, std::string_view) { return false; } };
         // What this daemon knows of a service's versions.
         std::function<StreamOriginExchange::VersionKnowledge(std::string const& service, Instant now)> versions;
+        StreamOriginLogHooks streamOriginLog;
     };
 
     GatewayPeers(EventLoop&, Metrics&, StateExchange::Bounds, FleetShare, CrashSuspects&, PromptPartSuspects&, RandomHook, Hooks);
@@ -125,13 +126,7 @@
     void requestPermit(PermitExchange::CandidateList, PermitExchange::Callback);
     // See HolderExchange::recordPlacement().
     void findContextHolders(uint64_t context, UpstreamId, HolderExchange::Callback);
-    // See StreamOriginExchange. Before this daemon has joined and knows the others, origins are found a
-    // little later, or not at all.
-    void recordStreamOrigin(StreamId, std::string const& service, VersionId, Microseconds lifetime);
-    void findStreamOrigin(StreamId, std::string const& service, StreamOriginExchange::Callback);
-    size_t streamOriginCount() const { return m_streamOrigins ? m_streamOrigins->recordCount() : 0; }
-    // This daemon was suspended or cut off and may have lost messages.
-    void restartStreamOrigins();
+    StreamOriginFinder& streamOrigins() { return m_streamOrigins; }
     void requestStarted(UpstreamId, HallId);
     void requestEnded(UpstreamId);
     size_t unansweredPermitRequests() const { return m_permitExchange ? m_permitExchange->unansweredRequests() : 0; }
@@ -165,8 +160,7 @@
     void setFleetShare(std::vector<FleetPeer> const& others);
     void updateRoster(std::function<void()> const& change);
     void applyRoster();
-    StreamOriginExchange::Hooks streamOriginHooks();
-    void findWaitingOrigins();
+    StreamOriginFinder::Hooks streamOriginHooks();
     bool arePartsKnown() const;
     void resumeWaitingForParts();
     bool handleCrashMessage(VMId from, std::string_view body);
@@ -213,12 +207,7 @@
     std::map<UpstreamId, UncountedRequests> m_uncountedRequests;
     std::unique_ptr<HolderExchange> m_holderExchange;
     std::unique_ptr<DetourExchange> m_detourExchange;
-    std::unique_ptr<StreamOriginExchange> m_streamOrigins;
-    // Records of streams that began before this daemon has joined.
-    std::vector<std::function<void()>> m_waitingRecords;
-    // Until this daemon knows the others.
-    std::vector<std::function<void()>> m_waitingOrigins;
-    Timer m_waitingOriginsTimer;
+    StreamOriginFinder m_streamOrigins;
     Instant m_startedAt;
     std::vector<std::function<void()>> m_waitingForParts;
     Timer m_waitingForPartsTimer;
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -102,7 +102,7 @@
 
 void GatewayRequestHandler::findStreamOrigin()
 {
-    m_services.peers.findStreamOrigin(streamId(), m_request.service, [self = shared_from_this()](auto const& origin) { self->handleStreamOrigin(origin); });
+    m_services.peers.streamOrigins().find(streamId(), m_request.service, [self = shared_from_this()](auto const& origin) { self->handleStreamOrigin(origin); });
 }
 
 // What two versions write does not fit together, so a stream is rather refused than continued at a
@@ -127,7 +127,7 @@
     if (!m_progress || !m_request.route->isRepeatable() || std::exchange(m_isStreamRecorded, true))
         return;
     m_streamVersion = VersionId::fromName(m_version);
-    m_services.peers.recordStreamOrigin(streamId(), m_request.service, *m_streamVersion, m_attempts.timeLeft(m_services.loop.now()) + streamRecordMargin);
+    m_services.peers.streamOrigins().record(streamId(), m_request.service, *m_streamVersion, m_attempts.timeLeft(m_services.loop.now()) + streamRecordMargin);
 }
 
 bool GatewayRequestHandler::needsVersion() const
--- a/Services/stagepostd/PeerChannel.h
+++ b/Services/stagepostd/PeerChannel.h
@@ -20,6 +20,7 @@
     Rollouts = 'v',
     Detours = 'd',
     StreamOrigins = 'o',
+    StreamOriginLog = 'g',
 };
 
 // Sends and receives authenticated datagrams. Forged, malformed and replayed datagrams are dropped
--- a/Tests/Processes/platform_stand_ins.py
+++ b/Tests/Processes/platform_stand_ins.py
@@ -98,6 +98,10 @@
     return records
 
 
+def has_keys(topic):
+    return topic.startswith("keyed.")
+
+
 class CallRate:
     """Counts the calls of the last second."""
 
@@ -115,7 +119,9 @@
 
 
 class Store:
-    """The keyed topics of the platform's store, with the limits that the platform documents.
+    """The topics of the platform's store, with the limits that the platform documents.
+
+    The records of a topic are pairs of a key, which is empty in topics without keys, and a value.
 
     mode: "up", "silent" (no answer), "busy" (503), "reset" (closes the connection), or
     "lost" (executes calls, but doesn't answer them).
@@ -252,6 +258,9 @@
 
     def answer_read(self, handler, query):
         topic, start, era = query["topic"], int(query["from"]), self.era
+        if not has_keys(topic) and topic not in self.topics:
+            self.reply(handler, 404, b"")
+            return
         records = self.topics.setdefault(topic, [])
         if start > len(records) and self.rejects_reads_beyond_end:
             self.reply(handler, 410, json.dumps({"first": self.first.get(topic, 0)}).encode())
@@ -267,7 +276,7 @@
         max_bytes = min(int(query.get("maxKb", self.limits.read_kb)), self.limits.read_kb) * 1024
         body = b""
         for key, text in records[start:]:
-            record = bytes([len(key)]) + key.encode() + text
+            record = bytes([len(key)]) + key.encode() + text if has_keys(topic) else text
             if body and len(body) + 4 + len(record) > max_bytes:
                 break
             body += struct.pack(">I", len(record)) + record
@@ -303,8 +312,10 @@
             return 412, {"end": len(records)}
         offset = len(records)
         for record in split_records(body):
-            key_size = record[0]
-            key, text = record[1:1 + key_size].decode(), record[1 + key_size:]
+            key, text = "", record
+            if has_keys(topic):
+                key_size = record[0]
+                key, text = record[1:1 + key_size].decode(), record[1 + key_size:]
             records.append((key, text))
             for listener in self.append_listeners:
                 listener(Append(server, topic, key, text, len(records) - 1, "storeRevision" in query, time.monotonic()))
