--- a/Libraries/LibMembership/UpstreamDirectory.cpp
+++ b/Libraries/LibMembership/UpstreamDirectory.cpp
@@ -206,7 +206,7 @@
 
 // The list is the same before and after these changes. Returns those that added versions that are not listed now, each
 // followed by the next change of its upstream.
-std::vector<UpstreamChange> UpstreamDirectory::undoneChanges(History::const_iterator begin, History::const_iterator end) const
+std::vector<UpstreamChange> UpstreamDirectory::undoneChanges(History::const_iterator const& begin, History::const_iterator const& end) const
 {
     std::vector<UpstreamChange> changes;
     for (auto past = begin; past != end; ++past) {
--- a/Libraries/LibMembership/UpstreamDirectory.h
+++ b/Libraries/LibMembership/UpstreamDirectory.h
@@ -117,7 +117,7 @@
     std::shared_ptr<UpstreamList const> reconstructList(uint64_t hash) const;
     void recordChange(std::string const& instance, std::optional<UpstreamId> idBefore, uint64_t difference, Instant now);
     void addToHistory(PastChange);
-    std::vector<UpstreamChange> undoneChanges(History::const_iterator begin, History::const_iterator end) const;
+    std::vector<UpstreamChange> undoneChanges(History::const_iterator const& begin, History::const_iterator const& end) const;
     bool isInHistory(UpstreamRecord const&) const;
     bool isVersionListed(UpstreamRecord const&) const;
     void passOver(UpstreamRecord const&, bool mayServe, Instant now);
