Gateway: Record no versions while upstreams without a record are in use

A daemon keeps an upstream whose record went during an outage in use for up to 2 s, and counts its version as lapsed only after that. Meanwhile it could write the fleet's record of versions with a position behind the removal, and without the lapse. A daemon that started from this record forgot the version after 30 s, although a hall that is cut off may still use it for an hour: callers could get a stream of two versions after all daemons were killed within that time.

Nothing is recorded until it is known which upstreams are gone; the record before it names an earlier position, after which the removal is read. VersionsAreNotRecordedUntilItIsKnownWhichHaveLapsed shows that recentVersions(), which was written before, has a value in that time although no version has lapsed yet, and that nothing is to be recorded now.

--- a/Libraries/LibMembership/UpstreamDirectory.h
+++ b/Libraries/LibMembership/UpstreamDirectory.h
@@ -81,6 +81,8 @@
     void tick(Instant now);
 
     bool hasList() const { return m_hasList; }
+    // Whether upstreams are in use whose records are gone and may be written again.
+    bool awaitsRecords() const { return !m_expired.empty() || !m_missing.empty(); }
     // The records in the store, and those that a restored store still lacks. Upstreams whose
     // records expired stay in use for the grace period but aren't included: other daemons
     // determine for themselves whether the store was unavailable to them.
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -101,6 +101,8 @@
     Endpoint const& peerEndpoint() const { return m_peerEndpoint; }
     Metrics& metrics() { return m_metrics; }
     ServiceTable& serviceTable() { return m_serviceTable; }
+    // ServiceTable::recentVersions(), if it is known which of them have lapsed up to the position of the latest read.
+    std::optional<ServiceVersions> versionsToRecord() const { return m_directory.awaitsRecords() ? std::nullopt : m_serviceTable.recentVersions(m_loop.now()); }
 
 private:
     GatewayPeers::Hooks peerHooks();
--- a/Tests/platform/TestPlatformReaders.cpp
+++ b/Tests/platform/TestPlatformReaders.cpp
@@ -450,6 +450,26 @@
     BOOST_TEST(!isProven());
 }
 
+// Guards against a version that daemons forget when they start, although a hall that is cut off still uses it: its record
+// was gone before the position of the fleet's record of versions, which did not tell yet that it had lapsed.
+BOOST_AUTO_TEST_CASE(VersionsAreNotRecordedUntilItIsKnownWhichHaveLapsed)
+{
+    EventLoop loop;
+    Gateway gateway(loop, {}, platformDialect(), {}, [] { return 1u; });
+    UpstreamRecord record { "i-1", "chat", "10.1.1.1:80", "north", 64, false, Milliseconds(0) };
+    record.version = "v1";
+    gateway.updateUpstreams({ { "i-1", record } }, { true, loop.now() - Seconds(4), 1 });
+    gateway.serviceTable().restoreVersionHistory({}, {}, loop.now(), loop.now());
+    BOOST_TEST(gateway.versionsToRecord().has_value());
+    // The store was not available meanwhile.
+    gateway.updateUpstreams({ { "i-1", {} } }, { false, loop.now(), 2 });
+    BOOST_TEST(gateway.serviceTable().lapsedVersions(loop.now()).at("chat").empty());
+    BOOST_TEST(gateway.serviceTable().recentVersions(loop.now()).has_value());
+    BOOST_TEST(!gateway.versionsToRecord().has_value());
+    gateway.updateUpstreams({ { "i-1", record } }, { false, loop.now(), 3 });
+    BOOST_TEST(gateway.versionsToRecord().has_value());
+}
+
 // Two reads without a configuration followed one that was rejected, and the second confirmed the configuration
 // before it. Keys that the rejected one has removed were accepted for good.
 BOOST_AUTO_TEST_CASE(RejectedConfigurationConfirmsNoEarlierOne)
