--- a/Libraries/LibMembership/UpstreamDirectory.h
+++ b/Libraries/LibMembership/UpstreamDirectory.h
@@ -81,6 +81,8 @@
     void tick(Instant now);
 
     bool hasList() const { return m_hasList; }
+    // Whether upstreams are in use whose records are gone and may be written again.
+    bool awaitsRecords() const { return !m_expired.empty() || !m_missing.empty(); }
     // The records in the store, and those that a restored store still lacks. Upstreams whose
     // records expired stay in use for the grace period but aren't included: other daemons
     // determine for themselves whether the store was unavailable to them.
@@ -117,7 +119,7 @@
     std::shared_ptr<UpstreamList const> reconstructList(uint64_t hash) const;
     void recordChange(std::string const& instance, std::optional<UpstreamId> idBefore, uint64_t difference, Instant now);
     void addToHistory(PastChange);
-    std::vector<UpstreamChange> undoneChanges(History::const_iterator begin, History::const_iterator end) const;
+    std::vector<UpstreamChange> undoneChanges(History::const_iterator const& begin, History::const_iterator const& end) const;
     bool isInHistory(UpstreamRecord const&) const;
     bool isVersionListed(UpstreamRecord const&) const;
     void passOver(UpstreamRecord const&, bool mayServe, Instant now);
--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -153,13 +153,18 @@
     }
 }
 
+std::optional<VersionId> StreamOriginExchange::findRecord(StreamId stream, Instant now) const
+{
+    auto const recorded = m_table.find(stream, now);
+    return recorded ? recorded : m_restored.find(stream, now);
+}
+
 // If a restored history has shown one version, streams that began before needed no record. Records that were lost since are missing.
 StreamOriginReply StreamOriginExchange::makeReply(StreamId stream, VersionKnowledge const& versions, Instant now) const
 {
     bool const hasAllSinceRestored = versions.restoredUniformAt && m_keepsSince <= *versions.restoredUniformAt;
     auto const keptFor = hasAllSinceRestored ? StreamOriginReply::maxKeptFor : now - m_keepsSince;
-    auto const recorded = m_table.find(stream, now);
-    return { 0, recorded ? recorded : m_restored.find(stream, now), std::min<Microseconds>(keptFor, StreamOriginReply::maxKeptFor), versions.uniform, now - versions.listProvenAt, versions.withoutRecords, versions.hasSeveral };
+    return { 0, findRecord(stream, now), std::min<Microseconds>(keptFor, StreamOriginReply::maxKeptFor), versions.uniform, now - versions.listProvenAt, versions.withoutRecords, versions.hasSeveral };
 }
 
 // The reply was written between the two times.
@@ -176,7 +181,7 @@
 
 void StreamOriginExchange::find(StreamId stream, std::string const& service, Callback callback, Instant now)
 {
-    if (auto const version = m_table.find(stream, now))
+    if (auto const version = findRecord(stream, now))
         return callback({ version, true, Source::Record });
     if (m_pending.size() >= m_bounds.maxPending)
         return callback({});
--- a/Libraries/LibRouting/StreamOriginExchange.h
+++ b/Libraries/LibRouting/StreamOriginExchange.h
@@ -185,6 +185,7 @@
     void sendToKeepers(StreamId, VersionId, Microseconds lifetime);
     void sendLateRecords(Instant now);
     void addTo(StreamOriginTable&, StreamId, VersionId, Instant expiresAt, Instant now);
+    std::optional<VersionId> findRecord(StreamId, Instant now) const;
     StreamOriginReply makeReply(StreamId, VersionKnowledge const&, Instant now) const;
     static Answer answerFrom(StreamOriginReply const&, Instant sentAfter, Instant receivedAt);
     void updateOwnAnswer(Pending&, Instant now) const;
