--- a/Tests/Processes/test_stream_versions.py
+++ b/Tests/Processes/test_stream_versions.py
@@ -125,9 +125,13 @@
                 yield attempt
 
 
-class StreamVersions(unittest.TestCase):
+class StreamPlay(unittest.TestCase):
+    """Daemons, upstreams, and callers that take their streams up. test_streams_after_kills uses it as well."""
+
+    seed = SEED
+
     def setUp(self):
-        self.random = random.Random(SEED)
+        self.random = random.Random(self.seed)
         self.ports, self.store, self.network = Ports(500 + self.random.randrange(400)), Store(), None
         self.addCleanup(self.store.stop)
         self.flags = ()
@@ -165,14 +169,14 @@
             caller.join(PATIENCE)
 
     def send_streams(self):
-        randomness = random.Random(f"{SEED} traffic")
+        randomness = random.Random(f"{self.seed} traffic")
         due = time.monotonic()
         while not self.is_over.is_set():
             due += randomness.expovariate(STREAMS_PER_SECOND)
             time.sleep(max(0, due - time.monotonic()))
-            stream = Stream(f"{SEED}-{len(self.streams)}", time.monotonic())
+            stream = Stream(f"{self.seed}-{len(self.streams)}", time.monotonic())
             self.streams.append(stream)
-            caller = threading.Thread(target=self.read_stream, args=(stream, random.Random(f"{SEED} {stream.key}")))
+            caller = threading.Thread(target=self.read_stream, args=(stream, random.Random(f"{self.seed} {stream.key}")))
             caller.start()
             self.callers.append(caller)
 
@@ -232,7 +236,7 @@
     def log_of(self, attempt):
         """The lines of the attempt's daemon that name it."""
         member = next(member for member in self.members if member.name == attempt.member)
-        return "".join(line for line in member.lines + member.entry.lines if f"id={attempt.name} " in line)
+        return "".join(line for line in member.lines + (member.entry.lines if member.entry else []) if f"id={attempt.name} " in line)
 
     def of_version(self, version):
         return [upstream for upstream in self.upstreams if upstream.version == version]
@@ -248,17 +252,30 @@
         first = [stream.attempts[0] for stream in self.streams if stream.attempts]
         begun = [attempt for attempt in first if attempt.events]
         whole = [stream for stream in self.streams if stream.is_whole]
-        print(f"{self.id()}: seed {SEED}, {len(self.streams)} streams, {len(mixed)} of two versions, {len(whole)} whole, "
+        print(f"{self.id()}: seed {self.seed}, {len(self.streams)} streams, {len(mixed)} of two versions, {len(whole)} whole, "
               f"{len(begun)} of {len(first)} first attempts brought events, {len(went_on)} of {len(taken_up)} taken up went on, "
               f"{len(went_on_counted)} of {len(counted)} with two upstreams of their version")
         for reason in sorted({attempt.reason for attempt in taken_up if not attempt.events})[:5]:
             print("   not taken up:", reason[:160])
         self.assertGreaterEqual(len(self.streams), min_streams)
-        self.assertEqual([stream for stream in self.streams if not stream.is_in_order], [], f"seed {SEED}")
-        self.assertLessEqual(len(mixed), MAX_MIXED_STREAMS, f"seed {SEED}: {[(stream.key, stream.versions) for stream in mixed[:3]]}")
-        self.assertGreaterEqual(len(went_on_counted) / max(1, len(counted)), MIN_RELATIVE_SHARE * len(begun) / max(1, len(first)), f"seed {SEED}")
+        self.assertEqual([stream for stream in self.streams if not stream.is_in_order], [], f"seed {self.seed}")
+        self.assertLessEqual(len(mixed), MAX_MIXED_STREAMS, f"seed {self.seed}: {[(stream.key, stream.versions) for stream in mixed[:3]]}")
+        self.assertGreaterEqual(len(went_on_counted) / max(1, len(counted)), MIN_RELATIVE_SHARE * len(begun) / max(1, len(first)), f"seed {self.seed}")
+        return taken_up
+
+    def check_order(self):
+        """After a kill of all daemons no record of a stream is left, so that streams may be refused, but not mixed."""
+        self.end_traffic()
+        taken_up = [attempt for stream in self.streams for attempt in stream.taken_up()]
+        went_on = [attempt for attempt in taken_up if attempt.events]
+        mixed = [(stream.key, stream.versions) for stream in self.streams if len(stream.versions) > 1]
+        print(f"{self.id()}: seed {self.seed}, {len(self.streams)} streams, {len(mixed)} of two versions, {len(went_on)} of {len(taken_up)} taken up went on")
+        self.assertEqual([stream for stream in self.streams if not stream.is_in_order], [], f"seed {self.seed}")
+        self.assertEqual(mixed, [], f"seed {self.seed}")
         return taken_up
 
+
+class StreamVersions(StreamPlay):
     def test_upstreams_and_connections_break_off(self):
         """Guards against streams that a daemon continues at any upstream, or that another daemon takes up at any."""
         self.start(6, 4)
@@ -320,17 +337,6 @@
             if attempt.status >= 500 and not attempt.events:
                 self.assertLess(attempt.refused_after, 1.0, f"{attempt}, its daemon: {self.log_of(attempt)}")
 
-    def check_order(self):
-        """After a kill of all daemons no record of a stream is left, so that streams may be refused, but not mixed."""
-        self.end_traffic()
-        taken_up = [attempt for stream in self.streams for attempt in stream.taken_up()]
-        went_on = [attempt for attempt in taken_up if attempt.events]
-        mixed = [(stream.key, stream.versions) for stream in self.streams if len(stream.versions) > 1]
-        print(f"{self.id()}: seed {SEED}, {len(self.streams)} streams, {len(mixed)} of two versions, {len(went_on)} of {len(taken_up)} taken up went on")
-        self.assertEqual([stream for stream in self.streams if not stream.is_in_order], [], f"seed {SEED}")
-        self.assertEqual(mixed, [], f"seed {SEED}")
-        return taken_up
-
     def test_all_daemons_killed_after_a_version_has_left(self):
         """Guards against daemons that agree on what none of them knows: the version that was there before they started."""
         self.start(6, 4)
@@ -397,7 +403,7 @@
 
     def check(self, min_streams=200):
         taken_up = super().check(min_streams)
-        self.assertEqual([attempt for attempt in taken_up if attempt.status == 503], [], f"seed {SEED}")
+        self.assertEqual([attempt for attempt in taken_up if attempt.status == 503], [], f"seed {self.seed}")
         return taken_up
 
     def check_order(self):
@@ -406,7 +412,7 @@
         first = [stream.attempts[0] for stream in self.streams if stream.attempts]
         begun = sum(bool(attempt.events) for attempt in first) / max(1, len(first))
         went_on = sum(bool(attempt.events) for attempt in taken_up) / max(1, len(taken_up))
-        self.assertGreaterEqual(went_on, MIN_RELATIVE_SHARE * begun, f"seed {SEED}")
+        self.assertGreaterEqual(went_on, MIN_RELATIVE_SHARE * begun, f"seed {self.seed}")
         return taken_up
 
     # These cases need two versions.
