StreamOrigins: Model at which version streams go on after daemons were killed

Callers would get streams of two versions if a daemon took "nobody has a record" or a list of upstreams for more than it proves. The model has daemons that are killed at any time, batches of records in the store, changes of version, a hall that is cut off and a keeper that leaves for good.

Two of the refuted variants are conditions that the code does not have: EQUAL_MEMORY (a version that has left is forgotten as soon as one that joined counts as known before all streams, while daemons' lists differ by a moment), and HALL_WITHOUT_KEEPER (a hall that is cut off and has no keeper begins a stream, and the cut ends before it is taken up). The model assumes otherwise; see its comment.

--- a/Meta/model-check.sh
+++ b/Meta/model-check.sh
@@ -72,6 +72,11 @@
 for variant in NO_CONDITION DONE_EARLY LEASE_ON_ARRIVAL; do
     check rollout refuted Rollout assertions "$variant" &
 done
+check streamorigins holds StreamOrigins assertions &
+check streamorigins holds StreamOrigins assertions LEAVES &
+for variant in STARTED_KEEPERS PRESENT_KEEPERS EARLIER_LISTS FORGET_LAPSED BATCHES_PROVE EQUAL_MEMORY HALL_WITHOUT_KEEPER; do
+    check streamorigins refuted StreamOrigins assertions "$variant" &
+done
 results=0
 for job in $(jobs -p); do
     wait "$job" || results=1
