Forwarder: Write no error event into an announced length

Seen: a caller of stagepostd gets a 200 with a Content-Length and exactly that many bytes, although the upstream stopped within its event stream, or right behind its head. The body is (the begin of) the daemon's own error event.

Cause: an event stream with a Content-Length is passed on with this length. When it breaks off, the error event was written in the place of the missing bytes and filled them up.

Why it works: without the error event the body is shorter than announced, and the connection is closed. Streams in chunks and those that end with their connection keep their error event: the missing last chunk or the reset tells their callers.

--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -324,6 +324,7 @@
     if (hasBody && !length && !m_isChunked)
         endByClose();
     response.keep_alive(m_isClientKeptAlive);
+    m_isLengthAnnounced = length.has_value();
     if (length)
         response.content_length(*length);
     if (m_isChunked)
@@ -385,11 +386,12 @@
 }
 
 // A failed event stream ends with an error event. Clients of other responses detect the
-// failure by the missing last chunk.
+// failure by the missing last chunk, or by the missing bytes of the announced length, which
+// an error event would fill up.
 Net::awaitable<void> Forwarder::writeErrorEvent()
 {
     m_isClientKeptAlive = false;
-    if (!m_isEventStream || !m_plan.sendErrorEvent || m_exchange.isClientDisconnected() || m_result.failure == RefusalReason::SlowCaller)
+    if (!m_isEventStream || m_isLengthAnnounced || !m_plan.sendErrorEvent || m_exchange.isClientDisconnected() || m_result.failure == RefusalReason::SlowCaller)
         co_return;
     std::string event = "event: error\ndata: {\"error\":{\"reason\":\"";
     event += nameOf(m_result.failure.value_or(RefusalReason::UpstreamBroken));
--- a/Libraries/LibProxy/Detail/Forwarder.h
+++ b/Libraries/LibProxy/Detail/Forwarder.h
@@ -83,6 +83,8 @@
     std::string m_requestId;
     bool m_isHeaderWritten { false };
     bool m_isChunked { false };
+    // Whether the client was told the length of the body.
+    bool m_isLengthAnnounced { false };
     bool m_isEndedByClose { false };
     bool m_isEventStream { false };
     bool m_isWritingToClient { false };
--- a/Tests/LibProxy/Sockets.h
+++ b/Tests/LibProxy/Sockets.h
@@ -14,14 +14,15 @@
 // A listening TCP port, until close() is called.
 class ListeningPort {
 public:
-    ListeningPort()
+    // The backlog bounds the connections that wait for accept(); further ones are retried only after a second.
+    explicit ListeningPort(int backlog = 1)
         : m_listener(::socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         BOOST_REQUIRE(::bind(m_listener, reinterpret_cast<sockaddr const*>(&address), sizeof(address)) == 0);
-        BOOST_REQUIRE(::listen(m_listener, 1) == 0);
+        BOOST_REQUIRE(::listen(m_listener, backlog) == 0);
         socklen_t size = sizeof(address);
         BOOST_REQUIRE(::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size) == 0);
         endpoint = { "127.0.0.1", ntohs(address.sin_port) };
@@ -38,6 +39,8 @@
 
     // Blocks until a client connects. The caller closes the connection.
     int accept() const { return ::accept(m_listener, nullptr, nullptr); }
+    // For poll().
+    int descriptor() const { return m_listener; }
 
     Endpoint endpoint;
 
