Forwarder: Count only an upstream's own events when its stream ends with its connection

Seen: two kinds of callers get an event stream that looks whole although the upstream stopped right behind the head of its answer. (1) A stream that goes on at a second upstream: the first one's events and a normal end. (2) Any stream through stagepostd, which passes streams on as they arrive: a 200 without any event.

Cause: an answer without length and chunks ends with its connection, and so it also ends when a process crashes. A stream that ends like this before its first event is taken for broken, but (1) the events of all upstreams of the stream were counted together, and (2) only streams that are split into events were looked at.

Evidence: the new test of a second upstream broke off after each byte gave, before, 4 failed cuts, one on each path where the second upstream closes its connection exactly at the end of its head: status 200, whole, recorded as whole, verdict "ran".

Why it works: an upstream that sends no event of its own has not shown that its answer is whole. A second upstream that has nothing left to send and ends its answer in this way is now also taken for broken; its caller takes the stream up again. Upstreams that send a length or chunks are not concerned.

--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -213,6 +213,8 @@
         m_result.recordedResponse.headers.removeHopByHop(m_plan.endToEndFields);
         m_result.recordedResponse.headers.remove("Content-Length");
     }
+    // Other upstreams may have sent events of the same stream before.
+    auto const eventsBefore = m_plan.progress ? m_plan.progress->eventCount : 0;
     if (m_plan.progress && m_isEventStream)
         m_splitter.emplace(*m_plan.progress);
     m_watchdog->restart(m_plan.idleTimeout);
@@ -221,9 +223,11 @@
         auto const length = upstreamContentLength();
         canContinue = co_await writeHeader(length);
     }
+    uint64_t receivedBytes = 0;
     while (canContinue && !m_parser.is_done()) {
         std::string_view bytes;
         canContinue = co_await readBodyChunk(bytes);
+        receivedBytes += bytes.size();
         if (canContinue && !bytes.empty())
             canContinue = co_await forwardBodyChunk(bytes);
     }
@@ -234,7 +238,8 @@
         co_return;
     }
     m_result.endedWithConnection = m_parser.need_eof();
-    if (m_splitter && m_result.endedWithConnection && !m_plan.progress->eventCount) {
+    bool const hasEvents = m_splitter ? m_plan.progress->eventCount > eventsBefore : receivedBytes > 0;
+    if (m_isEventStream && m_result.endedWithConnection && !hasEvents) {
         fail(RefusalReason::UpstreamBroken, "the stream ended before its first event");
         co_return;
     }
--- a/Tests/LibProxy/TestTruncatedHeads.cpp
+++ b/Tests/LibProxy/TestTruncatedHeads.cpp
@@ -345,6 +345,11 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(StreamWhoseSecondUpstreamIsCutNeverLooksWhole)
+{
+    checkAll(answersWithBody(true), { Forwarding::Continued });
+}
+
 // A read of the store that is taken for whole would be taken for proof of what it does not say.
 BOOST_AUTO_TEST_CASE(CutAnswerIsNoResultOfAFetch)
 {
--- a/Tests/LibProxy/TruncatingUpstream.cpp
+++ b/Tests/LibProxy/TruncatingUpstream.cpp
@@ -47,7 +47,9 @@
     if (end == CutEnd::Reset || byteCount < head().size())
         return false;
     auto const received = bytes().substr(head().size(), byteCount - head().size());
-    return !isEventStream || !examinesEvents || received.ends_with("\n\n");
+    if (isEventStream)
+        return examinesEvents ? received.ends_with("\n\n") : !received.empty();
+    return true;
 }
 
 TruncatingUpstream::TruncatingUpstream(CuttableAnswer const& answer, CutEnd cutEnd, bool sendsByteByByte)
--- a/Tests/LibProxy/TruncatingUpstream.h
+++ b/Tests/LibProxy/TruncatingUpstream.h
@@ -34,8 +34,8 @@
     std::string body() const { return isEventStream ? "id: 2\ndata: y\n\nid: 3\ndata: z\n\n" : "some words of an answer"; }
     std::string head() const;
     std::string bytes() const { return head() + framedBody(); }
-    // Whether the first bytes are a whole answer if the connection then ends like this. Whoever examines the events
-    // of a stream also takes it for cut before its first event and within one.
+    // Whether the first bytes are a whole answer if the connection then ends like this. A stream without
+    // a byte of an event is cut, and for who examines its events also one that ends within an event.
     bool isWhole(size_t byteCount, CutEnd, bool examinesEvents) const;
 
 private:
