--- a/Tests/Processes/test_detours.py
+++ b/Tests/Processes/test_detours.py
@@ -16,8 +16,9 @@
 HALLS = ("north", "south", "west")
 
 
-class Detours(unittest.TestCase):
+class FleetWithDetours(unittest.TestCase):
     DAEMONS = 3
+    UPSTREAM = CuttableUpstream
 
     def setUp(self):
         self.ports, self.store, self.black_hole = Ports(5), Store(), BlackHole()
@@ -26,7 +27,7 @@
         self.upstreams = []
         for service, count in (("book", 2), ("chat", 3)):
             for number in range(count):
-                upstream = CuttableUpstream(f"{service}-{number}", service, HALLS[number % len(HALLS)])
+                upstream = self.UPSTREAM(f"{service}-{number}", service, HALLS[number % len(HALLS)])
                 self.addCleanup(upstream.stop)
                 self.upstreams.append(upstream)
                 self.store.put("keyed.servers", upstream.instance, upstream.record())
@@ -70,6 +71,8 @@
     def run_of_last(self):
         return next(run for run in self.runs() if run["headers"]["x-attempt-id"] == f"attempt-{self.attempts}")
 
+
+class Detours(FleetWithDetours):
     def test_the_upstream_gets_the_request_as_from_the_first_daemon(self):
         self.cut(self.members[0])
         reply = self.call(self.members[0], "/confirm/a?b=c", "contact", X_Tenant="forged", X_Expect_Instance="forged")
