LibProxy: Skip interim answers that come before the final one

Seen: an upstream's answer that begins with an interim status (103 Early Hints, 102, 100 unasked) was answered 502 at once, although a final answer follows. HttpClient took the interim one for the answer.

Cause: the first header that was read was taken for the answer's. RFC 9110, section 15.2, asks clients to skip interim answers that they did not expect.

Change: Forwarder and HttpClient read on behind interim answers, at most 8 of them and 16 KiB; more are refused as a broken upstream, and so is 101, which no request asks for. HttpClient returns an error for these. The time until the answer's header does not start again with an interim answer, and only the final one has to repeat the request's id.

Nine interim answers, 18 kB of them and 101 are refused. The tests were not run on the code before. The process tests were not run on this commit.

--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -1,5 +1,6 @@
 #include <LibProxy/Detail/Forwarder.h>
 
+#include <LibProxy/Detail/InterimResponses.h>
 #include <LibProxy/Detail/UpstreamRequest.h>
 
 namespace Stagepost {
@@ -52,9 +53,6 @@
 
 Net::awaitable<ForwardResult> Forwarder::run()
 {
-    m_parser.body_limit(boost::none);
-    if (m_client.isHeadRequest)
-        m_parser.skip(true);
     m_client.stream.expires_never();
     m_requestId = m_plan.requestId.empty() ? generateRequestId() : m_plan.requestId;
     m_isHeaderWritten = m_plan.progress && m_plan.progress->isHeaderSent;
@@ -90,7 +88,7 @@
 // may leave an extra response on the connection, which the next request would receive.
 bool Forwarder::mayReuseConnection() const
 {
-    return m_connection->isAnswered && m_connection->isRequestWritten && m_parser.keep_alive() && !m_connection->buffer.size() && m_parser.get()[m_plan.requestIdField] == m_requestId;
+    return m_connection->isAnswered && m_connection->isRequestWritten && m_parser->keep_alive() && !m_connection->buffer.size() && m_parser->get()[m_plan.requestIdField] == m_requestId;
 }
 
 void Forwarder::releaseConnection()
@@ -98,7 +96,7 @@
     if (!m_connection)
         return;
     bool const isWhole = !m_result.failure || m_result.verdict == Verdict::NotRun;
-    m_connection->isAnswered = isWhole && m_parser.is_done();
+    m_connection->isAnswered = isWhole && m_parser->is_done();
     if (mayReuseConnection()) {
         m_connections.release(m_plan.upstream, std::move(m_connection), m_plan.maxIdleConnections);
         return;
@@ -143,11 +141,20 @@
 Net::awaitable<bool> Forwarder::readHeader()
 {
     auto const started = IdleWatchdog::Clock::now();
-    auto [failure, read] = co_await Http::async_read_header(m_connection->stream, m_connection->buffer, m_parser, useTuple);
-    if (failure) {
-        failUpstreamRead(failure);
-        co_return false;
-    }
+    InterimResponses interim;
+    size_t headerSize = 0;
+    do {
+        m_parser.emplace();
+        m_parser->body_limit(boost::none);
+        if (m_client.isHeadRequest)
+            m_parser->skip(true);
+        auto [failure, read] = co_await Http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, useTuple);
+        if (failure) {
+            failUpstreamRead(failure);
+            co_return false;
+        }
+        headerSize = read;
+    } while (interim.shouldSkip(m_parser->get().result_int(), headerSize));
     reportActivity(UpstreamActivity::ResponseStarted);
     m_result.timeToResponseHeader = std::chrono::duration_cast<Microseconds>(IdleWatchdog::Clock::now() - started);
     co_return true;
@@ -156,16 +163,16 @@
 // Returns whether the response is forwarded to the client.
 bool Forwarder::acceptResponse()
 {
-    auto const& header = m_parser.get();
+    auto const& header = m_parser->get();
+    if (InterimResponses::isInterim(header.result_int())) {
+        fail(RefusalReason::UpstreamBroken, "interim answers, but no final one");
+        return false;
+    }
     bool const mustMatch = m_result.reusedConnection || !m_plan.requestId.empty();
     if (mustMatch && header[m_plan.requestIdField] != m_requestId) {
         fail(RefusalReason::UpstreamMixedAnswer, "the answer does not repeat this request's id");
         return false;
     }
-    if (header.result_int() < 200) {
-        fail(RefusalReason::UpstreamBroken, "an interim answer that was not asked for");
-        return false;
-    }
     m_result.status = header.result_int();
     m_isEventStream = header[Http::field::content_type].starts_with("text/event-stream");
     if (auto const keepAlive = parseKeepAliveTimeout(header["Keep-Alive"]))
@@ -180,27 +187,27 @@
 
 Net::awaitable<void> Forwarder::drainRejectedBody()
 {
-    bool const isShort = m_parser.content_length().value_or(maxDrainedBodySize + 1) <= maxDrainedBodySize;
+    bool const isShort = m_parser->content_length().value_or(maxDrainedBodySize + 1) <= maxDrainedBodySize;
     if (m_result.verdict != Verdict::NotRun || !isShort)
         co_return;
     std::string_view ignored;
     bool canContinue = true;
     auto const failure = m_result.failure;
-    while (canContinue && !m_parser.is_done())
+    while (canContinue && !m_parser->is_done())
         canContinue = co_await readBodyChunk(ignored);
     m_result.failure = failure;
 }
 
 std::optional<uint64_t> Forwarder::upstreamContentLength() const
 {
-    auto const length = m_parser.content_length();
+    auto const length = m_parser->content_length();
     return length ? std::optional<uint64_t>(*length) : std::nullopt;
 }
 
 HttpFields Forwarder::upstreamHeaders() const
 {
     HttpFields headers;
-    for (auto const& field : m_parser.get())
+    for (auto const& field : m_parser->get())
         headers.add(field.name_string(), field.value());
     return headers;
 }
@@ -224,7 +231,7 @@
         canContinue = co_await writeHeader(length);
     }
     uint64_t receivedBytes = 0;
-    while (canContinue && !m_parser.is_done()) {
+    while (canContinue && !m_parser->is_done()) {
         std::string_view bytes;
         canContinue = co_await readBodyChunk(bytes);
         receivedBytes += bytes.size();
@@ -237,7 +244,7 @@
         fail(RefusalReason::UpstreamBroken, "the stream ended inside an event");
         co_return;
     }
-    m_result.endedWithConnection = m_parser.need_eof();
+    m_result.endedWithConnection = m_parser->need_eof();
     bool const hasEvents = m_splitter ? m_plan.progress->eventCount > eventsBefore : receivedBytes > 0;
     if (m_isEventStream && m_result.endedWithConnection && !hasEvents) {
         fail(RefusalReason::UpstreamBroken, "the stream ended before its first event");
@@ -250,11 +257,11 @@
 
 Net::awaitable<bool> Forwarder::readBodyChunk(std::string_view& bytes)
 {
-    auto& body = m_parser.get().body();
+    auto& body = m_parser->get().body();
     body.data = m_bodyChunk.data();
     body.size = m_bodyChunk.size();
     body.more = true;
-    auto [failure, read] = co_await Http::async_read_some(m_connection->stream, m_connection->buffer, m_parser, useTuple);
+    auto [failure, read] = co_await Http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, useTuple);
     m_watchdog->recordActivity();
     if (failure && failure != Http::error::need_buffer) {
         failUpstreamRead(failure);
--- a/Libraries/LibProxy/Detail/Forwarder.h
+++ b/Libraries/LibProxy/Detail/Forwarder.h
@@ -73,7 +73,8 @@
     Client m_client;
     ForwardPlan const& m_plan;
     ForwardResult m_result;
-    ResponseParser m_parser;
+    // Replaced for each header that is read, since it reads only one.
+    std::optional<ResponseParser> m_parser { std::in_place };
     std::shared_ptr<UpstreamConnection> m_connection;
     std::optional<IdleWatchdog> m_watchdog;
     std::optional<EventSplitter> m_splitter;
--- a/Libraries/LibProxy/HttpClient.cpp
+++ b/Libraries/LibProxy/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include <LibProxy/HttpClient.h>
 
+#include <LibProxy/Detail/InterimResponses.h>
 #include <LibProxy/Detail/UpstreamConnections.h>
 
 namespace Stagepost {
@@ -40,25 +41,35 @@
         if (writeFailure)
             co_return makeTransferError(endpoint, writeFailure);
 
-        Http::response_parser<Http::string_body> parser;
-        parser.body_limit(HttpClient::maxResponseBodySize);
+        std::optional<Http::response_parser<Http::string_body>> parser;
+        InterimResponses interim;
+        size_t readBytes = 0;
 
         // Each read restarts the timeout. With a fixed timeout a large response would never
         // arrive over a slow link: every retry would start again from the first byte.
         auto const deadline = TransferClock::now() + maxTimeoutsPerResponse * timeout;
-        while (!parser.is_done()) {
-            auto [readFailure, read] = co_await Http::async_read_some(stream, connection.buffer, parser, useTuple);
-            if (readFailure)
-                co_return makeTransferError(endpoint, readFailure);
-            stream.expires_at(std::min(TransferClock::now() + timeout, deadline));
-        }
+        do {
+            // A parser reads one response only.
+            parser.emplace();
+            parser->body_limit(HttpClient::maxResponseBodySize);
+            readBytes = 0;
+            while (!parser->is_done()) {
+                auto [readFailure, read] = co_await Http::async_read_some(stream, connection.buffer, *parser, useTuple);
+                if (readFailure)
+                    co_return makeTransferError(endpoint, readFailure);
+                readBytes += read;
+                stream.expires_at(std::min(TransferClock::now() + timeout, deadline));
+            }
+        } while (interim.shouldSkip(parser->get().result_int(), readBytes));
 
+        if (InterimResponses::isInterim(parser->get().result_int()))
+            co_return Error(ErrorCode::Malformed, endpoint.toString() + ": interim answers, but no final one");
         connection.isAnswered = true;
         HttpResponse response;
-        response.status = parser.get().result_int();
-        for (auto const& field : parser.get())
+        response.status = parser->get().result_int();
+        for (auto const& field : parser->get())
             response.headers.add(field.name_string(), field.value());
-        response.body = std::move(parser.get().body());
+        response.body = std::move(parser->get().body());
         co_return response;
     }
 
--- a/Tests/LibProxy/TestTruncatedHeads.cpp
+++ b/Tests/LibProxy/TestTruncatedHeads.cpp
@@ -124,6 +124,15 @@
         BOOST_TEST_MESSAGE(line);
     }
 
+    void checkWholeAnswerIsRefused()
+    {
+        auto const target = "/cut/" + std::to_string(m_path.answer.bytes().size());
+        auto const answer = request({ target }).front();
+        BOOST_TEST(answer.status == 502);
+        BOOST_TEST((m_results.at(target).failure == RefusalReason::UpstreamBroken));
+        BOOST_TEST((m_results.at(target).verdict == Verdict::MayHaveRun));
+    }
+
 private:
     struct Request {
         Request(std::string requestTarget, Endpoint const& server)
@@ -303,6 +312,30 @@
     }
 }
 
+constexpr std::string_view earlyHints = "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n";
+
+std::string repeat(std::string_view text, size_t count)
+{
+    std::string repeated;
+    while (count--)
+        repeated += text;
+    return repeated;
+}
+
+std::optional<Result<HttpResponse>> fetchWhole(CuttableAnswer const& answer)
+{
+    TruncatingUpstream const upstream(answer, CutEnd::Normal, false);
+    EventLoop loop;
+    HttpClient client(loop);
+    std::optional<Result<HttpResponse>> result;
+    client.fetch(upstream.endpoint(), { "GET", "/cut/" + std::to_string(answer.bytes().size()), {}, {} }, Seconds(10), [&](Result<HttpResponse> response) {
+        result = std::move(response);
+        loop.stop();
+    });
+    loop.run();
+    return result;
+}
+
 std::vector<Forwarding> const forwardingsOfText { Forwarding::Direct, Forwarding::Buffered, Forwarding::SmallBuffer };
 std::vector<Forwarding> const forwardingsOfEvents { Forwarding::Direct, Forwarding::Events };
 
@@ -382,4 +415,41 @@
     }
 }
 
+// Guards against answers that are refused because they begin with an interim one (RFC 9110, section 15.2), and against
+// those that are taken for whole after it.
+BOOST_AUTO_TEST_CASE(AnswerIsLostBehindInterimAnswers)
+{
+    auto const interim = std::string(earlyHints) + "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n";
+    for (bool const isEventStream : { false, true }) {
+        auto answers = answersWithBody(isEventStream);
+        for (auto& answer : answers)
+            answer.interim = interim;
+        checkAll(answers, isEventStream ? forwardingsOfEvents : forwardingsOfText);
+        if (!isEventStream)
+            checkAll({ answers.front() }, forwardingsOfText, true);
+    }
+    checkAll({ { Framing::Length, false, 200, 1, true, interim } }, { Forwarding::Direct, Forwarding::Buffered }, false, true, "HEAD");
+    CuttableAnswer const answer { Framing::Length, false, 200, 1, false, interim };
+    auto const fetched = fetchWhole(answer);
+    BOOST_REQUIRE((fetched && fetched->has_value()));
+    BOOST_TEST((*fetched)->status == 200);
+    BOOST_TEST((*fetched)->body == answer.body());
+}
+
+// Guards against interim answers that are skipped without a bound, and against a switch of protocols that is passed over.
+BOOST_AUTO_TEST_CASE(TooManyInterimAnswersAreSkipped)
+{
+    constexpr size_t maxCount = 8;
+    std::string const large = "HTTP/1.1 103 Early Hints\r\nLink: " + std::string(3000, 'x') + "\r\n\r\n";
+    World(Path { { Framing::Length, false, 200, 1, false, repeat(earlyHints, maxCount) } }).checkAllCuts();
+    for (auto const& interim : { repeat(earlyHints, maxCount + 1), repeat(large, 6), std::string("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n") }) {
+        CuttableAnswer const answer { Framing::Length, false, 200, 1, false, interim };
+        for (auto const forwarding : forwardingsOfText)
+            World(Path { answer, CutEnd::Normal, false, false, forwarding }).checkWholeAnswerIsRefused();
+        auto const fetched = fetchWhole(answer);
+        BOOST_REQUIRE(fetched.has_value());
+        BOOST_TEST(!fetched->has_value());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibProxy/TruncatingUpstream.cpp
+++ b/Tests/LibProxy/TruncatingUpstream.cpp
@@ -22,7 +22,7 @@
 
 std::string CuttableAnswer::head() const
 {
-    auto head = "HTTP/1." + std::to_string(minorVersion) + " " + std::to_string(status) + " X\r\nX-Request-Id: id\r\nContent-Type: ";
+    auto head = interim + "HTTP/1." + std::to_string(minorVersion) + " " + std::to_string(status) + " X\r\nX-Request-Id: id\r\nContent-Type: ";
     head += isEventStream ? "text/event-stream\r\n" : "text/plain\r\n";
     if (framing == Framing::Length)
         head += "Content-Length: " + std::to_string(body().size()) + "\r\n";
--- a/Tests/LibProxy/TruncatingUpstream.h
+++ b/Tests/LibProxy/TruncatingUpstream.h
@@ -30,6 +30,8 @@
     int minorVersion { 1 };
     // Whether it has no body, as the answer to a HEAD request or by its status.
     bool hasNoBody { false };
+    // Interim answers that come before it.
+    std::string interim {};
 
     std::string body() const { return isEventStream ? "id: 2\ndata: y\n\nid: 3\ndata: z\n\n" : "some words of an answer"; }
     std::string head() const;
