--- a/Libraries/LibProxy/Detail/Forwarder.h
+++ b/Libraries/LibProxy/Detail/Forwarder.h
@@ -73,7 +73,8 @@
     Client m_client;
     ForwardPlan const& m_plan;
     ForwardResult m_result;
-    ResponseParser m_parser;
+    // Replaced for each header that is read, since it reads only one.
+    std::optional<ResponseParser> m_parser { std::in_place };
     std::shared_ptr<UpstreamConnection> m_connection;
     std::optional<IdleWatchdog> m_watchdog;
     std::optional<EventSplitter> m_splitter;
@@ -83,6 +84,8 @@
     std::string m_requestId;
     bool m_isHeaderWritten { false };
     bool m_isChunked { false };
+    // Whether the client was told the length of the body.
+    bool m_isLengthAnnounced { false };
     bool m_isEndedByClose { false };
     bool m_isEventStream { false };
     bool m_isWritingToClient { false };
