VersionGate: Pass a stream's first event on once its process's version is proven

Callers got streams of two versions where an upstream started again under its id with the other version: a daemon without open connections there doesn't notice, has the earlier record for 0.2 to 0.5 s, and records the wrong version for the stream.

Once a daemon has seen an upstream of a service come back in this way, the first event from its upstreams waits until the list of upstreams is proven as of the first answer on the connection. The upstream writes its record before it answers, and the process behind an open connection stays the same, so the list then has that process's version. If it is another one than when the request was sent, the request goes to another upstream. Only the first stream on a connection waits. Where each start has a new name nothing waits.

--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+    constexpr Milliseconds relayGateInterval { 5 };
+
     bool mayHaveBody(unsigned status)
     {
         return status != 204 && status != 304;
@@ -148,6 +150,8 @@
         failUpstreamRead(failure);
         co_return false;
     }
+    if (!m_connection->answeredAt)
+        m_connection->answeredAt = MonotonicClock::now();
     reportActivity(UpstreamActivity::ResponseStarted);
     m_result.timeToResponseHeader = std::chrono::duration_cast<Microseconds>(IdleWatchdog::Clock::now() - started);
     co_return true;
@@ -205,8 +209,36 @@
     return headers;
 }
 
+// Returns whether the response may be forwarded. Until that is decided, nothing more is read from the upstream, so the
+// upstream isn't silent.
+Net::awaitable<bool> Forwarder::passRelayGate()
+{
+    ClockTimer timer(m_context);
+    while (m_plan.relayGate) {
+        auto const decision = m_plan.relayGate(*m_connection->answeredAt);
+        if (decision == RelayDecision::Relay)
+            break;
+        if (decision == RelayDecision::Reject) {
+            fail(RefusalReason::UpstreamMixedAnswer, "the upstream's process may have been replaced by one of another version");
+            co_return false;
+        }
+        m_watchdog->recordActivity();
+        reportActivity(UpstreamActivity::ResponseHeldBack);
+        timer.expires_after(relayGateInterval);
+        co_await timer.async_wait(useTuple);
+        if (m_watchdog->hasExpired() || m_exchange.isClientDisconnected() || m_exchange.isForwardStopped()) {
+            failUpstreamRead(Net::error::operation_aborted);
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
 Net::awaitable<void> Forwarder::relayResponse()
 {
+    bool const mayRelay = co_await passRelayGate();
+    if (!mayRelay)
+        co_return;
     if (m_plan.maxRecordedBytes) {
         m_result.recordedResponse.status = m_result.status;
         m_result.recordedResponse.headers = upstreamHeaders();
--- a/Libraries/LibProxy/Detail/Forwarder.h
+++ b/Libraries/LibProxy/Detail/Forwarder.h
@@ -48,6 +48,7 @@
     Net::awaitable<bool> readHeader();
     bool acceptResponse();
     Net::awaitable<void> drainRejectedBody();
+    Net::awaitable<bool> passRelayGate();
     Net::awaitable<void> relayResponse();
     Net::awaitable<bool> readBodyChunk(std::string_view& bytes);
     Net::awaitable<bool> forwardBodyChunk(std::string_view bytes);
--- a/Libraries/LibProxy/Detail/UpstreamConnections.h
+++ b/Libraries/LibProxy/Detail/UpstreamConnections.h
@@ -3,6 +3,7 @@
 #include <LibProxy/Detail/ConnectionClose.h>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace Stagepost {
@@ -23,6 +24,8 @@
     // Bytes that were read from the stream and not parsed yet.
     Beast::flat_buffer buffer { maxUnparsedBytes };
     Instant idleSince;
+    // When the header of the first response arrived.
+    std::optional<Instant> answeredAt;
     // How long the upstream keeps an idle connection open, by its Keep-Alive field.
     Microseconds keepAlive { Microseconds::max() };
     // Whether the last request has been written completely.
--- a/Libraries/LibProxy/ForwardPlan.h
+++ b/Libraries/LibProxy/ForwardPlan.h
@@ -28,9 +28,23 @@
     // A new connection was established.
     Connected,
     ResponseStarted,
+    // The relay gate holds the response back, so that nothing is read.
+    ResponseHeldBack,
     ResponseDataReceived,
 };
 
+// What becomes of a response whose header was accepted and of which nothing was passed on yet.
+enum class RelayDecision : uint8_t {
+    Relay,
+    // Ask again shortly.
+    Wait,
+    Reject,
+};
+
+// Decides by when the first response on the upstream's connection began. Since then, the other end of the connection
+// is the same process.
+using RelayGate = std::function<RelayDecision(Instant connectionAnsweredAt)>;
+
 // How to forward one request to one upstream.
 struct ForwardPlan {
     Endpoint upstream;
@@ -72,6 +86,8 @@
     bool preserveHost { false };
     // Without it every response is forwarded.
     ResponseFilter responseFilter;
+    // Without it every accepted response is forwarded at once.
+    RelayGate relayGate;
     // Set for an event stream that is forwarded event by event. All forwards that
     // continue the same response share it.
     std::shared_ptr<EventProgress> progress;
--- a/Libraries/LibRouting/SilenceDetector.cpp
+++ b/Libraries/LibRouting/SilenceDetector.cpp
@@ -77,6 +77,11 @@
     recordActivity(upstream, now);
 }
 
+void SilenceDetector::answerHeldBack(UpstreamId upstream, Instant now)
+{
+    recordActivity(upstream, now);
+}
+
 void SilenceDetector::excludePause(Microseconds duration)
 {
     for (auto& [upstream, state] : m_upstreams)
--- a/Libraries/LibRouting/SilenceDetector.h
+++ b/Libraries/LibRouting/SilenceDetector.h
@@ -63,6 +63,8 @@
     // The first or a further part of the answer arrived after a wait.
     void answerStarted(UpstreamId, Microseconds wait, Instant now);
     void answerContinued(UpstreamId, Microseconds wait, Instant now);
+    // Something of the answer has arrived and is not read on for reasons of this daemon.
+    void answerHeldBack(UpstreamId, Instant now);
     // Connecting failed or timed out.
     void connectFailed(UpstreamId);
     // The request has ended, with any outcome.
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -6,6 +6,7 @@
 #include <limits>
 #include <stagepostd/ConnectionMetrics.h>
 #include <stagepostd/GatewayReply.h>
+#include <stagepostd/VersionGate.h>
 
 namespace Stagepost {
 
@@ -367,6 +368,7 @@
     plan.maxIdleConnections = std::min(plan.maxIdleConnections, idleConnectionLimit(service));
     plan.maxBufferedBytes = maxHeldAnswerBytes;
     plan.progress = m_progress;
+    plan.relayGate = needsVersion() ? versionGate(m_services, choice.upstream, target) : RelayGate();
     plan.sendErrorEvent = false;
     plan.deadline = m_attempts.deadline();
     return plan;
@@ -394,8 +396,7 @@
     m_version = target.version;
     m_placementReason = choice.reason;
     m_remainingBackoff = m_service.placement.remainingBackoff(upstream, now);
-    m_sentAt = now;
-    m_lastActivityAt = now;
+    m_sentAt = m_lastActivityAt = now;
     m_service.placement.started(upstream);
     m_services.serviceTable.silence().sent(upstream, target.hall, now);
     m_exchange->forward(std::move(plan), [self = shared_from_this(), upstream](ForwardResult const& result) {
@@ -416,6 +417,9 @@
     case UpstreamActivity::ResponseStarted:
         silence.answerStarted(upstream, now - m_lastActivityAt, now);
         break;
+    case UpstreamActivity::ResponseHeldBack:
+        silence.answerHeldBack(upstream, now);
+        break;
     case UpstreamActivity::ResponseDataReceived:
         m_sampler.recordData(now);
         beginStream();
@@ -570,10 +574,8 @@
 void GatewayRequestHandler::findPlaceForMove(UpstreamId silent, std::function<bool()> const& isWanted)
 {
     auto const role = m_streamVersion ? m_services.serviceTable.roleOfVersion(m_request.service, *m_streamVersion) : UpstreamRole::Serving;
-    if (!role) {
-        m_move.reset();
-        return;
-    }
+    if (!role)
+        return m_move.reset();
     auto request = makePlacementRequest();
     request.excluded.push_back(silent);
     request.role = *role;
@@ -655,10 +657,8 @@
         if (self->endedWhileWaiting())
             return;
         auto const now = self->m_services.loop.now();
-        if (!self->m_services.detours.isNeeded() || !self->m_attempts.mayDetour(now)) {
-            self->refuse(refusal);
-            return;
-        }
+        if (!self->m_services.detours.isNeeded() || !self->m_attempts.mayDetour(now))
+            return self->refuse(refusal);
         self->m_attempts.recordDetourSend(now);
         self->startDetour();
     });
--- a/Services/stagepostd/ServiceTable.cpp
+++ b/Services/stagepostd/ServiceTable.cpp
@@ -40,6 +40,7 @@
         remove(record.instance, Removal::MayServe, now);
         return;
     }
+    noteVersionChange(record);
     removeReplaced(record, now);
     auto const id = record.id();
     auto const hall = HallId::fromName(record.hall);
@@ -53,6 +54,16 @@
     applyColdTime(record, now);
 }
 
+void ServiceTable::noteVersionChange(UpstreamRecord const& record)
+{
+    auto const earlierId = currentId(record.instance);
+    auto const* earlier = earlierId ? target(*earlierId) : nullptr;
+    // Records that daemons of earlier releases have passed on may lack the version.
+    bool const areVersionsKnown = earlier && !earlier->version.empty() && !record.version.empty();
+    if (areVersionsKnown && earlier->service == record.service && earlier->version != record.version)
+        m_servicesWithReusedNames.insert(record.service);
+}
+
 // The remaining time in a record that was passed on by other daemons is not reduced by its time in
 // transit, so an upstream is treated as cold for slightly too long.
 void ServiceTable::applyColdTime(UpstreamRecord const& record, Instant now)
--- a/Services/stagepostd/ServiceTable.h
+++ b/Services/stagepostd/ServiceTable.h
@@ -109,6 +109,8 @@
     void notePassedOver(UpstreamRecord const&, bool mayServe, Instant now);
     // Upstreams of these versions may still be in use, although no history of the store proves it.
     void noteLapsed(ServiceVersions const&, Instant now);
+    // Whether an upstream of the service has started again under its name with another version.
+    bool hasReusedNames(std::string const& service) const { return m_servicesWithReusedNames.contains(service); }
     // This daemon may have missed upstreams that came and went.
     void restartVersionHistory(Instant now);
     // These are all versions that upstreams have had before, or while this daemon may have missed some.
@@ -159,6 +161,7 @@
     bool isLeaving(UpstreamId, Target const&) const;
     UpstreamRole roleOf(UpstreamId, Target const&) const;
     void applyColdTime(UpstreamRecord const&, Instant now);
+    void noteVersionChange(UpstreamRecord const&);
     void removeReplaced(UpstreamRecord const&, Instant now);
 
     Bounds m_bounds;
@@ -172,6 +175,7 @@
     // By service: the number of upstreams of each version, and which versions there have been.
     std::map<std::string, std::map<VersionId, size_t>> m_versionCounts;
     std::map<std::string, VersionHistory> m_versionHistories;
+    std::set<std::string> m_servicesWithReusedNames;
     // Since when this daemon has seen all changes of upstreams.
     Instant m_historySince;
     std::optional<Microseconds> m_listAge;
--- a/Tests/platform/TestServiceTable.cpp
+++ b/Tests/platform/TestServiceTable.cpp
@@ -329,6 +329,25 @@
     BOOST_TEST((world.table.lapsedVersions(world.now).at("book") == std::set { VersionId::fromName("v2") }));
 }
 
+// Guards against streams that wait for a proof of their version in services whose upstreams have a new name at each start.
+BOOST_AUTO_TEST_CASE(OnlyAnotherVersionUnderTheSameNameReusesANameOfTheService)
+{
+    World world;
+    auto const put = [&](std::string const& instance, uint64_t incarnation, std::string const& version) {
+        auto record = upstream(instance, incarnation);
+        record.version = version;
+        world.put(record);
+    };
+    put("a", 5, "v1");
+    put("b", 6, "v2");
+    put("a", 7, "v1");
+    put("b", 6, "");
+    put("b", 6, "v2");
+    BOOST_TEST(!world.table.hasReusedNames("book"));
+    put("a", 7, "v2");
+    BOOST_TEST(world.table.hasReusedNames("book"));
+}
+
 // Guards against a read that was sent before a suspension or an outage and is taken for a proof of what came and
 // went meanwhile.
 BOOST_AUTO_TEST_CASE(AReadFromBeforeAGapProvesNoVersions)
