GatewayPeers: Derive the relays that own no upstreams from announcements

Upstreams had two or three owners for about a second whenever relays stopped or started. Relays are passed over as owners, and who is a relay went by the registry, which daemons read up to seconds apart, while the daemons themselves go by announcements.

Owners are now chosen with the relays that follow from the announcements too, so that all daemons that have heard the same ones choose the same owner. Who reads the store and relays loads still goes by the registry alone, which a restored store may have lost. While the two differ, a relay may own upstreams for some seconds.

AnnouncementsGiveAllDaemonsTheSameRelays covers the derivation; the registry's relays differ in it.

--- a/Libraries/LibMembership/FleetShare.h
+++ b/Libraries/LibMembership/FleetShare.h
@@ -46,6 +46,7 @@
     void confirm(Instant provenAt, bool isListed, Instant now);
     // This daemon is about to stop. Its next process may start before it has ended.
     void leave() { m_isLeaving = true; }
+    bool isLeaving() const { return m_isLeaving; }
 
     // The part that this daemon may use now, from 0 to 1.
     double usable(Instant now) const;
--- a/Libraries/LibMembership/StateExchange.cpp
+++ b/Libraries/LibMembership/StateExchange.cpp
@@ -71,10 +71,30 @@
         if (peer.hall == hall)
             members.push_back(peer.id);
     }
-    sortByRendezvousHash(members, relayRankingKey);
-    auto const relays = (members.size() + m_bounds.groupSize - 1) / m_bounds.groupSize;
-    members.resize(relays);
-    return members;
+    return firstAsRelays(std::move(members));
+}
+
+std::vector<VMId> StateExchange::firstAsRelays(std::vector<VMId> hall) const
+{
+    sortByRendezvousHash(hall, relayRankingKey);
+    auto const relays = (hall.size() + m_bounds.groupSize - 1) / m_bounds.groupSize;
+    hall.resize(relays);
+    return hall;
+}
+
+std::vector<VMId> StateExchange::relaysAmong(std::vector<FleetPeer> const& peers, bool includesSelf) const
+{
+    std::map<HallId, std::vector<VMId>> halls;
+    for (auto const& peer : peers)
+        halls[peer.hall].push_back(peer.id);
+    if (includesSelf)
+        halls[m_self.hall].push_back(m_self.id);
+    std::vector<VMId> relays;
+    for (auto& [hall, members] : halls) {
+        auto const first = firstAsRelays(std::move(members));
+        relays.insert(relays.end(), first.begin(), first.end());
+    }
+    return relays;
 }
 
 // Queries go to relays of the own hall first, then to those of other halls, then to any
--- a/Libraries/LibMembership/StateExchange.h
+++ b/Libraries/LibMembership/StateExchange.h
@@ -143,6 +143,8 @@
     size_t peerCount() const { return m_peers.size(); }
     // The relays of all halls, including this daemon if it is one.
     std::vector<VMId> const& relays() const { return m_relays; }
+    // The relays of all halls if these were the other daemons of the fleet, and this one did or did not belong to it.
+    std::vector<VMId> relaysAmong(std::vector<FleetPeer> const& peers, bool includesSelf) const;
     // The daemons that have queried this one within the last seconds.
     std::vector<VMId> recentRequesters() const;
     // The number of received counts that didn't match their list of upstreams.
@@ -160,6 +162,7 @@
     Microseconds stateAge(Instant now) const;
     bool isStale(Instant now) const;
     std::vector<VMId> relaysOf(HallId) const;
+    std::vector<VMId> firstAsRelays(std::vector<VMId> hall) const;
     void orderPeers();
     void orderCounterparts(std::vector<VMId> const& relays);
     std::optional<VMId> selectPeerToQuery(Instant now);
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -177,9 +177,7 @@
     PermitExchange::Hooks hooks;
     hooks.send = [this](VMId to, std::string const& body) { send(to, PeerMessageKind::Permits, body); };
     hooks.forecast = m_hooks.forecast;
-    hooks.unanswered = [](VMId owner, UpstreamId upstream, Microseconds waited) {
-        logEvent(LogLevel::Info, "owner-silent", { { "daemon", toHex(owner.value()) }, { "upstream_id", toHex(upstream.value()) }, { "waited_us", waited.count() } });
-    };
+    hooks.unanswered = [](VMId owner, UpstreamId upstream, Microseconds waited) { logEvent(LogLevel::Info, "owner-silent", { { "daemon", toHex(owner.value()) }, { "upstream_id", toHex(upstream.value()) }, { "waited_us", waited.count() } }); };
     hooks.arrived = [this](FleetPeer peer) {
         updateRoster([&] { m_roster.arrived(peer, m_loop.now()); });
         m_streamOrigins->peerStarted(peer.id, m_loop.now());
@@ -374,17 +372,19 @@
 }
 
 // Only the choice of owners depends on the announcements. Who reads the store must follow the
-// registry, which a restored store may have lost.
+// registry, which a restored store may have lost. Relays own no upstreams, so for this the announcements decide on them too.
 void GatewayPeers::applyRoster()
 {
-    m_permitExchange->setPeers(m_roster.peers(), m_stateExchange->relays(), m_loop.now());
+    m_permitExchange->setPeers(m_roster.peers(), m_stateExchange->relaysAmong(m_roster.peers(), !m_fleetShare.isLeaving()), m_loop.now());
 }
 
 void GatewayPeers::announceLeaving()
 {
     m_fleetShare.leave();
-    if (m_permitExchange)
-        m_permitExchange->announceLeaving(m_loop.now());
+    if (!m_permitExchange)
+        return;
+    m_permitExchange->announceLeaving(m_loop.now());
+    applyRoster();
 }
 
 void GatewayPeers::stateConfirmed(Instant now)
--- a/Tests/LibMembership/TestFleetRoster.cpp
+++ b/Tests/LibMembership/TestFleetRoster.cpp
@@ -1,4 +1,5 @@
 #include <LibMembership/FleetRoster.h>
+#include <LibMembership/StateExchange.h>
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 
@@ -26,6 +27,26 @@
     return roster;
 }
 
+// What a daemon derives from the registry that it has read, and from announcements.
+struct View {
+    View(uint64_t id, std::vector<uint64_t> const& registered)
+        : exchange({ VMId(id), hall }, 1, {}, {})
+    {
+        std::vector<FleetPeer> others;
+        for (auto const other : registered) {
+            if (other != id)
+                others.push_back({ VMId(other), hall });
+        }
+        exchange.setPeers(others);
+        roster.setRegistered(others);
+    }
+
+    std::vector<VMId> relays(bool includesSelf = true) const { return exchange.relaysAmong(roster.peers(), includesSelf); }
+
+    StateExchange exchange;
+    FleetRoster roster;
+};
+
 }
 
 BOOST_AUTO_TEST_SUITE(FleetRosterTests)
@@ -79,4 +100,28 @@
     BOOST_TEST(!contains(roster, 3));
 }
 
+// Guards against daemons that pass over other relays as owners of upstreams for as long as they have read other
+// states of the registry, so that an upstream has several owners.
+BOOST_AUTO_TEST_CASE(AnnouncementsGiveAllDaemonsTheSameRelays)
+{
+    std::vector<uint64_t> const all { 1, 2, 3, 4, 5, 6, 7 };
+    auto const relay = View(1, all).relays().front().value();
+    std::vector<uint64_t> others = all;
+    std::erase(others, relay);
+    View starting(relay, all);
+    View leaving(relay, all);
+    for (auto const daemon : others) {
+        // This daemon hasn't read yet that the relay has started.
+        View before(daemon, others);
+        BOOST_TEST((before.exchange.relays() != starting.exchange.relays()));
+        before.roster.arrived({ VMId(relay), hall }, at(0));
+        BOOST_TEST((before.relays() == starting.relays()));
+        // And this one that it has left.
+        View after(daemon, all);
+        after.roster.left(VMId(relay), at(0));
+        BOOST_TEST((after.relays() == leaving.relays(false)));
+        BOOST_TEST((after.relays() != after.exchange.relays()));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
