--- a/Libraries/LibRouting/StreamOriginLogRelay.h
+++ b/Libraries/LibRouting/StreamOriginLogRelay.h
@@ -13,7 +13,7 @@
 class StreamOriginLogRelay {
 public:
     struct Bounds {
-        Microseconds interval { 100000 };
+        Microseconds interval { 50000 };
         // A datagram of 1.2 KB, which is not split on the way.
         size_t maxRecordsPerMessage { 48 };
         // It takes up to 1.4 s until a daemon is known to be silent.
