--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -54,6 +54,7 @@
         others.push_back(daemon);
     }
     std::vector<Ranked> daemons;
+    daemons.reserve(peers.size());
     for (auto const& [hall, first] : firstOfHalls)
         daemons.push_back(first);
     std::sort(daemons.begin(), daemons.end(), std::greater());
@@ -63,6 +64,7 @@
     daemons.insert(daemons.end(), others.begin(), others.begin() + static_cast<ptrdiff_t>(chosen));
     daemons.resize(std::min(daemons.size(), count));
     std::vector<VMId> result;
+    result.reserve(daemons.size());
     for (auto const& [rank, daemon] : daemons)
         result.push_back(daemon);
     return result;
