--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -234,7 +234,7 @@
 }
 
 // Whether a record may have been lost, or may not have been found, of a stream that began at that time or later.
-bool StreamOriginExchange::hasRecordSince(Pending const& pending, Instant since) const
+bool StreamOriginExchange::mayLackRecordSince(Pending const& pending, Instant since) const
 {
     if (m_lists.front().since > since)
         return true;
@@ -275,7 +275,7 @@
 std::optional<VersionId> StreamOriginExchange::versionOfEarlierList(Pending const& pending) const
 {
     bool const isProven = std::any_of(pending.answers.begin(), pending.answers.end(), [&](auto const& entry) {
-        return entry.second.uniform && !hasRecordSince(pending, entry.second.uniformAsOf);
+        return entry.second.uniform && !mayLackRecordSince(pending, entry.second.uniformAsOf);
     });
     return isProven ? uniformVersion(pending) : std::nullopt;
 }
@@ -288,7 +288,7 @@
     auto since = pending.startedAt - VersionHistory::memory;
     if (pending.own.restoredUniformAt && pending.own.withoutRecords == version)
         since = std::max(since, *pending.own.restoredUniformAt);
-    return version && !hasRecordSince(pending, since) ? version : std::nullopt;
+    return version && !mayLackRecordSince(pending, since) ? version : std::nullopt;
 }
 
 bool StreamOriginExchange::haveKeepersReplied(Pending const& pending) const
--- a/Libraries/LibRouting/StreamOriginExchange.h
+++ b/Libraries/LibRouting/StreamOriginExchange.h
@@ -63,14 +63,17 @@
         size_t maxPending { 4096 };
     };
 
-    // What this daemon knows of a service's versions. See StreamOriginReply and VersionHistory.
+    // What this daemon knows of a service's versions. See VersionHistory.
     struct VersionKnowledge {
+        // The only version for as long as streams can be taken up.
         std::optional<VersionId> uniform {};
         // As of when the list of upstreams is known.
         Instant listProvenAt {};
+        // The version of streams that have no record.
         std::optional<VersionId> withoutRecords {};
         // All streams that began before were of the version withoutRecords.
         std::optional<Instant> restoredUniformAt {};
+        // Whether it has had several versions in this time.
         bool hasSeveral { false };
         // Whether streams that begin now need a record.
         bool needsRecords { false };
@@ -89,7 +92,7 @@
         Record,
         // A list of upstreams that has shown a single version for long.
         OneVersion,
-        // No daemon has a record, or knows of several versions.
+        // No daemon has a record, and none knows of several versions.
         NoRecord,
     };
     struct Origin {
@@ -192,7 +195,7 @@
     void sendQueries(uint64_t queryId, Pending const&, bool isForAll);
     // None while further replies may decide.
     std::optional<Origin> resolve(Pending const&, Instant now) const;
-    bool hasRecordSince(Pending const&, Instant since) const;
+    bool mayLackRecordSince(Pending const&, Instant since) const;
     static std::optional<VersionId> onlyVersionNamed(Pending const&);
     static std::optional<VersionId> uniformVersion(Pending const&);
     static std::optional<VersionId> versionOfCurrentList(Pending const&);
