GatewayRequestHandler: Look the version up also for callers that name no attempt

A caller that named its last event, but not the attempt that began its stream, was placed at any upstream: nothing asked at which version the stream had begun. Such a stream has no record that could be found, so it goes on if the service has one version and is refused otherwise. test_callers_that_do_not_name_the_attempt failed before (200 with two versions) and passes; with one version all 40 are answered 200 before and after.

--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -90,8 +90,8 @@
 
 bool GatewayRequestHandler::needsStreamOrigin() const
 {
-    bool const takesUpStream = m_request.call.lastEvent && !m_request.call.firstAttempt.empty();
-    return takesUpStream && m_progress && m_request.route->isRepeatable() && !m_streamVersion;
+    // Without the attempt that began the stream no record is found, so that it goes on only if there is one version.
+    return m_request.call.lastEvent && m_progress && m_request.route->isRepeatable() && !m_streamVersion;
 }
 
 StreamId GatewayRequestHandler::streamId() const
--- a/Tests/Processes/test_stream_versions.py
+++ b/Tests/Processes/test_stream_versions.py
@@ -264,7 +264,7 @@
         return taken_up
 
     def check_order(self):
-        """After a kill of all daemons no record of a stream is left, so that streams may be refused, but not mixed."""
+        """After a kill of all daemons some records of streams are lost, so that streams may be refused, but not mixed."""
         self.end_traffic()
         taken_up = [attempt for stream in self.streams for attempt in stream.taken_up()]
         went_on = [attempt for attempt in taken_up if attempt.events]
@@ -360,6 +360,21 @@
         time.sleep(0.3 * PLAY_SECONDS)
         self.check_order()
 
+    def test_callers_that_do_not_name_the_attempt(self):
+        """Guards against streams that go on at any version because their caller doesn't tell which attempt began them."""
+        self.start(6, 4)
+        time.sleep(0.2 * PLAY_SECONDS)
+        statuses = []
+        for number in range(40):
+            name = f"unnamed-{number}"
+            attempt = Attempt(name, "", time.monotonic())
+            fields = {"Host": HOST, "X-Attempt-Id": name, "X-Deadline-Ms": "8000", "X-Api-Key": KEY, "X-Prompt-Prefix": f"aa:500,d{name}:30", "Last-Event-Id": "5"}
+            self.read_attempt(self.members[number % DAEMONS], fields, attempt, 1)
+            statuses.append(attempt.status)
+        self.end_traffic()
+        print(f"{self.id()}: statuses {sorted(set(statuses))}")
+        self.assertEqual(set(statuses), {200 if len({upstream.version for upstream in self.upstreams}) == 1 else 503})
+
     def test_a_second_version_joins(self):
         """Guards against streams that begin while daemons learn of a new version at different times."""
         self.start(6, 0)
