StreamOriginExchange, VersionHistory, Forwarder: Name and explain three constants

No change of behaviour: the burst of late records is a bound with a name, an accessor without users is gone, and the interval of the relay gate has its reason.

--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+    // Lists of upstreams are confirmed some tenths of a second apart.
     constexpr Milliseconds relayGateInterval { 5 };
 
     bool mayHaveBody(unsigned status)
--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -127,8 +127,7 @@
     for (auto& [service, late] : m_lateRecords) {
         if (!m_hooks.versions(service, now).needsRecords)
             continue;
-        // Ticks come tens of milliseconds apart.
-        m_nextLateRecordAt = std::max(m_nextLateRecordAt, now - Milliseconds(100));
+        m_nextLateRecordAt = std::max(m_nextLateRecordAt, now - m_bounds.lateRecordsBurst);
         for (; !late.empty() && m_nextLateRecordAt <= now; late.pop_back()) {
             if (late.back().expiresAt <= now)
                 continue;
--- a/Libraries/LibRouting/StreamOriginExchange.h
+++ b/Libraries/LibRouting/StreamOriginExchange.h
@@ -58,6 +58,8 @@
         // How many streams a second get their record late, when a second version has appeared.
         double lateRecordsPerSecond { 100 };
         double lateRecordsPerSecondInLargeFleet { 30 };
+        // For so much time they are sent at once. Ticks come tens of milliseconds apart.
+        Microseconds lateRecordsBurst { 100000 };
         size_t maxRecords { 65536 };
         // The streams that may wait at a time. Further ones are refused.
         size_t maxPending { 4096 };
--- a/Libraries/LibRouting/VersionHistory.h
+++ b/Libraries/LibRouting/VersionHistory.h
@@ -45,10 +45,8 @@
     // These are all versions that upstreams have had before, or while this daemon may have missed some, and those of
     // them of which upstreams may have lapsed, as of a read of the store.
     void restore(std::set<VersionId> const& earlier, std::set<VersionId> const& lapsed, Instant readAt, Instant now);
-    // Whether a restored history has shown a single version. Then no stream that began before this daemon
-    // started needs a record.
-    bool hasRestoredUniform() const { return m_restoredUniformAt.has_value(); }
-    // As of when that history is known.
+    // As of when a restored history has shown a single version; none if it has not. No stream that began before
+    // needs a record.
     std::optional<Instant> restoredUniformAt() const { return m_restoredUniformAt; }
 
     // Whether everything since then was seen, without a gap.
