LibProxy: Report bytes in event streams that are no part of an event

Callers got pieces without an id in their streams, from upstreams that sent garbage, and neither logs nor metrics told which bytes an upstream had sent. EventReader holds the form of events in one place: fields, line ends, UTF-8, ids. The forwarder reads each stream with it beside the splitter, and reports the first fault in the request's line and in stagepost_event_faults_total. What is passed on is not changed yet. TestEventReader tries foreign bytes at every byte of a stream.

--- a/Libraries/LibBase/Base.h
+++ b/Libraries/LibBase/Base.h
@@ -23,4 +23,5 @@
 #include <LibBase/TextDelta.h>
 #include <LibBase/Time.h>
 #include <LibBase/TokenBucket.h>
+#include <LibBase/Utf8.h>
 #include <LibBase/Verdict.h>
--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -65,6 +65,10 @@
     co_await attempt();
     m_exchange.setUpstream(nullptr);
     m_watchdog.reset();
+    if (m_checker && m_checker->fault()) {
+        m_result.eventFault = m_checker->fault();
+        m_result.detail += (m_result.detail.empty() ? "" : "; ") + m_checker->describeFault();
+    }
     if (m_result.failure && m_result.responseStarted)
         co_await writeErrorEvent();
     releaseConnection();
@@ -257,6 +261,10 @@
     auto const eventsBefore = m_plan.progress ? m_plan.progress->eventCount : 0;
     if (m_plan.progress && m_isEventStream)
         m_splitter.emplace(*m_plan.progress);
+    if (m_splitter) {
+        m_checkedProgress = *m_plan.progress;
+        m_checker.emplace(m_checkedProgress, m_plan.eventFormat);
+    }
     m_watchdog->restart(m_plan.idleTimeout);
     bool canContinue = true;
     if (!m_splitter && !m_plan.maxBufferedBytes) {
@@ -310,6 +318,8 @@
     if (m_plan.maxRecordedBytes && m_result.recordedResponse.body.size() <= m_plan.maxRecordedBytes)
         m_result.recordedResponse.body += bytes;
     std::string events;
+    if (m_checker)
+        m_checker->append(bytes);
     if (m_splitter) {
         events = m_splitter->append(bytes);
         if (m_splitter->hasOverlongEvent()) {
--- a/Libraries/LibProxy/Detail/Forwarder.h
+++ b/Libraries/LibProxy/Detail/Forwarder.h
@@ -3,6 +3,7 @@
 #include <LibProxy/Detail/Exchange.h>
 #include <LibProxy/Detail/IdleWatchdog.h>
 #include <LibProxy/Detail/UpstreamConnections.h>
+#include <LibProxy/EventReader.h>
 #include <LibProxy/EventSplitter.h>
 #include <array>
 
@@ -79,6 +80,9 @@
     std::shared_ptr<UpstreamConnection> m_connection;
     std::optional<IdleWatchdog> m_watchdog;
     std::optional<EventSplitter> m_splitter;
+    // Only reports what is wrong with the events.
+    EventProgress m_checkedProgress;
+    std::optional<EventReader> m_checker;
     std::array<char, bodyChunkSize> m_bodyChunk;
     // The body of a response that is forwarded once it is complete.
     std::string m_bufferedBody;
--- /dev/null
+++ b/Libraries/LibProxy/EventFormat.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace Stagepost {
+
+// What the ids of a stream's events say.
+enum class EventNumbering : uint8_t {
+    // Events may have no id, or one of any form.
+    None,
+    // Each event has an id, and the ids rise.
+    Rising,
+    // The ids count the events of the stream, from 1 on.
+    Consecutive,
+};
+
+// The form of the events that the upstreams of a route send. Bytes of another form belong to no event.
+struct EventFormat {
+    EventNumbering numbering { EventNumbering::None };
+    // The names of fields beside those of server-sent events.
+    std::span<std::string_view const> extraFields {};
+};
+
+// Why bytes are not part of an event stream.
+enum class EventFault : uint8_t {
+    // Neither a comment nor one of the fields that events have.
+    UnknownField,
+    ControlCharacter,
+    InvalidUtf8,
+    // Lines end in line feeds, or in carriage returns and line feeds, but not in both within one answer.
+    MixedLineEnds,
+    MissingId,
+    // The id is no decimal number of 64 bits.
+    InvalidId,
+    SecondId,
+    // The id is not above that of the event before.
+    IdNotRising,
+    // An event was left out.
+    MissingEvent,
+    MissingData,
+    TooLong,
+    Count,
+};
+
+// The name in logs and metrics, for example "missing-id".
+std::string_view nameOf(EventFault);
+
+}
--- a/Libraries/LibProxy/EventProgress.h
+++ b/Libraries/LibProxy/EventProgress.h
@@ -13,6 +13,8 @@
     uint64_t eventCount { 0 };
     // The highest event id that the client has.
     std::optional<uint64_t> lastForwardedId;
+    // The id of the last event that the client says to have, also if the stream must not be resumed.
+    std::optional<uint64_t> lastIdOfCaller;
     // Whether data without an id was forwarded. Another upstream would send it again, and nothing would show that.
     bool hasUnnumberedData { false };
 };
--- a/Libraries/LibProxy/ForwardPlan.h
+++ b/Libraries/LibProxy/ForwardPlan.h
@@ -3,6 +3,7 @@
 #include <LibBase/RefusalReason.h>
 #include <LibBase/Time.h>
 #include <LibProxy/Endpoint.h>
+#include <LibProxy/EventFormat.h>
 #include <LibProxy/EventProgress.h>
 #include <LibProxy/HttpMessage.h>
 #include <functional>
@@ -91,6 +92,7 @@
     // Set for an event stream that is forwarded event by event. All forwards that
     // continue the same response share it.
     std::shared_ptr<EventProgress> progress;
+    EventFormat eventFormat {};
     // Whether an event stream that fails ends with an error event.
     bool sendErrorEvent { true };
     // May be empty.
--- a/Libraries/LibProxy/ForwardResult.h
+++ b/Libraries/LibProxy/ForwardResult.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/RefusalReason.h>
 #include <LibProxy/ConnectionEnd.h>
+#include <LibProxy/EventFormat.h>
 #include <LibProxy/HttpMessage.h>
 #include <cstdint>
 #include <optional>
@@ -35,6 +36,8 @@
     bool endedWithConnection { false };
     // Whether the forward was cancelled at the plan's deadline.
     bool deadlineReached { false };
+    // Set if the event stream contained bytes that are no part of its events. The detail says which.
+    std::optional<EventFault> eventFault;
 
     // Whether nothing of the request was sent.
     bool isUnconnected() const { return failure && verdict == Verdict::NotRun && failure != RefusalReason::OverCapacity; }
--- a/Libraries/LibProxy/Proxy.h
+++ b/Libraries/LibProxy/Proxy.h
@@ -7,7 +7,9 @@
 #include <LibProxy/DatagramSocket.h>
 #include <LibProxy/Endpoint.h>
 #include <LibProxy/EventLoop.h>
+#include <LibProxy/EventFormat.h>
 #include <LibProxy/EventProgress.h>
+#include <LibProxy/EventReader.h>
 #include <LibProxy/EventSplitter.h>
 #include <LibProxy/Exchange.h>
 #include <LibProxy/ForwardPlan.h>
--- a/Services/stagepostd/ConnectionMetrics.cpp
+++ b/Services/stagepostd/ConnectionMetrics.cpp
@@ -2,8 +2,10 @@
 
 namespace Stagepost {
 
-void countConnectionEnd(Metrics& metrics, ForwardResult const& result)
+void countForwardEnd(Metrics& metrics, ForwardResult const& result)
 {
+    if (result.eventFault)
+        metrics.count("stagepost_event_faults_total", "fault=\"" + std::string(nameOf(*result.eventFault)) + '"');
     if (result.connectionEnd == ConnectionEnd::None)
         return;
     std::string label = result.connectionEnd == ConnectionEnd::Reset ? "end=\"reset\"" : "end=\"closed\"";
--- a/Services/stagepostd/ConnectionMetrics.h
+++ b/Services/stagepostd/ConnectionMetrics.h
@@ -5,7 +5,7 @@
 
 namespace Stagepost {
 
-// Counts the connections to upstreams that were not kept, by how and why they ended.
-void countConnectionEnd(Metrics&, ForwardResult const&);
+// Counts the connections to upstreams that were not kept, by how and why they ended, and the event streams with foreign bytes.
+void countForwardEnd(Metrics&, ForwardResult const&);
 
 }
--- a/Services/stagepostd/DetourClient.cpp
+++ b/Services/stagepostd/DetourClient.cpp
@@ -90,6 +90,7 @@
     plan.idleTimeout = attempts.timeLeft(now);
     plan.maxBufferedBytes = maxHeldAnswerBytes;
     plan.progress = request.progress;
+    plan.eventFormat = m_dialect.eventFormat;
     plan.sendErrorEvent = false;
     plan.deadline = attempts.deadline();
     return plan;
@@ -127,7 +128,7 @@
 
 void DetourClient::finishSend(std::shared_ptr<Detour> const& detour, VMId daemon, ForwardResult const& result)
 {
-    countConnectionEnd(m_metrics, result);
+    countForwardEnd(m_metrics, result);
     bool const isFailure = result.failure && !result.isCallerLost();
     bool const isDaemonAtFault = isFailure && (!detour->outcome.refusal || detour->mayTryElsewhere);
     m_peers.detourEnded(daemon, isDaemonAtFault);
--- a/Services/stagepostd/GatewayDialect.h
+++ b/Services/stagepostd/GatewayDialect.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Result.h>
+#include <LibProxy/EventFormat.h>
 #include <LibProxy/HttpMessage.h>
 #include <LibRouting/LoadEstimate.h>
 #include <LibRouting/PromptChain.h>
@@ -75,6 +76,8 @@
     std::function<UpstreamResponseInfo(unsigned status, HttpFields const&)> readResponseHeader;
     // The fields of an upstream's answer that its Connection field can't make connection-specific.
     std::span<std::string_view const> endToEndResponseFields {};
+    // The events of all streams.
+    EventFormat eventFormat {};
 };
 
 }
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -368,6 +368,7 @@
     plan.maxIdleConnections = std::min(plan.maxIdleConnections, idleConnectionLimit(service));
     plan.maxBufferedBytes = maxHeldAnswerBytes;
     plan.progress = m_progress;
+    plan.eventFormat = m_services.dialect.eventFormat;
     plan.relayGate = needsVersion() ? versionGate(m_services, choice.upstream, target) : RelayGate();
     plan.sendErrorEvent = false;
     plan.deadline = m_attempts.deadline();
@@ -480,7 +481,7 @@
 void GatewayRequestHandler::recordOutcome(UpstreamId upstream, ForwardResult const& result)
 {
     auto const now = m_services.loop.now();
-    countConnectionEnd(m_services.metrics, result);
+    countForwardEnd(m_services.metrics, result);
     auto const outcome = [&] {
         if (result.isCallerLost())
             return SendOutcome::Unknown;
--- /dev/null
+++ b/Tests/LibProxy/TestEventReader.cpp
@@ -0,0 +1,305 @@
+#include <LibProxy/EventReader.h>
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace Stagepost;
+
+namespace {
+
+constexpr std::array extraFields { std::string_view("x-version") };
+constexpr EventFormat counted { EventNumbering::Consecutive, extraFields };
+constexpr EventFormat rising { EventNumbering::Rising, {} };
+
+std::string makeEvent(uint64_t id)
+{
+    return "id: " + std::to_string(id) + "\ndata: word" + std::to_string(id) + "\n\n";
+}
+
+std::string makeEvents(uint64_t first, uint64_t last)
+{
+    std::string events;
+    for (auto id = first; id <= last; ++id)
+        events += makeEvent(id);
+    return events;
+}
+
+// What a client gets of a body that arrives in reads of the given size, and why reading has ended.
+struct Outcome {
+    std::string events;
+    std::optional<EventFault> fault;
+    bool isCut { false };
+};
+
+Outcome read(std::string_view body, EventFormat format, EventProgress& progress, size_t readSize = std::string_view::npos)
+{
+    EventReader reader(progress, format);
+    Outcome outcome;
+    while (!body.empty()) {
+        outcome.events += reader.append(body.substr(0, readSize));
+        body.remove_prefix(std::min(readSize, body.size()));
+    }
+    outcome.fault = reader.fault();
+    outcome.isCut = outcome.fault || reader.hasIncompleteEvent();
+    return outcome;
+}
+
+Outcome read(std::string_view body, EventFormat format = counted, size_t readSize = std::string_view::npos)
+{
+    EventProgress progress;
+    return read(body, format, progress, readSize);
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(EventReaderTests)
+
+BOOST_AUTO_TEST_CASE(ReturnsOnlyCompleteEvents)
+{
+    EventProgress progress;
+    EventReader reader(progress, counted);
+    BOOST_TEST(reader.append("id: 1\ndata: a") == "");
+    BOOST_TEST(reader.hasIncompleteEvent());
+    BOOST_TEST(reader.append("\n\nid: 2\n") == "id: 1\ndata: a\n\n");
+    BOOST_TEST(*progress.lastForwardedId == 1u);
+    BOOST_TEST(reader.append("data: b\n\n") == "id: 2\ndata: b\n\n");
+    BOOST_TEST(!reader.hasIncompleteEvent());
+    BOOST_TEST(progress.eventCount == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(AcceptsCarriageReturnLineFeeds)
+{
+    EventProgress progress;
+    progress.lastForwardedId = 6;
+    EventReader reader(progress, counted);
+    BOOST_TEST(reader.append("id:7\r\ndata: a\r\n\r\nid:8\r") == "id:7\r\ndata: a\r\n\r\n");
+    BOOST_TEST(reader.append("\ndata: b\r\n\r\n") == "id:8\r\ndata: b\r\n\r\n");
+    BOOST_TEST(*progress.lastForwardedId == 8u);
+}
+
+BOOST_AUTO_TEST_CASE(LeavesOutEventsThatWereForwarded)
+{
+    EventProgress progress;
+    progress.lastForwardedId = 3;
+    BOOST_TEST(read(makeEvents(2, 4), counted, progress).events == makeEvent(4));
+}
+
+BOOST_AUTO_TEST_CASE(AcceptsAllFieldsOfEvents)
+{
+    std::string const events = "x-version: 4\nid: 1\nevent: token\ndata: a\ndata: \xc3\xa4\tb\n\n: comment\nretry: 5\nid: 2\ndata:\n\n";
+    BOOST_TEST(read(events).events == events);
+    BOOST_TEST(!read(events).isCut);
+}
+
+// Keep-alive comments carry nothing to callers, and a foreign one must not reach them either.
+BOOST_AUTO_TEST_CASE(LeavesOutBlocksWithoutContent)
+{
+    auto const outcome = read(": comment\n\n" + makeEvent(1) + "retry: 5\n\n\n" + makeEvent(2));
+    BOOST_TEST(outcome.events == makeEvents(1, 2));
+    BOOST_TEST(!outcome.isCut);
+}
+
+// Guards against foreign bytes of an upstream that reach callers as an event of their stream.
+BOOST_AUTO_TEST_CASE(StopsAtForeignBytesBetweenEvents)
+{
+    std::string const secondAnswer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c41\r\nContent-Length: 2\r\n\r\nok";
+    std::vector<std::pair<std::string, EventFault>> const cases {
+        { secondAnswer, EventFault::MixedLineEnds },
+        { "HTTP/1.1 200 OK\nX-Attempt-Id: 9c41\n\n", EventFault::UnknownField },
+        { "id: 3\nda" + secondAnswer, EventFault::MixedLineEnds },
+        { "id: 3\ndata: wo" + secondAnswer, EventFault::MixedLineEnds },
+        { "\x01\x02\x9f\n\n", EventFault::ControlCharacter },
+        { "some words\n\n", EventFault::UnknownField },
+        { "some: words\n\n", EventFault::UnknownField },
+        { "data: x\n\n", EventFault::MissingId },
+        { "event: x\n\n", EventFault::MissingId },
+        { "id:\ndata: x\n\n", EventFault::InvalidId },
+        { "id\ndata: x\n\n", EventFault::UnknownField },
+        { "id: three\ndata: x\n\n", EventFault::InvalidId },
+        { "id: 3zq\ndata: x\n\n", EventFault::InvalidId },
+        { "id: -3\ndata: x\n\n", EventFault::InvalidId },
+        { "id: +3\ndata: x\n\n", EventFault::InvalidId },
+        { "id: 03\ndata: x\n\n", EventFault::InvalidId },
+        { "id:  3\ndata: x\n\n", EventFault::InvalidId },
+        { "id: 18446744073709551616\ndata: x\n\n", EventFault::InvalidId },
+        { "id: 18446744073709551615\ndata: x\n\n", EventFault::MissingEvent },
+        { "id: 3\nid: 3\ndata: x\n\n", EventFault::SecondId },
+        { "id: 2\ndata: x\n\n", EventFault::IdNotRising },
+        { "id: 0\ndata: x\n\n", EventFault::IdNotRising },
+        { "id: 4\ndata: x\n\n", EventFault::MissingEvent },
+        { "id: 3\n\n", EventFault::MissingData },
+        { "id: 3\ndata\n\n", EventFault::UnknownField },
+        { std::string("id: 3\ndata: a\0b\n\n", 16), EventFault::ControlCharacter },
+        { "id: 3\ndata: a\rb\n\n", EventFault::ControlCharacter },
+        { "id: 3\ndata: a\x7f\n\n", EventFault::ControlCharacter },
+        { "id: 3\ndata: a\xff\n\n", EventFault::InvalidUtf8 },
+        { "id: 3\ndata: a\xc3\n\n", EventFault::InvalidUtf8 },
+        { "id: 3\ndata: a\xc0\xaf\n\n", EventFault::InvalidUtf8 },
+        { ": \xed\xa0\x80\n\n", EventFault::InvalidUtf8 },
+        { "id: 3\ntext: x\ndata: x\n\n", EventFault::UnknownField },
+        { "id: 3\ndata: x\n: comment\n\n", EventFault::UnknownField },
+        { "id: 3\ndata: x\r\n\r\n", EventFault::MixedLineEnds },
+        { "\r\n", EventFault::MixedLineEnds },
+        { "\xef\xbb\xbfid: 3\ndata: x\n\n", EventFault::UnknownField },
+    };
+    for (auto const& [foreign, fault] : cases) {
+        for (size_t const readSize : { size_t(1), size_t(3), std::string::npos }) {
+            BOOST_TEST_CONTEXT(foreign << " in reads of " << readSize)
+            {
+                auto const outcome = read(makeEvents(1, 2) + foreign + makeEvents(3, 5), counted, readSize);
+                BOOST_TEST(outcome.events == makeEvents(1, 2));
+                BOOST_TEST((outcome.fault == fault), nameOf(outcome.fault.value_or(EventFault::Count)));
+            }
+        }
+    }
+}
+
+// Nothing numbered comes before the first event.
+BOOST_AUTO_TEST_CASE(StopsAtAForeignFirstEvent)
+{
+    for (std::string const foreign : { "id: 0\ndata: x\n\n", "id: 2\ndata: x\n\n", "data: x\n\n", "HTTP/1.1 200 OK\n\n", "id: 18446744073709551615\ndata: x\n\n" }) {
+        auto const outcome = read(foreign + makeEvents(1, 3));
+        BOOST_TEST(outcome.events == "");
+        BOOST_TEST(outcome.fault.has_value());
+    }
+}
+
+// A caller may name an event also where its stream must not be resumed. Its upstream may begin at the first event or after that one.
+BOOST_AUTO_TEST_CASE(AcceptsAStreamThatGoesOnAfterTheCallersLastEvent)
+{
+    for (uint64_t const first : { 1, 2, 3 }) {
+        EventProgress progress;
+        progress.lastIdOfCaller = 2;
+        BOOST_TEST(read(makeEvents(first, 5), counted, progress).events == makeEvents(first, 5));
+    }
+    EventProgress progress;
+    progress.lastIdOfCaller = 2;
+    BOOST_TEST((read(makeEvents(4, 5), counted, progress).fault == EventFault::MissingEvent));
+}
+
+BOOST_AUTO_TEST_CASE(RisingIdsMayLeaveNumbersOut)
+{
+    std::string const events = makeEvent(0) + makeEvent(3) + makeEvent(9);
+    BOOST_TEST(read(events, rising).events == events);
+    BOOST_TEST(!read(events, rising).isCut);
+    BOOST_TEST((read(events + makeEvent(9), rising).fault == EventFault::IdNotRising));
+}
+
+// Guards against a caller's last event that is forwarded again, and later ones that are left out, after a number that is too large.
+BOOST_AUTO_TEST_CASE(EventsThatDoNotRiseAreNotLeftOutSilently)
+{
+    auto const outcome = read(makeEvents(1, 2) + makeEvent(UINT64_MAX) + makeEvents(3, 5), rising);
+    BOOST_TEST((outcome.fault == EventFault::IdNotRising));
+}
+
+BOOST_AUTO_TEST_CASE(StreamsWithoutNumbersPassUnchanged)
+{
+    std::string const events = ": comment\n\ndata: a\ndata\nid: x\n\n\nretry: 7\nevent: y\ndata: {\"b\": 1}\n\n";
+    for (size_t const readSize : { size_t(1), std::string::npos }) {
+        auto const outcome = read(events, {}, readSize);
+        BOOST_TEST(outcome.events == events);
+        BOOST_TEST(!outcome.isCut);
+    }
+    BOOST_TEST((read(events + "HTTP/1.1 200 OK\n", {}).fault == EventFault::UnknownField));
+}
+
+BOOST_AUTO_TEST_CASE(StopsAtAnEventWithoutEnd)
+{
+    constexpr size_t moreThanAnEvent = (1u << 20) + 1;
+    auto const outcome = read("id: 1\ndata: " + std::string(moreThanAnEvent, 'a'), counted, 1000);
+    BOOST_TEST((outcome.fault == EventFault::TooLong));
+}
+
+BOOST_AUTO_TEST_CASE(DescribesTheForeignBytes)
+{
+    EventProgress progress;
+    EventReader reader(progress, counted);
+    reader.append(makeEvents(1, 2) + "id: 3\nsome words\n\n");
+    BOOST_TEST(reader.describeFault() == "foreign bytes in the stream: unknown-field after event 2: some words\n\n");
+}
+
+BOOST_AUTO_TEST_CASE(EventsAreIndependentOfReadBoundaries)
+{
+    BOOST_TEST(rc::check("split at any byte", [](std::vector<uint8_t> const& readSizes, uint8_t count) {
+        auto const stream = makeEvents(1, count);
+        EventProgress progress;
+        EventReader reader(progress, counted);
+        std::string forwarded;
+        std::string_view rest = stream;
+        for (auto const readSize : readSizes) {
+            auto const part = rest.substr(0, readSize);
+            forwarded += reader.append(part);
+            rest.remove_prefix(part.size());
+        }
+        forwarded += reader.append(rest);
+        RC_ASSERT(forwarded == stream);
+        RC_ASSERT(progress.eventCount == count);
+    }));
+}
+
+// A stream that fails at any byte and is resumed after its last complete event by an upstream
+// that may repeat events yields the same events as an uninterrupted one.
+BOOST_AUTO_TEST_CASE(ResumedStreamNeitherLosesNorRepeatsEvents)
+{
+    BOOST_TEST(rc::check("failed at any byte", [](uint8_t count, uint16_t failAt, uint8_t repeated) {
+        auto const whole = makeEvents(1, count);
+        EventProgress progress;
+        auto forwarded = read(std::string_view(whole).substr(0, failAt), counted, progress).events;
+        auto const last = progress.lastForwardedId.value_or(0);
+        forwarded += read(makeEvents(last > repeated ? last - repeated : 1, count), counted, progress).events;
+        RC_ASSERT(forwarded == whole);
+    }));
+}
+
+// At every byte of a stream, foreign bytes take the place of the rest. Nothing tells where the text of an event ends, so only
+// inside it may a line follow that events have.
+BOOST_AUTO_TEST_CASE(ForeignBytesAtEveryByteAreNotPassedOn)
+{
+    auto const whole = makeEvents(1, 5);
+    std::vector<std::string> const foreign {
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: 9c41\r\n\r\nid: 1\ndata: x\n\n",
+        "HTTP/1.1 200 OK\nContent-Type: text/plain\n\nok\n\n",
+        std::string("\0\1\2\xff\n\n", 6),
+        "\xff\xfe\n\n",
+        "id: 77\ndata: x\n\n",
+        "id: \ndata: x\n\n",
+        "data: x\n\n",
+    };
+    for (auto const& bytes : foreign) {
+        bool const isField = bytes.starts_with("id") || bytes.starts_with("data");
+        for (size_t at = 0; at <= whole.size(); ++at) {
+            auto const before = std::string_view(whole).substr(0, at);
+            auto const line = before.substr(before.rfind('\n') + 1);
+            bool const isInsideText = line.starts_with("data:");
+            bool const isBeforeText = line.empty() && at > 0 && !before.ends_with("\n\n");
+            if (isField && (isInsideText || (isBeforeText && bytes.starts_with("data"))))
+                continue;
+            BOOST_TEST_CONTEXT(bytes << " at byte " << at)
+            {
+                auto const outcome = read(whole.substr(0, at) + bytes);
+                BOOST_TEST(outcome.isCut);
+                BOOST_TEST(whole.starts_with(outcome.events));
+            }
+        }
+    }
+}
+
+// One spoiled byte may change the text of an event, which nothing shows. It neither adds an event nor takes one out.
+BOOST_AUTO_TEST_CASE(OneSpoiledByteNeitherAddsNorRemovesEvents)
+{
+    auto const whole = makeEvents(1, 20);
+    for (size_t at = 0; at < whole.size(); ++at) {
+        for (unsigned byte = 0; byte < 256; ++byte) {
+            auto body = whole;
+            body[at] = static_cast<char>(byte);
+            EventProgress progress;
+            auto const outcome = read(body, counted, progress);
+            auto const last = progress.lastForwardedId.value_or(0);
+            bool const isWhole = !outcome.isCut && last == 20;
+            if (progress.eventCount != last || (!outcome.isCut && !isWhole))
+                BOOST_ERROR("byte " << at << " as " << byte << ": " << progress.eventCount << " events up to " << last);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
