--- a/Libraries/LibBase/RefusalReason.cpp
+++ b/Libraries/LibBase/RefusalReason.cpp
@@ -46,7 +46,7 @@
         ReasonRow { RefusalReason::TicketHolderGone, "ticket-holder-gone", 409, "Check whether the call took effect, then take a new ticket." },
         ReasonRow { RefusalReason::UnknownKey, "unknown-key", 401, "Send a key that the configuration gives to an organisation." },
         ReasonRow { RefusalReason::UpstreamBroken, "upstream-broken", 502, "Look at the upstream: it closed the connection without a whole answer." },
-        ReasonRow { RefusalReason::UpstreamMixedAnswer, "upstream-mixed-answer", 502, "Look at the upstream: it answered another request than it was sent." },
+        ReasonRow { RefusalReason::UpstreamMixedAnswer, "upstream-mixed-answer", 502, "Look at the upstream: it answered another request than it was sent, or sent bytes that belong to no answer." },
         ReasonRow { RefusalReason::UpstreamRefused, "upstream-refused", 502, "Look at the upstream: it takes no connections." },
         ReasonRow { RefusalReason::UpstreamSlow, "upstream-slow", 504, "Look at the upstream, or raise answer_timeout_ms or idle_timeout_ms." },
         ReasonRow { RefusalReason::WrongToken, "wrong-token", 403, "Use a token whose hash stands in the tree." },
