LibRouting: Move the choice of a stream's keepers to a class of its own

StreamOriginExchange is named as too large, and the next changes add to it. StreamKeepers has the lists of daemons and chooses keepers by them. No change of logic.

--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -1,84 +1,15 @@
 #include <LibRouting/StreamOriginExchange.h>
 
-#include <LibBase/Hash.h>
 #include <algorithm>
-#include <functional>
 #include <set>
 
 namespace Stagepost {
 
-// The lists are ordered by time, so that those that nobody can have used for a stream are at the front.
-void StreamOriginExchange::setPeers(std::vector<FleetPeer> peers, Instant now)
-{
-    std::erase_if(peers, [this](auto const& peer) { return peer.id == m_self.id; });
-    peers.push_back(m_self);
-    std::sort(peers.begin(), peers.end(), [](auto const& one, auto const& other) { return one.id < other.id; });
-    auto const isSame = [](auto const& one, auto const& other) { return one.id == other.id && one.hall == other.hall; };
-    if (!m_lists.empty() && std::equal(peers.begin(), peers.end(), this->peers().begin(), this->peers().end(), isSame))
-        return;
-    m_lists.push_back({ std::move(peers), now });
-    auto const oldest = now - VersionHistory::memory - m_bounds.peerListLag;
-    while (m_lists.size() > m_bounds.maxEarlierLists || (m_lists.size() > 1 && m_lists[1].since <= oldest))
-        m_lists.pop_front();
-}
-
 void StreamOriginExchange::restart(Instant now)
 {
     m_startedAt = now;
     m_keepsSince = now;
-    if (m_lists.empty())
-        return;
-    m_lists.erase(m_lists.begin(), m_lists.end() - 1);
-    m_lists.back().since = now;
-}
-
-size_t StreamOriginExchange::keeperCount(std::vector<FleetPeer> const& peers) const
-{
-    return peers.size() <= m_bounds.largeFleet ? m_bounds.keepers : m_bounds.keepersInLargeFleet;
-}
-
-// The first daemons in the stream's rendezvous order, those of different halls before others: a hall may
-// be lost as a whole.
-std::vector<VMId> StreamOriginExchange::chooseDaemons(std::vector<FleetPeer> const& peers, StreamId stream, size_t count) const
-{
-    using Ranked = std::pair<uint64_t, VMId>;
-    std::map<HallId, Ranked> firstOfHalls;
-    std::vector<Ranked> others;
-    for (auto const& peer : peers) {
-        Ranked daemon { mixHashes(stream.value(), peer.id.value()), peer.id };
-        auto const [first, isNew] = firstOfHalls.try_emplace(peer.hall, daemon);
-        if (isNew)
-            continue;
-        if (daemon > first->second)
-            std::swap(daemon, first->second);
-        others.push_back(daemon);
-    }
-    std::vector<Ranked> daemons;
-    daemons.reserve(peers.size());
-    for (auto const& [hall, first] : firstOfHalls)
-        daemons.push_back(first);
-    std::sort(daemons.begin(), daemons.end(), std::greater());
-    // The order of the others matters only as far as they are chosen.
-    auto const chosen = std::min(count - std::min(count, daemons.size()), others.size());
-    std::partial_sort(others.begin(), others.begin() + static_cast<ptrdiff_t>(chosen), others.end(), std::greater());
-    daemons.insert(daemons.end(), others.begin(), others.begin() + static_cast<ptrdiff_t>(chosen));
-    daemons.resize(std::min(daemons.size(), count));
-    std::vector<VMId> result;
-    result.reserve(daemons.size());
-    for (auto const& [rank, daemon] : daemons)
-        result.push_back(daemon);
-    return result;
-}
-
-std::vector<StreamOriginExchange::Keepers> StreamOriginExchange::keepersByAllLists(StreamId stream, Instant now) const
-{
-    std::vector<Keepers> result;
-    for (size_t index = 0; index < m_lists.size(); ++index) {
-        bool const isPresent = index + 1 == m_lists.size();
-        auto const& peers = m_lists[index].peers;
-        result.push_back({ chooseDaemons(peers, stream, keeperCount(peers)), isPresent ? now : m_lists[index + 1].since });
-    }
-    return result;
+    m_keepers.forgetEarlierLists(now);
 }
 
 void StreamOriginExchange::addTo(StreamOriginTable& table, StreamId stream, VersionId version, Instant expiresAt, Instant now)
@@ -106,7 +37,7 @@
     StreamOriginRecord const record { stream, version, lifetime };
     m_hooks.persist(record);
     auto const message = encodeStreamOriginMessage(record);
-    for (auto const keeper : chooseKeepers(stream)) {
+    for (auto const keeper : m_keepers.chooseKeepers(stream)) {
         if (keeper != m_self.id)
             m_hooks.send(keeper, message);
     }
@@ -122,7 +53,7 @@
     std::erase_if(m_lateRecords, [](auto const& entry) { return entry.second.empty(); });
     if (!knowsPeers())
         return;
-    auto const perSecond = peers().size() > m_bounds.largeFleet ? m_bounds.lateRecordsPerSecondInLargeFleet : m_bounds.lateRecordsPerSecond;
+    auto const perSecond = m_keepers.isLargeFleet() ? m_bounds.lateRecordsPerSecondInLargeFleet : m_bounds.lateRecordsPerSecond;
     Microseconds const interval(static_cast<int64_t>(1e6 / perSecond));
     for (auto& [service, late] : m_lateRecords) {
         if (!m_hooks.versions(service, now).needsRecords)
@@ -148,7 +79,7 @@
     if (!knowsPeers())
         return;
     for (auto const& [stream, record] : m_table.records()) {
-        auto const keepers = chooseKeepers(stream);
+        auto const keepers = m_keepers.chooseKeepers(stream);
         if (record.expiresAt > now && std::find(keepers.begin(), keepers.end(), peer) != keepers.end())
             m_hooks.send(peer, encodeStreamOriginMessage(StreamOriginRecord { stream, record.version, record.expiresAt - now }));
     }
@@ -187,11 +118,10 @@
     if (m_pending.size() >= m_bounds.maxPending)
         return callback({});
     auto const queryId = ++m_lastQueryId;
-    Pending pending { stream, service, keepersByAllLists(stream, now), chooseDaemons(peers(), stream, m_bounds.askedDaemons), {}, {}, now, now + m_bounds.repetitionInterval, std::move(callback) };
+    Pending pending { stream, service, m_keepers.keepersByAllLists(stream, now), m_keepers.chooseDaemons(stream, m_bounds.askedDaemons), {}, {}, now, now + m_bounds.repetitionInterval, std::move(callback) };
     for (auto const& keepers : pending.keepers) {
         for (auto const daemon : keepers.daemons) {
-            bool const isListed = std::any_of(peers().begin(), peers().end(), [daemon](auto const& peer) { return peer.id == daemon; });
-            if (isListed && std::find(pending.asked.begin(), pending.asked.end(), daemon) == pending.asked.end())
+            if (m_keepers.isListed(daemon) && std::find(pending.asked.begin(), pending.asked.end(), daemon) == pending.asked.end())
                 pending.asked.push_back(daemon);
         }
     }
@@ -235,14 +165,14 @@
 // Whether a record may have been lost, or may not have been found, of a stream that began at that time or later.
 bool StreamOriginExchange::mayLackRecordSince(Pending const& pending, Instant since) const
 {
-    if (m_lists.front().since > since)
+    if (m_keepers.knownSince() > since)
         return true;
     auto const mayLack = [&](VMId id) {
         auto const answer = pending.answers.find(id);
         return answer == pending.answers.end() || answer->second.keepsSince > since;
     };
-    return std::any_of(pending.keepers.begin(), pending.keepers.end(), [&](Keepers const& keepers) {
-        return keepers.until >= since - m_bounds.peerListLag && std::any_of(keepers.daemons.begin(), keepers.daemons.end(), mayLack);
+    return std::any_of(pending.keepers.begin(), pending.keepers.end(), [&](StreamKeepers::Keepers const& keepers) {
+        return m_keepers.mayBeInUse(keepers, since) && std::any_of(keepers.daemons.begin(), keepers.daemons.end(), mayLack);
     });
 }
 
--- a/Libraries/LibRouting/StreamOriginExchange.h
+++ b/Libraries/LibRouting/StreamOriginExchange.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/FleetPeer.h>
 #include <LibBase/Time.h>
+#include <LibRouting/StreamKeepers.h>
 #include <LibRouting/StreamOriginMessage.h>
 #include <LibRouting/StreamOriginTable.h>
 #include <LibRouting/VersionHistory.h>
@@ -36,10 +37,7 @@
 class StreamOriginExchange {
 public:
     struct Bounds {
-        // The daemons that keep each record. In a large fleet, a daemon's traffic allows fewer.
-        size_t keepers { 3 };
-        size_t keepersInLargeFleet { 2 };
-        size_t largeFleet { 128 };
+        StreamKeepers::Bounds keepers;
         // The daemons that are asked, as others may have chosen keepers from another list of daemons.
         size_t askedDaemons { 8 };
         // A round trip between regions takes 16 ms. Queries and replies may be lost.
@@ -51,10 +49,6 @@
         Microseconds proofInterval { 100000 };
         // A daemon that has just started gets its records within this time.
         Microseconds recoveryTime { 2000000 };
-        // Other daemons may use a list of daemons that is older by this.
-        Microseconds peerListLag { 3000000 };
-        // The earlier lists of daemons that are remembered.
-        size_t maxEarlierLists { 64 };
         // How many streams a second get their record late, when a second version has appeared.
         double lateRecordsPerSecond { 100 };
         double lateRecordsPerSecondInLargeFleet { 30 };
@@ -112,15 +106,16 @@
         , m_hooks(std::move(hooks))
         , m_startedAt(now)
         , m_keepsSince(now)
+        , m_keepers(self, bounds.keepers)
         , m_table(bounds.maxRecords)
         , m_restored(bounds.maxRecords)
     {
     }
 
     // Sets the other registered daemons.
-    void setPeers(std::vector<FleetPeer>, Instant now);
+    void setPeers(std::vector<FleetPeer> peers, Instant now) { m_keepers.setPeers(std::move(peers), now); }
     // Whether the other daemons have been set. Before, nobody could be asked.
-    bool knowsPeers() const { return !m_lists.empty(); }
+    bool knowsPeers() const { return m_keepers.knowsPeers(); }
     // This daemon was suspended, so records sent to it may have been lost, and lists of daemons missed.
     void restart(Instant now);
 
@@ -155,20 +150,11 @@
         std::optional<VersionId> withoutRecords;
         bool hasSeveral { false };
     };
-    struct PeerList {
-        std::vector<FleetPeer> peers;
-        Instant since;
-    };
-    // The keepers of a stream by a list of daemons that was in force until then.
-    struct Keepers {
-        std::vector<VMId> daemons;
-        Instant until;
-    };
     struct Pending {
         StreamId stream;
         std::string service;
         // By all lists that are known, those by the present one last.
-        std::vector<Keepers> keepers;
+        std::vector<StreamKeepers::Keepers> keepers;
         std::vector<VMId> asked;
         std::map<VMId, Answer> answers;
         VersionKnowledge own;
@@ -182,11 +168,6 @@
         Instant expiresAt;
     };
 
-    std::vector<FleetPeer> const& peers() const { return m_lists.back().peers; }
-    std::vector<VMId> chooseDaemons(std::vector<FleetPeer> const&, StreamId, size_t count) const;
-    size_t keeperCount(std::vector<FleetPeer> const&) const;
-    std::vector<VMId> chooseKeepers(StreamId stream) const { return chooseDaemons(peers(), stream, keeperCount(peers())); }
-    std::vector<Keepers> keepersByAllLists(StreamId, Instant now) const;
     void sendToKeepers(StreamId, VersionId, Microseconds lifetime);
     void sendLateRecords(Instant now);
     void addTo(StreamOriginTable&, StreamId, VersionId, Instant expiresAt, Instant now);
@@ -214,11 +195,10 @@
     // When this daemon has started, or was last suspended.
     Instant m_startedAt;
     Instant m_keepsSince;
+    StreamKeepers m_keepers;
     StreamOriginTable m_table;
     // What was kept beyond the lives of all daemons. It is not sent to daemons that start, since each gets all of it by itself.
     StreamOriginTable m_restored;
-    // The lists of daemons that have been in force, the present one last. Empty before the first one.
-    std::deque<PeerList> m_lists;
     std::map<uint64_t, Pending> m_pending;
     uint64_t m_lastQueryId { 0 };
     // By service: the streams that began while it had one version, in that order.
