Streams: Log whose record has told the version of a stream that is taken up

Operators saw streams go on at another version after a daemon stood still, and no line told which daemon's record had decided. stream-taken-up now says where the record was found (this daemon's table, what it restored from the store, or another daemon's answer), which daemon sent it, and how long it has been here; stagepost_stream_records_used_total counts them. A record or an answer that names another version than one that is known is counted and logged with both versions and senders, at most 1 line a second after the first 50. No decision changes.

--- a/Libraries/LibRouting/Routing.h
+++ b/Libraries/LibRouting/Routing.h
@@ -45,6 +45,7 @@
 #include <LibRouting/ServicePlacement.h>
 #include <LibRouting/ShareExchange.h>
 #include <LibRouting/SilenceDetector.h>
+#include <LibRouting/StreamOriginEvidence.h>
 #include <LibRouting/StreamOriginExchange.h>
 #include <LibRouting/StreamOriginLogRelay.h>
 #include <LibRouting/UpstreamBackoff.h>
--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -12,9 +12,11 @@
     m_keepers.forgetEarlierLists(now);
 }
 
-void StreamOriginExchange::addTo(StreamOriginTable& table, StreamId stream, VersionId version, Instant expiresAt, Instant now)
+void StreamOriginExchange::addTo(StreamOriginTable& table, StreamOriginRecord const& record, StreamOriginEvidence const& evidence, Instant now)
 {
-    auto const dropped = table.record(stream, version, expiresAt);
+    reportContradictions(record.stream, record.version, evidence, nullptr, now);
+    auto const expiresAt = now + std::min(record.lifetime, VersionHistory::memory);
+    auto const dropped = table.record(record.stream, record.version, expiresAt, { evidence.daemon, now });
     if (dropped && *dropped > now)
         m_keepsSince = now;
 }
@@ -22,7 +24,7 @@
 void StreamOriginExchange::record(StreamId stream, std::string const& service, VersionId version, Microseconds lifetime, Instant now)
 {
     auto const kept = std::min(lifetime, VersionHistory::memory);
-    addTo(m_table, stream, version, now + kept, now);
+    addTo(m_table, { stream, version, kept }, { Place::Table, m_self.id, Microseconds(0) }, now);
     // Until the other daemons are known, no keepers can be told.
     if (knowsPeers() && m_hooks.versions(service, now).needsRecords)
         return sendToKeepers(stream, version, kept);
@@ -71,7 +73,7 @@
 void StreamOriginExchange::restore(std::vector<StreamOriginRecord> const& records, Instant now)
 {
     for (auto const& record : records)
-        addTo(m_restored, record.stream, record.version, now + std::min(record.lifetime, VersionHistory::memory), now);
+        addTo(m_restored, record, { Place::Store, {}, Microseconds(0) }, now);
 }
 
 void StreamOriginExchange::peerStarted(VMId peer, Instant now)
@@ -85,10 +87,25 @@
     }
 }
 
-std::optional<VersionId> StreamOriginExchange::findRecord(StreamId stream, Instant now) const
+std::optional<StreamOriginExchange::KnownOrigin> StreamOriginExchange::findRecord(StreamId stream, Instant now) const
 {
-    auto const recorded = m_table.find(stream, now);
-    return recorded ? recorded : m_restored.find(stream, now);
+    if (auto const* record = m_table.findRecord(stream, now))
+        return KnownOrigin { record->version, { Place::Table, record->arrival.from, now - record->arrival.at } };
+    if (auto const* record = m_restored.findRecord(stream, now))
+        return KnownOrigin { record->version, { Place::Store, {}, now - record->arrival.at } };
+    return {};
+}
+
+void StreamOriginExchange::reportContradictions(StreamId stream, VersionId version, StreamOriginEvidence const& evidence, Pending const* pending, Instant now) const
+{
+    if (auto const known = findRecord(stream, now); known && known->version != version)
+        m_hooks.contradicted({ stream, known->version, known->evidence, version, evidence });
+    if (!pending)
+        return;
+    for (auto const& [daemon, answer] : pending->answers) {
+        if (daemon != m_self.id && answer.recorded && *answer.recorded != version)
+            m_hooks.contradicted({ stream, *answer.recorded, { Place::Answer, daemon, {} }, version, evidence });
+    }
 }
 
 // If a restored history has shown one version, streams that began before needed no record. Records that were lost since are missing.
@@ -96,7 +113,8 @@
 {
     bool const hasAllSinceRestored = versions.restoredUniformAt && m_keepsSince <= *versions.restoredUniformAt;
     auto const keptFor = hasAllSinceRestored ? StreamOriginReply::maxKeptFor : now - m_keepsSince;
-    return { 0, findRecord(stream, now), std::min<Microseconds>(keptFor, StreamOriginReply::maxKeptFor), versions.uniform, now - versions.listProvenAt, versions.withoutRecords, versions.hasSeveral };
+    auto const known = findRecord(stream, now);
+    return { 0, known ? std::optional(known->version) : std::nullopt, std::min<Microseconds>(keptFor, StreamOriginReply::maxKeptFor), versions.uniform, now - versions.listProvenAt, versions.withoutRecords, versions.hasSeveral };
 }
 
 // The reply was written between the two times.
@@ -113,8 +131,8 @@
 
 void StreamOriginExchange::find(StreamId stream, std::string const& service, Callback callback, Instant now)
 {
-    if (auto const version = findRecord(stream, now))
-        return callback({ version, true, Source::Record });
+    if (auto const known = findRecord(stream, now))
+        return callback({ known->version, true, Source::Record, known->evidence });
     if (m_pending.size() >= m_bounds.maxPending)
         return callback({});
     auto const queryId = ++m_lastQueryId;
@@ -145,8 +163,10 @@
 std::optional<StreamOriginExchange::Origin> StreamOriginExchange::resolve(Pending const& pending, Instant now) const
 {
     for (auto const& [daemon, answer] : pending.answers) {
-        if (answer.recorded)
-            return Origin { answer.recorded, true, Source::Record };
+        if (!answer.recorded)
+            continue;
+        auto const own = daemon == m_self.id ? findRecord(pending.stream, now) : std::nullopt;
+        return Origin { answer.recorded, true, Source::Record, own ? own->evidence : StreamOriginEvidence { Place::Answer, daemon, {} } };
     }
     if (auto const version = versionOfEarlierList(pending))
         return Origin { version, true, Source::OneVersion };
@@ -253,7 +273,7 @@
 {
     auto const message = TRY(decodeStreamOriginMessage(bytes));
     if (auto const* record = std::get_if<StreamOriginRecord>(&message)) {
-        addTo(m_table, record->stream, record->version, now + std::min(record->lifetime, VersionHistory::memory), now);
+        addTo(m_table, *record, { Place::Table, from, Microseconds(0) }, now);
         return {};
     }
     if (auto const* query = std::get_if<StreamOriginQuery>(&message)) {
@@ -266,6 +286,8 @@
     auto const found = m_pending.find(reply.queryId);
     if (found == m_pending.end() || std::find(found->second.asked.begin(), found->second.asked.end(), from) == found->second.asked.end())
         return {};
+    if (reply.recorded)
+        reportContradictions(found->second.stream, *reply.recorded, { Place::Answer, from, {} }, &found->second, now);
     found->second.answers[from] = answerFrom(reply, found->second.startedAt, now);
     if (auto const origin = resolve(found->second, now))
         complete(reply.queryId, *origin);
--- a/Libraries/LibRouting/StreamOriginExchange.h
+++ b/Libraries/LibRouting/StreamOriginExchange.h
@@ -3,6 +3,7 @@
 #include <LibBase/FleetPeer.h>
 #include <LibBase/Time.h>
 #include <LibRouting/StreamKeepers.h>
+#include <LibRouting/StreamOriginEvidence.h>
 #include <LibRouting/StreamOriginMessage.h>
 #include <LibRouting/StreamOriginTable.h>
 #include <LibRouting/VersionHistory.h>
@@ -80,6 +81,8 @@
         std::function<VersionKnowledge(std::string const& service, Instant now)> versions;
         // Keeps the record beyond the lives of all daemons.
         std::function<void(StreamOriginRecord const&)> persist { [](StreamOriginRecord const&) {} };
+        // A record names another version than one that is known already.
+        std::function<void(StreamOriginContradiction const&)> contradicted { [](StreamOriginContradiction const&) {} };
     };
 
     // What has told the version at which a stream has begun.
@@ -97,6 +100,8 @@
         // Whether it can't be told later or by another daemon either: all keepers have replied, and none has just started.
         bool isFinal { false };
         Source source { Source::None };
+        // Where the record is from, if one has decided.
+        StreamOriginEvidence evidence {};
     };
     using Callback = std::function<void(Origin const&)>;
 
@@ -139,6 +144,8 @@
     size_t recordCount() const { return m_table.records().size() + m_restored.records().size(); }
 
 private:
+    using Place = StreamOriginEvidence::Place;
+
     // What a daemon has replied, with times of this daemon's clock. Where a time isn't known exactly, it is the one that
     // proves less.
     struct Answer {
@@ -162,6 +169,10 @@
         Instant repeatAt;
         Callback callback;
     };
+    struct KnownOrigin {
+        VersionId version;
+        StreamOriginEvidence evidence;
+    };
     struct LateRecord {
         StreamId stream;
         VersionId version;
@@ -170,8 +181,10 @@
 
     void sendToKeepers(StreamId, VersionId, Microseconds lifetime);
     void sendLateRecords(Instant now);
-    void addTo(StreamOriginTable&, StreamId, VersionId, Instant expiresAt, Instant now);
-    std::optional<VersionId> findRecord(StreamId, Instant now) const;
+    void addTo(StreamOriginTable&, StreamOriginRecord const&, StreamOriginEvidence const&, Instant now);
+    std::optional<KnownOrigin> findRecord(StreamId, Instant now) const;
+    // Reports the known versions of the stream that this one contradicts.
+    void reportContradictions(StreamId, VersionId, StreamOriginEvidence const&, Pending const*, Instant now) const;
     StreamOriginReply makeReply(StreamId, VersionKnowledge const&, Instant now) const;
     static Answer answerFrom(StreamOriginReply const&, Instant sentAfter, Instant receivedAt);
     void updateOwnAnswer(Pending&, Instant now) const;
--- a/Libraries/LibRouting/StreamOriginTable.cpp
+++ b/Libraries/LibRouting/StreamOriginTable.cpp
@@ -2,9 +2,9 @@
 
 namespace Stagepost {
 
-std::optional<Instant> StreamOriginTable::record(StreamId stream, VersionId version, Instant expiresAt)
+std::optional<Instant> StreamOriginTable::record(StreamId stream, VersionId version, Instant expiresAt, Arrival arrival)
 {
-    auto const [entry, isNew] = m_records.try_emplace(stream, Record { version, expiresAt });
+    auto const [entry, isNew] = m_records.try_emplace(stream, Record { version, expiresAt, arrival });
     if (!isNew) {
         if (expiresAt <= entry->second.expiresAt)
             return {};
@@ -20,9 +20,15 @@
 }
 
 std::optional<VersionId> StreamOriginTable::find(StreamId stream, Instant now) const
+{
+    auto const* record = findRecord(stream, now);
+    return record ? std::optional(record->version) : std::nullopt;
+}
+
+StreamOriginTable::Record const* StreamOriginTable::findRecord(StreamId stream, Instant now) const
 {
     auto const found = m_records.find(stream);
-    return found == m_records.end() || found->second.expiresAt <= now ? std::nullopt : std::optional(found->second.version);
+    return found == m_records.end() || found->second.expiresAt <= now ? nullptr : &found->second;
 }
 
 void StreamOriginTable::eraseFirst()
--- a/Libraries/LibRouting/StreamOriginTable.h
+++ b/Libraries/LibRouting/StreamOriginTable.h
@@ -18,16 +18,25 @@
     {
     }
 
+    // Which daemon has sent the record, and when it has arrived. Only logged.
+    struct Arrival {
+        VMId from;
+        Instant at;
+    };
+    struct Record {
+        VersionId version;
+        Instant expiresAt;
+        Arrival arrival;
+    };
+
     // A stream has one origin: a later record only extends the lifetime of the first one. A full table drops the
     // record that expires first. Returns when that one would have expired, if one was dropped.
-    std::optional<Instant> record(StreamId, VersionId, Instant expiresAt);
+    std::optional<Instant> record(StreamId, VersionId, Instant expiresAt, Arrival = {});
     std::optional<VersionId> find(StreamId, Instant now) const;
+    // Null if there is none.
+    Record const* findRecord(StreamId, Instant now) const;
     void expire(Instant now);
 
-    struct Record {
-        VersionId version;
-        Instant expiresAt;
-    };
     std::map<StreamId, Record> const& records() const { return m_records; }
 
 private:
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -106,8 +106,7 @@
 // version that may not have begun it.
 void GatewayRequestHandler::handleStreamOrigin(StreamOriginExchange::Origin const& origin)
 {
-    m_services.metrics.count("stagepost_streams_taken_up_total", "origin=\"" + std::string(nameOf(origin.source)) + "\"");
-    logEvent(LogLevel::Info, "stream-taken-up", { { "id", m_request.call.id }, { "first_attempt", m_request.call.firstAttempt }, { "version_id", toHex(origin.version.value_or(VersionId()).value()) }, { "origin", nameOf(origin.source) }, { "final", origin.isFinal ? 1 : 0 } });
+    reportStreamTakenUp(m_services.metrics, m_request.call.id, m_request.call.firstAttempt, origin);
     if (endedWhileWaiting())
         return;
     if (!origin.version) {
--- a/Services/stagepostd/StreamOriginFinder.cpp
+++ b/Services/stagepostd/StreamOriginFinder.cpp
@@ -1,5 +1,8 @@
 #include <stagepostd/StreamOriginFinder.h>
 
+#include <LibBase/Hex.h>
+#include <LibBase/Log.h>
+
 namespace Stagepost {
 
 namespace {
@@ -9,16 +12,37 @@
     constexpr Milliseconds maxJoinWait { 250 };
     // A daemon joins within a second, and begins some tens of streams a second.
     constexpr size_t maxWaitingRecords = 4096;
+    // One contradiction shows in each of the answers to a question, which is put three times to eight daemons or more.
+    constexpr double contradictionLinesBurst { 50 };
+    constexpr double contradictionLinesPerSecond { 1 };
+
+    // Empty for the null id, which stands for no daemon.
+    std::string daemonName(VMId id)
+    {
+        return id.isNull() ? std::string() : toHex(id.value());
+    }
 
 }
 
+void reportStreamTakenUp(Metrics& metrics, std::string const& requestId, std::string const& firstAttempt, StreamOriginExchange::Origin const& origin)
+{
+    bool const isByRecord = origin.source == StreamOriginExchange::Source::Record;
+    auto const& evidence = origin.evidence;
+    metrics.count("stagepost_streams_taken_up_total", "origin=\"" + std::string(nameOf(origin.source)) + "\"");
+    if (isByRecord)
+        metrics.count("stagepost_stream_records_used_total", "from=\"" + std::string(nameOf(evidence.place)) + "\"");
+    logEvent(LogLevel::Info, "stream-taken-up", { { "id", requestId }, { "first_attempt", firstAttempt }, { "version_id", toHex(origin.version.value_or(VersionId()).value()) }, { "origin", nameOf(origin.source) }, { "final", origin.isFinal ? 1 : 0 }, { "record_from", isByRecord ? nameOf(evidence.place) : "" }, { "record_daemon", daemonName(evidence.daemon) }, { "record_age_ms", evidence.age ? std::to_string(evidence.age->count() / 1000) : "" } });
+}
+
 StreamOriginFinder::StreamOriginFinder(EventLoop& loop, Metrics& metrics, Hooks hooks)
     : m_loop(loop)
     , m_metrics(metrics)
     , m_hooks(std::move(hooks))
     , m_logRelay({}, { m_hooks.appender, m_hooks.sendToAppender, m_hooks.log.append })
     , m_waitingTimer(loop)
+    , m_contradictionLines(contradictionLinesBurst)
 {
+    m_hooks.exchange.contradicted = [this](StreamOriginContradiction const& contradiction) { reportContradiction(contradiction); };
     m_hooks.exchange.persist = [this](StreamOriginRecord const& record) { m_logRelay.add(record); };
 }
 
@@ -76,6 +100,16 @@
         find();
 }
 
+void StreamOriginFinder::reportContradiction(StreamOriginContradiction const& contradiction)
+{
+    m_metrics.count("stagepost_stream_origin_contradictions_total");
+    if (!m_contradictionLines.take(contradictionLinesPerSecond, m_loop.now()))
+        return;
+    auto const& known = contradiction.knownFrom;
+    auto const& other = contradiction.contradictingFrom;
+    logEvent(LogLevel::Warning, "stream-origins-contradict", { { "stream", toHex(contradiction.stream.value()) }, { "known_version_id", toHex(contradiction.known.value()) }, { "known_from", nameOf(known.place) }, { "known_daemon", daemonName(known.daemon) }, { "known_age_ms", known.age ? std::to_string(known.age->count() / 1000) : "" }, { "version_id", toHex(contradiction.contradicting.value()) }, { "from", nameOf(other.place) }, { "daemon", daemonName(other.daemon) } });
+}
+
 void StreamOriginFinder::restore(std::vector<StreamOriginRecord> const& records)
 {
     if (m_exchange)
--- a/Services/stagepostd/StreamOriginFinder.h
+++ b/Services/stagepostd/StreamOriginFinder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Metrics.h>
+#include <LibBase/TokenBucket.h>
 #include <LibProxy/Timer.h>
 #include <LibRouting/Routing.h>
 #include <memory>
@@ -15,6 +16,9 @@
     std::function<void()> readAgain { [] {} };
 };
 
+// Logs and counts that a caller takes up a stream here, and what told its version. The request names the attempt that began it.
+void reportStreamTakenUp(Metrics&, std::string const& requestId, std::string const& firstAttempt, StreamOriginExchange::Origin const&);
+
 // Finds at which version a stream began, once this daemon has joined and knows the others: what is asked before waits
 // a little. Brings the records to the store's log, and takes those that it returns.
 class StreamOriginFinder {
@@ -53,6 +57,7 @@
 
 private:
     void findWaiting();
+    void reportContradiction(StreamOriginContradiction const&);
 
     EventLoop& m_loop;
     Metrics& m_metrics;
@@ -65,6 +70,7 @@
     // Until this daemon knows the others.
     std::vector<std::function<void()>> m_waiting;
     Timer m_waitingTimer;
+    TokenBucket m_contradictionLines;
     // What the log has returned before this daemon has joined.
     std::vector<StreamOriginRecord> m_restored;
 };
--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -199,6 +199,7 @@
     std::map<VMId, Daemon> daemons;
     // What would outlive all daemons.
     std::vector<StreamOriginRecord> persisted;
+    std::vector<StreamOriginContradiction> contradictions;
     bool areMessagesLost { false };
     size_t sentMessages { 0 };
 
@@ -224,6 +225,7 @@
             return StreamOriginExchange::VersionKnowledge { daemon.isListProven ? uniform : std::nullopt, daemon.listProvenAt.value_or(lastConfirmation), daemon.versions.versionWithoutRecords(time), daemon.versions.restoredUniformAt(), daemon.versions.recentVersions(time).size() > 1, !uniform };
         };
         hooks.persist = [this](StreamOriginRecord const& record) { persisted.push_back(record); };
+        hooks.contradicted = [this](StreamOriginContradiction const& contradiction) { contradictions.push_back(contradiction); };
         daemon.exchange = std::make_unique<StreamOriginExchange>(peer, StreamOriginExchange::Bounds {}, std::move(hooks), since);
         if (knowsPeers)
             daemon.exchange->setPeers(m_peers, now);
@@ -267,6 +269,43 @@
     }
 }
 
+// Guards against a stream that is joined to another version without a line that shows whose record has decided.
+BOOST_AUTO_TEST_CASE(AnOriginNamesWhoGaveItsRecord)
+{
+    using Place = StreamOriginEvidence::Place;
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    fleet.record(VMId(1), StreamId(7), second);
+    auto const holders = fleet.holders();
+    fleet.run(2);
+    for (auto& [id, daemon] : fleet.daemons) {
+        auto const origin = fleet.find(id, StreamId(7));
+        bool const isHolder = holders.contains(id);
+        BOOST_TEST((origin.evidence.place == (isHolder ? Place::Table : Place::Answer)));
+        BOOST_TEST((isHolder ? origin.evidence.daemon == VMId(1) : holders.contains(origin.evidence.daemon)));
+        BOOST_TEST((!isHolder || origin.evidence.age >= Microseconds(Seconds(2))));
+    }
+    fleet.restartAll();
+    fleet.daemons[VMId(2)].exchange->restore({ { StreamId(9), second, Seconds(12) } }, fleet.now);
+    BOOST_TEST((fleet.find(VMId(2), StreamId(9)).evidence.place == Place::Store));
+    BOOST_TEST(fleet.contradictions.empty());
+}
+
+// Guards against records of two versions of one stream that nobody notices.
+BOOST_AUTO_TEST_CASE(ARecordThatContradictsAnotherIsReportedWithBothVersionsAndSenders)
+{
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    fleet.record(VMId(1), StreamId(7), first);
+    fleet.run(1);
+    fleet.record(VMId(2), StreamId(7), second);
+    BOOST_REQUIRE(!fleet.contradictions.empty());
+    bool const isAtAKeeper = std::any_of(fleet.contradictions.begin(), fleet.contradictions.end(), [](auto const& contradiction) {
+        return contradiction.stream == StreamId(7) && contradiction.known == first && contradiction.knownFrom.daemon == VMId(1) && contradiction.contradicting == second && contradiction.contradictingFrom.daemon == VMId(2);
+    });
+    BOOST_TEST(isAtAKeeper);
+}
+
 BOOST_AUTO_TEST_CASE(ARecordOutlivesItsStarterAndTwoKeepers)
 {
     Fleet fleet;
