Tests: Show that replies to an earlier process of a daemon are taken for its own

After a daemon was killed and started again under its name, another one that had stood still answered questions of the earlier process. Numbers of questions start from 0 in each process, and replies are matched by them, so such a reply counted for a question about something else: a stream went on at another version.

Five tests fail on this code: AReplyToAnEarlierProcessIsNotTakenForOneToThisProcess (streams), AResponseToAnEarlierProcess- IsNotTakenForOneToThisProcess (permits, context holders, detours) and AResponseThatArrivesTwiceCountsForOneCandidate (permits of two candidates of one request have the same number).

--- a/Tests/LibRouting/TestDetourExchange.cpp
+++ b/Tests/LibRouting/TestDetourExchange.cpp
@@ -117,6 +117,38 @@
         BOOST_TEST(fleet.member(number).bytesSent == 0u);
 }
 
+// Guards against requests to a daemon that is not available any more: its answer to an earlier process of this daemon, which
+// was under way for long, counts as heard just now.
+BOOST_AUTO_TEST_CASE(AResponseToAnEarlierProcessIsNotTakenForOneToThisProcess)
+{
+    std::vector<FleetPeer> const peers { { VMId(1), HallId(1) }, { VMId(2), HallId(1) } };
+    std::mt19937_64 random { 1 };
+    auto const start = [&](FleetPeer const& peer, std::vector<std::string>& sent) {
+        DetourExchange::Hooks hooks;
+        hooks.send = [&sent](VMId, std::string const& bytes) { sent.push_back(bytes); };
+        hooks.isAvailable = [] { return true; };
+        hooks.load = [] { return size_t { 0 }; };
+        hooks.random = [&random] { return random(); };
+        auto exchange = std::make_unique<DetourExchange>(peer, DetourExchange::Bounds {}, std::move(hooks));
+        exchange->setPeers(peers);
+        return exchange;
+    };
+    std::vector<std::string> queries;
+    std::vector<std::string> responses;
+    Instant const now { Seconds(1000) };
+    auto const other = start(peers[1], responses);
+    auto process = start(peers[0], queries);
+    process->setSearching(true, now);
+    BOOST_REQUIRE(other->receive(VMId(1), queries.back(), now));
+    process = start(peers[0], queries);
+    process->setSearching(true, now);
+    BOOST_REQUIRE(process->receive(VMId(2), responses.back(), now));
+    BOOST_TEST(process->availableCount(now) == 0u);
+    BOOST_REQUIRE(other->receive(VMId(1), queries.back(), now));
+    BOOST_REQUIRE(process->receive(VMId(2), responses.back(), now));
+    BOOST_TEST(process->availableCount(now) == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(ADaemonWithoutLinksIsNeverChosen)
 {
     DetourFleet fleet(12, 2);
--- a/Tests/LibRouting/TestHolderExchange.cpp
+++ b/Tests/LibRouting/TestHolderExchange.cpp
@@ -12,6 +12,11 @@
 constexpr UpstreamId first { 1 };
 constexpr UpstreamId second { 2 };
 
+Instant at(double seconds)
+{
+    return Instant(Microseconds(static_cast<int64_t>(seconds * 1e6)));
+}
+
 // Daemons that receive each other's messages immediately, except for unresponsive ones.
 struct Fleet {
     explicit Fleet(size_t size)
@@ -74,6 +79,45 @@
     BOOST_TEST(fleet.messages <= 6u);
 }
 
+// Guards against a source that has not had the context: the home answers a question of an earlier process of this daemon,
+// about another context, whose number this process has used as well.
+BOOST_AUTO_TEST_CASE(AResponseToAnEarlierProcessIsNotTakenForOneToThisProcess)
+{
+    std::vector<FleetPeer> const peers { { VMId(1), HallId(1) }, { VMId(2), HallId(1) } };
+    std::vector<std::string> queries;
+    std::vector<std::string> responses;
+    auto const start = [&](FleetPeer const& peer, std::vector<std::string>& sent) {
+        HolderExchange::Hooks const hooks { [&sent](VMId, std::string const& bytes) { sent.push_back(bytes); } };
+        auto exchange = std::make_unique<HolderExchange>(peer, HolderExchange::Bounds {}, hooks);
+        exchange->setPeers(peers, {});
+        return exchange;
+    };
+    auto const home = start(peers[1], responses);
+    auto process = start(peers[0], queries);
+    // Places contexts until the other daemon is the home of one of them.
+    uint64_t placed = context;
+    auto const place = [&](HolderExchange::Callback const& callback) {
+        for (queries.clear(); queries.empty(); ++placed)
+            process->recordPlacement(placed, second, callback, at(1));
+    };
+    place([](auto const&) {});
+    home->receive(VMId(1), encodeHolderMessage(HolderQuery { 0, placed - 1, first }), at(1)).value();
+    responses.clear();
+    home->receive(VMId(1), queries.front(), at(1)).value();
+    auto const earlier = responses.front();
+
+    process = start(peers[0], queries);
+    std::optional<std::vector<UpstreamId>> holders;
+    place([&](auto const& found) { holders = found; });
+    holders.reset();
+    process->receive(VMId(2), earlier, at(1)).value();
+    BOOST_TEST(!holders.has_value());
+    home->receive(VMId(1), queries.front(), at(1)).value();
+    process->receive(VMId(2), responses.back(), at(1)).value();
+    BOOST_REQUIRE(holders.has_value());
+    BOOST_TEST(holders->empty());
+}
+
 BOOST_AUTO_TEST_CASE(OnlyTheMostRecentHoldersAreKept)
 {
     ContextHolders holders(2);
--- a/Tests/LibRouting/TestPermitExchange.cpp
+++ b/Tests/LibRouting/TestPermitExchange.cpp
@@ -224,6 +224,111 @@
     BOOST_TEST(choose(4, 6));
 }
 
+namespace {
+
+// A daemon and the only other one of its hall, whose messages the test passes on.
+class Pair {
+public:
+    Pair()
+    {
+        owner = start(1, responses);
+        startAsker();
+    }
+
+    // The next process of the same daemon.
+    void startAsker() { asker = start(0, requests); }
+
+    // Returns the next upstream that the other daemon owns.
+    UpstreamId findOwned()
+    {
+        for (requests.clear(); requests.empty();)
+            asker->choose(
+                { { UpstreamId(++m_lastUpstream), north, 0 } }, [](auto const&) {}, at(0));
+        return UpstreamId(m_lastUpstream);
+    }
+
+    // Requests a permit, and passes the request on. Returns the response.
+    std::string request(std::vector<PermitExchange::Candidate> const& candidates, PermitExchange::Callback const& callback)
+    {
+        requests.clear();
+        asker->choose(candidates, callback, at(0));
+        BOOST_REQUIRE(requests.size() == 1u);
+        return respond(requests.back());
+    }
+
+    std::string respond(std::string const& request)
+    {
+        responses.clear();
+        BOOST_REQUIRE(owner->receive(VMId(1), request, at(0)));
+        BOOST_REQUIRE(!responses.empty());
+        return responses.back();
+    }
+
+    std::unique_ptr<PermitExchange> asker;
+    std::unique_ptr<PermitExchange> owner;
+    // What the daemons have sent as permit requests and as responses.
+    std::vector<std::string> requests;
+    std::vector<std::string> responses;
+
+private:
+    std::unique_ptr<PermitExchange> start(size_t index, std::vector<std::string>& sent)
+    {
+        PermitExchange::Hooks hooks;
+        hooks.send = [&sent](VMId, std::string const& bytes) {
+            auto const message = decodePermitMessage(bytes).value();
+            if (std::holds_alternative<PermitRequest>(message) || std::holds_alternative<PermitResponse>(message))
+                sent.push_back(bytes);
+        };
+        hooks.forecast = [](UpstreamId) { return UpstreamForecast { 0, holdTime, {}, false, false }; };
+        auto exchange = std::make_unique<PermitExchange>(m_peers[index], PermitExchange::Bounds {}, hooks);
+        exchange->setPeers(m_peers, {}, at(-10));
+        return exchange;
+    }
+
+    std::vector<FleetPeer> m_peers { { VMId(1), north }, { VMId(2), north } };
+    uint64_t m_lastUpstream { 0 };
+};
+
+}
+
+// Guards against a request beyond an upstream's limit: the owner answers a request of an earlier process of this daemon, for a
+// place at another upstream, whose number this process has used as well.
+BOOST_AUTO_TEST_CASE(AResponseToAnEarlierProcessIsNotTakenForOneToThisProcess)
+{
+    Pair pair;
+    auto const free = pair.findOwned();
+    auto const full = pair.findOwned();
+    pair.startAsker();
+    auto const earlier = pair.request({ { free, north, 9 } }, [](auto const&) {});
+    BOOST_TEST(std::get<PermitResponse>(decodePermitMessage(earlier).value()).isGranted);
+    pair.startAsker();
+    std::optional<PermitExchange::Outcome> outcome;
+    auto const response = pair.request({ { full, north, 0 } }, [&](auto const& found) { outcome = found; });
+    BOOST_REQUIRE(pair.asker->receive(VMId(2), earlier, at(0)));
+    BOOST_TEST(!outcome.has_value());
+    BOOST_REQUIRE(pair.asker->receive(VMId(2), response, at(0)));
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST(!outcome->isGranted);
+}
+
+// Guards against a candidate that is passed over: a response that arrives twice counts for the next candidate as well, if that
+// one has the same owner.
+BOOST_AUTO_TEST_CASE(AResponseThatArrivesTwiceCountsForOneCandidate)
+{
+    Pair pair;
+    auto const full = pair.findOwned();
+    auto const free = pair.findOwned();
+    std::optional<PermitExchange::Outcome> outcome;
+    auto const denied = pair.request({ { full, north, 0 }, { free, north, 9 } }, [&](auto const& found) { outcome = found; });
+    BOOST_REQUIRE(pair.asker->receive(VMId(2), denied, at(0)));
+    BOOST_REQUIRE(pair.requests.size() == 2u);
+    BOOST_REQUIRE(pair.asker->receive(VMId(2), denied, at(0)));
+    BOOST_TEST(!outcome.has_value());
+    BOOST_REQUIRE(pair.asker->receive(VMId(2), pair.respond(pair.requests.back()), at(0)));
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST((outcome->isGranted && outcome->upstream == free));
+}
+
 BOOST_AUTO_TEST_CASE(PermitsAreLimitedAcrossAllDaemons)
 {
     Fleet fleet(20);
--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -63,6 +63,16 @@
             daemons[id].versions.appeared(version, now);
     }
 
+    // The daemon stands still: what is sent to it waits in its socket, and is handled first when it goes on.
+    void suspend(VMId id) { m_suspended.insert(id); }
+    void resume(VMId id)
+    {
+        m_suspended.erase(id);
+        auto const isWaiting = [id](Message const& message) { return message.to == id; };
+        std::copy_if(m_held.begin(), m_held.end(), std::back_inserter(m_messages), isWaiting);
+        std::erase_if(m_held, isWaiting);
+    }
+
     // The daemon's list of upstreams is from now, and is not confirmed any more.
     void keepListOf(VMId id)
     {
@@ -236,7 +246,9 @@
         while (!m_messages.empty()) {
             auto const messages = std::exchange(m_messages, {});
             for (auto const& message : messages) {
-                if (!areMessagesLost && !daemons[message.from].isDown && !daemons[message.to].isDown)
+                if (m_suspended.contains(message.to))
+                    m_held.push_back(message);
+                else if (!areMessagesLost && !daemons[message.from].isDown && !daemons[message.to].isDown)
                     BOOST_TEST(daemons[message.to].exchange->receive(message.from, message.bytes, now).has_value());
             }
         }
@@ -251,6 +263,9 @@
     std::vector<FleetPeer> m_peers;
     std::set<VersionId> m_present { first };
     std::vector<Message> m_messages;
+    std::set<VMId> m_suspended;
+    // Messages to the daemons that stand still.
+    std::vector<Message> m_held;
 };
 
 }
@@ -306,6 +321,26 @@
     BOOST_TEST(isAtAKeeper);
 }
 
+// Guards against a stream that goes on at the version of another one: a daemon that stood still answers a question of an
+// earlier process of this daemon, whose number this process has used as well.
+BOOST_AUTO_TEST_CASE(AReplyToAnEarlierProcessIsNotTakenForOneToThisProcess)
+{
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    constexpr VMId asker { 1 };
+    constexpr VMId slow { 9 };
+    fleet.record(slow, StreamId(7), second);
+    fleet.record(slow, StreamId(8), first);
+    fleet.killAndRestart(asker, { first, second });
+    fleet.suspend(slow);
+    fleet.find(asker, StreamId(8));
+    fleet.killAndRestart(asker, { first, second });
+    for (auto& [id, daemon] : fleet.daemons)
+        daemon.isDown = id != asker && id != slow;
+    fleet.resume(slow);
+    BOOST_TEST((fleet.find(asker, StreamId(7)).version == second));
+}
+
 BOOST_AUTO_TEST_CASE(ARecordOutlivesItsStarterAndTwoKeepers)
 {
     Fleet fleet;
