--- a/Tests/Processes/test_stream_versions.py
+++ b/Tests/Processes/test_stream_versions.py
@@ -409,6 +409,28 @@
         time.sleep(0.4 * PLAY_SECONDS)
         self.check()
 
+    def test_daemons_stand_still_while_others_start_again(self):
+        """Guards against a reply to a question of a daemon's earlier process, about another stream, that is taken for one to its
+        present process: daemons that stood still first answer what lies in their sockets."""
+        self.start(6, 4)
+        time.sleep(0.1 * PLAY_SECONDS)
+        for _ in range(4):
+            killed = self.random.sample(self.members, 2)
+            others = [member for member in self.members if member not in killed]
+            for member in others:
+                member.is_available = False
+                member.signal(signal.SIGSTOP)
+            # Each process asks about streams that the one before it began, and counts its questions from the beginning.
+            for _ in range(3):
+                time.sleep(0.04 * PLAY_SECONDS)
+                for_each(killed, Member.restart)
+            time.sleep(0.03 * PLAY_SECONDS)
+            for member in others:
+                member.signal(signal.SIGCONT)
+                member.is_available = True
+            time.sleep(0.1 * PLAY_SECONDS)
+        self.check_order()
+
 
 class OneVersion(StreamVersions):
     """With a single version, all streams that are taken up go on, also right after their daemons have started."""
