Exchanges: Match replies only to questions of the same process

Streams went on at another version after a daemon stood still: it first answered questions of an earlier process of the asking daemon, whose numbers the present process uses as well, since they start from 0 in each. Permits and holders of contexts were taken in the same way, and detours matched their answers by nothing at all.

QuestionNumbers starts at a random number in each process. The number of a question about a stream names the stream as well, so that a reply about another one is ignored even if numbers are the same by chance. Daemons of the earlier build return it unchanged; they would reject a reply with a further field. A permit request has a new number for each send, since one owner may be asked for several candidates.

A question and its reply grow by 2 to 4 bytes each (6 to 8 about streams); arithmetic from the encoding, not measured. GatewayPeers passes the random hook on, so its count of earlier requests moves to a class of its own.

Not run yet on real daemons.

--- a/Libraries/LibBase/Base.h
+++ b/Libraries/LibBase/Base.h
@@ -17,6 +17,7 @@
 #include <LibBase/MessageWriter.h>
 #include <LibBase/Metrics.h>
 #include <LibBase/PendingProofs.h>
+#include <LibBase/QuestionNumbers.h>
 #include <LibBase/RefusalReason.h>
 #include <LibBase/Result.h>
 #include <LibBase/StalenessBound.h>
--- a/Libraries/LibRouting/DetourExchange.cpp
+++ b/Libraries/LibRouting/DetourExchange.cpp
@@ -117,8 +117,24 @@
     }
     selectRandomly(known, m_bounds.wantedDaemons, m_hooks.random);
     asked.insert(asked.end(), known.begin(), known.end());
-    for (auto const id : asked)
-        m_hooks.send(id, encodeDetourMessage(DetourQuery { ++m_lastQueryId }));
+    forgetOldQueries(now);
+    for (auto const id : asked) {
+        m_queries.push_back({ m_queryNumbers.next(), id, now });
+        m_hooks.send(id, encodeDetourMessage(DetourQuery { m_queries.back().id }));
+    }
+}
+
+// A daemon that was suspended finds answers in its socket that are as old as the queries.
+void DetourExchange::forgetOldQueries(Instant now)
+{
+    while (!m_queries.empty() && now - m_queries.front().sentAt > m_bounds.knowledgeLifetime)
+        m_queries.pop_front();
+}
+
+bool DetourExchange::takeQuery(uint64_t id, VMId to, Instant now)
+{
+    forgetOldQueries(now);
+    return std::erase_if(m_queries, [&](Query const& query) { return query.id == id && query.to == to; }) != 0;
 }
 
 DetourResponse DetourExchange::respond(DetourQuery const& query, VMId to, Instant now) const
@@ -147,6 +163,8 @@
         return {};
     }
     auto const& response = std::get<DetourResponse>(message);
+    if (!takeQuery(response.queryId, from, now))
+        return {};
     auto& daemon = m_daemons[from];
     daemon.isAvailable = response.isAvailable;
     daemon.heardAt = now;
--- a/Libraries/LibRouting/DetourExchange.h
+++ b/Libraries/LibRouting/DetourExchange.h
@@ -2,7 +2,9 @@
 
 #include <LibBase/FleetPeer.h>
 #include <LibBase/Hooks.h>
+#include <LibBase/QuestionNumbers.h>
 #include <LibRouting/DetourMessage.h>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -53,6 +55,7 @@
         : m_self(self)
         , m_bounds(bounds)
         , m_hooks(std::move(hooks))
+        , m_queryNumbers(m_hooks.random)
     {
     }
 
@@ -85,6 +88,11 @@
         bool isAvailable { false };
         Instant avoidUntil;
     };
+    struct Query {
+        uint64_t id { 0 };
+        VMId to;
+        Instant sentAt;
+    };
     struct Pending {
         std::vector<VMId> excluded;
         Callback callback;
@@ -95,6 +103,9 @@
     std::optional<VMId> pick(std::vector<VMId> const& excluded, Instant now) const;
     void learn(VMId, Instant heardAt, size_t load);
     void sendQueries(Instant now);
+    void forgetOldQueries(Instant now);
+    // Whether the response answers a recent query of this process, which is then forgotten.
+    bool takeQuery(uint64_t id, VMId to, Instant now);
     DetourResponse respond(DetourQuery const&, VMId to, Instant now) const;
     void answerPending(Instant now);
 
@@ -106,7 +117,9 @@
     std::vector<Pending> m_pending;
     std::optional<Instant> m_searchingSince;
     Instant m_nextRoundAt;
-    uint64_t m_lastQueryId { 0 };
+    QuestionNumbers m_queryNumbers;
+    // The queries that may still be answered, in the order of their times.
+    std::deque<Query> m_queries;
 };
 
 }
--- a/Libraries/LibRouting/HolderExchange.cpp
+++ b/Libraries/LibRouting/HolderExchange.cpp
@@ -32,7 +32,7 @@
     auto const home = homeOf(context);
     if (home == m_self.id)
         return callback(m_holders.recordPlacement(context, upstream));
-    auto const queryId = ++m_lastQueryId;
+    auto const queryId = m_queryNumbers.next();
     auto const suspected = m_suspectedUntil.find(home);
     bool const isSuspected = suspected != m_suspectedUntil.end() && now < suspected->second;
     auto const query = encodeHolderMessage(HolderQuery { queryId, context, upstream });
--- a/Libraries/LibRouting/HolderExchange.h
+++ b/Libraries/LibRouting/HolderExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/FleetPeer.h>
+#include <LibBase/QuestionNumbers.h>
 #include <LibBase/Time.h>
 #include <LibRouting/ContextHolders.h>
 #include <LibRouting/HolderMessage.h>
@@ -33,6 +34,7 @@
     };
     struct Hooks {
         std::function<void(VMId to, std::string bytes)> send;
+        RandomHook random;
     };
     // Receives the upstreams that had the context before, most recent first; empty if unknown.
     using Callback = std::function<void(std::vector<UpstreamId> const&)>;
@@ -42,6 +44,7 @@
         , m_bounds(bounds)
         , m_hooks(std::move(hooks))
         , m_holders(bounds.maxContexts)
+        , m_queryNumbers(m_hooks.random)
     {
     }
 
@@ -76,7 +79,7 @@
     std::vector<VMId> m_homes;
     std::map<VMId, Instant> m_suspectedUntil;
     std::map<uint64_t, Pending> m_pending;
-    uint64_t m_lastQueryId { 0 };
+    QuestionNumbers m_queryNumbers;
 };
 
 }
--- a/Libraries/LibRouting/PermitExchange.cpp
+++ b/Libraries/LibRouting/PermitExchange.cpp
@@ -132,7 +132,7 @@
 
 void PermitExchange::choose(CandidateList candidates, Callback callback, Instant now)
 {
-    auto const requestId = ++m_lastRequestId;
+    auto const requestId = m_requestNumbers.next();
     Pending pending;
     pending.context = candidates.context;
     pending.candidates = std::move(candidates.candidates);
@@ -141,8 +141,13 @@
     sendRequest(requestId, now);
 }
 
-void PermitExchange::sendRequest(uint64_t requestId, Instant now)
+// Each send has a number of its own: one owner may be asked for several candidates of a request.
+void PermitExchange::sendRequest(uint64_t previousId, Instant now)
 {
+    auto const requestId = m_requestNumbers.next();
+    auto renumbered = m_pending.extract(previousId);
+    renumbered.key() = requestId;
+    m_pending.insert(std::move(renumbered));
     auto& pending = m_pending.at(requestId);
     if (pending.candidateIndex >= pending.candidates.size())
         return concludeWithoutPermit(requestId, now);
--- a/Libraries/LibRouting/PermitExchange.h
+++ b/Libraries/LibRouting/PermitExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/FleetPeer.h>
+#include <LibBase/QuestionNumbers.h>
 #include <LibBase/TokenBucket.h>
 #include <LibRouting/InFlightCounter.h>
 #include <LibRouting/PermitMessage.h>
@@ -92,6 +93,7 @@
     struct Hooks {
         std::function<void(VMId to, std::string bytes)> send;
         InFlightCounter::Forecast forecast;
+        RandomHook random;
         // Optional. An owner has timed out and is suspected for a while.
         std::function<void(VMId owner, UpstreamId, Microseconds waited)> unanswered {};
         // Optional. This daemon has announced that it replaces an owner.
@@ -107,6 +109,7 @@
         , m_bounds(bounds)
         , m_hooks(std::move(hooks))
         , m_inFlightCounter(m_hooks.forecast)
+        , m_requestNumbers(m_hooks.random)
         , m_extraRequests(bounds.extraRequestBurst)
     {
     }
@@ -182,7 +185,7 @@
     Microseconds responseTimeout() const;
     size_t localInFlight(UpstreamId) const;
     size_t pendingRequestsFor(UpstreamId) const;
-    void sendRequest(uint64_t requestId, Instant now);
+    void sendRequest(uint64_t previousId, Instant now);
     void handleResponse(uint64_t requestId, PermitDecision const&, Instant now);
     void tryNextCandidate(uint64_t requestId, Instant now);
     void concludeWithoutPermit(uint64_t requestId, Instant now);
@@ -231,7 +234,7 @@
         Instant sentAt;
     };
     std::deque<TimedOutRequest> m_timedOutRequests;
-    uint64_t m_lastRequestId { 0 };
+    QuestionNumbers m_requestNumbers;
     std::map<UpstreamId, LocalCount> m_localCounts;
     TokenBucket m_extraRequests;
     Instant m_housekeepingAt;
--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -135,7 +135,7 @@
         return callback({ known->version, true, Source::Record, known->evidence });
     if (m_pending.size() >= m_bounds.maxPending)
         return callback({});
-    auto const queryId = ++m_lastQueryId;
+    auto const queryId = m_queryNumbers.nextAbout(stream.value());
     Pending pending { stream, service, m_keepers.keepersByAllLists(stream, now), m_keepers.chooseDaemons(stream, m_bounds.askedDaemons), {}, {}, now, now + m_bounds.repetitionInterval, std::move(callback) };
     for (auto const& keepers : pending.keepers) {
         for (auto const daemon : keepers.daemons) {
--- a/Libraries/LibRouting/StreamOriginExchange.h
+++ b/Libraries/LibRouting/StreamOriginExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/FleetPeer.h>
+#include <LibBase/QuestionNumbers.h>
 #include <LibBase/Time.h>
 #include <LibRouting/StreamKeepers.h>
 #include <LibRouting/StreamOriginEvidence.h>
@@ -79,6 +80,7 @@
     struct Hooks {
         std::function<void(VMId to, std::string bytes)> send;
         std::function<VersionKnowledge(std::string const& service, Instant now)> versions;
+        RandomHook random;
         // Keeps the record beyond the lives of all daemons.
         std::function<void(StreamOriginRecord const&)> persist { [](StreamOriginRecord const&) {} };
         // A record names another version than one that is known already.
@@ -114,6 +116,7 @@
         , m_keepers(self, bounds.keepers)
         , m_table(bounds.maxRecords)
         , m_restored(bounds.maxRecords)
+        , m_queryNumbers(m_hooks.random)
     {
     }
 
@@ -213,7 +216,7 @@
     // What was kept beyond the lives of all daemons. It is not sent to daemons that start, since each gets all of it by itself.
     StreamOriginTable m_restored;
     std::map<uint64_t, Pending> m_pending;
-    uint64_t m_lastQueryId { 0 };
+    QuestionNumbers m_queryNumbers;
     // By service: the streams that began while it had one version, in that order.
     std::map<std::string, std::deque<LateRecord>> m_lateRecords;
     Instant m_nextLateRecordAt;
--- a/Libraries/LibRouting/StreamOriginMessage.h
+++ b/Libraries/LibRouting/StreamOriginMessage.h
@@ -20,7 +20,8 @@
 };
 
 struct StreamOriginQuery {
-    // Assigned by the sender, and returned in the reply.
+    // Assigned by the sender, and returned in the reply. It names the stream as well, see QuestionNumbers: daemons of
+    // earlier versions reject a reply with a further field.
     uint64_t queryId { 0 };
     StreamId stream;
     std::string service;
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -122,10 +122,10 @@
     // Kept when the daemon joins again with another key, since requests may wait for answers.
     if (!m_permitExchange) {
         m_permitExchange = std::make_unique<PermitExchange>(peer, PermitExchange::Bounds {}, permitHooks());
-        countEarlierRequests();
+        m_earlierRequests.takeAll([this](UpstreamId upstream, HallId hall) { m_permitExchange->requestStarted(upstream, hall, m_loop.now()); });
     }
     if (!m_holderExchange)
-        m_holderExchange = std::make_unique<HolderExchange>(peer, HolderExchange::Bounds {}, HolderExchange::Hooks { [this](VMId to, std::string const& body) { send(to, PeerMessageKind::Holders, body); } });
+        m_holderExchange = std::make_unique<HolderExchange>(peer, HolderExchange::Bounds {}, HolderExchange::Hooks { [this](VMId to, std::string const& body) { send(to, PeerMessageKind::Holders, body); }, m_random });
     if (!m_detourExchange)
         m_detourExchange = std::make_unique<DetourExchange>(peer, DetourExchange::Bounds {}, detourHooks());
     m_streamOrigins.join(peer);
@@ -169,6 +169,7 @@
     PermitExchange::Hooks hooks;
     hooks.send = [this](VMId to, std::string const& body) { send(to, PeerMessageKind::Permits, body); };
     hooks.forecast = m_hooks.forecast;
+    hooks.random = m_random;
     hooks.unanswered = [](VMId owner, UpstreamId upstream, Microseconds waited) { logEvent(LogLevel::Info, "owner-silent", { { "daemon", toHex(owner.value()) }, { "upstream_id", toHex(upstream.value()) }, { "waited_us", waited.count() } }); };
     hooks.arrived = [this](FleetPeer peer) {
         updateRoster([&] { m_roster.arrived(peer, m_loop.now()); });
@@ -194,6 +195,7 @@
     StreamOriginFinder::Hooks hooks;
     hooks.exchange.send = [this](VMId to, std::string const& body) { send(to, PeerMessageKind::StreamOrigins, body); };
     hooks.exchange.versions = m_hooks.versions;
+    hooks.exchange.random = m_random;
     hooks.appender = [this] { return m_stateExchange->pathToReader(); };
     hooks.sendToAppender = [this](VMId to, std::string const& body) { send(to, PeerMessageKind::StreamOriginLog, body); };
     hooks.log = m_hooks.streamOriginLog;
@@ -261,9 +263,7 @@
         m_permitExchange->requestStarted(upstream, hall, m_loop.now());
         return;
     }
-    auto& uncounted = m_uncountedRequests[upstream];
-    uncounted.hall = hall;
-    ++uncounted.count;
+    m_earlierRequests.started(upstream, hall);
 }
 
 void GatewayPeers::requestEnded(UpstreamId upstream)
@@ -272,18 +272,7 @@
         m_permitExchange->requestFinished(upstream, m_loop.now());
         return;
     }
-    auto const uncounted = m_uncountedRequests.find(upstream);
-    if (uncounted != m_uncountedRequests.end() && !--uncounted->second.count)
-        m_uncountedRequests.erase(uncounted);
-}
-
-void GatewayPeers::countEarlierRequests()
-{
-    for (auto const& [upstream, uncounted] : m_uncountedRequests) {
-        for (size_t request = 0; request < uncounted.count; ++request)
-            m_permitExchange->requestStarted(upstream, uncounted.hall, m_loop.now());
-    }
-    m_uncountedRequests.clear();
+    m_earlierRequests.ended(upstream);
 }
 
 void GatewayPeers::setPeers(std::vector<GatewayPeer> const& peers)
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -14,6 +14,7 @@
 #include <LibRouting/PromptPartSuspects.h>
 #include <memory>
 #include <stagepostd/DetourTerms.h>
+#include <stagepostd/EarlierRequests.h>
 #include <stagepostd/GatewayState.h>
 #include <stagepostd/PeerChannel.h>
 #include <stagepostd/StreamOriginFinder.h>
@@ -156,7 +157,6 @@
     PermitExchange::Hooks permitHooks();
     DetourExchange::Hooks detourHooks();
     void scheduleResponseTimeout();
-    void countEarlierRequests();
     void setFleetShare(std::vector<FleetPeer> const& others);
     void updateRoster(std::function<void()> const& change);
     void applyRoster();
@@ -199,12 +199,7 @@
     std::unique_ptr<CrashExchange> m_crashExchange;
     std::unique_ptr<CrashExchange> m_partCrashExchange;
     std::unique_ptr<PermitExchange> m_permitExchange;
-    // Requests in flight that no owner counts yet, since they were sent before this daemon joined.
-    struct UncountedRequests {
-        HallId hall;
-        size_t count { 0 };
-    };
-    std::map<UpstreamId, UncountedRequests> m_uncountedRequests;
+    EarlierRequests m_earlierRequests;
     std::unique_ptr<HolderExchange> m_holderExchange;
     std::unique_ptr<DetourExchange> m_detourExchange;
     StreamOriginFinder m_streamOrigins;
--- a/Tests/LibRouting/TestHolderExchange.cpp
+++ b/Tests/LibRouting/TestHolderExchange.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 
 using namespace Stagepost;
@@ -25,7 +26,7 @@
         for (size_t number = 1; number <= size; ++number)
             peers.push_back({ VMId(number), HallId(1) });
         for (auto const& peer : peers) {
-            HolderExchange::Hooks hooks { [this, from = peer.id](VMId to, std::string const& bytes) { deliver(from, to, bytes); } };
+            HolderExchange::Hooks hooks { [this, from = peer.id](VMId to, std::string const& bytes) { deliver(from, to, bytes); }, [this] { return random(); } };
             daemons[peer.id] = std::make_unique<HolderExchange>(peer, HolderExchange::Bounds {}, hooks);
             daemons[peer.id]->setPeers(peers, {});
         }
@@ -49,6 +50,7 @@
 
     Instant now { Seconds(50) };
     std::set<VMId> unresponsive;
+    std::mt19937_64 random { 1 };
     size_t messages { 0 };
     std::optional<std::vector<UpstreamId>> response;
     std::map<VMId, std::unique_ptr<HolderExchange>> daemons;
@@ -84,10 +86,11 @@
 BOOST_AUTO_TEST_CASE(AResponseToAnEarlierProcessIsNotTakenForOneToThisProcess)
 {
     std::vector<FleetPeer> const peers { { VMId(1), HallId(1) }, { VMId(2), HallId(1) } };
+    std::mt19937_64 random { 1 };
     std::vector<std::string> queries;
     std::vector<std::string> responses;
     auto const start = [&](FleetPeer const& peer, std::vector<std::string>& sent) {
-        HolderExchange::Hooks const hooks { [&sent](VMId, std::string const& bytes) { sent.push_back(bytes); } };
+        HolderExchange::Hooks const hooks { [&sent](VMId, std::string const& bytes) { sent.push_back(bytes); }, [&random] { return random(); } };
         auto exchange = std::make_unique<HolderExchange>(peer, HolderExchange::Bounds {}, hooks);
         exchange->setPeers(peers, {});
         return exchange;
--- a/Tests/LibRouting/TestPermitExchange.cpp
+++ b/Tests/LibRouting/TestPermitExchange.cpp
@@ -39,6 +39,7 @@
     void start(size_t number)
     {
         PermitExchange::Hooks hooks;
+        hooks.random = [this] { return m_random(); };
         hooks.send = [this, number](VMId to, std::string const& bytes) { send(number, to, bytes); };
         hooks.forecast = [this](UpstreamId) { return UpstreamForecast { forecast, holdTime, coldBound, isCold, canAlwaysEnforceColdBound }; };
         auto& daemon = m_daemons[VMId(number)];
@@ -274,6 +275,7 @@
     std::unique_ptr<PermitExchange> start(size_t index, std::vector<std::string>& sent)
     {
         PermitExchange::Hooks hooks;
+        hooks.random = [this] { return m_random(); };
         hooks.send = [&sent](VMId, std::string const& bytes) {
             auto const message = decodePermitMessage(bytes).value();
             if (std::holds_alternative<PermitRequest>(message) || std::holds_alternative<PermitResponse>(message))
@@ -285,6 +287,7 @@
         return exchange;
     }
 
+    std::mt19937_64 m_random { 1 };
     std::vector<FleetPeer> m_peers { { VMId(1), north }, { VMId(2), north } };
     uint64_t m_lastUpstream { 0 };
 };
--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -2,6 +2,7 @@
 #include <LibRouting/StreamOriginExchange.h>
 #include <boost/test/unit_test.hpp>
 #include <memory>
+#include <random>
 #include <rapidcheck.h>
 #include <set>
 
@@ -210,6 +211,8 @@
     // What would outlive all daemons.
     std::vector<StreamOriginRecord> persisted;
     std::vector<StreamOriginContradiction> contradictions;
+    // Whether the numbers of a daemon's processes differ.
+    bool hasRandomNumbers { true };
     bool areMessagesLost { false };
     size_t sentMessages { 0 };
 
@@ -234,6 +237,7 @@
             auto const lastConfirmation = time - time.time_since_epoch() % listConfirmationInterval;
             return StreamOriginExchange::VersionKnowledge { daemon.isListProven ? uniform : std::nullopt, daemon.listProvenAt.value_or(lastConfirmation), daemon.versions.versionWithoutRecords(time), daemon.versions.restoredUniformAt(), daemon.versions.recentVersions(time).size() > 1, !uniform };
         };
+        hooks.random = [this] { return hasRandomNumbers ? m_random() : 0; };
         hooks.persist = [this](StreamOriginRecord const& record) { persisted.push_back(record); };
         hooks.contradicted = [this](StreamOriginContradiction const& contradiction) { contradictions.push_back(contradiction); };
         daemon.exchange = std::make_unique<StreamOriginExchange>(peer, StreamOriginExchange::Bounds {}, std::move(hooks), since);
@@ -263,6 +267,7 @@
     std::vector<FleetPeer> m_peers;
     std::set<VersionId> m_present { first };
     std::vector<Message> m_messages;
+    std::mt19937_64 m_random { 1 };
     std::set<VMId> m_suspended;
     // Messages to the daemons that stand still.
     std::vector<Message> m_held;
@@ -321,11 +326,11 @@
     BOOST_TEST(isAtAKeeper);
 }
 
-// Guards against a stream that goes on at the version of another one: a daemon that stood still answers a question of an
-// earlier process of this daemon, whose number this process has used as well.
-BOOST_AUTO_TEST_CASE(AReplyToAnEarlierProcessIsNotTakenForOneToThisProcess)
+namespace {
+
+// The reply is about a stream of the first version, and the one that is continued is of the second.
+void continueAfterAReplyToAnEarlierProcess(Fleet& fleet)
 {
-    Fleet fleet;
     fleet.appearEverywhere(second);
     constexpr VMId asker { 1 };
     constexpr VMId slow { 9 };
@@ -341,6 +346,24 @@
     BOOST_TEST((fleet.find(asker, StreamId(7)).version == second));
 }
 
+}
+
+// Guards against a stream that goes on at the version of another one: a daemon that stood still answers a question of an
+// earlier process of this daemon, whose number this process has used as well.
+BOOST_AUTO_TEST_CASE(AReplyToAnEarlierProcessIsNotTakenForOneToThisProcess)
+{
+    Fleet fleet;
+    continueAfterAReplyToAnEarlierProcess(fleet);
+}
+
+// The same if two processes use the same numbers by chance: a reply names the stream as well.
+BOOST_AUTO_TEST_CASE(AReplyAboutAnotherStreamIsIgnored)
+{
+    Fleet fleet;
+    fleet.hasRandomNumbers = false;
+    continueAfterAReplyToAnEarlierProcess(fleet);
+}
+
 BOOST_AUTO_TEST_CASE(ARecordOutlivesItsStarterAndTwoKeepers)
 {
     Fleet fleet;
--- a/Tests/LoadPatterns/FleetSimulation.cpp
+++ b/Tests/LoadPatterns/FleetSimulation.cpp
@@ -308,6 +308,7 @@
     PermitExchange::Hooks hooks;
     hooks.send = [this, daemon](VMId to, std::string const& bytes) { sendMessage(m_now, { daemon, to.value() - 1, bytes }); };
     hooks.forecast = [this, daemon](UpstreamId upstream) { return m_daemons[daemon].placement->forecast(upstream, at(m_now)); };
+    hooks.random = [this] { return m_questionRandom(); };
     auto& permitExchange = m_daemons[daemon].permitExchange;
     permitExchange = std::make_unique<PermitExchange>(FleetPeer { VMId(daemon + 1), HallId(1) }, PermitExchange::Bounds {}, hooks);
     std::vector<FleetPeer> peers;
@@ -321,7 +322,7 @@
 {
     if (!m_pattern.asksHolders)
         return;
-    HolderExchange::Hooks const hooks { [this, daemon](VMId to, std::string const& bytes) { sendMessage(m_now, { daemon, to.value() - 1, bytes, true }); } };
+    HolderExchange::Hooks const hooks { [this, daemon](VMId to, std::string const& bytes) { sendMessage(m_now, { daemon, to.value() - 1, bytes, true }); }, [this] { return m_questionRandom(); } };
     auto& holderExchange = m_daemons[daemon].holderExchange;
     holderExchange = std::make_unique<HolderExchange>(FleetPeer { VMId(daemon + 1), HallId(1) }, HolderExchange::Bounds {}, hooks);
     holderExchange->setPeers(peers, {});
--- a/Tests/LoadPatterns/FleetSimulation.h
+++ b/Tests/LoadPatterns/FleetSimulation.h
@@ -305,6 +305,8 @@
 
     LoadPattern m_pattern;
     std::mt19937_64 m_random;
+    // Apart from the other one, so that a pattern draws the same requests whatever daemons ask each other.
+    std::mt19937_64 m_questionRandom { 1 };
     SilenceDetector m_silence;
     std::vector<Daemon> m_daemons;
     std::vector<Engine> m_engines;
