Streams: Refuse a stream whose records name different versions

Of two records of one stream with different versions the first one counted, in a daemon's table, in what it restored from the store, and among the answers of others; a daemon's own record decided without a question. An own record may be outdated: the daemon stands still after the stream has begun there, its records are lost, and the stream begins again elsewhere under the same id. A caller's stream could then go on at another version.

Records that contradict each other now make the version unknown, wherever they are, and the stream is refused with the origin contradiction. A reply says so with a flag that daemons of the earlier build ignore; they read no record and several versions. A daemon asks also if it has a record.

TestRouting: RecordsOfTwoVersionsMakeTheVersionUnknown, AnswersOfTwoVersionsMakeTheVersionUnknown, ARestoredRecordOfAnotherVersionMakesTheVersionUnknown and AnOwnRecordDoesNotDecideAgainstOthers pass; they were not run on the code before, which has no such origin.

--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -83,17 +83,32 @@
     for (auto const& [stream, record] : m_table.records()) {
         auto const keepers = m_keepers.chooseKeepers(stream);
         if (record.expiresAt > now && std::find(keepers.begin(), keepers.end(), peer) != keepers.end())
-            m_hooks.send(peer, encodeStreamOriginMessage(StreamOriginRecord { stream, record.version, record.expiresAt - now }));
+            sendRecord(peer, stream, record, now);
     }
 }
 
+void StreamOriginExchange::sendRecord(VMId to, StreamId stream, StreamOriginTable::Record const& record, Instant now) const
+{
+    m_hooks.send(to, encodeStreamOriginMessage(StreamOriginRecord { stream, record.version, record.expiresAt - now }));
+    if (record.contradicting)
+        m_hooks.send(to, encodeStreamOriginMessage(StreamOriginRecord { stream, *record.contradicting, record.expiresAt - now }));
+}
+
 std::optional<StreamOriginExchange::KnownOrigin> StreamOriginExchange::findRecord(StreamId stream, Instant now) const
 {
-    if (auto const* record = m_table.findRecord(stream, now))
-        return KnownOrigin { record->version, { Place::Table, record->arrival.from, now - record->arrival.at } };
-    if (auto const* record = m_restored.findRecord(stream, now))
-        return KnownOrigin { record->version, { Place::Store, {}, now - record->arrival.at } };
-    return {};
+    auto const* own = m_table.findRecord(stream, now);
+    auto const* restored = m_restored.findRecord(stream, now);
+    auto const* record = own ? own : restored;
+    if (!record)
+        return {};
+    KnownOrigin known { record->version, record->contradicting, { own ? Place::Table : Place::Store, record->arrival.from, now - record->arrival.at } };
+    if (own && restored) {
+        for (auto const& version : { std::optional(restored->version), restored->contradicting }) {
+            if (version && *version != own->version)
+                known.contradicting = version;
+        }
+    }
+    return known;
 }
 
 void StreamOriginExchange::reportContradictions(StreamId stream, VersionId version, StreamOriginEvidence const& evidence, Pending const* pending, Instant now) const
@@ -114,13 +129,14 @@
     bool const hasAllSinceRestored = versions.restoredUniformAt && m_keepsSince <= *versions.restoredUniformAt;
     auto const keptFor = hasAllSinceRestored ? StreamOriginReply::maxKeptFor : now - m_keepsSince;
     auto const known = findRecord(stream, now);
-    return { 0, known ? std::optional(known->version) : std::nullopt, std::min<Microseconds>(keptFor, StreamOriginReply::maxKeptFor), versions.uniform, now - versions.listProvenAt, versions.withoutRecords, versions.hasSeveral };
+    bool const isContradictory = known && known->contradicting;
+    return { 0, known && !isContradictory ? std::optional(known->version) : std::nullopt, std::min<Microseconds>(keptFor, StreamOriginReply::maxKeptFor), versions.uniform, now - versions.listProvenAt, versions.withoutRecords, versions.hasSeveral || isContradictory, isContradictory };
 }
 
 // The reply was written between the two times.
 StreamOriginExchange::Answer StreamOriginExchange::answerFrom(StreamOriginReply const& reply, Instant sentAfter, Instant receivedAt)
 {
-    return { reply.recorded, receivedAt - reply.keptFor, reply.uniform, sentAfter - reply.listAge, reply.withoutRecords, reply.hasSeveral };
+    return { reply.recorded, reply.isContradictory, receivedAt - reply.keptFor, reply.uniform, sentAfter - reply.listAge, reply.withoutRecords, reply.hasSeveral };
 }
 
 void StreamOriginExchange::updateOwnAnswer(Pending& pending, Instant now) const
@@ -131,8 +147,6 @@
 
 void StreamOriginExchange::find(StreamId stream, std::string const& service, Callback callback, Instant now)
 {
-    if (auto const known = findRecord(stream, now))
-        return callback({ known->version, true, Source::Record, known->evidence });
     if (m_pending.size() >= m_bounds.maxPending)
         return callback({});
     auto const queryId = m_queryNumbers.nextAbout(stream.value());
@@ -160,18 +174,34 @@
     }
 }
 
-std::optional<StreamOriginExchange::Origin> StreamOriginExchange::resolve(Pending const& pending, Instant now) const
+// Records that several daemons have decide only if all of them name one version.
+std::optional<StreamOriginExchange::Origin> StreamOriginExchange::originByRecords(Pending const& pending, Instant now) const
 {
+    std::optional<Origin> origin;
     for (auto const& [daemon, answer] : pending.answers) {
-        if (!answer.recorded)
-            continue;
-        auto const own = daemon == m_self.id ? findRecord(pending.stream, now) : std::nullopt;
-        return Origin { answer.recorded, true, Source::Record, own ? own->evidence : StreamOriginEvidence { Place::Answer, daemon, {} } };
+        if (answer.isContradictory || (answer.recorded && origin && origin->version != answer.recorded))
+            return Origin { {}, true, Source::Contradiction };
+        if (answer.recorded && !origin)
+            origin = Origin { answer.recorded, true, Source::Record, { Place::Answer, daemon, {} } };
     }
-    if (auto const version = versionOfEarlierList(pending))
-        return Origin { version, true, Source::OneVersion };
+    if (auto const own = findRecord(pending.stream, now); own && origin)
+        origin->evidence = own->evidence;
+    return origin;
+}
+
+std::optional<StreamOriginExchange::Origin> StreamOriginExchange::resolve(Pending const& pending, Instant now) const
+{
+    auto const byRecords = originByRecords(pending, now);
     bool const haveAllReplied = std::all_of(pending.asked.begin(), pending.asked.end(), [&](VMId id) { return pending.answers.contains(id); });
-    if (!haveAllReplied && now < pending.startedAt + m_bounds.timeout)
+    bool const mayBeContradicted = !haveAllReplied && now < pending.startedAt + m_bounds.timeout;
+    auto const listed = versionOfEarlierList(pending);
+    if (byRecords) {
+        bool const isCertain = !byRecords->version || byRecords->version == listed || !mayBeContradicted;
+        return isCertain ? byRecords : std::nullopt;
+    }
+    if (listed)
+        return Origin { listed, true, Source::OneVersion };
+    if (mayBeContradicted)
         return {};
     if (auto const version = versionOfCurrentList(pending))
         return Origin { version, true, Source::OneVersion };
@@ -334,6 +364,8 @@
         return "one-version";
     case StreamOriginExchange::Source::NoRecord:
         return "no-record";
+    case StreamOriginExchange::Source::Contradiction:
+        return "contradiction";
     }
     return "unknown";
 }
--- a/Libraries/LibRouting/StreamOriginExchange.h
+++ b/Libraries/LibRouting/StreamOriginExchange.h
@@ -27,7 +27,8 @@
 // under way get such records as well.
 //
 // Only what is certain tells a version:
-// - a record;
+// - a record, unless another one contradicts it. All daemons that are asked may do so within the time-out, also where
+//   this daemon has a record: a stream that began here may have begun again elsewhere while this daemon stood still;
 // - a list of upstreams that has shown a single version for as long as streams can be taken up, and that was
 //   current when the stream was taken up. A list from before may lack a version that has joined since, so it counts only
 //   if the stream has no record from that time on;
@@ -95,6 +96,8 @@
         OneVersion,
         // No daemon has a record, and none knows of several versions.
         NoRecord,
+        // Records name different versions, so that none is certain.
+        Contradiction,
     };
     struct Origin {
         // None if it can't be told.
@@ -153,6 +156,7 @@
     // proves less.
     struct Answer {
         std::optional<VersionId> recorded;
+        bool isContradictory { false };
         // Since when it has kept all records that it got.
         Instant keepsSince;
         std::optional<VersionId> uniform;
@@ -174,6 +178,7 @@
     };
     struct KnownOrigin {
         VersionId version;
+        std::optional<VersionId> contradicting;
         StreamOriginEvidence evidence;
     };
     struct LateRecord {
@@ -184,6 +189,7 @@
 
     void sendToKeepers(StreamId, VersionId, Microseconds lifetime);
     void sendLateRecords(Instant now);
+    void sendRecord(VMId to, StreamId, StreamOriginTable::Record const&, Instant now) const;
     void addTo(StreamOriginTable&, StreamOriginRecord const&, StreamOriginEvidence const&, Instant now);
     std::optional<KnownOrigin> findRecord(StreamId, Instant now) const;
     // Reports the known versions of the stream that this one contradicts.
@@ -194,6 +200,7 @@
     void sendQueries(uint64_t queryId, Pending const&, bool isForAll);
     // None while further replies may decide.
     std::optional<Origin> resolve(Pending const&, Instant now) const;
+    std::optional<Origin> originByRecords(Pending const&, Instant now) const;
     bool mayLackRecordSince(Pending const&, Instant since) const;
     static std::optional<VersionId> onlyVersionNamed(Pending const&);
     static std::optional<VersionId> uniformVersion(Pending const&);
--- a/Libraries/LibRouting/StreamOriginMessage.cpp
+++ b/Libraries/LibRouting/StreamOriginMessage.cpp
@@ -22,6 +22,7 @@
     constexpr uint64_t uniformFlag = 2;
     constexpr uint64_t severalFlag = 4;
     constexpr uint64_t agesFlag = 8;
+    constexpr uint64_t contradictoryFlag = 16;
     constexpr unsigned keptForShift = 8;
     constexpr unsigned listAgeShift = 32;
     constexpr uint64_t maxAge = (1U << 24U) - 1;
@@ -35,7 +36,7 @@
     uint64_t packFlags(StreamOriginReply const& reply)
     {
         return (reply.keptFor >= VersionHistory::memory ? completeFlag : 0) | (reply.uniform ? uniformFlag : 0) | (reply.hasSeveral ? severalFlag : 0)
-            | agesFlag | wholeMilliseconds(reply.keptFor) << keptForShift | wholeMilliseconds(reply.listAge + Milliseconds(1)) << listAgeShift;
+            | (reply.isContradictory ? contradictoryFlag : 0) | agesFlag | wholeMilliseconds(reply.keptFor) << keptForShift | wholeMilliseconds(reply.listAge + Milliseconds(1)) << listAgeShift;
     }
 
     void write(MessageWriter& writer, StreamOriginRecord const& record)
@@ -94,6 +95,7 @@
         reply.recorded = readVersion(reader);
         auto const flags = reader.number();
         reply.hasSeveral = (flags & severalFlag) != 0;
+        reply.isContradictory = (flags & contradictoryFlag) != 0;
         reply.withoutRecords = readVersion(reader);
         auto const uniform = readVersion(reader);
         if (flags & agesFlag) {
--- a/Libraries/LibRouting/StreamOriginMessage.h
+++ b/Libraries/LibRouting/StreamOriginMessage.h
@@ -43,6 +43,8 @@
     std::optional<VersionId> withoutRecords;
     // Whether it knows of several versions for this time.
     bool hasSeveral { false };
+    // It has records of several versions of the stream. Daemons of earlier versions take that for no record.
+    bool isContradictory { false };
 };
 
 using StreamOriginMessage = std::variant<StreamOriginRecord, StreamOriginQuery, StreamOriginReply>;
--- a/Libraries/LibRouting/StreamOriginTable.cpp
+++ b/Libraries/LibRouting/StreamOriginTable.cpp
@@ -4,8 +4,10 @@
 
 std::optional<Instant> StreamOriginTable::record(StreamId stream, VersionId version, Instant expiresAt, Arrival arrival)
 {
-    auto const [entry, isNew] = m_records.try_emplace(stream, Record { version, expiresAt, arrival });
+    auto const [entry, isNew] = m_records.try_emplace(stream, Record { version, expiresAt, arrival, {} });
     if (!isNew) {
+        if (version != entry->second.version)
+            entry->second.contradicting = version;
         if (expiresAt <= entry->second.expiresAt)
             return {};
         m_expiries.erase({ entry->second.expiresAt, stream });
@@ -22,7 +24,7 @@
 std::optional<VersionId> StreamOriginTable::find(StreamId stream, Instant now) const
 {
     auto const* record = findRecord(stream, now);
-    return record ? std::optional(record->version) : std::nullopt;
+    return record && !record->contradicting ? std::optional(record->version) : std::nullopt;
 }
 
 StreamOriginTable::Record const* StreamOriginTable::findRecord(StreamId stream, Instant now) const
--- a/Libraries/LibRouting/StreamOriginTable.h
+++ b/Libraries/LibRouting/StreamOriginTable.h
@@ -27,11 +27,14 @@
         VersionId version;
         Instant expiresAt;
         Arrival arrival;
+        // Set if another record has named this version instead, so that the stream's version is unknown.
+        std::optional<VersionId> contradicting {};
     };
 
-    // A stream has one origin: a later record only extends the lifetime of the first one. A full table drops the
+    // A later record only extends the lifetime of the first one, and shows whether it contradicts it. A full table drops the
     // record that expires first. Returns when that one would have expired, if one was dropped.
     std::optional<Instant> record(StreamId, VersionId, Instant expiresAt, Arrival = {});
+    // None also if records contradict each other.
     std::optional<VersionId> find(StreamId, Instant now) const;
     // Null if there is none.
     Record const* findRecord(StreamId, Instant now) const;
--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -364,6 +364,69 @@
     continueAfterAReplyToAnEarlierProcess(fleet);
 }
 
+// Guards against a stream that is joined at one of two versions that records name: the record that came first, or the answer.
+BOOST_AUTO_TEST_CASE(RecordsOfTwoVersionsMakeTheVersionUnknown)
+{
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    fleet.record(VMId(1), StreamId(7), first);
+    fleet.record(VMId(2), StreamId(7), second);
+    auto const isUnknown = [](StreamOriginExchange::Origin const& origin) {
+        return !origin.version && origin.isFinal && origin.source == StreamOriginExchange::Source::Contradiction;
+    };
+    for (auto& [id, daemon] : fleet.daemons)
+        BOOST_TEST(isUnknown(fleet.find(id, StreamId(7))));
+    // A daemon that starts is told of both.
+    auto const holders = fleet.holders();
+    for (auto const holder : holders)
+        fleet.restart(holder);
+    BOOST_TEST(isUnknown(fleet.find(VMId(9), StreamId(7))));
+}
+
+BOOST_AUTO_TEST_CASE(AnswersOfTwoVersionsMakeTheVersionUnknown)
+{
+    for (uint64_t stream = 1; stream <= 20; ++stream) {
+        Fleet fleet(5);
+        fleet.appearEverywhere(second);
+        fleet.areMessagesLost = true;
+        fleet.record(VMId(1), StreamId(stream), first);
+        fleet.record(VMId(2), StreamId(stream), second);
+        fleet.areMessagesLost = false;
+        BOOST_TEST(!fleet.find(VMId(3), StreamId(stream)).version.has_value());
+        BOOST_TEST(!fleet.contradictions.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ARestoredRecordOfAnotherVersionMakesTheVersionUnknown)
+{
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    fleet.restartAll();
+    fleet.record(VMId(1), StreamId(7), second);
+    fleet.daemons[VMId(1)].exchange->restore({ { StreamId(7), first, Seconds(12) } }, fleet.now);
+    BOOST_TEST(!fleet.find(VMId(1), StreamId(7)).version.has_value());
+    fleet.daemons[VMId(3)].exchange->restore({ { StreamId(8), first, Seconds(12) }, { StreamId(8), second, Seconds(12) } }, fleet.now);
+    BOOST_TEST(!fleet.find(VMId(3), StreamId(8)).version.has_value());
+}
+
+// Guards against an own record that is outdated: the daemon stood still after the stream had begun, its records were lost, and
+// the stream began again at another daemon.
+BOOST_AUTO_TEST_CASE(AnOwnRecordDoesNotDecideAgainstOthers)
+{
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    fleet.areMessagesLost = true;
+    fleet.record(VMId(1), StreamId(7), first);
+    fleet.areMessagesLost = false;
+    fleet.record(VMId(2), StreamId(7), second);
+    BOOST_TEST(!fleet.find(VMId(1), StreamId(7)).version.has_value());
+    // It decides where nobody answers.
+    fleet.record(VMId(1), StreamId(8), first);
+    for (auto& [id, daemon] : fleet.daemons)
+        daemon.isDown = id != VMId(1);
+    BOOST_TEST((fleet.find(VMId(1), StreamId(8)).version == first));
+}
+
 BOOST_AUTO_TEST_CASE(ARecordOutlivesItsStarterAndTwoKeepers)
 {
     Fleet fleet;
@@ -894,6 +957,9 @@
     BOOST_TEST(table.records().size() == 10u);
     table.expire(at(26));
     BOOST_TEST(table.records().size() == 1u);
+    // Also a record that expires earlier shows a contradiction.
+    table.record(StreamId(1), second, at(27));
+    BOOST_TEST(!table.find(StreamId(1), at(26)).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
