--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -1,89 +1,22 @@
 #include <LibRouting/StreamOriginExchange.h>
 
-#include <LibBase/Hash.h>
 #include <algorithm>
-#include <functional>
 #include <set>
 
 namespace Stagepost {
 
-// The lists are ordered by time, so that those that nobody can have used for a stream are at the front.
-void StreamOriginExchange::setPeers(std::vector<FleetPeer> peers, Instant now)
-{
-    std::erase_if(peers, [this](auto const& peer) { return peer.id == m_self.id; });
-    peers.push_back(m_self);
-    std::sort(peers.begin(), peers.end(), [](auto const& one, auto const& other) { return one.id < other.id; });
-    auto const isSame = [](auto const& one, auto const& other) { return one.id == other.id && one.hall == other.hall; };
-    if (!m_lists.empty() && std::equal(peers.begin(), peers.end(), this->peers().begin(), this->peers().end(), isSame))
-        return;
-    m_lists.push_back({ std::move(peers), now });
-    auto const oldest = now - VersionHistory::memory - m_bounds.peerListLag;
-    while (m_lists.size() > m_bounds.maxEarlierLists || (m_lists.size() > 1 && m_lists[1].since <= oldest))
-        m_lists.pop_front();
-}
-
 void StreamOriginExchange::restart(Instant now)
 {
     m_startedAt = now;
     m_keepsSince = now;
-    if (m_lists.empty())
-        return;
-    m_lists.erase(m_lists.begin(), m_lists.end() - 1);
-    m_lists.back().since = now;
+    m_keepers.forgetEarlierLists(now);
 }
 
-size_t StreamOriginExchange::keeperCount(std::vector<FleetPeer> const& peers) const
+void StreamOriginExchange::addTo(StreamOriginTable& table, StreamOriginRecord const& record, StreamOriginEvidence const& evidence, Instant now)
 {
-    return peers.size() <= m_bounds.largeFleet ? m_bounds.keepers : m_bounds.keepersInLargeFleet;
-}
-
-// The first daemons in the stream's rendezvous order, those of different halls before others: a hall may
-// be lost as a whole.
-std::vector<VMId> StreamOriginExchange::chooseDaemons(std::vector<FleetPeer> const& peers, StreamId stream, size_t count) const
-{
-    using Ranked = std::pair<uint64_t, VMId>;
-    std::map<HallId, Ranked> firstOfHalls;
-    std::vector<Ranked> others;
-    for (auto const& peer : peers) {
-        Ranked daemon { mixHashes(stream.value(), peer.id.value()), peer.id };
-        auto const [first, isNew] = firstOfHalls.try_emplace(peer.hall, daemon);
-        if (isNew)
-            continue;
-        if (daemon > first->second)
-            std::swap(daemon, first->second);
-        others.push_back(daemon);
-    }
-    std::vector<Ranked> daemons;
-    daemons.reserve(peers.size());
-    for (auto const& [hall, first] : firstOfHalls)
-        daemons.push_back(first);
-    std::sort(daemons.begin(), daemons.end(), std::greater());
-    // The order of the others matters only as far as they are chosen.
-    auto const chosen = std::min(count - std::min(count, daemons.size()), others.size());
-    std::partial_sort(others.begin(), others.begin() + static_cast<ptrdiff_t>(chosen), others.end(), std::greater());
-    daemons.insert(daemons.end(), others.begin(), others.begin() + static_cast<ptrdiff_t>(chosen));
-    daemons.resize(std::min(daemons.size(), count));
-    std::vector<VMId> result;
-    result.reserve(daemons.size());
-    for (auto const& [rank, daemon] : daemons)
-        result.push_back(daemon);
-    return result;
-}
-
-std::vector<StreamOriginExchange::Keepers> StreamOriginExchange::keepersByAllLists(StreamId stream, Instant now) const
-{
-    std::vector<Keepers> result;
-    for (size_t index = 0; index < m_lists.size(); ++index) {
-        bool const isPresent = index + 1 == m_lists.size();
-        auto const& peers = m_lists[index].peers;
-        result.push_back({ chooseDaemons(peers, stream, keeperCount(peers)), isPresent ? now : m_lists[index + 1].since });
-    }
-    return result;
-}
-
-void StreamOriginExchange::addTo(StreamOriginTable& table, StreamId stream, VersionId version, Instant expiresAt, Instant now)
-{
-    auto const dropped = table.record(stream, version, expiresAt);
+    reportContradictions(record.stream, record.version, evidence, nullptr, now);
+    auto const expiresAt = now + std::min(record.lifetime, VersionHistory::memory);
+    auto const dropped = table.record(record.stream, record.version, expiresAt, { evidence.daemon, now });
     if (dropped && *dropped > now)
         m_keepsSince = now;
 }
@@ -91,7 +24,7 @@
 void StreamOriginExchange::record(StreamId stream, std::string const& service, VersionId version, Microseconds lifetime, Instant now)
 {
     auto const kept = std::min(lifetime, VersionHistory::memory);
-    addTo(m_table, stream, version, now + kept, now);
+    addTo(m_table, { stream, version, kept }, { Place::Table, m_self.id, Microseconds(0) }, now);
     // Until the other daemons are known, no keepers can be told.
     if (knowsPeers() && m_hooks.versions(service, now).needsRecords)
         return sendToKeepers(stream, version, kept);
@@ -106,7 +39,7 @@
     StreamOriginRecord const record { stream, version, lifetime };
     m_hooks.persist(record);
     auto const message = encodeStreamOriginMessage(record);
-    for (auto const keeper : chooseKeepers(stream)) {
+    for (auto const keeper : m_keepers.chooseKeepers(stream)) {
         if (keeper != m_self.id)
             m_hooks.send(keeper, message);
     }
@@ -122,7 +55,7 @@
     std::erase_if(m_lateRecords, [](auto const& entry) { return entry.second.empty(); });
     if (!knowsPeers())
         return;
-    auto const perSecond = peers().size() > m_bounds.largeFleet ? m_bounds.lateRecordsPerSecondInLargeFleet : m_bounds.lateRecordsPerSecond;
+    auto const perSecond = m_keepers.isLargeFleet() ? m_bounds.lateRecordsPerSecondInLargeFleet : m_bounds.lateRecordsPerSecond;
     Microseconds const interval(static_cast<int64_t>(1e6 / perSecond));
     for (auto& [service, late] : m_lateRecords) {
         if (!m_hooks.versions(service, now).needsRecords)
@@ -140,7 +73,7 @@
 void StreamOriginExchange::restore(std::vector<StreamOriginRecord> const& records, Instant now)
 {
     for (auto const& record : records)
-        addTo(m_restored, record.stream, record.version, now + std::min(record.lifetime, VersionHistory::memory), now);
+        addTo(m_restored, record, { Place::Store, {}, Microseconds(0) }, now);
 }
 
 void StreamOriginExchange::peerStarted(VMId peer, Instant now)
@@ -148,16 +81,46 @@
     if (!knowsPeers())
         return;
     for (auto const& [stream, record] : m_table.records()) {
-        auto const keepers = chooseKeepers(stream);
+        auto const keepers = m_keepers.chooseKeepers(stream);
         if (record.expiresAt > now && std::find(keepers.begin(), keepers.end(), peer) != keepers.end())
-            m_hooks.send(peer, encodeStreamOriginMessage(StreamOriginRecord { stream, record.version, record.expiresAt - now }));
+            sendRecord(peer, stream, record, now);
     }
 }
 
-std::optional<VersionId> StreamOriginExchange::findRecord(StreamId stream, Instant now) const
+void StreamOriginExchange::sendRecord(VMId to, StreamId stream, StreamOriginTable::Record const& record, Instant now) const
 {
-    auto const recorded = m_table.find(stream, now);
-    return recorded ? recorded : m_restored.find(stream, now);
+    m_hooks.send(to, encodeStreamOriginMessage(StreamOriginRecord { stream, record.version, record.expiresAt - now }));
+    if (record.contradicting)
+        m_hooks.send(to, encodeStreamOriginMessage(StreamOriginRecord { stream, *record.contradicting, record.expiresAt - now }));
+}
+
+std::optional<StreamOriginExchange::KnownOrigin> StreamOriginExchange::findRecord(StreamId stream, Instant now) const
+{
+    auto const* own = m_table.findRecord(stream, now);
+    auto const* restored = m_restored.findRecord(stream, now);
+    auto const* record = own ? own : restored;
+    if (!record)
+        return {};
+    KnownOrigin known { record->version, record->contradicting, { own ? Place::Table : Place::Store, record->arrival.from, now - record->arrival.at } };
+    if (own && restored) {
+        for (auto const& version : { std::optional(restored->version), restored->contradicting }) {
+            if (version && *version != own->version)
+                known.contradicting = version;
+        }
+    }
+    return known;
+}
+
+void StreamOriginExchange::reportContradictions(StreamId stream, VersionId version, StreamOriginEvidence const& evidence, Pending const* pending, Instant now) const
+{
+    if (auto const known = findRecord(stream, now); known && known->version != version)
+        m_hooks.contradicted({ stream, known->version, known->evidence, version, evidence });
+    if (!pending)
+        return;
+    for (auto const& [daemon, answer] : pending->answers) {
+        if (daemon != m_self.id && answer.recorded && *answer.recorded != version)
+            m_hooks.contradicted({ stream, *answer.recorded, { Place::Answer, daemon, {} }, version, evidence });
+    }
 }
 
 // If a restored history has shown one version, streams that began before needed no record. Records that were lost since are missing.
@@ -165,13 +128,15 @@
 {
     bool const hasAllSinceRestored = versions.restoredUniformAt && m_keepsSince <= *versions.restoredUniformAt;
     auto const keptFor = hasAllSinceRestored ? StreamOriginReply::maxKeptFor : now - m_keepsSince;
-    return { 0, findRecord(stream, now), std::min<Microseconds>(keptFor, StreamOriginReply::maxKeptFor), versions.uniform, now - versions.listProvenAt, versions.withoutRecords, versions.hasSeveral };
+    auto const known = findRecord(stream, now);
+    bool const isContradictory = known && known->contradicting;
+    return { 0, known && !isContradictory ? std::optional(known->version) : std::nullopt, std::min<Microseconds>(keptFor, StreamOriginReply::maxKeptFor), versions.uniform, now - versions.listProvenAt, versions.withoutRecords, versions.hasSeveral || isContradictory, isContradictory };
 }
 
 // The reply was written between the two times.
 StreamOriginExchange::Answer StreamOriginExchange::answerFrom(StreamOriginReply const& reply, Instant sentAfter, Instant receivedAt)
 {
-    return { reply.recorded, receivedAt - reply.keptFor, reply.uniform, sentAfter - reply.listAge, reply.withoutRecords, reply.hasSeveral };
+    return { reply.recorded, reply.isContradictory, receivedAt - reply.keptFor, reply.uniform, sentAfter - reply.listAge, reply.withoutRecords, reply.hasSeveral };
 }
 
 void StreamOriginExchange::updateOwnAnswer(Pending& pending, Instant now) const
@@ -182,16 +147,13 @@
 
 void StreamOriginExchange::find(StreamId stream, std::string const& service, Callback callback, Instant now)
 {
-    if (auto const version = findRecord(stream, now))
-        return callback({ version, true, Source::Record });
     if (m_pending.size() >= m_bounds.maxPending)
         return callback({});
-    auto const queryId = ++m_lastQueryId;
-    Pending pending { stream, service, keepersByAllLists(stream, now), chooseDaemons(peers(), stream, m_bounds.askedDaemons), {}, {}, now, now + m_bounds.repetitionInterval, std::move(callback) };
+    auto const queryId = m_queryNumbers.nextAbout(stream.value());
+    Pending pending { stream, service, m_keepers.keepersByAllLists(stream, now), m_keepers.chooseDaemons(stream, m_bounds.askedDaemons), {}, {}, now, now + m_bounds.repetitionInterval, std::move(callback) };
     for (auto const& keepers : pending.keepers) {
         for (auto const daemon : keepers.daemons) {
-            bool const isListed = std::any_of(peers().begin(), peers().end(), [daemon](auto const& peer) { return peer.id == daemon; });
-            if (isListed && std::find(pending.asked.begin(), pending.asked.end(), daemon) == pending.asked.end())
+            if (m_keepers.isListed(daemon) && std::find(pending.asked.begin(), pending.asked.end(), daemon) == pending.asked.end())
                 pending.asked.push_back(daemon);
         }
     }
@@ -212,16 +174,34 @@
     }
 }
 
-std::optional<StreamOriginExchange::Origin> StreamOriginExchange::resolve(Pending const& pending, Instant now) const
+// Records that several daemons have decide only if all of them name one version.
+std::optional<StreamOriginExchange::Origin> StreamOriginExchange::originByRecords(Pending const& pending, Instant now) const
 {
+    std::optional<Origin> origin;
     for (auto const& [daemon, answer] : pending.answers) {
-        if (answer.recorded)
-            return Origin { answer.recorded, true, Source::Record };
+        if (answer.isContradictory || (answer.recorded && origin && origin->version != answer.recorded))
+            return Origin { {}, true, Source::Contradiction };
+        if (answer.recorded && !origin)
+            origin = Origin { answer.recorded, true, Source::Record, { Place::Answer, daemon, {} } };
     }
-    if (auto const version = versionOfEarlierList(pending))
-        return Origin { version, true, Source::OneVersion };
+    if (auto const own = findRecord(pending.stream, now); own && origin)
+        origin->evidence = own->evidence;
+    return origin;
+}
+
+std::optional<StreamOriginExchange::Origin> StreamOriginExchange::resolve(Pending const& pending, Instant now) const
+{
+    auto const byRecords = originByRecords(pending, now);
     bool const haveAllReplied = std::all_of(pending.asked.begin(), pending.asked.end(), [&](VMId id) { return pending.answers.contains(id); });
-    if (!haveAllReplied && now < pending.startedAt + m_bounds.timeout)
+    bool const mayBeContradicted = !haveAllReplied && now < pending.startedAt + m_bounds.timeout;
+    auto const listed = versionOfEarlierList(pending);
+    if (byRecords) {
+        bool const isCertain = !byRecords->version || byRecords->version == listed || !mayBeContradicted;
+        return isCertain ? byRecords : std::nullopt;
+    }
+    if (listed)
+        return Origin { listed, true, Source::OneVersion };
+    if (mayBeContradicted)
         return {};
     if (auto const version = versionOfCurrentList(pending))
         return Origin { version, true, Source::OneVersion };
@@ -235,14 +215,14 @@
 // Whether a record may have been lost, or may not have been found, of a stream that began at that time or later.
 bool StreamOriginExchange::mayLackRecordSince(Pending const& pending, Instant since) const
 {
-    if (m_lists.front().since > since)
+    if (m_keepers.knownSince() > since)
         return true;
     auto const mayLack = [&](VMId id) {
         auto const answer = pending.answers.find(id);
         return answer == pending.answers.end() || answer->second.keepsSince > since;
     };
-    return std::any_of(pending.keepers.begin(), pending.keepers.end(), [&](Keepers const& keepers) {
-        return keepers.until >= since - m_bounds.peerListLag && std::any_of(keepers.daemons.begin(), keepers.daemons.end(), mayLack);
+    return std::any_of(pending.keepers.begin(), pending.keepers.end(), [&](StreamKeepers::Keepers const& keepers) {
+        return m_keepers.mayBeInUse(keepers, since) && std::any_of(keepers.daemons.begin(), keepers.daemons.end(), mayLack);
     });
 }
 
@@ -323,7 +303,7 @@
 {
     auto const message = TRY(decodeStreamOriginMessage(bytes));
     if (auto const* record = std::get_if<StreamOriginRecord>(&message)) {
-        addTo(m_table, record->stream, record->version, now + std::min(record->lifetime, VersionHistory::memory), now);
+        addTo(m_table, *record, { Place::Table, from, Microseconds(0) }, now);
         return {};
     }
     if (auto const* query = std::get_if<StreamOriginQuery>(&message)) {
@@ -336,6 +316,8 @@
     auto const found = m_pending.find(reply.queryId);
     if (found == m_pending.end() || std::find(found->second.asked.begin(), found->second.asked.end(), from) == found->second.asked.end())
         return {};
+    if (reply.recorded)
+        reportContradictions(found->second.stream, *reply.recorded, { Place::Answer, from, {} }, &found->second, now);
     found->second.answers[from] = answerFrom(reply, found->second.startedAt, now);
     if (auto const origin = resolve(found->second, now))
         complete(reply.queryId, *origin);
@@ -382,6 +364,8 @@
         return "one-version";
     case StreamOriginExchange::Source::NoRecord:
         return "no-record";
+    case StreamOriginExchange::Source::Contradiction:
+        return "contradiction";
     }
     return "unknown";
 }
--- a/Libraries/LibRouting/StreamOriginExchange.h
+++ b/Libraries/LibRouting/StreamOriginExchange.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include <LibBase/FleetPeer.h>
+#include <LibBase/QuestionNumbers.h>
 #include <LibBase/Time.h>
+#include <LibRouting/StreamKeepers.h>
+#include <LibRouting/StreamOriginEvidence.h>
 #include <LibRouting/StreamOriginMessage.h>
 #include <LibRouting/StreamOriginTable.h>
 #include <LibRouting/VersionHistory.h>
@@ -24,7 +27,8 @@
 // under way get such records as well.
 //
 // Only what is certain tells a version:
-// - a record;
+// - a record, unless another one contradicts it. All daemons that are asked may do so within the time-out, also where
+//   this daemon has a record: a stream that began here may have begun again elsewhere while this daemon stood still;
 // - a list of upstreams that has shown a single version for as long as streams can be taken up, and that was
 //   current when the stream was taken up. A list from before may lack a version that has joined since, so it counts only
 //   if the stream has no record from that time on;
@@ -36,10 +40,7 @@
 class StreamOriginExchange {
 public:
     struct Bounds {
-        // The daemons that keep each record. In a large fleet, a daemon's traffic allows fewer.
-        size_t keepers { 3 };
-        size_t keepersInLargeFleet { 2 };
-        size_t largeFleet { 128 };
+        StreamKeepers::Bounds keepers;
         // The daemons that are asked, as others may have chosen keepers from another list of daemons.
         size_t askedDaemons { 8 };
         // A round trip between regions takes 16 ms. Queries and replies may be lost.
@@ -51,10 +52,6 @@
         Microseconds proofInterval { 100000 };
         // A daemon that has just started gets its records within this time.
         Microseconds recoveryTime { 2000000 };
-        // Other daemons may use a list of daemons that is older by this.
-        Microseconds peerListLag { 3000000 };
-        // The earlier lists of daemons that are remembered.
-        size_t maxEarlierLists { 64 };
         // How many streams a second get their record late, when a second version has appeared.
         double lateRecordsPerSecond { 100 };
         double lateRecordsPerSecondInLargeFleet { 30 };
@@ -84,8 +81,11 @@
     struct Hooks {
         std::function<void(VMId to, std::string bytes)> send;
         std::function<VersionKnowledge(std::string const& service, Instant now)> versions;
+        RandomHook random;
         // Keeps the record beyond the lives of all daemons.
         std::function<void(StreamOriginRecord const&)> persist { [](StreamOriginRecord const&) {} };
+        // A record names another version than one that is known already.
+        std::function<void(StreamOriginContradiction const&)> contradicted { [](StreamOriginContradiction const&) {} };
     };
 
     // What has told the version at which a stream has begun.
@@ -96,6 +96,8 @@
         OneVersion,
         // No daemon has a record, and none knows of several versions.
         NoRecord,
+        // Records name different versions, so that none is certain.
+        Contradiction,
     };
     struct Origin {
         // None if it can't be told.
@@ -103,6 +105,8 @@
         // Whether it can't be told later or by another daemon either: all keepers have replied, and none has just started.
         bool isFinal { false };
         Source source { Source::None };
+        // Where the record is from, if one has decided.
+        StreamOriginEvidence evidence {};
     };
     using Callback = std::function<void(Origin const&)>;
 
@@ -112,15 +116,17 @@
         , m_hooks(std::move(hooks))
         , m_startedAt(now)
         , m_keepsSince(now)
+        , m_keepers(self, bounds.keepers)
         , m_table(bounds.maxRecords)
         , m_restored(bounds.maxRecords)
+        , m_queryNumbers(m_hooks.random)
     {
     }
 
     // Sets the other registered daemons.
-    void setPeers(std::vector<FleetPeer>, Instant now);
+    void setPeers(std::vector<FleetPeer> peers, Instant now) { m_keepers.setPeers(std::move(peers), now); }
     // Whether the other daemons have been set. Before, nobody could be asked.
-    bool knowsPeers() const { return !m_lists.empty(); }
+    bool knowsPeers() const { return m_keepers.knowsPeers(); }
     // This daemon was suspended, so records sent to it may have been lost, and lists of daemons missed.
     void restart(Instant now);
 
@@ -144,10 +150,13 @@
     size_t recordCount() const { return m_table.records().size() + m_restored.records().size(); }
 
 private:
+    using Place = StreamOriginEvidence::Place;
+
     // What a daemon has replied, with times of this daemon's clock. Where a time isn't known exactly, it is the one that
     // proves less.
     struct Answer {
         std::optional<VersionId> recorded;
+        bool isContradictory { false };
         // Since when it has kept all records that it got.
         Instant keepsSince;
         std::optional<VersionId> uniform;
@@ -155,20 +164,11 @@
         std::optional<VersionId> withoutRecords;
         bool hasSeveral { false };
     };
-    struct PeerList {
-        std::vector<FleetPeer> peers;
-        Instant since;
-    };
-    // The keepers of a stream by a list of daemons that was in force until then.
-    struct Keepers {
-        std::vector<VMId> daemons;
-        Instant until;
-    };
     struct Pending {
         StreamId stream;
         std::string service;
         // By all lists that are known, those by the present one last.
-        std::vector<Keepers> keepers;
+        std::vector<StreamKeepers::Keepers> keepers;
         std::vector<VMId> asked;
         std::map<VMId, Answer> answers;
         VersionKnowledge own;
@@ -176,27 +176,31 @@
         Instant repeatAt;
         Callback callback;
     };
+    struct KnownOrigin {
+        VersionId version;
+        std::optional<VersionId> contradicting;
+        StreamOriginEvidence evidence;
+    };
     struct LateRecord {
         StreamId stream;
         VersionId version;
         Instant expiresAt;
     };
 
-    std::vector<FleetPeer> const& peers() const { return m_lists.back().peers; }
-    std::vector<VMId> chooseDaemons(std::vector<FleetPeer> const&, StreamId, size_t count) const;
-    size_t keeperCount(std::vector<FleetPeer> const&) const;
-    std::vector<VMId> chooseKeepers(StreamId stream) const { return chooseDaemons(peers(), stream, keeperCount(peers())); }
-    std::vector<Keepers> keepersByAllLists(StreamId, Instant now) const;
     void sendToKeepers(StreamId, VersionId, Microseconds lifetime);
     void sendLateRecords(Instant now);
-    void addTo(StreamOriginTable&, StreamId, VersionId, Instant expiresAt, Instant now);
-    std::optional<VersionId> findRecord(StreamId, Instant now) const;
+    void sendRecord(VMId to, StreamId, StreamOriginTable::Record const&, Instant now) const;
+    void addTo(StreamOriginTable&, StreamOriginRecord const&, StreamOriginEvidence const&, Instant now);
+    std::optional<KnownOrigin> findRecord(StreamId, Instant now) const;
+    // Reports the known versions of the stream that this one contradicts.
+    void reportContradictions(StreamId, VersionId, StreamOriginEvidence const&, Pending const*, Instant now) const;
     StreamOriginReply makeReply(StreamId, VersionKnowledge const&, Instant now) const;
     static Answer answerFrom(StreamOriginReply const&, Instant sentAfter, Instant receivedAt);
     void updateOwnAnswer(Pending&, Instant now) const;
     void sendQueries(uint64_t queryId, Pending const&, bool isForAll);
     // None while further replies may decide.
     std::optional<Origin> resolve(Pending const&, Instant now) const;
+    std::optional<Origin> originByRecords(Pending const&, Instant now) const;
     bool mayLackRecordSince(Pending const&, Instant since) const;
     static std::optional<VersionId> onlyVersionNamed(Pending const&);
     static std::optional<VersionId> uniformVersion(Pending const&);
@@ -214,13 +218,12 @@
     // When this daemon has started, or was last suspended.
     Instant m_startedAt;
     Instant m_keepsSince;
+    StreamKeepers m_keepers;
     StreamOriginTable m_table;
     // What was kept beyond the lives of all daemons. It is not sent to daemons that start, since each gets all of it by itself.
     StreamOriginTable m_restored;
-    // The lists of daemons that have been in force, the present one last. Empty before the first one.
-    std::deque<PeerList> m_lists;
     std::map<uint64_t, Pending> m_pending;
-    uint64_t m_lastQueryId { 0 };
+    QuestionNumbers m_queryNumbers;
     // By service: the streams that began while it had one version, in that order.
     std::map<std::string, std::deque<LateRecord>> m_lateRecords;
     Instant m_nextLateRecordAt;
--- a/Libraries/LibRouting/StreamOriginMessage.h
+++ b/Libraries/LibRouting/StreamOriginMessage.h
@@ -20,7 +20,8 @@
 };
 
 struct StreamOriginQuery {
-    // Assigned by the sender, and returned in the reply.
+    // Assigned by the sender, and returned in the reply. It names the stream as well, see QuestionNumbers: daemons of
+    // earlier versions reject a reply with a further field.
     uint64_t queryId { 0 };
     StreamId stream;
     std::string service;
@@ -42,6 +43,8 @@
     std::optional<VersionId> withoutRecords;
     // Whether it knows of several versions for this time.
     bool hasSeveral { false };
+    // It has records of several versions of the stream. Daemons of earlier versions take that for no record.
+    bool isContradictory { false };
 };
 
 using StreamOriginMessage = std::variant<StreamOriginRecord, StreamOriginQuery, StreamOriginReply>;
--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -2,6 +2,7 @@
 #include <LibRouting/StreamOriginExchange.h>
 #include <boost/test/unit_test.hpp>
 #include <memory>
+#include <random>
 #include <rapidcheck.h>
 #include <set>
 
@@ -63,6 +64,16 @@
             daemons[id].versions.appeared(version, now);
     }
 
+    // The daemon stands still: what is sent to it waits in its socket, and is handled first when it goes on.
+    void suspend(VMId id) { m_suspended.insert(id); }
+    void resume(VMId id)
+    {
+        m_suspended.erase(id);
+        auto const isWaiting = [id](Message const& message) { return message.to == id; };
+        std::copy_if(m_held.begin(), m_held.end(), std::back_inserter(m_messages), isWaiting);
+        std::erase_if(m_held, isWaiting);
+    }
+
     // The daemon's list of upstreams is from now, and is not confirmed any more.
     void keepListOf(VMId id)
     {
@@ -199,6 +210,9 @@
     std::map<VMId, Daemon> daemons;
     // What would outlive all daemons.
     std::vector<StreamOriginRecord> persisted;
+    std::vector<StreamOriginContradiction> contradictions;
+    // Whether the numbers of a daemon's processes differ.
+    bool hasRandomNumbers { true };
     bool areMessagesLost { false };
     size_t sentMessages { 0 };
 
@@ -223,7 +237,9 @@
             auto const lastConfirmation = time - time.time_since_epoch() % listConfirmationInterval;
             return StreamOriginExchange::VersionKnowledge { daemon.isListProven ? uniform : std::nullopt, daemon.listProvenAt.value_or(lastConfirmation), daemon.versions.versionWithoutRecords(time), daemon.versions.restoredUniformAt(), daemon.versions.recentVersions(time).size() > 1, !uniform };
         };
+        hooks.random = [this] { return hasRandomNumbers ? m_random() : 0; };
         hooks.persist = [this](StreamOriginRecord const& record) { persisted.push_back(record); };
+        hooks.contradicted = [this](StreamOriginContradiction const& contradiction) { contradictions.push_back(contradiction); };
         daemon.exchange = std::make_unique<StreamOriginExchange>(peer, StreamOriginExchange::Bounds {}, std::move(hooks), since);
         if (knowsPeers)
             daemon.exchange->setPeers(m_peers, now);
@@ -234,7 +250,9 @@
         while (!m_messages.empty()) {
             auto const messages = std::exchange(m_messages, {});
             for (auto const& message : messages) {
-                if (!areMessagesLost && !daemons[message.from].isDown && !daemons[message.to].isDown)
+                if (m_suspended.contains(message.to))
+                    m_held.push_back(message);
+                else if (!areMessagesLost && !daemons[message.from].isDown && !daemons[message.to].isDown)
                     BOOST_TEST(daemons[message.to].exchange->receive(message.from, message.bytes, now).has_value());
             }
         }
@@ -249,6 +267,10 @@
     std::vector<FleetPeer> m_peers;
     std::set<VersionId> m_present { first };
     std::vector<Message> m_messages;
+    std::mt19937_64 m_random { 1 };
+    std::set<VMId> m_suspended;
+    // Messages to the daemons that stand still.
+    std::vector<Message> m_held;
 };
 
 }
@@ -267,6 +289,144 @@
     }
 }
 
+// Guards against a stream that is joined to another version without a line that shows whose record has decided.
+BOOST_AUTO_TEST_CASE(AnOriginNamesWhoGaveItsRecord)
+{
+    using Place = StreamOriginEvidence::Place;
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    fleet.record(VMId(1), StreamId(7), second);
+    auto const holders = fleet.holders();
+    fleet.run(2);
+    for (auto& [id, daemon] : fleet.daemons) {
+        auto const origin = fleet.find(id, StreamId(7));
+        bool const isHolder = holders.contains(id);
+        BOOST_TEST((origin.evidence.place == (isHolder ? Place::Table : Place::Answer)));
+        BOOST_TEST((isHolder ? origin.evidence.daemon == VMId(1) : holders.contains(origin.evidence.daemon)));
+        BOOST_TEST((!isHolder || origin.evidence.age >= Microseconds(Seconds(2))));
+    }
+    fleet.restartAll();
+    fleet.daemons[VMId(2)].exchange->restore({ { StreamId(9), second, Seconds(12) } }, fleet.now);
+    BOOST_TEST((fleet.find(VMId(2), StreamId(9)).evidence.place == Place::Store));
+    BOOST_TEST(fleet.contradictions.empty());
+}
+
+// Guards against records of two versions of one stream that nobody notices.
+BOOST_AUTO_TEST_CASE(ARecordThatContradictsAnotherIsReportedWithBothVersionsAndSenders)
+{
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    fleet.record(VMId(1), StreamId(7), first);
+    fleet.run(1);
+    fleet.record(VMId(2), StreamId(7), second);
+    BOOST_REQUIRE(!fleet.contradictions.empty());
+    bool const isAtAKeeper = std::any_of(fleet.contradictions.begin(), fleet.contradictions.end(), [](auto const& contradiction) {
+        return contradiction.stream == StreamId(7) && contradiction.known == first && contradiction.knownFrom.daemon == VMId(1) && contradiction.contradicting == second && contradiction.contradictingFrom.daemon == VMId(2);
+    });
+    BOOST_TEST(isAtAKeeper);
+}
+
+namespace {
+
+// The reply is about a stream of the first version, and the one that is continued is of the second.
+void continueAfterAReplyToAnEarlierProcess(Fleet& fleet)
+{
+    fleet.appearEverywhere(second);
+    constexpr VMId asker { 1 };
+    constexpr VMId slow { 9 };
+    fleet.record(slow, StreamId(7), second);
+    fleet.record(slow, StreamId(8), first);
+    fleet.killAndRestart(asker, { first, second });
+    fleet.suspend(slow);
+    fleet.find(asker, StreamId(8));
+    fleet.killAndRestart(asker, { first, second });
+    for (auto& [id, daemon] : fleet.daemons)
+        daemon.isDown = id != asker && id != slow;
+    fleet.resume(slow);
+    BOOST_TEST((fleet.find(asker, StreamId(7)).version == second));
+}
+
+}
+
+// Guards against a stream that goes on at the version of another one: a daemon that stood still answers a question of an
+// earlier process of this daemon, whose number this process has used as well.
+BOOST_AUTO_TEST_CASE(AReplyToAnEarlierProcessIsNotTakenForOneToThisProcess)
+{
+    Fleet fleet;
+    continueAfterAReplyToAnEarlierProcess(fleet);
+}
+
+// The same if two processes use the same numbers by chance: a reply names the stream as well.
+BOOST_AUTO_TEST_CASE(AReplyAboutAnotherStreamIsIgnored)
+{
+    Fleet fleet;
+    fleet.hasRandomNumbers = false;
+    continueAfterAReplyToAnEarlierProcess(fleet);
+}
+
+// Guards against a stream that is joined at one of two versions that records name: the record that came first, or the answer.
+BOOST_AUTO_TEST_CASE(RecordsOfTwoVersionsMakeTheVersionUnknown)
+{
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    fleet.record(VMId(1), StreamId(7), first);
+    fleet.record(VMId(2), StreamId(7), second);
+    auto const isUnknown = [](StreamOriginExchange::Origin const& origin) {
+        return !origin.version && origin.isFinal && origin.source == StreamOriginExchange::Source::Contradiction;
+    };
+    for (auto& [id, daemon] : fleet.daemons)
+        BOOST_TEST(isUnknown(fleet.find(id, StreamId(7))));
+    // A daemon that starts is told of both.
+    auto const holders = fleet.holders();
+    for (auto const holder : holders)
+        fleet.restart(holder);
+    BOOST_TEST(isUnknown(fleet.find(VMId(9), StreamId(7))));
+}
+
+BOOST_AUTO_TEST_CASE(AnswersOfTwoVersionsMakeTheVersionUnknown)
+{
+    for (uint64_t stream = 1; stream <= 20; ++stream) {
+        Fleet fleet(5);
+        fleet.appearEverywhere(second);
+        fleet.areMessagesLost = true;
+        fleet.record(VMId(1), StreamId(stream), first);
+        fleet.record(VMId(2), StreamId(stream), second);
+        fleet.areMessagesLost = false;
+        BOOST_TEST(!fleet.find(VMId(3), StreamId(stream)).version.has_value());
+        BOOST_TEST(!fleet.contradictions.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ARestoredRecordOfAnotherVersionMakesTheVersionUnknown)
+{
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    fleet.restartAll();
+    fleet.record(VMId(1), StreamId(7), second);
+    fleet.daemons[VMId(1)].exchange->restore({ { StreamId(7), first, Seconds(12) } }, fleet.now);
+    BOOST_TEST(!fleet.find(VMId(1), StreamId(7)).version.has_value());
+    fleet.daemons[VMId(3)].exchange->restore({ { StreamId(8), first, Seconds(12) }, { StreamId(8), second, Seconds(12) } }, fleet.now);
+    BOOST_TEST(!fleet.find(VMId(3), StreamId(8)).version.has_value());
+}
+
+// Guards against an own record that is outdated: the daemon stood still after the stream had begun, its records were lost, and
+// the stream began again at another daemon.
+BOOST_AUTO_TEST_CASE(AnOwnRecordDoesNotDecideAgainstOthers)
+{
+    Fleet fleet;
+    fleet.appearEverywhere(second);
+    fleet.areMessagesLost = true;
+    fleet.record(VMId(1), StreamId(7), first);
+    fleet.areMessagesLost = false;
+    fleet.record(VMId(2), StreamId(7), second);
+    BOOST_TEST(!fleet.find(VMId(1), StreamId(7)).version.has_value());
+    // It decides where nobody answers.
+    fleet.record(VMId(1), StreamId(8), first);
+    for (auto& [id, daemon] : fleet.daemons)
+        daemon.isDown = id != VMId(1);
+    BOOST_TEST((fleet.find(VMId(1), StreamId(8)).version == first));
+}
+
 BOOST_AUTO_TEST_CASE(ARecordOutlivesItsStarterAndTwoKeepers)
 {
     Fleet fleet;
@@ -797,6 +957,9 @@
     BOOST_TEST(table.records().size() == 10u);
     table.expire(at(26));
     BOOST_TEST(table.records().size() == 1u);
+    // Also a record that expires earlier shows a contradiction.
+    table.record(StreamId(1), second, at(27));
+    BOOST_TEST(!table.find(StreamId(1), at(26)).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
