LibBase: Reject messages with nested elements

Operators would see each daemon that starts end by itself, again and again, while one record of the topic of stream origins has 0.26 MB of nested MessagePack arrays.

Cause: the library's reader of MessagePack calls itself for each level of nesting, and the stack overflows. Messages between daemons go through the same reader, but only daemons with the fleet's key can send them.

--- a/Tests/LibBase/TestMessages.cpp
+++ b/Tests/LibBase/TestMessages.cpp
@@ -43,6 +43,22 @@
     }));
 }
 
+// Guards against a message that overflows the stack by its levels of nesting.
+BOOST_AUTO_TEST_CASE(NestedElementsAreRejected)
+{
+    for (auto const* const level : { "\x91", "\x81\xa1k", "\x92\x01" }) {
+        std::string bytes;
+        for (size_t count = 0; count < 100000; ++count)
+            bytes += level;
+        BOOST_TEST(MessageReader(bytes).failed());
+        BOOST_TEST(MessageReader(level + std::string(1, '\x90')).failed());
+    }
+    BOOST_TEST(MessageReader("\x07").failed());
+    BOOST_TEST(MessageReader("").failed());
+    BOOST_TEST(MessageReader("\x90").finished());
+    BOOST_TEST(MessageReader("\x90\x90").failed());
+}
+
 BOOST_AUTO_TEST_CASE(RejectsTooLongDuration)
 {
     MessageWriter writer;
