--- a/Tests/platform/TestVersionHistoryReader.cpp
+++ b/Tests/platform/TestVersionHistoryReader.cpp
@@ -191,6 +191,19 @@
     BOOST_TEST(!readHistory(store).has_value());
 }
 
+// Guards against a record of another writer whose position makes daemons pass over the upstreams' records.
+BOOST_AUTO_TEST_CASE(APositionBeyondTheEndProvesNothing)
+{
+    FakeStore store;
+    store.addUpstream("a", "v1");
+    store.record = formatVersionRecord({ { {}, Offset(2) }, { { "chat", { version("v2") } } } });
+    BOOST_TEST(!readHistory(store).has_value());
+    store.record = R"({"position":281474976710655,"services":{}})";
+    BOOST_TEST(!readHistory(store).has_value());
+    store.record = formatVersionRecord({ { {}, Offset(1) }, { { "chat", { version("v2") } } } });
+    BOOST_TEST(readHistory(store).has_value());
+}
+
 // Guards against daemons that take half a minute without changes for a proof although a hall that is cut off still uses a
 // version of the record: the store no longer tells whether its upstreams have lapsed.
 BOOST_AUTO_TEST_CASE(VersionsWhoseHistoryIsGoneMayHaveLapsed)
