platform: Check every field of records that others write

Callers would get 404 for all routes after a configuration whose version is 2^64, and daemons that learn from others learn of nothing after an upstream's record with a version of 0.2 MB.

Upstreams with port 0, with an address that can't be connected to, with empty names or with line ends in them were taken as sound, and a large version fits into no datagram.

--- a/Libraries/LibMembership/Members.h
+++ b/Libraries/LibMembership/Members.h
@@ -16,3 +16,4 @@
 #include <LibMembership/UpdateQueue.h>
 #include <LibMembership/UpstreamDirectory.h>
 #include <LibMembership/UpstreamRecord.h>
+#include <LibMembership/UpstreamRecordRules.h>
--- a/Libraries/LibMembership/StateMessage.cpp
+++ b/Libraries/LibMembership/StateMessage.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/MessageReader.h>
 #include <LibBase/MessageWriter.h>
+#include <LibMembership/UpstreamRecordRules.h>
 
 namespace Stagepost {
 
@@ -117,8 +118,11 @@
     for (size_t index = 0; index < changeCount && !reader.failed(); ++index) {
         auto& change = message.upstreamChanges.emplace_back();
         change.instance = reader.text();
-        if (reader.number())
-            change.record = readUpstreamRecord(reader);
+        if (!reader.number())
+            continue;
+        // As in the store, an invalid record counts as removed. A daemon of an earlier version may have passed it on.
+        if (auto record = readUpstreamRecord(reader); checkUpstreamRecord(record))
+            change.record = std::move(record);
     }
     if (reader.number())
         message.registryChanges = readRegistryRecords(reader);
--- a/Services/stagepostd/GatewayState.cpp
+++ b/Services/stagepostd/GatewayState.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/MessageReader.h>
 #include <LibBase/MessageWriter.h>
+#include <LibMembership/UpstreamRecordRules.h>
 
 namespace Stagepost {
 
@@ -42,8 +43,11 @@
     bool const hasUpstreams = reader.number() != 0;
     auto const count = reader.count();
     std::vector<UpstreamRecord> upstreams;
-    for (size_t index = 0; index < count && !reader.failed(); ++index)
-        upstreams.push_back(readUpstreamRecord(reader));
+    for (size_t index = 0; index < count && !reader.failed(); ++index) {
+        // A daemon of an earlier version may pass on a record that is invalid here.
+        if (auto record = readUpstreamRecord(reader); checkUpstreamRecord(record))
+            upstreams.push_back(std::move(record));
+    }
     if (!reader.finished())
         return Error(ErrorCode::Malformed, "malformed gateway state");
     if (hasUpstreams)
