Forwarder: Take bad framing for foreign bytes, not for a crash

What callers saw: a request whose upstreams sent foreign bytes instead of a chunk, and ended soon after, was refused as one that ends upstreams.

Cause: a parse error of HTTP was UpstreamBroken like an answer that breaks off, and such an answer makes its request a suspect if the upstream ends.

Change: parse errors are UpstreamMixedAnswer, and the result says that the upstream sent foreign bytes. In the judgement of a version, such an answer counts as broken also while links are lost or the request is a suspect, since neither adds bytes to an answer. Answers that only break off remain UpstreamBroken.

No test covers the change in AnswerSampler. A chunk that is followed by other bytes than a line end is noticed only with the next line end; if the connection ends before, it still counts as broken off.

--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -26,6 +26,13 @@
         return Beast::iequals(mediaType, "text/event-stream");
     }
 
+    // Whether what was read has not the form of an HTTP message. A message that only breaks off may have been a sound one.
+    bool isFormatError(NetError failure)
+    {
+        static auto const& category = Http::make_error_code(Http::error::bad_value).category();
+        return failure.category() == category && failure != Http::error::end_of_stream && failure != Http::error::partial_message;
+    }
+
 }
 
 void Forwarder::fail(RefusalReason reason, std::string const& detail)
@@ -45,15 +52,23 @@
     m_result.deadlineReached = m_watchdog->hasReachedDeadline();
     if (m_watchdog->hasExpired() || m_exchange.isForwardStopped())
         fail(RefusalReason::UpstreamSlow, "the upstream was silent for too long");
+    else if (isFormatError(failure))
+        failForeignBytes("foreign bytes in the answer: " + failure.message());
     else
         fail(RefusalReason::UpstreamBroken, failure.message());
 }
 
+void Forwarder::failForeignBytes(std::string const& detail)
+{
+    m_result.hasForeignBytes = true;
+    fail(RefusalReason::UpstreamMixedAnswer, detail);
+}
+
 // The sound events before were passed on, and nothing after them can be relied on.
 void Forwarder::failEventStream()
 {
     m_result.eventFault = m_events->fault();
-    fail(RefusalReason::UpstreamMixedAnswer, m_events->describeFault());
+    failForeignBytes(m_events->describeFault());
 }
 
 // Returns whether to go on waiting for the upstream.
@@ -193,7 +208,7 @@
     }
     bool const mustMatch = m_result.reusedConnection || !m_plan.requestId.empty();
     if (mustMatch && header[m_plan.requestIdField] != m_requestId) {
-        fail(RefusalReason::UpstreamMixedAnswer, "the answer does not repeat this request's id");
+        failForeignBytes("the answer does not repeat this request's id");
         return false;
     }
     m_result.status = header.result_int();
@@ -206,7 +221,7 @@
         return false;
     }
     if (m_plan.progress && isSuccess(m_result.status) && !m_isEventStream && !m_client.isHeadRequest) {
-        fail(RefusalReason::UpstreamMixedAnswer, "the answer is no event stream");
+        failForeignBytes("the answer is no event stream");
         return false;
     }
     return true;
--- a/Libraries/LibProxy/Detail/Forwarder.h
+++ b/Libraries/LibProxy/Detail/Forwarder.h
@@ -66,6 +66,8 @@
     void reportActivity(UpstreamActivity);
     void fail(RefusalReason, std::string const& detail);
     void failUpstreamRead(NetError);
+    // Fails because of bytes that are no part of an answer to this request.
+    void failForeignBytes(std::string const& detail);
     void failEventStream();
     bool mayReuseConnection() const;
     void releaseConnection();
--- a/Libraries/LibProxy/ForwardResult.h
+++ b/Libraries/LibProxy/ForwardResult.h
@@ -38,6 +38,9 @@
     bool deadlineReached { false };
     // Set if the event stream contained bytes that are no part of its events. The detail says which.
     std::optional<EventFault> eventFault;
+    // Whether the upstream sent bytes that are no part of an answer to this request. That says nothing against the
+    // request, and nothing against the links, which have brought them.
+    bool hasForeignBytes { false };
 
     // Whether nothing of the request was sent.
     bool isUnconnected() const { return failure && verdict == Verdict::NotRun && failure != RefusalReason::OverCapacity; }
--- a/Services/stagepostd/AnswerSampler.cpp
+++ b/Services/stagepostd/AnswerSampler.cpp
@@ -64,7 +64,8 @@
     auto* rollouts = m_services.rollouts;
     rollouts->finishSend(*m_current.send);
     bool const isRolledOut = rollouts->rollouts().contains(m_current.send->service);
-    if (isRolledOut && (sample.outcome == AnswerOutcome::Broken || sample.outcome == AnswerOutcome::TimedOut)) {
+    bool const mayBeLinks = !result.hasForeignBytes && (sample.outcome == AnswerOutcome::Broken || sample.outcome == AnswerOutcome::TimedOut);
+    if (isRolledOut && mayBeLinks) {
         // When this daemon's links are lost, answers of any version break off before the loss is known.
         m_services.links.judgeFailure([rollouts, send = *m_current.send, sample, now](LinkState links) {
             if (links == LinkState::Up)
@@ -84,6 +85,9 @@
         return AnswerOutcome::Irrelevant;
     if (result.status >= firstServerError)
         return AnswerOutcome::Failed;
+    // Neither lost links nor the request add bytes to an answer.
+    if (result.hasForeignBytes)
+        return AnswerOutcome::Broken;
     // Lost links break off answers of any version, and so may the request itself.
     if (m_services.links.wasLostSince(sentAt) || m_evidence.isSuspect())
         return AnswerOutcome::Irrelevant;
--- a/Tests/LibProxy/Sockets.h
+++ b/Tests/LibProxy/Sockets.h
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <boost/test/unit_test.hpp>
+#include <poll.h>
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -41,6 +42,12 @@
     int accept() const { return ::accept(m_listener, nullptr, nullptr); }
     // For poll().
     int descriptor() const { return m_listener; }
+    // Whether accept() would return at once.
+    bool isConnected() const
+    {
+        pollfd waiting { m_listener, POLLIN, 0 };
+        return ::poll(&waiting, 1, 0) == 1;
+    }
 
     Endpoint endpoint;
 
