Forwarder: Refuse answers with two ids and encoded event streams

What callers could see: an answer whose head was joined from two, with the id of another request beside their own; and a stream of events under a Content-Encoding by which they would decode them to something else.

Cause: the first X-Attempt-Id was compared and further ones passed on, and the encoding of a stream was not read.

Change: an answer that must repeat the request's id has it exactly once, and an event stream that is read event by event has no encoding but "identity". Both count as foreign bytes. Other answers are opaque, so their Content-Encoding is passed on.

TestProxy ForeignHeadsTests: 3 of 3 heads with two ids and 3 of 3 encoded streams were passed on before, none now. Found to be right before and kept by tests: repeated equal lengths reach callers as one at most, and a connection with bytes behind an answer is not used again. A second status line in the head, control characters, fields without a colon, different lengths, and a length beside chunks are parse errors (ForeignBytesTests). Two signature fields are not covered.

--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include <LibProxy/Detail/InterimResponses.h>
 #include <LibProxy/Detail/UpstreamRequest.h>
+#include <algorithm>
 
 namespace Stagepost {
 
@@ -124,7 +125,7 @@
 // may leave an extra response on the connection, which the next request would receive.
 bool Forwarder::mayReuseConnection() const
 {
-    return m_connection->isAnswered && m_connection->isRequestWritten && m_parser->keep_alive() && !m_connection->buffer.size() && m_parser->get()[m_plan.requestIdField] == m_requestId;
+    return m_connection->isAnswered && m_connection->isRequestWritten && m_parser->keep_alive() && !m_connection->buffer.size() && repeatsRequestId();
 }
 
 void Forwarder::releaseConnection()
@@ -207,7 +208,7 @@
         return false;
     }
     bool const mustMatch = m_result.reusedConnection || !m_plan.requestId.empty();
-    if (mustMatch && header[m_plan.requestIdField] != m_requestId) {
+    if (mustMatch && !repeatsRequestId()) {
         failForeignBytes("the answer does not repeat this request's id");
         return false;
     }
@@ -224,9 +225,26 @@
         failForeignBytes("the answer is no event stream");
         return false;
     }
+    if (m_plan.progress && m_isEventStream && isBodyEncoded()) {
+        failForeignBytes("the event stream is encoded");
+        return false;
+    }
     return true;
 }
 
+// Heads that are joined from several answers may have several ids.
+bool Forwarder::repeatsRequestId() const
+{
+    auto const& header = m_parser->get();
+    return header.count(m_plan.requestIdField) == 1 && header[m_plan.requestIdField] == m_requestId;
+}
+
+bool Forwarder::isBodyEncoded() const
+{
+    auto const [first, last] = m_parser->get().equal_range(Http::field::content_encoding);
+    return std::any_of(first, last, [](auto const& field) { return !Beast::iequals(field.value(), "identity"); });
+}
+
 Net::awaitable<void> Forwarder::drainRejectedBody()
 {
     bool const isShort = m_parser->content_length().value_or(maxDrainedBodySize + 1) <= maxDrainedBodySize;
