--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include <LibProxy/Detail/InterimResponses.h>
 #include <LibProxy/Detail/UpstreamRequest.h>
+#include <algorithm>
 
 namespace Stagepost {
 
@@ -26,6 +27,13 @@
         return Beast::iequals(mediaType, "text/event-stream");
     }
 
+    // Whether what was read has not the form of an HTTP message. A message that only breaks off may have been a sound one.
+    bool isFormatError(NetError failure)
+    {
+        static auto const& category = Http::make_error_code(Http::error::bad_value).category();
+        return failure.category() == category && failure != Http::error::end_of_stream && failure != Http::error::partial_message;
+    }
+
 }
 
 void Forwarder::fail(RefusalReason reason, std::string const& detail)
@@ -45,16 +53,24 @@
     m_result.deadlineReached = m_watchdog->hasReachedDeadline();
     if (m_watchdog->hasExpired() || m_exchange.isForwardStopped())
         fail(RefusalReason::UpstreamSlow, "the upstream was silent for too long");
+    else if (isFormatError(failure))
+        failForeignBytes("foreign bytes in the answer: " + failure.message());
     else
         fail(RefusalReason::UpstreamBroken, failure.message());
 }
 
+void Forwarder::failForeignBytes(std::string const& detail)
+{
+    m_result.hasForeignBytes = true;
+    fail(RefusalReason::UpstreamMixedAnswer, detail);
+}
+
 // The sound events before were passed on, and nothing after them can be relied on.
 void Forwarder::failEventStream()
 {
     m_result.eventFault = m_events->fault();
     m_result.foreignBytes = m_events->foreignBytes();
-    fail(RefusalReason::UpstreamMixedAnswer, m_events->describeFault());
+    failForeignBytes(m_events->describeFault());
 }
 
 // Returns whether to go on waiting for the upstream.
@@ -110,7 +126,7 @@
 // may leave an extra response on the connection, which the next request would receive.
 bool Forwarder::mayReuseConnection() const
 {
-    return m_connection->isAnswered && m_connection->isRequestWritten && m_parser->keep_alive() && !m_connection->buffer.size() && m_parser->get()[m_plan.requestIdField] == m_requestId;
+    return m_connection->isAnswered && m_connection->isRequestWritten && m_parser->keep_alive() && !m_connection->buffer.size() && repeatsRequestId();
 }
 
 void Forwarder::releaseConnection()
@@ -193,8 +209,8 @@
         return false;
     }
     bool const mustMatch = m_result.reusedConnection || !m_plan.requestId.empty();
-    if (mustMatch && header[m_plan.requestIdField] != m_requestId) {
-        fail(RefusalReason::UpstreamMixedAnswer, "the answer does not repeat this request's id");
+    if (mustMatch && !repeatsRequestId()) {
+        failForeignBytes("the answer does not repeat this request's id");
         return false;
     }
     m_result.status = header.result_int();
@@ -209,12 +225,29 @@
     bool const hasBody = !m_client.isHeadRequest && mayHaveBody(m_result.status);
     if (m_plan.progress && isSuccess(m_result.status) && hasBody && !m_isEventStream) {
         m_result.eventFault = EventFault::OtherType;
-        fail(RefusalReason::UpstreamMixedAnswer, "the answer is no event stream");
+        failForeignBytes("the answer is no event stream");
+        return false;
+    }
+    if (m_plan.progress && m_isEventStream && isBodyEncoded()) {
+        failForeignBytes("the event stream is encoded");
         return false;
     }
     return true;
 }
 
+// Heads that are joined from several answers may have several ids.
+bool Forwarder::repeatsRequestId() const
+{
+    auto const& header = m_parser->get();
+    return header.count(m_plan.requestIdField) == 1 && header[m_plan.requestIdField] == m_requestId;
+}
+
+bool Forwarder::isBodyEncoded() const
+{
+    auto const [first, last] = m_parser->get().equal_range(Http::field::content_encoding);
+    return std::any_of(first, last, [](auto const& field) { return !Beast::iequals(field.value(), "identity"); });
+}
+
 Net::awaitable<void> Forwarder::drainRejectedBody()
 {
     bool const isShort = m_parser->content_length().value_or(maxDrainedBodySize + 1) <= maxDrainedBodySize;
--- a/Libraries/LibProxy/ForwardResult.h
+++ b/Libraries/LibProxy/ForwardResult.h
@@ -40,6 +40,9 @@
     std::optional<EventFault> eventFault;
     // How these bytes begin. Only for the log, since they may be meant for another client.
     std::string foreignBytes;
+    // Whether the upstream sent bytes that are no part of an answer to this request. That says nothing against the
+    // request, and nothing against the links, which have brought them.
+    bool hasForeignBytes { false };
 
     // Whether nothing of the request was sent.
     bool isUnconnected() const { return failure && verdict == Verdict::NotRun && failure != RefusalReason::OverCapacity; }
