--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -94,49 +94,20 @@
     addTo(m_table, stream, version, now + kept, now);
     // Until the other daemons are known, no keepers can be told.
     if (knowsPeers() && m_hooks.versions(service, now).needsRecords)
-        return sendToKeepers(stream, version, kept);
-    auto& late = m_lateRecords[service];
-    late.push_back({ stream, version, now + kept });
-    if (late.size() > m_bounds.maxRecords)
-        late.pop_front();
+        return sendToKeepers({ stream, version, kept });
+    m_late.add(service, { stream, version, kept }, now);
 }
 
-void StreamOriginExchange::sendToKeepers(StreamId stream, VersionId version, Microseconds lifetime)
+void StreamOriginExchange::sendToKeepers(StreamOriginRecord const& record)
 {
-    StreamOriginRecord const record { stream, version, lifetime };
     m_hooks.persist(record);
     auto const message = encodeStreamOriginMessage(record);
-    for (auto const keeper : chooseKeepers(stream)) {
+    for (auto const keeper : chooseKeepers(record.stream)) {
         if (keeper != m_self.id)
             m_hooks.send(keeper, message);
     }
 }
 
-// The latest streams come first, since they last longest.
-void StreamOriginExchange::sendLateRecords(Instant now)
-{
-    for (auto& [service, late] : m_lateRecords) {
-        while (!late.empty() && late.front().expiresAt <= now)
-            late.pop_front();
-    }
-    std::erase_if(m_lateRecords, [](auto const& entry) { return entry.second.empty(); });
-    if (!knowsPeers())
-        return;
-    auto const perSecond = peers().size() > m_bounds.largeFleet ? m_bounds.lateRecordsPerSecondInLargeFleet : m_bounds.lateRecordsPerSecond;
-    Microseconds const interval(static_cast<int64_t>(1e6 / perSecond));
-    for (auto& [service, late] : m_lateRecords) {
-        if (!m_hooks.versions(service, now).needsRecords)
-            continue;
-        m_nextLateRecordAt = std::max(m_nextLateRecordAt, now - m_bounds.lateRecordsBurst);
-        for (; !late.empty() && m_nextLateRecordAt <= now; late.pop_back()) {
-            if (late.back().expiresAt <= now)
-                continue;
-            sendToKeepers(late.back().stream, late.back().version, late.back().expiresAt - now);
-            m_nextLateRecordAt += interval;
-        }
-    }
-}
-
 void StreamOriginExchange::restore(std::vector<StreamOriginRecord> const& records, Instant now)
 {
     for (auto const& record : records)
@@ -354,7 +325,9 @@
 {
     m_table.expire(now);
     m_restored.expire(now);
-    sendLateRecords(now);
+    m_late.expire(now);
+    if (knowsPeers())
+        m_late.send(peers().size() > m_bounds.largeFleet, now);
     std::vector<std::pair<uint64_t, Origin>> resolved;
     for (auto& [queryId, pending] : m_pending) {
         updateOwnAnswer(pending, now);
--- a/Libraries/LibRouting/StreamOriginExchange.h
+++ b/Libraries/LibRouting/StreamOriginExchange.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/FleetPeer.h>
 #include <LibBase/Time.h>
+#include <LibRouting/LateStreamOrigins.h>
 #include <LibRouting/StreamOriginMessage.h>
 #include <LibRouting/StreamOriginTable.h>
 #include <LibRouting/VersionHistory.h>
@@ -55,11 +56,6 @@
         Microseconds peerListLag { 3000000 };
         // The earlier lists of daemons that are remembered.
         size_t maxEarlierLists { 64 };
-        // How many streams a second get their record late, when a second version has appeared.
-        double lateRecordsPerSecond { 100 };
-        double lateRecordsPerSecondInLargeFleet { 30 };
-        // For so much time they are sent at once. Ticks come tens of milliseconds apart.
-        Microseconds lateRecordsBurst { 100000 };
         size_t maxRecords { 65536 };
         // The streams that may wait at a time. Further ones are refused.
         size_t maxPending { 4096 };
@@ -114,6 +110,7 @@
         , m_keepsSince(now)
         , m_table(bounds.maxRecords)
         , m_restored(bounds.maxRecords)
+        , m_late({}, { [this](auto const& service, Instant time) { return m_hooks.versions(service, time).needsRecords; }, [this](auto const& record) { sendToKeepers(record); } })
     {
     }
 
@@ -176,19 +173,13 @@
         Instant repeatAt;
         Callback callback;
     };
-    struct LateRecord {
-        StreamId stream;
-        VersionId version;
-        Instant expiresAt;
-    };
 
     std::vector<FleetPeer> const& peers() const { return m_lists.back().peers; }
     std::vector<VMId> chooseDaemons(std::vector<FleetPeer> const&, StreamId, size_t count) const;
     size_t keeperCount(std::vector<FleetPeer> const&) const;
     std::vector<VMId> chooseKeepers(StreamId stream) const { return chooseDaemons(peers(), stream, keeperCount(peers())); }
     std::vector<Keepers> keepersByAllLists(StreamId, Instant now) const;
-    void sendToKeepers(StreamId, VersionId, Microseconds lifetime);
-    void sendLateRecords(Instant now);
+    void sendToKeepers(StreamOriginRecord const&);
     void addTo(StreamOriginTable&, StreamId, VersionId, Instant expiresAt, Instant now);
     std::optional<VersionId> findRecord(StreamId, Instant now) const;
     StreamOriginReply makeReply(StreamId, VersionKnowledge const&, Instant now) const;
@@ -221,9 +212,7 @@
     std::deque<PeerList> m_lists;
     std::map<uint64_t, Pending> m_pending;
     uint64_t m_lastQueryId { 0 };
-    // By service: the streams that began while it had one version, in that order.
-    std::map<std::string, std::deque<LateRecord>> m_lateRecords;
-    Instant m_nextLateRecordAt;
+    LateStreamOrigins m_late;
 };
 
 // The name in logs and metrics.
