VersionHistory: Remember versions for as long as routes let streams be taken up

A stream with a deadline of 120 s that was taken up 42 s after its start went on at another version than the one that had begun it.

Cause: records, lists of versions and the proof that no record exists reached back 30 s, whatever the deadline of the stream was.

Records are now kept until the deadline of the stream, at most 1 h. The settings tell the longest time-out of a route whose streams may be taken up; if it and a second are more than 30 s, versions are remembered for that long, and a missing record proves a version only if all have been kept for that long. The time is only extended while a daemon runs, since streams that have begun keep their deadlines.

Not covered: settings with a shorter time-out, for daemons that start while longer streams from before them live, and daemons of the earlier build in the same fleet, which prove versions by 30 s.

--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -90,7 +90,7 @@
 
 void StreamOriginExchange::record(StreamId stream, std::string const& service, VersionId version, Microseconds lifetime, Instant now)
 {
-    auto const kept = std::min(lifetime, VersionHistory::memory);
+    auto const kept = std::min(lifetime, StreamOriginRecord::maxLifetime);
     addTo(m_table, stream, version, now + kept, now);
     // Until the other daemons are known, no keepers can be told.
     if (knowsPeers() && m_hooks.versions(service, now).needsRecords)
@@ -111,7 +111,7 @@
 void StreamOriginExchange::restore(std::vector<StreamOriginRecord> const& records, Instant now)
 {
     for (auto const& record : records)
-        addTo(m_restored, record.stream, record.version, now + std::min(record.lifetime, VersionHistory::memory), now);
+        addTo(m_restored, record.stream, record.version, now + std::min(record.lifetime, StreamOriginRecord::maxLifetime), now);
 }
 
 void StreamOriginExchange::peerStarted(VMId peer, Instant now)
@@ -255,7 +255,7 @@
 std::optional<VersionId> StreamOriginExchange::versionWithoutRecord(Pending const& pending) const
 {
     auto const version = uniformVersion(pending);
-    auto since = pending.startedAt - VersionHistory::memory;
+    auto since = pending.startedAt - pending.own.streamLifetime;
     if (pending.own.restoredUniformAt && pending.own.withoutRecords == version)
         since = std::max(since, *pending.own.restoredUniformAt);
     return version && !mayLackRecordSince(pending, since) ? version : std::nullopt;
@@ -294,7 +294,7 @@
 {
     auto const message = TRY(decodeStreamOriginMessage(bytes));
     if (auto const* record = std::get_if<StreamOriginRecord>(&message)) {
-        addTo(m_table, record->stream, record->version, now + std::min(record->lifetime, VersionHistory::memory), now);
+        addTo(m_table, record->stream, record->version, now + std::min(record->lifetime, StreamOriginRecord::maxLifetime), now);
         return {};
     }
     if (auto const* query = std::get_if<StreamOriginQuery>(&message)) {
--- a/Libraries/LibRouting/StreamOriginExchange.h
+++ b/Libraries/LibRouting/StreamOriginExchange.h
@@ -75,6 +75,8 @@
         bool hasSeveral { false };
         // Whether streams that begin now need a record.
         bool needsRecords { false };
+        // No stream that began longer ago can be taken up.
+        Microseconds streamLifetime { VersionHistory::memory };
     };
 
     struct Hooks {
--- a/Libraries/LibRouting/StreamOriginMessage.h
+++ b/Libraries/LibRouting/StreamOriginMessage.h
@@ -13,6 +13,9 @@
 
 // Tells a keeper at which version a stream has begun.
 struct StreamOriginRecord {
+    // A bound on what a damaged message may ask for. No known route allows for more time.
+    static constexpr Microseconds maxLifetime { 3600000000 };
+
     StreamId stream;
     VersionId version;
     // How long its caller may still take it up.
@@ -29,7 +32,7 @@
 // What a daemon knows of a stream that another one is asked to continue.
 struct StreamOriginReply {
     // Longer times are not told apart. More than the time for which streams can be taken up.
-    static constexpr Microseconds maxKeptFor { 60000000 };
+    static constexpr Microseconds maxKeptFor { StreamOriginRecord::maxLifetime + Seconds(60) };
 
     uint64_t queryId { 0 };
     std::optional<VersionId> recorded;
--- a/Libraries/LibRouting/VersionHistory.cpp
+++ b/Libraries/LibRouting/VersionHistory.cpp
@@ -1,7 +1,5 @@
 #include <LibRouting/VersionHistory.h>
 
-#include <algorithm>
-
 namespace Stagepost {
 
 void VersionHistory::appeared(VersionId version, Instant now)
@@ -27,7 +25,7 @@
     m_since = now;
     m_provenSince = now;
     m_restoredUniformAt.reset();
-    std::erase_if(m_spans, [now](auto const& entry) { return !isRecent(entry.second, now); });
+    std::erase_if(m_spans, [&](auto const& entry) { return !isRecent(entry.second, now); });
     for (auto& [version, span] : m_spans)
         span.firstSeen = now;
 }
@@ -43,7 +41,7 @@
         if (lapsed.contains(version))
             span.lapsedAt = now;
     }
-    m_since = std::min(m_since, now - memory);
+    m_since = std::min(m_since, now - m_memory);
     m_provenSince = m_since;
     auto const recent = recentVersions(now);
     m_restoredUniformAt = recent.size() == 1 ? std::optional(readAt) : std::nullopt;
@@ -74,7 +72,7 @@
 std::optional<VersionId> VersionHistory::uniformVersion(Instant now) const
 {
     auto const recent = recentVersions(now);
-    return now - m_provenSince >= memory && recent.size() == 1 ? std::optional(*recent.begin()) : std::nullopt;
+    return now - m_provenSince >= m_memory && recent.size() == 1 ? std::optional(*recent.begin()) : std::nullopt;
 }
 
 // All daemons record the streams that begin once they know of several versions. A version that was added
@@ -85,7 +83,7 @@
     if (!isComplete(now))
         return result;
     for (auto const& [version, span] : m_spans) {
-        bool const isLongKnown = uniformVersion(now) || now - span.firstSeen >= memory;
+        bool const isLongKnown = uniformVersion(now) || now - span.firstSeen >= m_memory;
         if (!isRecent(span, now) || !isLongKnown)
             continue;
         if (result)
--- a/Libraries/LibRouting/VersionHistory.h
+++ b/Libraries/LibRouting/VersionHistory.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Ids.h>
 #include <LibBase/Time.h>
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -20,18 +21,25 @@
 // have lapsed instead, a hall that is cut off may still use them, so the version is remembered for longer.
 class VersionHistory {
 public:
-    // No caller takes up a stream that began longer ago.
+    // No caller takes up a stream that began longer ago, unless a route allows for more time; see extendMemory().
     static constexpr Microseconds memory { 30000000 };
 
     // Halls lose each other, and the store, for an hour now and then.
     static constexpr Microseconds lapsedMemory { 3600000000 };
 
-    explicit VersionHistory(Instant since)
-        : m_since(since)
+    explicit VersionHistory(Instant since, Microseconds streamLifetime = memory)
+        : m_memory(std::max(memory, streamLifetime))
+        , m_since(since)
         , m_provenSince(since)
     {
     }
 
+    // Streams that begin from now on may be taken up for this long. The time never becomes shorter, since streams that have
+    // begun keep their deadlines.
+    void extendMemory(Microseconds streamLifetime) { m_memory = std::max(m_memory, streamLifetime); }
+    // How long versions that have left are remembered.
+    Microseconds currentMemory() const { return m_memory; }
+
     // The first upstream of the version was added, or the last one was removed.
     void appeared(VersionId, Instant now);
     void vanished(VersionId, Instant now);
@@ -50,7 +58,7 @@
     std::optional<Instant> restoredUniformAt() const { return m_restoredUniformAt; }
 
     // Whether everything since then was seen, without a gap.
-    bool isComplete(Instant now) const { return now - m_since >= memory; }
+    bool isComplete(Instant now) const { return now - m_since >= m_memory; }
     // The version at which a stream has begun of which no daemon has a record. None if that may have been
     // one of several.
     std::optional<VersionId> versionWithoutRecords(Instant now) const;
@@ -74,8 +82,9 @@
     };
 
     static bool hasLapsed(Span const& span, Instant now) { return span.lapsedAt && now - *span.lapsedAt < lapsedMemory; }
-    static bool isRecent(Span const& span, Instant now) { return !span.vanishedAt || now - *span.vanishedAt < memory || hasLapsed(span, now); }
+    bool isRecent(Span const& span, Instant now) const { return !span.vanishedAt || now - *span.vanishedAt < m_memory || hasLapsed(span, now); }
 
+    Microseconds m_memory;
     Instant m_since;
     // As m_since, but without the times at which the list of upstreams was outdated.
     Instant m_provenSince;
--- a/Libraries/LibSettings/RouteTable.cpp
+++ b/Libraries/LibSettings/RouteTable.cpp
@@ -26,6 +26,7 @@
     : route(std::make_shared<Route const>(std::move(newRoute)))
     , lookupHash(lookupHashOf(route->host, route->pathPrefix))
     , prefixLength(route->pathPrefix.size())
+    , resumableTime(route->kind == RequestKind::Stream && route->isResumable ? route->timeout : Milliseconds(0))
 {
 }
 
@@ -43,6 +44,7 @@
     for (size_t routeIndex = 0; routeIndex < m_parts.routes.size(); ++routeIndex) {
         insertIntoIndex(routeIndex);
         lengths.insert(m_parts.routes[routeIndex].prefixLength);
+        m_longestResumableTime = std::max(m_longestResumableTime, m_parts.routes[routeIndex].resumableTime);
     }
     m_prefixLengths.assign(lengths.begin(), lengths.end());
 }
--- a/Libraries/LibSettings/RouteTable.h
+++ b/Libraries/LibSettings/RouteTable.h
@@ -66,6 +66,8 @@
     // The hash of the host and the path prefix.
     uint64_t lookupHash { 0 };
     size_t prefixLength { 0 };
+    // The time for which its streams may be taken up, 0 if they can't be.
+    Milliseconds resumableTime { 0 };
 };
 
 // Upstreams that serve the same requests.
@@ -121,6 +123,8 @@
     CallerLimits const& limits() const { return m_parts.limits; }
     std::vector<Service> const& services() const { return m_parts.services; }
     size_t routeCount() const { return m_parts.routes.size(); }
+    // For how long streams may be taken up, by the route that allows the most; 0 if no route does.
+    Milliseconds longestResumableTime() const { return m_longestResumableTime; }
     bool needsKeys() const { return m_parts.hasOrganisations; }
 
     // The route of the host with the longest matching path prefix, or null. A port after the
@@ -136,6 +140,7 @@
     size_t slotOf(uint64_t lookupHash) const { return lookupHash & (m_slots.size() - 1); }
 
     Parts m_parts;
+    Milliseconds m_longestResumableTime { 0 };
     // A hash table with open addressing and linear probing. A slot holds the index of a route
     // plus 1, or 0 if it is empty. The size is a power of two.
     std::vector<uint32_t> m_slots;
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -328,7 +328,7 @@
     m_settingsHistory.add(m_table->version(), loaded.text, isAsReceived ? loaded.update : std::nullopt);
     m_server.setOptions(serverOptions(m_table->limits()));
     m_peers.setCallerLimits(serverOptions(m_table->limits()));
-    applyColdStartLimits();
+    m_serviceTable.applySettings(*m_table, m_options.coldOvershoot, m_options.coldSlack);
     m_metrics.setGauge("stagepost_settings_version", static_cast<double>(m_table->version()));
     logEvent(LogLevel::Info, "settings-in-force", { { "version", m_table->version() }, { "routes", m_table->routeCount() }, { "source", loaded.update ? "told" : "store" }, { "took_ms", (m_loop.now() - loaded.startedAt).count() / 1000 }, { "longest_turn_us", loaded.longestSlice.count() } });
     m_peers.stateChanged(m_loop.now());
@@ -337,12 +337,6 @@
     return true;
 }
 
-void Gateway::applyColdStartLimits()
-{
-    for (auto const& service : m_table->services())
-        m_serviceTable.service(service.name).placement.setColdStartLimit({ service.coldPerSecond, m_options.coldOvershoot, m_options.coldSlack, service.coldDuration });
-}
-
 // A delayed answer of the store may be older than what other daemons have confirmed meanwhile, and
 // must not replace it.
 bool Gateway::updateUpstreams(std::vector<UpstreamChange> const& changes, StoreRead const& read)
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -68,6 +68,7 @@
     bool isRelay() const { return m_peers.isRelay(); }
     // Whether it exchanges messages with other daemons, and so can tell whether one reads the store for it.
     bool hasJoined() const { return m_peers.hasJoined(); }
+    bool hasSettings() const { return m_table != nullptr; }
     // Whether to read the configuration: the store is to be read anyway, or a newer configuration is
     // known to exist and did not arrive from another daemon in time.
     bool needsSettings() const { return needsStore() || isSettingsOverdue(); }
@@ -129,7 +130,6 @@
     Microseconds settingsAge() const;
     int64_t settingsAgeMilliseconds() const;
     bool applySettings(Result<RouteTable::Parts>&& parts, SettingsLoader::PendingSettings const&);
-    void applyColdStartLimits();
     void handleSettingsProof();
     void confirmParts(StateSummary const& proven, Instant provenAt);
     uint64_t settingsVersion() const { return m_table ? m_table->version() : 0; }
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -27,9 +27,6 @@
     // Each further placement asks the owners of upstreams again.
     constexpr size_t maxEndedProcesses = 3;
 
-    // Callers may take a stream up until their deadline, and on their way here.
-    constexpr Milliseconds streamRecordMargin { 1000 };
-
 }
 
 GatewayRequestHandler::GatewayRequestHandler(GatewayServices const& services, std::shared_ptr<Exchange> exchange, RoutedRequest request)
@@ -124,7 +121,7 @@
     if (!m_progress || !m_request.route->isRepeatable() || std::exchange(m_isStreamRecorded, true))
         return;
     m_streamVersion = VersionId::fromName(m_version);
-    m_services.peers.streamOrigins().record(streamId(), m_request.service, *m_streamVersion, m_attempts.timeLeft(m_services.loop.now()) + streamRecordMargin);
+    m_services.peers.streamOrigins().record(streamId(), m_request.service, *m_streamVersion, m_attempts.timeLeft(m_services.loop.now()) + ServiceTable::streamRecordMargin);
 }
 
 bool GatewayRequestHandler::needsVersion() const
--- a/Services/stagepostd/ServiceTable.cpp
+++ b/Services/stagepostd/ServiceTable.cpp
@@ -115,7 +115,7 @@
 {
     auto const version = VersionId::fromName(target.version);
     if (!m_versionCounts[target.service][version]++)
-        m_versionHistories.try_emplace(target.service, m_historySince).first->second.appeared(version, now);
+        versionHistory(target.service).appeared(version, now);
 }
 
 void ServiceTable::uncountVersion(Target const& target, Instant now)
@@ -130,7 +130,7 @@
 
 void ServiceTable::noteVersion(std::string const& service, VersionId version, bool hasLapsed, Instant now)
 {
-    auto& history = m_versionHistories.try_emplace(service, m_historySince).first->second;
+    auto& history = versionHistory(service);
     history.appeared(version, now);
     if (hasLapsed)
         history.lapsed(version, now);
@@ -151,6 +151,21 @@
     }
 }
 
+VersionHistory& ServiceTable::versionHistory(std::string const& service)
+{
+    return m_versionHistories.try_emplace(service, m_historySince, m_streamLifetime).first->second;
+}
+
+void ServiceTable::applySettings(RouteTable const& settings, double coldOvershoot, double coldSlack)
+{
+    for (auto const& service : settings.services())
+        this->service(service.name).placement.setColdStartLimit({ service.coldPerSecond, coldOvershoot, coldSlack, service.coldDuration });
+    if (auto const longest = settings.longestResumableTime(); longest.count())
+        m_streamLifetime = std::clamp<Microseconds>(longest + streamRecordMargin, m_streamLifetime, StreamOriginRecord::maxLifetime);
+    for (auto& [service, history] : m_versionHistories)
+        history.extendMemory(m_streamLifetime);
+}
+
 VersionHistory const* ServiceTable::versions(std::string const& service) const
 {
     auto const found = m_versionHistories.find(service);
@@ -169,14 +184,14 @@
     if (readSentAt < m_historySince)
         return;
     for (auto const& [service, earlier] : versions)
-        m_versionHistories.try_emplace(service, m_historySince);
+        versionHistory(service);
     auto const versionsOf = [](ServiceVersions const& services, std::string const& service) {
         auto const found = services.find(service);
         return found == services.end() ? std::set<VersionId> {} : found->second;
     };
     for (auto& [service, history] : m_versionHistories)
         history.restore(versionsOf(versions, service), versionsOf(lapsed, service), readSentAt, now);
-    m_historySince = std::min(m_historySince, now - VersionHistory::memory);
+    m_historySince = std::min(m_historySince, now - m_streamLifetime);
 }
 
 // While a list is outdated, upstreams of another version may come and go unseen. After a short time, that version
@@ -204,7 +219,7 @@
 
 std::optional<ServiceVersions> ServiceTable::recentVersions(Instant now) const
 {
-    if (now - m_historySince < VersionHistory::memory)
+    if (now - m_historySince < m_streamLifetime)
         return {};
     ServiceVersions result;
     for (auto const& [service, history] : m_versionHistories)
@@ -222,7 +237,7 @@
 
 bool ServiceTable::lacksVersionHistory(Instant now) const
 {
-    return m_listAge && *m_listAge <= maxListAge && now - m_historySince < VersionHistory::memory;
+    return m_listAge && *m_listAge <= maxListAge && now - m_historySince < m_streamLifetime;
 }
 
 StreamOriginExchange::VersionKnowledge ServiceTable::versionKnowledge(std::string const& service, Instant now) const
@@ -232,7 +247,7 @@
         return {};
     bool const isListProven = m_listAge && *m_listAge <= maxListAge;
     auto const uniform = history->uniformVersion(now);
-    return { isListProven ? uniform : std::nullopt, m_listProvenAt, history->versionWithoutRecords(now), history->restoredUniformAt(), history->recentVersions(now).size() > 1, !uniform };
+    return { isListProven ? uniform : std::nullopt, m_listProvenAt, history->versionWithoutRecords(now), history->restoredUniformAt(), history->recentVersions(now).size() > 1, !uniform, m_streamLifetime };
 }
 
 std::optional<UpstreamRole> ServiceTable::roleOfVersion(std::string const& service, VersionId version) const
--- a/Services/stagepostd/ServiceTable.h
+++ b/Services/stagepostd/ServiceTable.h
@@ -8,6 +8,7 @@
 #include <LibRouting/StreamOriginExchange.h>
 #include <LibRouting/UpstreamRole.h>
 #include <LibRouting/VersionHistory.h>
+#include <LibSettings/RouteTable.h>
 #include <map>
 #include <memory>
 #include <set>
@@ -96,6 +97,8 @@
     // may be older than the answer, or restored by a store that has lost its last seconds.
     void markLeaving(UpstreamId, Instant now);
 
+    // Applies the cold start limits of the services, and the time for which routes let streams be taken up.
+    void applySettings(RouteTable const&, double coldOvershoot, double coldSlack);
     // Sets the roles of the service's upstreams, both of the known ones and of those added later. Until
     // then, all are Serving.
     void setVersionRoles(std::string const& service, VersionRoles const&);
@@ -127,6 +130,8 @@
     bool lacksVersionHistory(Instant now) const;
     StreamOriginExchange::VersionKnowledge versionKnowledge(std::string const& service, Instant now) const;
 
+    // Callers may take a stream up until their deadline, and on their way here.
+    static constexpr Milliseconds streamRecordMargin { 1000 };
     // A list that is older proves nothing. Reads of the store may fail once and are repeated within a second.
     static constexpr Microseconds maxListAge { 2500000 };
     // The role of the version's upstreams that take requests of it; none if there are none.
@@ -155,6 +160,7 @@
     void remove(std::string const& instance, Removal, Instant now);
     void requireVersionProof(Instant now);
     void noteVersion(std::string const& service, VersionId, bool hasLapsed, Instant now);
+    VersionHistory& versionHistory(std::string const& service);
     void countVersion(Target const&, Instant now);
     void uncountVersion(Target const&, Instant now);
     void updatePlacement(UpstreamId, Target const&);
@@ -176,6 +182,8 @@
     std::map<std::string, std::map<VersionId, size_t>> m_versionCounts;
     std::map<std::string, VersionHistory> m_versionHistories;
     std::set<std::string> m_servicesWithReusedNames;
+    // For this long streams can be taken up, by all settings that were in force.
+    Microseconds m_streamLifetime { VersionHistory::memory };
     // Since when this daemon has seen all changes of upstreams.
     Instant m_historySince;
     std::optional<Microseconds> m_listAge;
--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -819,6 +819,26 @@
     BOOST_TEST((history.recentVersions(at(100)) == std::set { second }));
 }
 
+// Guards against streams of a route with a long deadline that go on at the other version once theirs is forgotten.
+BOOST_AUTO_TEST_CASE(AVersionIsRememberedForAsLongAsRoutesLetStreamsBeTakenUp)
+{
+    VersionHistory history(at(0));
+    history.appeared(first, at(0));
+    history.appeared(second, at(10));
+    history.extendMemory(Seconds(120));
+    history.extendMemory(Seconds(40));
+    history.vanished(first, at(20));
+    BOOST_TEST((history.recentVersions(at(139)) == std::set { first, second }));
+    BOOST_TEST(!history.uniformVersion(at(139)).has_value());
+    BOOST_TEST(!history.versionWithoutRecords(at(139)).has_value());
+    BOOST_TEST((history.uniformVersion(at(140)) == second));
+    // One that this daemon did not see leave may have left just before it was listed here for the first time.
+    VersionHistory other(at(200), Seconds(120));
+    other.appeared(second, at(200));
+    BOOST_TEST(!other.uniformVersion(at(319)).has_value());
+    BOOST_TEST((other.uniformVersion(at(320)) == second));
+}
+
 // Guards against a version that is forgotten because of a gap just after it has left: a record of the store that was
 // written before it joined would then prove that there was another one only.
 BOOST_AUTO_TEST_CASE(AGapForgetsNoVersionThatHasJustLeft)
--- a/Tests/platform/TestServiceTable.cpp
+++ b/Tests/platform/TestServiceTable.cpp
@@ -329,6 +329,45 @@
     BOOST_TEST((world.table.lapsedVersions(world.now).at("book") == std::set { VersionId::fromName("v2") }));
 }
 
+// Guards against a proof of one version while a route lets streams of an earlier one be taken up for longer than usual.
+BOOST_AUTO_TEST_CASE(RoutesTellHowLongVersionsAreRemembered)
+{
+    World world;
+    Route route;
+    route.timeout = Seconds(100);
+    auto const settingsWith = [&route](uint64_t version) {
+        RouteTable::Parts parts;
+        parts.version = version;
+        parts.routes.emplace_back(route);
+        return RouteTable(std::move(parts));
+    };
+    auto one = upstream("a", 1);
+    one.version = "v1";
+    world.put(one);
+    auto const lifetime = [&](std::string const& service) { return world.table.versions(service)->currentMemory(); };
+    // Its requests can't be taken up.
+    world.table.applySettings(settingsWith(1), 1, 0);
+    BOOST_TEST((lifetime("book") == VersionHistory::memory));
+    route.kind = RequestKind::Stream;
+    route.isResumable = true;
+    world.table.applySettings(settingsWith(2), 1, 0);
+    BOOST_TEST((lifetime("book") == Seconds(100) + ServiceTable::streamRecordMargin));
+    BOOST_TEST((world.table.versionKnowledge("book", world.now).streamLifetime == lifetime("book")));
+    // Streams that have begun keep their deadlines.
+    route.timeout = Seconds(10);
+    world.table.applySettings(settingsWith(3), 1, 0);
+    BOOST_TEST((lifetime("book") == Seconds(100) + ServiceTable::streamRecordMargin));
+    auto other = upstream("b", 2);
+    other.service = "chat";
+    world.put(other);
+    BOOST_TEST((lifetime("chat") == lifetime("book")));
+    world.table.restartVersionHistory(world.now);
+    world.now += Seconds(100);
+    BOOST_TEST(!world.table.recentVersions(world.now).has_value());
+    world.now += ServiceTable::streamRecordMargin;
+    BOOST_TEST(world.table.recentVersions(world.now).has_value());
+}
+
 // Guards against streams that wait for a proof of their version in services whose upstreams have a new name at each start.
 BOOST_AUTO_TEST_CASE(OnlyAnotherVersionUnderTheSameNameReusesANameOfTheService)
 {
