--- a/Libraries/LibRouting/StreamOriginExchange.cpp
+++ b/Libraries/LibRouting/StreamOriginExchange.cpp
@@ -15,7 +15,7 @@
 void StreamOriginExchange::addTo(StreamOriginTable& table, StreamOriginRecord const& record, StreamOriginEvidence const& evidence, Instant now)
 {
     reportContradictions(record.stream, record.version, evidence, nullptr, now);
-    auto const expiresAt = now + std::min(record.lifetime, VersionHistory::memory);
+    auto const expiresAt = now + std::min(record.lifetime, StreamOriginRecord::maxLifetime);
     auto const dropped = table.record(record.stream, record.version, expiresAt, { evidence.daemon, now });
     if (dropped && *dropped > now)
         m_keepsSince = now;
@@ -23,53 +23,24 @@
 
 void StreamOriginExchange::record(StreamId stream, std::string const& service, VersionId version, Microseconds lifetime, Instant now)
 {
-    auto const kept = std::min(lifetime, VersionHistory::memory);
+    auto const kept = std::min(lifetime, StreamOriginRecord::maxLifetime);
     addTo(m_table, { stream, version, kept }, { Place::Table, m_self.id, Microseconds(0) }, now);
     // Until the other daemons are known, no keepers can be told.
     if (knowsPeers() && m_hooks.versions(service, now).needsRecords)
-        return sendToKeepers(stream, version, kept);
-    auto& late = m_lateRecords[service];
-    late.push_back({ stream, version, now + kept });
-    if (late.size() > m_bounds.maxRecords)
-        late.pop_front();
+        return sendToKeepers({ stream, version, kept });
+    m_late.add(service, { stream, version, kept }, now);
 }
 
-void StreamOriginExchange::sendToKeepers(StreamId stream, VersionId version, Microseconds lifetime)
+void StreamOriginExchange::sendToKeepers(StreamOriginRecord const& record)
 {
-    StreamOriginRecord const record { stream, version, lifetime };
     m_hooks.persist(record);
     auto const message = encodeStreamOriginMessage(record);
-    for (auto const keeper : m_keepers.chooseKeepers(stream)) {
+    for (auto const keeper : m_keepers.chooseKeepers(record.stream)) {
         if (keeper != m_self.id)
             m_hooks.send(keeper, message);
     }
 }
 
-// The latest streams come first, since they last longest.
-void StreamOriginExchange::sendLateRecords(Instant now)
-{
-    for (auto& [service, late] : m_lateRecords) {
-        while (!late.empty() && late.front().expiresAt <= now)
-            late.pop_front();
-    }
-    std::erase_if(m_lateRecords, [](auto const& entry) { return entry.second.empty(); });
-    if (!knowsPeers())
-        return;
-    auto const perSecond = m_keepers.isLargeFleet() ? m_bounds.lateRecordsPerSecondInLargeFleet : m_bounds.lateRecordsPerSecond;
-    Microseconds const interval(static_cast<int64_t>(1e6 / perSecond));
-    for (auto& [service, late] : m_lateRecords) {
-        if (!m_hooks.versions(service, now).needsRecords)
-            continue;
-        m_nextLateRecordAt = std::max(m_nextLateRecordAt, now - m_bounds.lateRecordsBurst);
-        for (; !late.empty() && m_nextLateRecordAt <= now; late.pop_back()) {
-            if (late.back().expiresAt <= now)
-                continue;
-            sendToKeepers(late.back().stream, late.back().version, late.back().expiresAt - now);
-            m_nextLateRecordAt += interval;
-        }
-    }
-}
-
 void StreamOriginExchange::restore(std::vector<StreamOriginRecord> const& records, Instant now)
 {
     for (auto const& record : records)
@@ -264,7 +235,7 @@
 std::optional<VersionId> StreamOriginExchange::versionWithoutRecord(Pending const& pending) const
 {
     auto const version = uniformVersion(pending);
-    auto since = pending.startedAt - VersionHistory::memory;
+    auto since = pending.startedAt - pending.own.streamLifetime;
     if (pending.own.restoredUniformAt && pending.own.withoutRecords == version)
         since = std::max(since, *pending.own.restoredUniformAt);
     return version && !mayLackRecordSince(pending, since) ? version : std::nullopt;
@@ -336,7 +307,9 @@
 {
     m_table.expire(now);
     m_restored.expire(now);
-    sendLateRecords(now);
+    m_late.expire(now);
+    if (knowsPeers())
+        m_late.send(m_keepers.isLargeFleet(), now);
     std::vector<std::pair<uint64_t, Origin>> resolved;
     for (auto& [queryId, pending] : m_pending) {
         updateOwnAnswer(pending, now);
--- a/Libraries/LibRouting/StreamOriginExchange.h
+++ b/Libraries/LibRouting/StreamOriginExchange.h
@@ -3,6 +3,7 @@
 #include <LibBase/FleetPeer.h>
 #include <LibBase/QuestionNumbers.h>
 #include <LibBase/Time.h>
+#include <LibRouting/LateStreamOrigins.h>
 #include <LibRouting/StreamKeepers.h>
 #include <LibRouting/StreamOriginEvidence.h>
 #include <LibRouting/StreamOriginMessage.h>
@@ -52,11 +53,6 @@
         Microseconds proofInterval { 100000 };
         // A daemon that has just started gets its records within this time.
         Microseconds recoveryTime { 2000000 };
-        // How many streams a second get their record late, when a second version has appeared.
-        double lateRecordsPerSecond { 100 };
-        double lateRecordsPerSecondInLargeFleet { 30 };
-        // For so much time they are sent at once. Ticks come tens of milliseconds apart.
-        Microseconds lateRecordsBurst { 100000 };
         size_t maxRecords { 65536 };
         // The streams that may wait at a time. Further ones are refused.
         size_t maxPending { 4096 };
@@ -76,6 +72,8 @@
         bool hasSeveral { false };
         // Whether streams that begin now need a record.
         bool needsRecords { false };
+        // No stream that began longer ago can be taken up.
+        Microseconds streamLifetime { VersionHistory::memory };
     };
 
     struct Hooks {
@@ -120,6 +118,7 @@
         , m_table(bounds.maxRecords)
         , m_restored(bounds.maxRecords)
         , m_queryNumbers(m_hooks.random)
+        , m_late({}, { [this](auto const& service, Instant time) { return m_hooks.versions(service, time).needsRecords; }, [this](auto const& record) { sendToKeepers(record); } })
     {
     }
 
@@ -181,14 +180,8 @@
         std::optional<VersionId> contradicting;
         StreamOriginEvidence evidence;
     };
-    struct LateRecord {
-        StreamId stream;
-        VersionId version;
-        Instant expiresAt;
-    };
 
-    void sendToKeepers(StreamId, VersionId, Microseconds lifetime);
-    void sendLateRecords(Instant now);
+    void sendToKeepers(StreamOriginRecord const&);
     void sendRecord(VMId to, StreamId, StreamOriginTable::Record const&, Instant now) const;
     void addTo(StreamOriginTable&, StreamOriginRecord const&, StreamOriginEvidence const&, Instant now);
     std::optional<KnownOrigin> findRecord(StreamId, Instant now) const;
@@ -224,9 +217,7 @@
     StreamOriginTable m_restored;
     std::map<uint64_t, Pending> m_pending;
     QuestionNumbers m_queryNumbers;
-    // By service: the streams that began while it had one version, in that order.
-    std::map<std::string, std::deque<LateRecord>> m_lateRecords;
-    Instant m_nextLateRecordAt;
+    LateStreamOrigins m_late;
 };
 
 // The name in logs and metrics.
