VersionHistory: Forget a lapsed version an hour after it lapsed, also if daemons start again

Operators saw streams without a record refused for ever once a version had lapsed, if any daemon started within each hour.

Cause: the fleet's record of versions names those that have lapsed without a time. Each daemon that read it at its start took them as just lapsed, and wrote them into the record again.

A daemon that has seen a lapse by itself keeps the longer time.

--- a/Libraries/LibRouting/VersionHistory.cpp
+++ b/Libraries/LibRouting/VersionHistory.cpp
@@ -17,7 +17,7 @@
 void VersionHistory::lapsed(VersionId version, Instant now)
 {
     if (auto const found = m_spans.find(version); found != m_spans.end())
-        found->second.lapsedAt = now;
+        found->second.lapsedUntil = now + lapsedMemory;
 }
 
 void VersionHistory::restart(Instant now)
@@ -32,14 +32,14 @@
 
 // A version that has left may have had upstreams until just now. One that was alone is known for as long as
 // the history is.
-void VersionHistory::restore(std::set<VersionId> const& earlier, std::set<VersionId> const& lapsed, Instant readAt, Instant now)
+void VersionHistory::restore(std::set<VersionId> const& earlier, LapsedVersions const& lapsed, Instant readAt, Instant now)
 {
     for (auto const version : earlier) {
         auto& span = m_spans.try_emplace(version, Span { now, now, {} }).first->second;
         if (span.vanishedAt)
             span.vanishedAt = now;
-        if (lapsed.contains(version))
-            span.lapsedAt = now;
+        if (auto const found = lapsed.find(version); found != lapsed.end())
+            span.lapsedUntil = std::max(span.lapsedUntil.value_or(now), now + std::min(found->second, lapsedMemory));
     }
     m_since = std::min(m_since, now - m_memory);
     m_provenSince = m_since;
@@ -59,12 +59,12 @@
     return result;
 }
 
-std::set<VersionId> VersionHistory::lapsedVersions(Instant now) const
+LapsedVersions VersionHistory::lapsedVersions(Instant now) const
 {
-    std::set<VersionId> result;
+    LapsedVersions result;
     for (auto const& [version, span] : m_spans) {
         if (hasLapsed(span, now))
-            result.insert(version);
+            result[version] = *span.lapsedUntil - now;
     }
     return result;
 }
--- a/Libraries/LibRouting/VersionHistory.h
+++ b/Libraries/LibRouting/VersionHistory.h
@@ -13,6 +13,10 @@
 // Versions by service.
 using ServiceVersions = std::map<std::string, std::set<VersionId>>;
 
+// Versions of which upstreams have lapsed, with the time for which each of them is still remembered.
+using LapsedVersions = std::map<VersionId, Microseconds>;
+using ServiceLapsedVersions = std::map<std::string, LapsedVersions>;
+
 // The software versions that the upstreams of a service have had of late, as this daemon saw them.
 // Streams are only recorded while they can have begun at several versions; see StreamOriginExchange.
 //
@@ -51,8 +55,9 @@
     // records for their streams, unless that took as long as streams can be taken up.
     void requireProof(Instant now) { m_provenSince = now; }
     // These are all versions that upstreams have had before, or while this daemon may have missed some, and those of
-    // them of which upstreams may have lapsed, as of a read of the store.
-    void restore(std::set<VersionId> const& earlier, std::set<VersionId> const& lapsed, Instant readAt, Instant now);
+    // them of which upstreams may have lapsed, as of a read of the store. A start of a daemon doesn't extend the time for which
+    // these are remembered.
+    void restore(std::set<VersionId> const& earlier, LapsedVersions const& lapsed, Instant readAt, Instant now);
     // As of when a restored history has shown a single version; none if it has not. No stream that began before
     // needs a record.
     std::optional<Instant> restoredUniformAt() const { return m_restoredUniformAt; }
@@ -67,8 +72,8 @@
     std::optional<VersionId> uniformVersion(Instant now) const;
     // The versions that were seen of late.
     std::set<VersionId> recentVersions(Instant now) const;
-    // Those of which upstreams have lapsed.
-    std::set<VersionId> lapsedVersions(Instant now) const;
+    // Those of which upstreams have lapsed, and that are not forgotten.
+    LapsedVersions lapsedVersions(Instant now) const;
     // Whether a version at which a stream has begun must have joined without this daemon's knowledge.
     bool isYetUnseen(VersionId, Instant now) const;
 
@@ -77,11 +82,11 @@
         Instant firstSeen;
         // Not set while it has upstreams.
         std::optional<Instant> vanishedAt;
-        // When an upstream last lapsed.
-        std::optional<Instant> lapsedAt {};
+        // Until when it is remembered although upstreams of it have lapsed.
+        std::optional<Instant> lapsedUntil {};
     };
 
-    static bool hasLapsed(Span const& span, Instant now) { return span.lapsedAt && now - *span.lapsedAt < lapsedMemory; }
+    static bool hasLapsed(Span const& span, Instant now) { return span.lapsedUntil && now < *span.lapsedUntil; }
     bool isRecent(Span const& span, Instant now) const { return !span.vanishedAt || now - *span.vanishedAt < m_memory || hasLapsed(span, now); }
 
     Microseconds m_memory;
--- a/Services/stagepostd/ServiceTable.cpp
+++ b/Services/stagepostd/ServiceTable.cpp
@@ -179,15 +179,15 @@
         history.restart(now);
 }
 
-void ServiceTable::restoreVersionHistory(ServiceVersions const& versions, ServiceVersions const& lapsed, Instant readSentAt, Instant now)
+void ServiceTable::restoreVersionHistory(ServiceVersions const& versions, ServiceLapsedVersions const& lapsed, Instant readSentAt, Instant now)
 {
     if (readSentAt < m_historySince)
         return;
     for (auto const& [service, earlier] : versions)
         versionHistory(service);
-    auto const versionsOf = [](ServiceVersions const& services, std::string const& service) {
+    auto const versionsOf = [](auto const& services, std::string const& service) {
         auto const found = services.find(service);
-        return found == services.end() ? std::set<VersionId> {} : found->second;
+        return found == services.end() ? decltype(found->second) {} : found->second;
     };
     for (auto& [service, history] : m_versionHistories)
         history.restore(versionsOf(versions, service), versionsOf(lapsed, service), readSentAt, now);
@@ -227,9 +227,9 @@
     return result;
 }
 
-ServiceVersions ServiceTable::lapsedVersions(Instant now) const
+ServiceLapsedVersions ServiceTable::lapsedVersions(Instant now) const
 {
-    ServiceVersions result;
+    ServiceLapsedVersions result;
     for (auto const& [service, history] : m_versionHistories)
         result[service] = history.lapsedVersions(now);
     return result;
--- a/Services/stagepostd/ServiceTable.h
+++ b/Services/stagepostd/ServiceTable.h
@@ -119,13 +119,13 @@
     // These are all versions that upstreams have had before, or while this daemon may have missed some.
     // Ignored if the read that has told them was sent before the latest such gap was noticed. Of the lapsed ones, upstreams may
     // still be in use; see VersionHistory.
-    void restoreVersionHistory(ServiceVersions const&, ServiceVersions const& lapsed, Instant readSentAt, Instant now);
+    void restoreVersionHistory(ServiceVersions const&, ServiceLapsedVersions const& lapsed, Instant readSentAt, Instant now);
     // Sets how old the list of upstreams is, none before there is one. To be called at each tick.
     void setListAge(std::optional<Microseconds>, Instant now);
     // The versions that upstreams have had for as long as streams can be taken up, by service; none if some
     // may have been missed.
     std::optional<ServiceVersions> recentVersions(Instant now) const;
-    ServiceVersions lapsedVersions(Instant now) const;
+    ServiceLapsedVersions lapsedVersions(Instant now) const;
     // Whether the list is current, and recentVersions() needs what was missed.
     bool lacksVersionHistory(Instant now) const;
     StreamOriginExchange::VersionKnowledge versionKnowledge(std::string const& service, Instant now) const;
--- a/Tests/LibRouting/TestStreamOriginExchange.cpp
+++ b/Tests/LibRouting/TestStreamOriginExchange.cpp
@@ -712,15 +712,17 @@
 // Guards against a version that is remembered without end because each daemon that starts takes it as just lapsed.
 BOOST_AUTO_TEST_CASE(ALapsedVersionIsForgottenAlsoIfDaemonsStartAgain)
 {
-    std::set<VersionId> lapsed { first };
+    LapsedVersions lapsed { { first, VersionHistory::lapsedMemory } };
     for (double hour = 0; hour < 5; ++hour) {
         double const started = 3000 * (hour + 1);
         VersionHistory history(at(started));
         history.appeared(second, at(started));
         std::set<VersionId> known { second };
-        known.insert(lapsed.begin(), lapsed.end());
+        for (auto const& [version, left] : lapsed)
+            known.insert(version);
         history.restore(known, lapsed, at(started), at(started));
         lapsed = history.lapsedVersions(at(started + 2900));
+        BOOST_TEST(lapsed.contains(first) == (hour == 0));
     }
     BOOST_TEST(lapsed.empty());
 }
@@ -879,15 +881,21 @@
     history.vanished(first, at(50));
     BOOST_TEST(!history.uniformVersion(at(3600)).has_value());
     BOOST_TEST(!history.versionWithoutRecords(at(3600)).has_value());
-    BOOST_TEST((history.lapsedVersions(at(3600)) == std::set { first }));
+    BOOST_TEST((history.lapsedVersions(at(3600)) == LapsedVersions { { first, Seconds(40) } }));
     BOOST_TEST((history.uniformVersion(at(3641)) == second));
     history.restart(at(3000));
     BOOST_TEST((history.recentVersions(at(3001)) == std::set { first, second }));
     // A daemon that has just started learns of it from the store.
     VersionHistory other(at(3000));
     other.appeared(second, at(3000));
-    other.restore({ first, second }, { first }, at(3000), at(3001));
+    other.restore({ first, second }, { { first, Seconds(640) } }, at(3000), at(3001));
     BOOST_TEST(!other.uniformVersion(at(3100)).has_value());
+    BOOST_TEST(!other.uniformVersion(at(3640)).has_value());
+    BOOST_TEST((other.uniformVersion(at(3642)) == second));
+    // What it has seen by itself counts if that lasts longer.
+    other.lapsed(first, at(3650));
+    other.restore({ first, second }, { { first, Seconds(100) } }, at(3650), at(3651));
+    BOOST_TEST((other.lapsedVersions(at(3651)) == LapsedVersions { { first, Seconds(3599) } }));
     // One whose upstreams have announced that they leave is forgotten as before.
     VersionHistory third(at(3000));
     third.appeared(second, at(3000));
--- a/Tests/platform/TestServiceTable.cpp
+++ b/Tests/platform/TestServiceTable.cpp
@@ -302,7 +302,7 @@
     replaced.incarnation = Incarnation(9);
     replaced.version = "v5";
     world.put(replaced);
-    BOOST_TEST((world.table.lapsedVersions(world.now).at("book") == std::set { VersionId::fromName("v1") }));
+    BOOST_TEST((world.table.lapsedVersions(world.now).at("book") == LapsedVersions { { VersionId::fromName("v1"), VersionHistory::lapsedMemory } }));
 }
 
 // Guards against a proof of one version although other daemons have used one whose upstream was never listed here.
@@ -326,7 +326,7 @@
     world.table.notePassedOver(other, true, world.now);
     world.now += VersionHistory::memory;
     BOOST_TEST(!uniform().has_value());
-    BOOST_TEST((world.table.lapsedVersions(world.now).at("book") == std::set { VersionId::fromName("v2") }));
+    BOOST_TEST((world.table.lapsedVersions(world.now).at("book") == LapsedVersions { { VersionId::fromName("v2"), VersionHistory::lapsedMemory - VersionHistory::memory } }));
 }
 
 // Guards against a proof of one version while a route lets streams of an earlier one be taken up for longer than usual.
