FleetRegistry: Treat odd records of the fleet's topic as removed

Daemons pass the records of this topic on to each other in datagrams. One of 0.2 MB fits into none, so those that learn from others would hear of nothing more. A record with port 0 was taken for a daemon, and an odd record of a known daemon left the old one in force at some and unknown to those that started later.

Records above 1 KB and invalid ones of daemons count as removed, are logged and counted in stagepost_registry_records_rejected_total.

--- a/Tests/platform/TestFleetRegistry.cpp
+++ b/Tests/platform/TestFleetRegistry.cpp
@@ -164,4 +164,33 @@
     BOOST_TEST((first.hasJoined && second.hasJoined));
 }
 
+// Guards against one record of the topic that fits into no datagram between daemons: none of them would hear of later
+// changes. It counts as removed, and so does an invalid one.
+BOOST_AUTO_TEST_CASE(OddRecordsArePassedOnAsRemoved)
+{
+    EventLoop loop;
+    SteppedStore store;
+    std::string const large(200000, 'x');
+    std::string const sound = R"({"hall":"north","endpoint":"127.0.0.1:81"})";
+    store.records.emplace_back("daemon/b", sound);
+    store.records.emplace_back("daemon/c", R"({"hall":"north","endpoint":"127.0.0.1:0"})");
+    store.records.emplace_back("daemon/d", R"({"hall":"north","hall":"south","endpoint":"127.0.0.1:82"})");
+    store.records.emplace_back("other", large);
+    Daemon daemon(loop, store, "a");
+    for (int step = 0; step < 4; ++step)
+        store.answerAll();
+    BOOST_TEST(daemon.hasJoined);
+    BOOST_TEST((daemon.known == std::vector<std::string> { "b" }));
+    BOOST_TEST(daemon.metrics.counter("stagepost_registry_records_rejected_total") == 3u);
+    auto const version = daemon.registry->version();
+    daemon.registry->applyForwarded({ { "daemon/b", large }, { "daemon/e", sound }, { "other", large } }, version + 3);
+    BOOST_TEST((daemon.known == std::vector<std::string> { "e" }));
+    auto const changes = daemon.registry->changesSince(version);
+    BOOST_REQUIRE(changes.has_value());
+    for (auto const& change : *changes)
+        BOOST_TEST(change.text.has_value() == (change.name == "daemon/e"), change.name);
+    daemon.registry->applyForwarded({ { "daemon/b", sound } }, version + 4);
+    BOOST_TEST((daemon.known == std::vector<std::string> { "b", "e" }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
