--- a/Tests/Processes/platform_stand_ins.py
+++ b/Tests/Processes/platform_stand_ins.py
@@ -188,6 +188,10 @@
             self.topics.setdefault(topic, []).append((key, text))
             self.changed.notify_all()
 
+    def put_without_key(self, topic, content):
+        """Adds a record of a keyed topic whose content, if any, does not begin with a whole key."""
+        self.put_raw(topic, None, content)
+
     def copy(self):
         with self.changed:
             return {topic: list(records) for topic, records in self.topics.items()}
@@ -216,7 +220,8 @@
         """Returns the offset and the value of the latest record of each key."""
         newest = {}
         for offset, (key, text) in enumerate(self.topics.get(topic, [])):
-            newest[key] = (offset, text)
+            if key is not None:
+                newest[key] = (offset, text)
         return {key: record for key, record in newest.items() if record[1]}
 
     def answer(self, handler):
@@ -276,7 +281,7 @@
         max_bytes = min(int(query.get("maxKb", self.limits.read_kb)), self.limits.read_kb) * 1024
         body = b""
         for key, text in records[start:]:
-            record = bytes([len(key)]) + key.encode() + text if has_keys(topic) else text
+            record = bytes([len(key.encode())]) + key.encode() + text if has_keys(topic) and key is not None else text
             if body and len(body) + 4 + len(record) > max_bytes:
                 break
             body += struct.pack(">I", len(record)) + record
