DetourClient: Hold a cut answer against no other daemon

What callers saw: after a stream that was passed on through another daemon and cut there because of its upstream's foreign bytes, a daemon without links refused the next requests as no-upstream, if it knew no third one.

Cause: an answer that broke off on a detour was held against the other daemon, although that daemon cuts the answers of upstreams that fail.

Change: what breaks off behind the head of an answer that no daemon marked as its own is held against no daemon. One that has ended refuses the next connection, is then avoided, and the request goes to another. A success without an upstream's signature is refused as it is without a detour.

No test covers the missing signature, nor foreign bytes of the other daemon itself.

--- a/Services/stagepostd/DetourClient.cpp
+++ b/Services/stagepostd/DetourClient.cpp
@@ -22,6 +22,13 @@
         return std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(value));
     }
 
+    // A daemon cuts the answer of an upstream that sends foreign bytes or breaks off. If the daemon itself has ended, the next
+    // connection to it shows that.
+    bool mayBeUpstreamsCut(ForwardResult const& result)
+    {
+        return result.failure == RefusalReason::UpstreamBroken && result.status;
+    }
+
     Verdict verdictFromName(std::string_view name)
     {
         for (auto const verdict : { Verdict::NotRun, Verdict::Ran }) {
@@ -102,6 +109,8 @@
     if (!headers.contains(DetourServer::refusalHeader)) {
         if (progress && progress->isHeaderSent && status != 200)
             return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::MayHaveRun, "the stream could not be taken up" };
+        if (status >= 200 && status < 300 && !m_dialect.readResponseHeader(status, headers).isSigned)
+            return ResponseRejection { RefusalReason::UpstreamMixedAnswer, Verdict::MayHaveRun, "a success without an upstream's signature" };
         return {};
     }
     auto const verdict = verdictFromName(headers.find("Stagepost-Verdict"));
@@ -130,7 +139,7 @@
 {
     countForwardEnd(m_metrics, result);
     bool const isFailure = result.failure && !result.isCallerLost();
-    bool const isDaemonAtFault = isFailure && (!detour->outcome.refusal || detour->mayTryElsewhere);
+    bool const isDaemonAtFault = isFailure && !mayBeUpstreamsCut(result) && (!detour->outcome.refusal || detour->mayTryElsewhere);
     m_peers.detourEnded(daemon, isDaemonAtFault);
     detour->outcome.result = result;
     if (isDaemonAtFault && result.verdict == Verdict::NotRun && !result.deadlineReached && detour->tried.size() < maxDaemonsTried) {
--- a/Tests/Processes/test_foreign_bytes_elsewhere.py
+++ b/Tests/Processes/test_foreign_bytes_elsewhere.py
@@ -11,7 +11,11 @@
 from fleet import eventually
 from platform_stand_ins import Store
 from test_crashing_requests import manifest_with_retries
+from test_detours import FleetWithDetours
+from test_foreign_bytes import FOREIGN, dechunk, events
+from test_lost_links import CuttableUpstream
 from test_platform import HOST, KEY, Entry, request
+from test_truncated_heads import call
 
 # What an upstream sends instead of a chunk.
 BAD_CHUNKS = {"a second answer": b"HTTP/1.1 200 OK\r\n\r\n", "a size that is a word": b"zz\r\nwords\r\n", "no end of a chunk": b"5\r\nwordsXX\r\n"}
@@ -105,5 +109,76 @@
         self.assertTrue(retries)
 
 
+class SpoilingUpstream(CuttableUpstream):
+    """Sends foreign bytes in the first answer to a request that asks for them."""
+
+    seen = set()
+    foreign = b""
+
+    def plain(self, connection, request, fault):
+        if not self.claim(request):
+            return super().plain(connection, request, fault)
+        connection.sendall(self.head(request, 200, None, "Transfer-Encoding: chunked\r\n") + b"5\r\nsome \r\n" + self.foreign)
+        self.released.wait(0.05)
+        return False
+
+    def stream(self, connection, request, fault):
+        first = int(request["headers"].get("last-event-id", 0)) + 1
+        body = events(1, 2) + self.foreign + events(3) if self.claim(request) else events(first)
+        connection.sendall(self.head(request, 200, None, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n") + b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body))
+        return True
+
+    def claim(self, request):
+        key = request["headers"].get("x-attempt-id")
+        with LOCK:
+            is_first = "x-test-spoiled" in request["headers"] and key not in self.seen
+            self.seen.add(key)
+            return is_first
+
+
+LOCK = threading.Lock()
+
+
+class Detoured(FleetWithDetours):
+    """A daemon without links sends its requests through the only other one."""
+
+    DAEMONS = 2
+    UPSTREAM = SpoilingUpstream
+
+    def setUp(self):
+        super().setUp()
+        SpoilingUpstream.seen = set()
+        self.cut(self.members[0])
+
+    def read(self, method, path, version="1.1", **headers):
+        fields = {**self.fields(**headers), "Content-Length": "0"}
+        status, is_whole, body = call(self.members[0].entry.endpoint, method, path, version, fields)
+        return status, is_whole, dechunk(body) if version == "1.1" and status == 200 else body
+
+    def check_other_daemon_is_used(self, name):
+        for _ in range(3):
+            answer = self.read("GET", "/lookup/x")
+            self.assertEqual(answer[:2], (200, True), (name, answer))
+
+    def test_foreign_bytes_between_events_reach_no_caller(self):
+        """Guards also against an upstream's foreign bytes that are held against the other daemon, which is the last one here."""
+        for name, foreign in FOREIGN.items():
+            SpoilingUpstream.foreign = foreign
+            for version in ("1.1", "1.0"):
+                self.assertEqual(self.read("POST", "/stream/again/x", version, X_Test_Spoiled="1"), (200, True, events(1)), name)
+                self.assertEqual(self.read("POST", "/stream/once/x", version, X_Test_Spoiled="1"), (200, False, events(1, 2)), name)
+                self.check_other_daemon_is_used(name)
+                # Sound answers, without which the upstreams would count as failed.
+                for _ in range(4):
+                    self.assertEqual(self.read("POST", "/stream/once/x"), (200, True, events(1)))
+
+    def test_bad_framing_of_a_plain_answer_is_not_held_against_the_other_daemon(self):
+        for name, foreign in BAD_CHUNKS.items():
+            SpoilingUpstream.foreign = foreign
+            self.assertEqual(self.read("POST", "/confirm/x", X_Test_Spoiled="1")[0], 502, name)
+            self.assertEqual(self.read("POST", "/lookup/x", X_Test_Spoiled="1")[:2], (200, True), name)
+            self.check_other_daemon_is_used(name)
+
+
 if __name__ == "__main__":
     unittest.main()
