Forwarder: Pass on whole events before an error event

What callers of stagepostd saw: foreign bytes in event streams, and the daemon's error event behind half an event, which readers take for one.

Cause: streams without an EventProgress were passed on byte by byte.

Change: a stream that may end with an error event is read with EventReader, with events numbered in no way. The head is passed on at once as before, and so is a length that the upstream announced. Encoded streams are opaque: they are passed on as they are, and no error event is added.

TestTruncatedHeads is stricter: a stream that is ended by its connection within an event is cut on every path.

--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -297,6 +297,17 @@
     co_return true;
 }
 
+// Only whole events may come before an error event, so that it is not read as a part of one.
+void Forwarder::startReadingEvents()
+{
+    if (!m_isEventStream || isBodyEncoded())
+        return;
+    if (m_plan.progress)
+        m_events.emplace(*m_plan.progress, m_plan.eventFormat);
+    else if (m_plan.sendErrorEvent)
+        m_events.emplace(m_ownProgress, EventFormat {});
+}
+
 Net::awaitable<void> Forwarder::relayResponse()
 {
     bool const mayRelay = co_await passRelayGate();
@@ -308,11 +319,10 @@
         m_result.recordedResponse.headers.removeHopByHop(m_plan.endToEndFields);
         m_result.recordedResponse.headers.remove("Content-Length");
     }
-    if (m_plan.progress && m_isEventStream)
-        m_events.emplace(*m_plan.progress, m_plan.eventFormat);
+    startReadingEvents();
     m_watchdog->restart(m_plan.idleTimeout);
     bool canContinue = true;
-    if (!m_events && !m_plan.maxBufferedBytes) {
+    if (!m_plan.maxBufferedBytes && (!m_events || !m_plan.progress)) {
         auto const length = upstreamContentLength();
         canContinue = co_await writeHeader(length);
     }
@@ -386,7 +396,7 @@
 Net::awaitable<bool> Forwarder::writeBody(std::string_view bytes)
 {
     if (!m_isHeaderWritten) {
-        auto const length = m_events ? std::nullopt : upstreamContentLength();
+        auto const length = m_plan.progress && m_events ? std::nullopt : upstreamContentLength();
         bool const canContinue = co_await writeHeader(length);
         if (!canContinue)
             co_return false;
@@ -498,7 +508,7 @@
 Net::awaitable<void> Forwarder::writeErrorEvent()
 {
     m_isClientKeptAlive = false;
-    if (!m_isEventStream || m_isLengthAnnounced || !m_plan.sendErrorEvent || m_exchange.isClientDisconnected() || m_result.failure == RefusalReason::SlowCaller)
+    if (!m_events || m_isLengthAnnounced || !m_plan.sendErrorEvent || m_exchange.isClientDisconnected() || m_result.failure == RefusalReason::SlowCaller)
         co_return;
     std::string event = "event: error\ndata: {\"error\":{\"reason\":\"";
     event += nameOf(m_result.failure.value_or(RefusalReason::UpstreamBroken));
--- a/Libraries/LibProxy/Detail/Forwarder.h
+++ b/Libraries/LibProxy/Detail/Forwarder.h
@@ -53,6 +53,7 @@
     bool isBodyEncoded() const;
     Net::awaitable<void> drainRejectedBody();
     Net::awaitable<bool> passRelayGate();
+    void startReadingEvents();
     Net::awaitable<void> relayResponse();
     Net::awaitable<bool> readBodyChunk(std::string_view& bytes);
     Net::awaitable<bool> forwardBodyChunk(std::string_view bytes);
@@ -86,6 +87,8 @@
     std::optional<ResponseParser> m_parser { std::in_place };
     std::shared_ptr<UpstreamConnection> m_connection;
     std::optional<IdleWatchdog> m_watchdog;
+    // The progress of a stream whose plan keeps none.
+    EventProgress m_ownProgress;
     std::optional<EventReader> m_events;
     std::array<char, bodyChunkSize> m_bodyChunk;
     // The body of a response that is forwarded once it is complete.
--- a/Libraries/LibProxy/ForwardPlan.h
+++ b/Libraries/LibProxy/ForwardPlan.h
@@ -95,7 +95,8 @@
     // continue the same response share it.
     std::shared_ptr<EventProgress> progress;
     EventFormat eventFormat {};
-    // Whether an event stream that fails ends with an error event.
+    // Whether an event stream that fails ends with an error event. Of such a stream only whole events are forwarded, unless it is
+    // encoded.
     bool sendErrorEvent { true };
     // May be empty.
     std::function<void(UpstreamActivity)> onUpstreamActivity;
--- a/Tests/LibProxy/TestTruncatedHeads.cpp
+++ b/Tests/LibProxy/TestTruncatedHeads.cpp
@@ -45,7 +45,7 @@
     }
 
     bool isForwardedByEvent() const { return forwarding == Forwarding::Events || forwarding == Forwarding::Continued; }
-    bool isWhole(size_t byteCount) const { return answer.isWhole(byteCount, cutEnd, isForwardedByEvent()); }
+    bool isWhole(size_t byteCount) const { return answer.isWhole(byteCount, cutEnd, true); }
 };
 
 // What a client has got.
