--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -456,7 +456,7 @@
     Http::response_serializer<Http::empty_body> serializer(response);
     m_isHeaderWritten = true;
     m_result.responseStarted = true;
-    if (m_events)
+    if (m_events && m_plan.progress)
         m_plan.progress->isHeaderSent = true;
     m_isWritingToClient = true;
     auto [failure, written] = co_await Http::async_write_header(m_client.stream, serializer, useTuple);
