UpstreamRecordReader: Accept an empty version as before

An upstream whose record names an empty version was served before the check of odd entries, and nothing goes wrong with it. Rejecting it would take all upstreams of a service that has no versions.

--- a/Tests/platform/TestOddEntries.cpp
+++ b/Tests/platform/TestOddEntries.cpp
@@ -189,7 +189,7 @@
         for (auto const& text : { zero, std::string("a\r\nb"), std::string("\x1b[2J"), std::string("\x7f"), std::string(maxRecordBytes, 'v'), std::string(256, 'v') })
             odd.emplace_back(field, text);
     }
-    for (auto const* const field : { "service", "zone", "version" })
+    for (auto const* const field : { "service", "zone" })
         odd.emplace_back(field, "");
     for (auto const& [field, value] : odd) {
         auto changed = soundUpstream();
@@ -198,6 +198,10 @@
         BOOST_TEST(!read.has_value(), field << " = " << value.substr(0, 40));
         BOOST_TEST((read || read.error().detail.find(field) != std::string::npos));
     }
+    // An upstream without a version, or with an empty one, is served as in earlier releases.
+    auto unversioned = soundUpstream();
+    unversioned["version"] = "";
+    BOOST_TEST(readUpstreamRecord("i", unversioned.dump()).has_value());
     for (auto const& instance : { std::string(), std::string("a\r\nX-Priority: 0"), zero, std::string("\xff"), std::string(" a"), std::string("a ") })
         BOOST_TEST(!readUpstreamRecord(instance, soundUpstream().dump()).has_value());
     for (auto const* const address : { "127.0.0.1:1", "10.1.1.1:65535", "223.255.255.254:80", "1.0.0.1:80" }) {
