--- a/Libraries/LibProxy/EventReader.h
+++ b/Libraries/LibProxy/EventReader.h
@@ -44,7 +44,7 @@
     // What the lines of the current event have shown. Numbered events have their fields in this order.
     enum class Part : uint8_t {
         None,
-        // A comment, or the delay before reconnections.
+        // A comment, or the delay before reconnections. They come between numbered events, not in them.
         Aside,
         Extra,
         Id,
@@ -56,7 +56,7 @@
     std::optional<EventFault> readLine(std::string_view line);
     std::optional<EventFault> readField(std::string_view name, std::string_view value);
     std::optional<EventFault> readNumberedField(std::string_view name, std::string_view value);
-    // A field that stands alone or at its place in an event.
+    // Goes on to the part that a field belongs to, unless the event may not have it there.
     std::optional<EventFault> enterPart(Part);
     std::optional<EventFault> removeLineEnd(std::string_view& line);
     std::optional<EventFault> checkId(uint64_t) const;
