Forwarder: Don't give up an answer that no other upstream can go on with

Callers of a large answer, or of an error in place of a stream, saw it cut when its upstream was silent for as long as another one would need: the handler found a place elsewhere, spent a retry and stopped the forward, but the rest of the bytes is nobody else's, and the client's connection was closed.

Whether another upstream may go on is decided in one place, the forwarder, which knows what the client has: it calls onSilence only then, and ForwardResult::canBeContinued tells the session and the handler the same after a failure. Two rules of the session and the handler go.

TestTruncatedHeads numbers the events of the streams that it continues: without numbers a stream is not continued, which its fixture did by itself. ScriptedUpstream replaces two copies of the same upstream in tests.

--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -73,15 +73,22 @@
     failForeignBytes(m_events->describeFault());
 }
 
-// Returns whether to go on waiting for the upstream.
+// Returns whether to go on waiting for the upstream. While no other one could go on, giving this one up would cut the response.
 bool Forwarder::handleSilence()
 {
     if (m_isWritingToClient || !m_plan.onSilence)
         return false;
-    m_plan.onSilence();
+    if (canBeContinued())
+        m_plan.onSilence();
     return true;
 }
 
+bool Forwarder::canBeContinued() const
+{
+    auto const& progress = m_plan.progress;
+    return !m_isHeaderWritten || (progress && progress->isHeaderSent && progress->canBeContinued());
+}
+
 void Forwarder::handleTimeout()
 {
     m_connection->close();
@@ -103,6 +110,7 @@
     if (m_result.failure && m_result.responseStarted)
         co_await writeErrorEvent();
     releaseConnection();
+    m_result.canBeContinued = canBeContinued();
     co_return std::move(m_result);
 }
 
--- a/Libraries/LibProxy/Detail/Forwarder.h
+++ b/Libraries/LibProxy/Detail/Forwarder.h
@@ -67,6 +67,8 @@
     HttpFields upstreamHeaders() const;
     std::optional<uint64_t> upstreamContentLength() const;
     bool handleSilence();
+    // Whether another upstream may send the response, or what is missing of it.
+    bool canBeContinued() const;
     void handleTimeout();
     void reportActivity(UpstreamActivity);
     void fail(RefusalReason, std::string const& detail);
--- a/Libraries/LibProxy/Detail/Session.cpp
+++ b/Libraries/LibProxy/Detail/Session.cpp
@@ -166,8 +166,7 @@
         auto const result = co_await forwarder.run();
         m_isResponseCut = result.failure && forwarder.isResponseEndedByClose();
         forward->callback(result);
-        bool const canContinue = result.failure && forward->plan.progress && (!result.responseStarted || forward->plan.progress->isHeaderSent);
-        if (result.responseStarted && !canContinue)
+        if (result.responseStarted && (!result.failure || !result.canBeContinued))
             co_return forwarder.isClientKeptAlive() && !result.failure;
     }
 }
--- a/Libraries/LibProxy/Exchange.h
+++ b/Libraries/LibProxy/Exchange.h
@@ -26,7 +26,7 @@
     // UpstreamSlow as the failure.
     virtual void stopForward() = 0;
     // Truncates the response by closing the client's connection. After a failure of a
-    // stream with an EventProgress, the handler either forwards the request again or
+    // response that has started and can be continued, the handler either forwards the request again or
     // aborts the exchange. Every other response that fails after its start is truncated
     // without a call to abort().
     virtual void abort() = 0;
--- a/Libraries/LibProxy/ForwardPlan.h
+++ b/Libraries/LibProxy/ForwardPlan.h
@@ -62,8 +62,9 @@
     Milliseconds responseHeaderTimeout { 60000 };
     // Between two reads of the response body, and for each write to the client.
     Milliseconds idleTimeout { 60000 };
-    // Called each time that the upstream has sent nothing for responseHeaderTimeout or idleTimeout. The
-    // forward goes on waiting until Exchange::stopForward() is called. Without this hook it fails.
+    // Called each time that the upstream has sent nothing for responseHeaderTimeout or idleTimeout, while another one
+    // could go on with the response. The forward goes on waiting until Exchange::stopForward() is called. Without this
+    // hook it fails.
     std::function<void()> onSilence;
     // The upstream may close a reused connection at any time, and then it is unknown
     // whether the request has run. Set for requests that must not be repeated.
--- a/Libraries/LibProxy/ForwardResult.h
+++ b/Libraries/LibProxy/ForwardResult.h
@@ -19,6 +19,9 @@
     // Whether the response header was written to the client. No other response can be
     // sent after that.
     bool responseStarted { false };
+    // Whether another upstream may send the response, or what is missing of it: nothing was written to the client yet, or
+    // numbered events of a stream.
+    bool canBeContinued { true };
     unsigned status { 0 };
     // Body bytes written to the client, and the number of writes.
     uint64_t responseBytes { 0 };
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -528,7 +528,7 @@
     attempt.isRejected = result.verdict == Verdict::NotRun && result.failure == RefusalReason::OverCapacity;
     attempt.deadlinePassed = result.deadlineReached;
     attempt.isCallerLost = result.isCallerLost();
-    attempt.cannotBeContinued = result.responseStarted && !(m_progress && m_progress->isHeaderSent && m_progress->canBeContinued());
+    attempt.cannotBeContinued = !result.canBeContinued;
     attempt.mayCrashUpstreams = attempt.verdict != Verdict::NotRun && m_evidence.mayCrashUpstreams();
     if (m_attempts.recordFailure(upstream, attempt, m_services.loop.now())) {
         recordRetry(result);
@@ -543,7 +543,7 @@
 void GatewayRequestHandler::handleSilence(UpstreamId silent)
 {
     auto const now = m_services.loop.now();
-    if (m_move || m_evidence.mayCrashUpstreams() || (m_progress && !m_progress->canBeContinued()))
+    if (m_move || m_evidence.mayCrashUpstreams())
         return;
     auto retry = m_attempts.reserveMove(sizeForRetry(now), now);
     if (!retry)
--- a/Tests/LibProxy/Sockets.h
+++ b/Tests/LibProxy/Sockets.h
@@ -55,6 +55,35 @@
     int m_listener;
 };
 
+// An upstream that the test answers for, without an event loop.
+class ScriptedUpstream {
+public:
+    ScriptedUpstream() = default;
+    ~ScriptedUpstream() { close(); }
+    ScriptedUpstream(ScriptedUpstream const&) = delete;
+    ScriptedUpstream& operator=(ScriptedUpstream const&) = delete;
+
+    void accept() { m_connection = m_port.accept(); }
+    // With unread bytes, closing the connection resets it.
+    void readRequest() const
+    {
+        std::array<char, 4096> request {};
+        ::recv(m_connection, request.data(), request.size(), 0);
+    }
+    void send(std::string const& bytes) const { BOOST_REQUIRE(::send(m_connection, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size())); }
+    void close()
+    {
+        if (m_connection >= 0)
+            ::close(std::exchange(m_connection, -1));
+    }
+
+    Endpoint const& endpoint() const { return m_port.endpoint; }
+
+private:
+    ListeningPort m_port;
+    int m_connection { -1 };
+};
+
 // A client with a blocking socket and no event loop.
 class Client {
 public:
--- a/Tests/LibProxy/TestResponseEnds.cpp
+++ b/Tests/LibProxy/TestResponseEnds.cpp
@@ -9,29 +9,10 @@
 
 constexpr std::string_view event = "id: 1\ndata: x\n\n";
 
-// An upstream that the test answers for, without an event loop.
-class Upstream {
+class Upstream : public ScriptedUpstream {
 public:
-    Upstream() = default;
-    ~Upstream() { close(); }
-    Upstream(Upstream const&) = delete;
-    Upstream& operator=(Upstream const&) = delete;
-
-    void accept() { m_connection = m_port.accept(); }
-    void send(std::string const& bytes) const { BOOST_REQUIRE(::send(m_connection, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size())); }
     void beginStream() const { send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n" + std::string(event) + "\r\n"); }
     void endStream() const { send("0\r\n\r\n"); }
-    void close()
-    {
-        if (m_connection >= 0)
-            ::close(std::exchange(m_connection, -1));
-    }
-
-    Endpoint const& endpoint() const { return m_port.endpoint; }
-
-private:
-    ListeningPort m_port;
-    int m_connection { -1 };
 };
 
 // A server that forwards each request to the upstream, and a client that has received the first event.
@@ -118,4 +99,40 @@
     BOOST_TEST(!stream.received.ends_with("0\r\n\r\n"));
 }
 
+// Guards against an answer that is given up for another upstream which can't go on with it: no other one has the rest of its bytes.
+BOOST_AUTO_TEST_CASE(AnAnswerThatHasBegunIsNotGivenUpDuringASilence)
+{
+    for (bool const hasProgress : { false, true }) {
+        EventLoop loop;
+        Upstream upstream;
+        size_t silences = 0;
+        HttpServer server(
+            loop, HttpServerOptions {}, [&](std::shared_ptr<Exchange> const& exchange) {
+                ForwardPlan plan;
+                plan.upstream = upstream.endpoint();
+                plan.request = exchange->request();
+                plan.progress = hasProgress ? std::make_shared<EventProgress>() : nullptr;
+                plan.maxBufferedBytes = 10;
+                plan.idleTimeout = Milliseconds(10);
+                plan.onSilence = [&silences, exchange] {
+                    ++silences;
+                    exchange->stopForward();
+                };
+                exchange->forward(std::move(plan), [](ForwardResult const&) {}); },
+            [](Refusal const&) { return makeTextResponse(400, ""); });
+        Client const client(*server.listen({ "127.0.0.1", 0 }));
+        client.send("GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        loop.runFor(Milliseconds(30));
+        upstream.accept();
+        upstream.send("HTTP/1.1 404 Not Found\r\nContent-Length: 30\r\n\r\n" + std::string(20, 'a'));
+        loop.runFor(Milliseconds(100));
+        upstream.send(std::string(10, 'b'));
+        loop.runFor(Milliseconds(30));
+        std::string received;
+        client.receiveAll(received);
+        BOOST_TEST(silences == 0u);
+        BOOST_TEST(received.ends_with(std::string(20, 'a') + std::string(10, 'b')), received);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibProxy/TestResumedStreams.cpp
+++ b/Tests/LibProxy/TestResumedStreams.cpp
@@ -28,28 +28,6 @@
 std::string const streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 std::string const unframedHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
 
-class Upstream {
-public:
-    ~Upstream() { close(); }
-    void accept()
-    {
-        m_connection = m_port.accept();
-        std::array<char, 4096> request {};
-        ::recv(m_connection, request.data(), request.size(), 0);
-    }
-    void send(std::string const& bytes) const { BOOST_REQUIRE(::send(m_connection, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size())); }
-    void close()
-    {
-        if (m_connection >= 0)
-            ::close(std::exchange(m_connection, -1));
-    }
-    Endpoint const& endpoint() const { return m_port.endpoint; }
-
-private:
-    ListeningPort m_port;
-    int m_connection { -1 };
-};
-
 // Forwards a request to one upstream after the other while it fails, as the gateway does for a stream that may be resumed.
 struct Resumed {
     explicit Resumed(std::vector<std::string> const& answers, EventFormat eventFormat = counted, std::optional<uint64_t> last = {}, std::string const& method = "GET")
@@ -68,6 +46,7 @@
             if (sends <= number)
                 break;
             upstreams[number].accept();
+            upstreams[number].readRequest();
             upstreams[number].send(answers[number]);
             upstreams[number].close();
         }
@@ -86,8 +65,7 @@
         plan.maxBufferedBytes = 64u << 10;
         exchange->forward(std::move(plan), [this, exchange, count](ForwardResult const& ended) {
             result = ended;
-            bool const canContinue = !ended.responseStarted || (progress->isHeaderSent && progress->canBeContinued());
-            if (ended.failure && canContinue && sends < count)
+            if (ended.failure && ended.canBeContinued && sends < count)
                 forward(exchange, count);
             else if (ended.failure && ended.responseStarted)
                 exchange->abort();
@@ -109,7 +87,7 @@
     EventFormat format;
     EventLoop loop;
     std::shared_ptr<EventProgress> progress = std::make_shared<EventProgress>();
-    std::deque<Upstream> upstreams;
+    std::deque<ScriptedUpstream> upstreams;
     size_t sends { 0 };
     ForwardResult result;
     std::optional<HttpServer> server;
--- a/Tests/LibProxy/TestTruncatedHeads.cpp
+++ b/Tests/LibProxy/TestTruncatedHeads.cpp
@@ -179,6 +179,9 @@
         if (!progress && m_path.isForwardedByEvent() && !isPriming(target))
             progress = std::make_shared<EventProgress>();
         plan.progress = progress;
+        // Only a stream whose events are numbered is continued.
+        if (m_path.forwarding == Forwarding::Continued)
+            plan.eventFormat.numbering = EventNumbering::Consecutive;
         plan.sendErrorEvent = !progress;
         exchange->forward(std::move(plan), [this, exchange, target, progress](ForwardResult const& result) {
             if (target == "/begin")
