LibBase, LibProxy: Share the test for control characters, and name four things more plainly

EventReader and UpstreamRecordRules had the same test for control characters. EventProgress speaks of the client, as the rest of LibProxy does. No logic is changed.

--- a/Libraries/LibMembership/UpstreamRecordRules.cpp
+++ b/Libraries/LibMembership/UpstreamRecordRules.cpp
@@ -28,7 +28,7 @@
 
     bool hasControlCharacters(std::string_view text)
     {
-        return std::any_of(text.begin(), text.end(), [](unsigned char byte) { return byte < ' ' || byte == 0x7f; });
+        return std::any_of(text.begin(), text.end(), isControlCharacter);
     }
 
     // Names are parts of header fields, log lines and the store's keys. A header field loses the spaces around it, so an
--- a/Libraries/LibProxy/EventProgress.h
+++ b/Libraries/LibProxy/EventProgress.h
@@ -15,14 +15,14 @@
     // The highest event id that the client has.
     std::optional<uint64_t> lastForwardedId;
     // The id of the last event that the client says to have, also if the stream must not be resumed.
-    std::optional<uint64_t> lastIdOfCaller;
+    std::optional<uint64_t> lastIdOfClient;
     // Whether data was forwarded that has no number. Another upstream would send it again, and nothing would show that.
     bool hasUnnumberedData { false };
 
     // Whether another upstream may go on with the stream.
     bool canBeContinued() const { return !hasUnnumberedData; }
     // After which event an upstream is asked to go on.
-    std::optional<uint64_t> lastId() const { return lastForwardedId ? lastForwardedId : lastIdOfCaller; }
+    std::optional<uint64_t> lastId() const { return lastForwardedId ? lastForwardedId : lastIdOfClient; }
 };
 
 }
--- a/Libraries/LibProxy/EventReader.cpp
+++ b/Libraries/LibProxy/EventReader.cpp
@@ -14,17 +14,9 @@
     constexpr std::string_view eventField = "event";
     constexpr std::string_view retryField = "retry";
 
-    bool isControl(char byte)
-    {
-        constexpr unsigned char firstPrintable = 0x20;
-        constexpr unsigned char deleteCharacter = 0x7f;
-        auto const value = static_cast<unsigned char>(byte);
-        return (value < firstPrintable && byte != '\t') || value == deleteCharacter;
-    }
-
     bool hasControls(std::string_view text)
     {
-        return std::any_of(text.begin(), text.end(), isControl);
+        return std::any_of(text.begin(), text.end(), [](char byte) { return byte != '\t' && isControlCharacter(byte); });
     }
 
     std::optional<uint64_t> parseNumber(std::string_view digits)
@@ -168,7 +160,7 @@
     if (!id)
         return EventFault::InvalidId;
     auto const last = m_lastId.value_or(m_progress.lastForwardedId.value_or(0));
-    bool const isAfterClientsLast = !m_lastId && m_progress.lastIdOfCaller && id - 1 == *m_progress.lastIdOfCaller;
+    bool const isAfterClientsLast = !m_lastId && m_progress.lastIdOfClient && id - 1 == *m_progress.lastIdOfClient;
     return id - 1 > last && !isAfterClientsLast ? std::optional(EventFault::MissingEvent) : std::nullopt;
 }
 
--- a/Libraries/LibProxy/EventReader.h
+++ b/Libraries/LibProxy/EventReader.h
@@ -69,7 +69,7 @@
     EventFormat m_format;
     // The bytes of the current event.
     std::string m_bytes;
-    // Where its first line begins that is not read yet.
+    // Where the first of its lines begins that is not read yet.
     size_t m_nextLine { 0 };
     Part m_part { Part::None };
     std::optional<uint64_t> m_id;
--- a/Services/stagepostd/GatewayDialect.h
+++ b/Services/stagepostd/GatewayDialect.h
@@ -76,7 +76,7 @@
     std::function<UpstreamResponseInfo(unsigned status, HttpFields const&)> readResponseHeader;
     // The fields of an upstream's answer that its Connection field can't make connection-specific.
     std::span<std::string_view const> endToEndResponseFields {};
-    // The events of all streams.
+    // The form of the events that upstreams send in streams.
     EventFormat eventFormat {};
 };
 
--- a/Services/stagepostd/RoutedRequest.cpp
+++ b/Services/stagepostd/RoutedRequest.cpp
@@ -22,7 +22,7 @@
     if (request.route->kind != RequestKind::Stream)
         return nullptr;
     auto progress = std::make_shared<EventProgress>();
-    progress->lastIdOfCaller = request.call.lastEvent;
+    progress->lastIdOfClient = request.call.lastEvent;
     // An upstream may begin the stream again from its first event.
     if (request.route->isRepeatable())
         progress->lastForwardedId = request.call.lastEvent;
--- a/Tests/LibProxy/TestEventReader.cpp
+++ b/Tests/LibProxy/TestEventReader.cpp
@@ -180,7 +180,7 @@
 {
     for (uint64_t const first : { 1, 51, 2, 30, 50, 52 }) {
         EventProgress progress;
-        progress.lastIdOfCaller = 50;
+        progress.lastIdOfClient = 50;
         auto const outcome = read(makeEvents(first, first + 2), counted, progress);
         bool const isSound = first == 1 || first == 51;
         BOOST_TEST(outcome.events == (isSound ? makeEvents(first, first + 2) : ""));
--- a/Tests/LibProxy/TestResumedStreams.cpp
+++ b/Tests/LibProxy/TestResumedStreams.cpp
@@ -33,7 +33,7 @@
     explicit Resumed(std::vector<std::string> const& answers, EventFormat eventFormat = counted, std::optional<uint64_t> last = {}, std::string const& method = "GET")
         : format(eventFormat)
     {
-        progress->lastForwardedId = progress->lastIdOfCaller = last;
+        progress->lastForwardedId = progress->lastIdOfClient = last;
         server.emplace(
             loop, HttpServerOptions {}, [this, count = answers.size()](std::shared_ptr<Exchange> const& exchange) { forward(exchange, count); },
             [](Refusal const&) { return makeTextResponse(400, ""); });
