LibProxy: Share the body of a request between its copies

A request's body was copied for the handler, for each attempt at an upstream, for the message that is sent there, and on both daemons of a detour: 200 callers with whole bodies of 1 MiB to an upstream that is silent took 619 MB.

HttpBody shares its bytes, which never change. The message for an upstream refers to them.

test_client_crowds still fails: the parser keeps a copy, and the bodies together have no bound yet.

--- a/Libraries/LibProxy/Detail/UpstreamRequest.cpp
+++ b/Libraries/LibProxy/Detail/UpstreamRequest.cpp
@@ -8,11 +8,16 @@
 
 namespace {
 
-    using Request = Http::request<Http::string_body>;
+    // Refers to the body of the plan, which it keeps.
+    struct Request {
+        HttpBody body;
+        Http::request<Http::span_body<char const>> message;
+    };
 
     Request buildRequest(ForwardPlan const& plan, std::string const& requestId)
     {
-        Request request;
+        Request result { plan.request.body, {} };
+        auto& request = result.message;
         request.method_string(plan.request.method);
         request.target(plan.request.target);
         request.version(11);
@@ -25,10 +30,10 @@
         if (!plan.preserveHost)
             request.set(Http::field::host, plan.upstream.toString());
         request.set(plan.requestIdField, requestId);
-        request.body() = plan.request.body;
+        request.body() = { result.body.bytes().data(), result.body.size() };
         if (!plan.request.body.empty() || plan.request.method == "POST" || plan.request.method == "PUT")
             request.content_length(plan.request.body.size());
-        return request;
+        return result;
     }
 
 }
@@ -47,7 +52,7 @@
     auto const request = std::make_shared<Request const>(buildRequest(plan, requestId));
     connection->isRequestWritten = false;
     connection->isAnswered = false;
-    Http::async_write(connection->stream, *request, [connection, request](NetError failure, size_t) {
+    Http::async_write(connection->stream, request->message, [connection, request](NetError failure, size_t) {
         connection->isRequestWritten = !failure;
         connection->writeFailure = failure;
     });
--- a/Libraries/LibProxy/Forward.h
+++ b/Libraries/LibProxy/Forward.h
@@ -5,6 +5,7 @@
 class DatagramSocket;
 class EventLoop;
 class Exchange;
+class HttpBody;
 class HttpClient;
 class HttpFields;
 class HttpServer;
--- a/Libraries/LibProxy/HttpClient.cpp
+++ b/Libraries/LibProxy/HttpClient.cpp
@@ -35,7 +35,7 @@
             request.insert(field.name, field.value);
         request.set(Http::field::host, endpoint.toString());
         request.keep_alive(false);
-        request.body() = std::move(httpRequest.body);
+        request.body() = std::string(httpRequest.body);
         request.prepare_payload();
         auto [writeFailure, written] = co_await Http::async_write(stream, request, useTuple);
         if (writeFailure)
--- a/Libraries/LibProxy/HttpMessage.h
+++ b/Libraries/LibProxy/HttpMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibProxy/HttpBody.h>
 #include <span>
 #include <string>
 #include <string_view>
@@ -55,7 +56,7 @@
     std::string method { "GET" };
     std::string target { "/" };
     HttpFields headers;
-    std::string body;
+    HttpBody body;
 
     // The target without its query.
     std::string_view path() const;
--- a/Libraries/LibProxy/Proxy.h
+++ b/Libraries/LibProxy/Proxy.h
@@ -13,6 +13,7 @@
 #include <LibProxy/Exchange.h>
 #include <LibProxy/ForwardPlan.h>
 #include <LibProxy/ForwardResult.h>
+#include <LibProxy/HttpBody.h>
 #include <LibProxy/HttpClient.h>
 #include <LibProxy/HttpMessage.h>
 #include <LibProxy/HttpServer.h>
--- a/Services/stagepostd/Daemon.cpp
+++ b/Services/stagepostd/Daemon.cpp
@@ -219,7 +219,7 @@
     auto const expected = m_authenticator.computeTag("Bearer " + m_options.operatorToken);
     if (call.method != "POST" || !m_authenticator.verifyTag(call.headers.find("Authorization"), expected))
         return refuse({ RefusalReason::WrongToken, Verdict::NotRun, "the operator's token is wrong or missing", {} });
-    return makeJsonResponse(200, m_operatorServer.handle(call.body));
+    return makeJsonResponse(200, m_operatorServer.handle(std::string(call.body)));
 }
 
 DaemonStatus Daemon::status() const
--- a/Services/stagepostd/RequestReader.cpp
+++ b/Services/stagepostd/RequestReader.cpp
@@ -113,7 +113,7 @@
     {
         if (call.method != "POST")
             return refuse(RefusalReason::BadRequest, "a chat completion is a POST");
-        auto const body = Json::parse(call.body, nullptr, false);
+        auto const body = Json::parse(call.body.bytes(), nullptr, false);
         if (!body.is_object())
             return refuse(RefusalReason::BadJson, "the body is not a JSON object");
         if (!body.contains("model") || !body["model"].is_string() || !body.contains("messages") || !body["messages"].is_array())
--- a/Tests/platform/TestDetourServer.cpp
+++ b/Tests/platform/TestDetourServer.cpp
@@ -87,7 +87,7 @@
     auto const& request = world.handled.front()->request();
     BOOST_TEST(!request.headers.contains(DetourServer::termsHeader));
     BOOST_TEST(request.headers.find("Other") == "kept");
-    BOOST_TEST(request.body == "body");
+    BOOST_TEST(request.body.bytes() == "body");
     world.handled.front()->forward({}, {});
     BOOST_TEST(exchange->wasForwarded);
     BOOST_TEST(!exchange->answer);
--- a/Tests/platform/TestFleetRegistry.cpp
+++ b/Tests/platform/TestFleetRegistry.cpp
@@ -48,7 +48,7 @@
         if (call.target.starts_with("/log-newest"))
             reply.body = newest();
         else if (call.target.starts_with("/log-append"))
-            reply.body = append(call.body);
+            reply.body = append(std::string(call.body));
         else
             reply = read(std::stoull(call.target.substr(call.target.find("from=") + 5)));
         return reply;
--- a/Tests/platform/TestRolloutRecords.cpp
+++ b/Tests/platform/TestRolloutRecords.cpp
@@ -47,8 +47,9 @@
             std::exchange(beforeAppend, {})();
         if (end != statuses.size())
             return HttpResponse { 412, {}, Json { { "end", statuses.size() } }.dump() };
-        auto const keySize = static_cast<unsigned char>(call.body[4]);
-        statuses.push_back({ call.body.substr(5, keySize), Json::parse(call.body.substr(5 + keySize)) });
+        std::string const body(call.body);
+        auto const keySize = static_cast<unsigned char>(body[4]);
+        statuses.push_back({ body.substr(5, keySize), Json::parse(body.substr(5 + keySize)) });
         if (std::exchange(losesNextAnswer, false))
             return Error(ErrorCode::Timeout, "no answer");
         return HttpResponse { 200, {}, Json { { "offset", statuses.size() - 1 } }.dump() };
--- a/Tests/platform/TestVersionHistoryReader.cpp
+++ b/Tests/platform/TestVersionHistoryReader.cpp
@@ -66,7 +66,7 @@
     {
         if (call.target.starts_with(Wire::appendPath)) {
             ++appends;
-            record = call.body.substr(5 + Wire::versionsKey.size());
+            record = call.body.bytes().substr(5 + Wire::versionsKey.size());
             return { 200, {}, R"({"offset":0,"end":1})" };
         }
         if (call.target.starts_with(Wire::latestRecordsPath))
