Gateway: Bound what clients take of the machine, at all its ports

Callers of the daemon on the users' platform saw it end: 200 of them with bodies of 1 MiB that stop a byte short took 209 MB, whole bodies to a silent upstream 619 MB, chunked ones that come again 817 MB; those at the port of the balancer's checks 248 MB (that server had the library's limits of 8 MiB), at the port of other daemons 209 MB. 600 idle connections of 300 descriptors kept it from reading its store ("Too many open files"), and no other caller was answered.

One ClientMemory serves the three servers. It has two fifths of the machine's memory; callers have less than half of the descriptors that are left after the store, checks and other daemons, since a request may need a second one for its upstream. Bodies at the port of the balancer's checks have 4,096 bytes at most. Route and key are judged by the header where the body is large, and a daemon's signature of a request that is passed on.

--- a/Libraries/LibMembership/UpstreamRecord.cpp
+++ b/Libraries/LibMembership/UpstreamRecord.cpp
@@ -95,4 +95,14 @@
     return record;
 }
 
+std::vector<UpstreamRecord> recordsOf(std::vector<UpstreamChange> const& changes)
+{
+    std::vector<UpstreamRecord> records;
+    for (auto const& change : changes) {
+        if (change.record)
+            records.push_back(*change.record);
+    }
+    return records;
+}
+
 }
--- a/Libraries/LibMembership/UpstreamRecord.h
+++ b/Libraries/LibMembership/UpstreamRecord.h
@@ -6,6 +6,7 @@
 #include <LibBase/Time.h>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Stagepost {
 
@@ -46,6 +47,9 @@
     std::optional<UpstreamRecord> record;
 };
 
+// The records of the changes that have one.
+std::vector<UpstreamRecord> recordsOf(std::vector<UpstreamChange> const&);
+
 // Without an incarnation, the encoding is that of daemons that don't support incarnations. Daemons
 // that don't support versions can read records whose version has up to seven characters, and ignore it.
 void write(MessageWriter&, UpstreamRecord const&);
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -2,7 +2,10 @@
 
 #include <LibBase/Hex.h>
 #include <LibBase/Log.h>
+#include <stagepostd/ClientGauges.h>
+#include <stagepostd/GatewayGauges.h>
 #include <stagepostd/GatewayReply.h>
+#include <stagepostd/GatewayServerOptions.h>
 #include <stagepostd/RolloutReport.h>
 
 namespace Stagepost {
@@ -18,32 +21,12 @@
     constexpr Milliseconds linkProbeTimeout { 100 };
     constexpr unsigned statusUnready = 503;
 
-    HttpServerOptions serverOptions(CallerLimits const& limits)
-    {
-        HttpServerOptions options;
-        options.maxBodySize = limits.bodyBytes;
-        options.maxHeaderSize = limits.headerBytes;
-        options.requestTimeout = limits.headerTimeout;
-        options.keepAliveTimeout = limits.idleTimeout;
-        return options;
-    }
-
     FleetShare makeFleetShare(GatewayOptions const& options, Instant now)
     {
         auto const window = options.retries.window;
         return FleetShare({ window, window / 2 }, options.isFirstStart ? std::optional(now) : std::nullopt);
     }
 
-    std::vector<UpstreamRecord> recordsOf(std::vector<UpstreamChange> const& changes)
-    {
-        std::vector<UpstreamRecord> records;
-        for (auto const& change : changes) {
-            if (change.record)
-                records.push_back(*change.record);
-        }
-        return records;
-    }
-
 }
 
 Gateway::Gateway(EventLoop& loop, GatewayOptions options, GatewayDialect dialect, GatewayRegistryHooks registry, RandomHook random, RolloutRecordHooks rolloutRecords, StreamOriginLogHooks streamOriginLog)
@@ -54,6 +37,7 @@
     , m_random(std::move(random))
     , m_settingsFreshness({ m_options.peerSettingsTimeout, m_options.exchange.fallbackAge })
     , m_settingsLoader(loop, { m_dialect.readSettings, [this](Result<RouteTable::Parts>&& parts, SettingsLoader::PendingSettings const& loaded) { return applySettings(std::move(parts), loaded); }, [this](Microseconds turn) { m_metrics.observe("stagepost_settings_turn_seconds", turn); } })
+    , m_clientMemory(std::make_shared<ClientMemory>(m_options.clients.memory))
     , m_fingerprintKey(std::to_string(m_random()))
     , m_suspects(VMId::fromName(m_options.name))
     , m_partSuspects(VMId::fromName(m_options.name), {}, [this](Fingerprint fingerprint) { return m_peers.triesParts(fingerprint); })
@@ -61,7 +45,7 @@
           { m_options.hall, m_options.placement, m_options.retries, [this](Instant) { return m_peers.usableShare(); } }, m_random, [this](Endpoint const& upstream) { m_server.dropIdleConnections(upstream); }, loop.now())
     , m_directory(m_options.directory, { [this](UpstreamChange const& change) { applyUpstream(change); }, [this] { m_serviceTable.restartVersionHistory(m_loop.now()); }, [this](UpstreamRecord const& record, bool mayServe) { m_serviceTable.notePassedOver(record, mayServe, m_loop.now()); } })
     , m_emptiedHalls({ m_options.directory.returnGrace }, [this](HallOrder const& order) { applyHallOrder(order); })
-    , m_peers(loop, m_metrics, m_options.exchange, makeFleetShare(m_options, loop.now()), m_suspects, m_partSuspects, m_random, peerHooks(std::move(streamOriginLog)))
+    , m_peers(loop, m_metrics, m_options.clients, m_clientMemory, m_options.exchange, makeFleetShare(m_options, loop.now()), m_suspects, m_partSuspects, m_random, peerHooks(std::move(streamOriginLog)))
     , m_rollouts(makeRollouts(std::move(rolloutRecords)))
     , m_portProbe(loop)
     , m_links(m_options.maxDetoured > 0, loop, m_metrics, m_serviceTable, linkHooks())
@@ -71,9 +55,9 @@
     , m_crashDetector(loop, m_metrics, m_suspects, m_partSuspects, crashDetectorHooks())
     , m_services { loop, m_metrics, m_serviceTable, m_crashDetector, m_partSuspects, m_peers, m_links, m_detourClient, m_dialect, [this] { return areKeysFresh(); }, [this] { return needsRevalidation(); }, [this] { return settingsAge(); }, [this] { return m_peers.equalShare(); }, [this](FingerprintInput const& input) { return m_fingerprintKey.fingerprintOf(input); }, [this](std::string const& service, uint64_t partIdHash) { return m_fingerprintKey.partFingerprintOf(service, partIdHash); }, [this] { return m_directory.age().confirmedAt(); }, [this](Endpoint const& upstream) { return m_server.dropClosedConnections(upstream); }, m_rollouts.get() }
     , m_server(
-          loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handle(exchange); }, [this](Refusal const& refusal) { return refuse(refusal); })
+          loop, callerServerOptions({}, m_options.clients), [this](std::shared_ptr<Exchange> const& exchange) { handle(exchange); }, [this](Refusal const& refusal) { return refuse(refusal); }, m_clientMemory, [this](HttpRequest const& head) { return checkHead(head); })
     , m_readyServer(
-          loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handleReady(*exchange); }, [this](Refusal const& refusal) { return refuse(refusal); })
+          loop, checkServerOptions(m_options.clients), [this](std::shared_ptr<Exchange> const& exchange) { handleReady(*exchange); }, [this](Refusal const& refusal) { return refuse(refusal); }, m_clientMemory)
     , m_ticker(loop)
     , m_stallDetector(m_metrics, { tickInterval, m_options.directory.outageThreshold })
     , m_drain(loop, m_server, m_dialect.idField, [this] { return m_detourServer.load(); })
@@ -228,6 +212,7 @@
     m_readyEndpoint = TRY(m_readyServer.listen(m_options.readyListen));
     m_peerEndpoint = TRY(m_peers.listen(m_options.peerListen));
     logEvent(LogLevel::Info, "started", { { "name", m_options.name }, { "hall", m_options.hall }, { "listen", m_callerEndpoint.toString() }, { "ready_listen", m_readyEndpoint.toString() }, { "peer_listen", m_peerEndpoint.toString() } });
+    logClientLimits(m_options.clients);
     m_server.setCloseAfterResponse(true);
     m_stallDetector.start(m_loop.now());
     m_ticker.every(tickInterval, [this] { tick(); });
@@ -326,8 +311,8 @@
     m_table = std::make_shared<RouteTable const>(std::move(*parts));
     bool const isAsReceived = loaded.update && loaded.update->version == m_table->version();
     m_settingsHistory.add(m_table->version(), loaded.text, isAsReceived ? loaded.update : std::nullopt);
-    m_server.setOptions(serverOptions(m_table->limits()));
-    m_peers.setCallerLimits(serverOptions(m_table->limits()));
+    m_server.setOptions(callerServerOptions(m_table->limits(), m_options.clients));
+    m_peers.setCallerLimits(m_table->limits());
     m_serviceTable.applySettings(*m_table, m_options.coldOvershoot, m_options.coldSlack);
     m_metrics.setGauge("stagepost_settings_version", static_cast<double>(m_table->version()));
     logEvent(LogLevel::Info, "settings-in-force", { { "version", m_table->version() }, { "routes", m_table->routeCount() }, { "source", loaded.update ? "told" : "store" }, { "took_ms", (m_loop.now() - loaded.startedAt).count() / 1000 }, { "longest_turn_us", loaded.longestSlice.count() } });
@@ -565,21 +550,6 @@
     return gatewayReply(refusal);
 }
 
-void Gateway::setServiceGauges()
-{
-    for (auto const& [name, service] : m_serviceTable.services()) {
-        auto const label = "{service=\"" + name + "\"}";
-        auto const occupancy = service->placement.occupancy();
-        m_metrics.setGauge("stagepost_requests_per_place" + label, occupancy.perSlot);
-        m_metrics.setGauge("stagepost_turned_away_share" + label, AdmissionGate::refusedShare(occupancy, 0));
-        m_metrics.setGauge("stagepost_cold_upstreams" + label, static_cast<double>(service->placement.coldCount(m_loop.now())));
-        m_metrics.setGauge("stagepost_resting_upstreams" + label, static_cast<double>(service->placement.backingOffCount(m_loop.now())));
-        m_metrics.setGauge("stagepost_brittle" + label, service->placement.isBrittle(m_loop.now()) ? 1 : 0);
-        m_metrics.setGauge("stagepost_counts_age_seconds" + label, asSeconds(service->placement.countsAge()));
-        m_metrics.setGauge("stagepost_mean_load" + label, service->placement.meanLoad());
-    }
-}
-
 // -1 for state that was never proven.
 void Gateway::setAgeGauges()
 {
@@ -596,7 +566,8 @@
 
 HttpResponse Gateway::renderMetrics()
 {
-    setServiceGauges();
+    setServiceGauges(m_serviceTable, m_loop.now(), m_metrics);
+    setClientGauges(*m_clientMemory, m_server, m_options.clients, m_metrics);
     m_metrics.setGauge("stagepost_open_requests", static_cast<double>(m_server.openExchanges()));
     m_metrics.setGauge("stagepost_detoured_open", static_cast<double>(m_detourServer.load()));
     m_metrics.setGauge("stagepost_upstreams", static_cast<double>(m_serviceTable.upstreamCount()));
@@ -629,20 +600,31 @@
         exchange.respond(makeTextResponse(404, "only /readyz and /metrics are here\n"));
 }
 
+HttpResponse Gateway::refuseUnrouted(HttpRequest const& request, Refusal const& refusal)
+{
+    logRequest(
+        { { "id", m_dialect.readCall(request).id }, { "outcome", "refused" }, { "reason", nameOf(refusal.reason) },
+            { "settings", settingsVersion() }, { "settings_age_ms", settingsAgeMilliseconds() } });
+    return refuse(refusal);
+}
+
+std::optional<HttpResponse> Gateway::checkHead(HttpRequest const& head)
+{
+    auto const routed = m_router.route(head);
+    auto const* refusal = std::get_if<Refusal>(&routed);
+    return refusal ? std::optional(refuseUnrouted(head, *refusal)) : std::nullopt;
+}
+
 void Gateway::handle(std::shared_ptr<Exchange> const& exchange, std::optional<DetourTerms> const& detour)
 {
     // State can also become too old between two ticks.
     handleStall(m_stallDetector.check(m_loop.now(), m_server.openExchanges()));
     updateReadiness();
     auto routed = m_router.route(exchange->request(), detour);
-    if (auto const* refusal = std::get_if<Refusal>(&routed)) {
-        logRequest(
-            { { "id", m_dialect.readCall(exchange->request()).id }, { "outcome", "refused" }, { "reason", nameOf(refusal->reason) },
-                { "settings", settingsVersion() }, { "settings_age_ms", settingsAgeMilliseconds() } });
-        exchange->respond(refuse(*refusal));
-        return;
-    }
-    std::make_shared<GatewayRequestHandler>(m_services, exchange, std::move(std::get<RoutedRequest>(routed)))->start();
+    if (auto const* refusal = std::get_if<Refusal>(&routed))
+        exchange->respond(refuseUnrouted(exchange->request(), *refusal));
+    else
+        std::make_shared<GatewayRequestHandler>(m_services, exchange, std::move(std::get<RoutedRequest>(routed)))->start();
 }
 
 void Gateway::drain(std::function<void()> drained)
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -118,10 +118,12 @@
     DetourServer::Hooks detourHooks();
     // The terms are set for a request that another daemon has passed on.
     void handle(std::shared_ptr<Exchange> const&, std::optional<DetourTerms> const& = {});
+    // See HttpServer::HeadHook.
+    std::optional<HttpResponse> checkHead(HttpRequest const&);
     void handleReady(Exchange&);
+    HttpResponse refuseUnrouted(HttpRequest const&, Refusal const&);
     HttpResponse refuse(Refusal const&);
     HttpResponse renderMetrics();
-    void setServiceGauges();
     void setAgeGauges();
     bool areKeysFresh() const;
     bool areVersionsKnown() const;
@@ -162,6 +164,7 @@
     SettingsHistory m_settingsHistory;
     SettingsFreshness m_settingsFreshness;
     SettingsLoader m_settingsLoader;
+    std::shared_ptr<ClientMemory> m_clientMemory;
     // Derived from the fleet's key once that is known; random until then.
     FingerprintKey m_fingerprintKey;
     CrashSuspects m_suspects;
--- a/Services/stagepostd/GatewayOptions.h
+++ b/Services/stagepostd/GatewayOptions.h
@@ -2,6 +2,7 @@
 
 #include <LibMembership/StateExchange.h>
 #include <LibMembership/UpstreamDirectory.h>
+#include <LibProxy/ClientLimits.h>
 #include <LibProxy/Endpoint.h>
 #include <LibRollout/RolloutSchedule.h>
 #include <LibRouting/RetryBudget.h>
@@ -20,6 +21,8 @@
     Endpoint readyListen;
     // Address for other gateways.
     Endpoint peerListen;
+    // What clients may take of the machine.
+    ClientLimits clients { ClientLimits::forMachine(Machine::current()) };
     // The greatest proven age of the configuration at which keys are still accepted; empty accepts
     // them at any age.
     std::optional<Milliseconds> keyFreshness;
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -2,17 +2,16 @@
 
 #include <LibBase/Hex.h>
 #include <LibBase/Log.h>
-#include <charconv>
 #include <stagepostd/DetourServer.h>
+#include <stagepostd/GatewayServerOptions.h>
 #include <stagepostd/PartEvidenceLog.h>
+#include <stagepostd/StateRequest.h>
 
 namespace Stagepost {
 
 namespace {
 
     constexpr char const* peerHeader = "Stagepost-Peer";
-    // Followed by the settings version and the upstreams hash of the requesting daemon.
-    std::string const stateRequestPrefix = "state ";
     // The state of 4,000 upstreams has 400 KB. Sending it to seven daemons takes a relay with a link
     // of 10 Mbit/s 2.3 s.
     constexpr Milliseconds fetchTimeout { 3000 };
@@ -30,26 +29,13 @@
     constexpr unsigned statusForbidden = 403;
     // A free port for datagrams is seldom in use for connections.
     constexpr size_t maxFreePortsTried = 16;
-    // For the terms of a request, besides the header fields of its caller.
-    constexpr size_t detourHeaderSize = 2048;
     // In a larger fleet, a relay needs its whole bandwidth budget for the state that it sends, so it
     // leaves contexts out of its permit requests and does not ask which upstreams hold them.
     constexpr size_t maxPeersForRelayContextQueries = 128;
 
-    std::string formatStateRequest(StateSummary const& known)
+    HttpResponse notAuthenticated()
     {
-        return stateRequestPrefix + std::to_string(known.settingsVersion) + ' ' + std::to_string(known.upstreamsHash);
-    }
-
-    // Numbers that cannot be parsed count as 0, so that the answer contains the full state.
-    StateSummary parseStateRequest(std::string_view numbers)
-    {
-        StateSummary known;
-        auto const* const end = numbers.data() + numbers.size();
-        auto const settings = std::from_chars(numbers.data(), end, known.settingsVersion);
-        if (settings.ptr != end)
-            std::from_chars(settings.ptr + 1, end, known.upstreamsHash);
-        return known;
+        return makeTextResponse(statusForbidden, "for daemons of this fleet only\n");
     }
 
     HttpResponse plainRefusal(Refusal const& refusal)
@@ -59,9 +45,10 @@
 
 }
 
-GatewayPeers::GatewayPeers(EventLoop& loop, Metrics& metrics, StateExchange::Bounds bounds, FleetShare share, CrashSuspects& suspects, PromptPartSuspects& partSuspects, RandomHook random, Hooks hooks)
+GatewayPeers::GatewayPeers(EventLoop& loop, Metrics& metrics, ClientLimits const& limits, std::shared_ptr<ClientMemory> clientMemory, StateExchange::Bounds bounds, FleetShare share, CrashSuspects& suspects, PromptPartSuspects& partSuspects, RandomHook random, Hooks hooks)
     : m_loop(loop)
     , m_metrics(metrics)
+    , m_limits(limits)
     , m_bounds(bounds)
     , m_suspects(suspects)
     , m_partSuspects(partSuspects)
@@ -69,7 +56,7 @@
     , m_hooks(std::move(hooks))
     , m_client(loop)
     , m_server(
-          loop, {}, [this](std::shared_ptr<Exchange> const& exchange) { handleRequest(exchange); }, plainRefusal)
+          loop, peerServerOptions({}, limits), [this](std::shared_ptr<Exchange> const& exchange) { handleRequest(exchange); }, plainRefusal, std::move(clientMemory), [this](HttpRequest const& head) { return checkHead(head); })
     , m_socket(loop, [this](Endpoint const& source, std::string_view datagram) { handleDatagram(source, datagram); })
     , m_fleetShare(std::move(share))
     , m_streamOrigins(loop, metrics, streamOriginHooks())
@@ -91,13 +78,9 @@
     }
 }
 
-void GatewayPeers::setCallerLimits(HttpServerOptions const& limits)
+void GatewayPeers::setCallerLimits(CallerLimits const& limits)
 {
-    // The time limits of callers do not apply: sending the state to another daemon may take longer.
-    HttpServerOptions options;
-    options.maxBodySize = limits.maxBodySize;
-    options.maxHeaderSize = std::max(options.maxHeaderSize, limits.maxHeaderSize + detourHeaderSize);
-    m_server.setOptions(options);
+    m_server.setOptions(peerServerOptions(limits, m_limits));
 }
 
 void GatewayPeers::join(GatewayPeer const& self, std::string const& key, Incarnation incarnation)
@@ -528,6 +511,14 @@
     m_hooks.mergeState(*state, provenAt);
 }
 
+// Only requests that are passed on have large bodies. The sequence number of their terms is checked once they are complete.
+std::optional<HttpResponse> GatewayPeers::checkHead(HttpRequest const& head) const
+{
+    if (m_detourAuthenticator && m_detourAuthenticator->isAuthentic(hexToBytes(head.headers.find(DetourServer::termsHeader))))
+        return {};
+    return notAuthenticated();
+}
+
 void GatewayPeers::handleRequest(std::shared_ptr<Exchange> const& exchange)
 {
     auto const signedTerms = exchange->request().headers.find(DetourServer::termsHeader);
@@ -537,7 +528,7 @@
     auto const terms = verified ? DetourTerms::decode(verified->sender, verified->body) : Result<DetourTerms>(verified.error());
     if (!terms) {
         m_metrics.count("stagepost_detoured_requests_total", "outcome=\"not-authenticated\"");
-        return exchange->respond(makeTextResponse(statusForbidden, "for daemons of this fleet only\n"));
+        return exchange->respond(notAuthenticated());
     }
     m_hooks.handleDetour(exchange, *terms);
 }
@@ -545,12 +536,12 @@
 HttpResponse GatewayPeers::answerState(HttpRequest const& call)
 {
     if (!m_stateAuthenticator || call.path() != statePath)
-        return makeTextResponse(statusForbidden, "for daemons of this fleet only\n");
+        return notAuthenticated();
     auto const verified = m_stateAuthenticator->verifyMessage(hexToBytes(call.headers.find(peerHeader)));
-    if (!verified || !verified->body.starts_with(stateRequestPrefix))
-        return makeTextResponse(statusForbidden, "for daemons of this fleet only\n");
-    auto const known = parseStateRequest(std::string_view(verified->body).substr(stateRequestPrefix.size()));
-    return { 200, { { "Content-Type", "application/octet-stream" } }, m_stateAuthenticator->signMessage(m_hooks.state(known).encode()) };
+    auto const known = verified ? parseStateRequest(verified->body) : std::nullopt;
+    if (!known)
+        return notAuthenticated();
+    return { 200, { { "Content-Type", "application/octet-stream" } }, m_stateAuthenticator->signMessage(m_hooks.state(*known).encode()) };
 }
 
 }
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -12,6 +12,7 @@
 #include <LibRouting/HolderExchange.h>
 #include <LibRouting/PermitExchange.h>
 #include <LibRouting/PromptPartSuspects.h>
+#include <LibSettings/RouteTable.h>
 #include <memory>
 #include <stagepostd/DetourTerms.h>
 #include <stagepostd/EarlierRequests.h>
@@ -71,7 +72,7 @@
         StreamOriginLogHooks streamOriginLog;
     };
 
-    GatewayPeers(EventLoop&, Metrics&, StateExchange::Bounds, FleetShare, CrashSuspects&, PromptPartSuspects&, RandomHook, Hooks);
+    GatewayPeers(EventLoop&, Metrics&, ClientLimits const&, std::shared_ptr<ClientMemory>, StateExchange::Bounds, FleetShare, CrashSuspects&, PromptPartSuspects&, RandomHook, Hooks);
     GatewayPeers(GatewayPeers const&) = delete;
     GatewayPeers& operator=(GatewayPeers const&) = delete;
 
@@ -80,7 +81,7 @@
     Result<Endpoint> listen(Endpoint const&);
 
     // Limits the sizes of the requests that other daemons pass on to those of callers.
-    void setCallerLimits(HttpServerOptions const&);
+    void setCallerLimits(CallerLimits const&);
     // Sends these requests over the given server's connections to upstreams.
     void shareUpstreamConnections(HttpServer const& server) { m_server.shareUpstreamConnections(server); }
 
@@ -172,10 +173,12 @@
     void fetch(VMId from, std::optional<Instant> provenAt);
     void handleFetchedState(VMId from, Result<HttpResponse> const&, std::optional<Instant> provenAt);
     HttpResponse answerState(HttpRequest const&);
+    std::optional<HttpResponse> checkHead(HttpRequest const&) const;
     void handleRequest(std::shared_ptr<Exchange> const&);
 
     EventLoop& m_loop;
     Metrics& m_metrics;
+    ClientLimits m_limits;
     StateExchange::Bounds m_bounds;
     CrashSuspects& m_suspects;
     PromptPartSuspects& m_partSuspects;
--- a/Tests/Processes/test_deploy.py
+++ b/Tests/Processes/test_deploy.py
@@ -45,14 +45,21 @@
     return re.sub(r"\{\{([\w.]+)\}\}", lambda match: json.dumps(value_of(settings, match[1])).strip('"'), text)
 
 
-def flags_for(**bounds):
+def flags_for(limits=None, **bounds):
     with open(DEPLOY, "rb") as file:
         run = tomllib.load(file)["roles"]["entry"]["run"]
-    words = expand(run, {**SETTINGS, "bounds": {**SETTINGS["bounds"], **bounds}}).split()[1:]
+    words = expand(run, {**SETTINGS, "limits": limits or {}, "bounds": {**SETTINGS["bounds"], **bounds}}).split()[1:]
     return dict(zip(words[::2], words[1::2]))
 
 
 class DeployFile(unittest.TestCase):
+    def test_clients_may_take_a_part_of_what_the_process_may_use(self):
+        flags = flags_for(limits={"memoryMb": 260, "maxFds": 4100})
+        self.assertEqual((flags["--machine-memory-mb"], flags["--descriptors"]), ("260", "4100"))
+
+    def test_without_limits_the_process_measures_its_machine(self):
+        self.assertEqual((flags_for()["--machine-memory-mb"], flags_for()["--descriptors"]), ("0", "0"))
+
     def test_the_key_bound_is_set_if_the_deployment_requires_it(self):
         self.assertEqual(flags_for(strictRevoke=True)["--key-bound-ms"], "5000")
 
