stagepostd: Bound what clients take of the machine

The product's own daemon held what each connection may hold: 200 callers with bodies of 1 MiB that stop a byte short took 211 MB, whole chats 625 MB. 600 idle connections of 300 descriptors kept it from reading the log.

--- a/Services/stagepostd/Daemon.cpp
+++ b/Services/stagepostd/Daemon.cpp
@@ -1,6 +1,7 @@
 #include <stagepostd/Daemon.h>
 
 #include <LibBase/Log.h>
+#include <stagepostd/ClientGauges.h>
 #include <stagepostd/FleetView.h>
 #include <stagepostd/PlacementExplanation.h>
 #include <stagepostd/RefusalReply.h>
@@ -64,8 +65,9 @@
               return explainPlacement({ m_admission, m_vmListFollower.list(), m_policies, m_options.name }, { model, organisation, chat }, m_loop.now());
           },
       })
+    , m_clientMemory(std::make_shared<ClientMemory>(m_options.clients.memory))
     , m_server(
-          loop, m_options.http, [this](std::shared_ptr<Exchange> const& exchange) { handleRequest(exchange); }, [this](Refusal const& refusal) { return refuse(refusal); })
+          loop, m_options.http, [this](std::shared_ptr<Exchange> const& exchange) { handleRequest(exchange); }, [this](Refusal const& refusal) { return refuse(refusal); }, m_clientMemory, [this](HttpRequest const& head) { return checkHead(head); })
     , m_tickTimer(loop)
     , m_drain(loop, m_server, "X-Request-Id")
 {
@@ -78,6 +80,7 @@
     auto const peer = TRY(m_peerSocket.bind(m_options.peerListen));
     m_callerEndpoint = TRY(m_server.listen(m_options.listen));
     logEvent(LogLevel::Info, "started", { { "name", m_options.name }, { "hall", m_options.hall }, { "listen", m_callerEndpoint.toString() }, { "peer_listen", peer.toString() } });
+    logClientLimits(m_options.clients);
     updateView();
     m_vmListFollower.start();
     m_settingsFollower.start();
@@ -165,6 +168,24 @@
     return refusalReply(refusal);
 }
 
+std::optional<HttpResponse> Daemon::checkHead(HttpRequest const& head)
+{
+    auto const refusal = [&]() -> std::optional<Refusal> {
+        auto const path = head.path();
+        if (path == "/rpc")
+            return checkOperator(head);
+        auto const settings = m_settingsFollower.settings();
+        if (!settings)
+            return Refusal { RefusalReason::NoSettings, Verdict::NotRun, "this daemon has no settings yet", Milliseconds(1000) };
+        if (path != "/v1/tickets")
+            return checkRequestHead(head, *settings);
+        auto const organisation = authenticate(head, *settings);
+        auto const* unknown = std::get_if<Refusal>(&organisation);
+        return unknown ? std::optional(*unknown) : std::nullopt;
+    }();
+    return refusal ? std::optional(refuse(*refusal)) : std::nullopt;
+}
+
 void Daemon::handleRequest(std::shared_ptr<Exchange> const& exchange)
 {
     if (!handleLocally(*exchange))
@@ -203,6 +224,7 @@
 
 HttpResponse Daemon::renderMetrics()
 {
+    setClientGauges(*m_clientMemory, m_server, m_options.clients, m_metrics);
     m_metrics.setGauge("stagepost_open_requests", static_cast<double>(m_server.openExchanges()));
     m_metrics.setGauge("stagepost_open_leases", static_cast<double>(m_admission.leaseClient().openLeaseCount()));
     m_metrics.setGauge("stagepost_owned_upstreams", static_cast<double>(m_admission.leaseServer().ownedCount()));
@@ -213,12 +235,19 @@
     return makeTextResponse(200, m_metrics.render());
 }
 
-HttpResponse Daemon::handleOperatorRequest(HttpRequest const& call)
+std::optional<Refusal> Daemon::checkOperator(HttpRequest const& call) const
 {
     // Tags are compared in constant time, so the response time reveals nothing about the token.
     auto const expected = m_authenticator.computeTag("Bearer " + m_options.operatorToken);
-    if (call.method != "POST" || !m_authenticator.verifyTag(call.headers.find("Authorization"), expected))
-        return refuse({ RefusalReason::WrongToken, Verdict::NotRun, "the operator's token is wrong or missing", {} });
+    if (call.method == "POST" && m_authenticator.verifyTag(call.headers.find("Authorization"), expected))
+        return {};
+    return Refusal { RefusalReason::WrongToken, Verdict::NotRun, "the operator's token is wrong or missing", {} };
+}
+
+HttpResponse Daemon::handleOperatorRequest(HttpRequest const& call)
+{
+    if (auto const refusal = checkOperator(call))
+        return refuse(*refusal);
     return makeJsonResponse(200, m_operatorServer.handle(std::string(call.body)));
 }
 
--- a/Services/stagepostd/Daemon.h
+++ b/Services/stagepostd/Daemon.h
@@ -43,11 +43,14 @@
     Metrics& metrics() { return m_metrics; }
 
 private:
+    // See HttpServer::HeadHook.
+    std::optional<HttpResponse> checkHead(HttpRequest const&);
     void handleRequest(std::shared_ptr<Exchange> const&);
     bool handleLocally(Exchange&);
     void serveRequest(std::shared_ptr<Exchange> const&);
     void startRequest(std::shared_ptr<Exchange> const&, CallerRequest, RequestHandler::FinishedCallback);
     HttpResponse issueTickets(HttpRequest const&);
+    std::optional<Refusal> checkOperator(HttpRequest const&) const;
     HttpResponse handleOperatorRequest(HttpRequest const&);
     HttpResponse renderMetrics();
     DaemonStatus status() const;
@@ -80,6 +83,7 @@
     UpstreamWatcher m_upstreamWatcher;
     OnceGateway m_onceGateway;
     OperatorServer m_operatorServer;
+    std::shared_ptr<ClientMemory> m_clientMemory;
     HttpServer m_server;
     Endpoint m_callerEndpoint;
     Timer m_tickTimer;
--- a/Services/stagepostd/Options.cpp
+++ b/Services/stagepostd/Options.cpp
@@ -1,6 +1,6 @@
 #include <stagepostd/Options.h>
 
-#include <stagepostd/Flags.h>
+#include <stagepostd/ClientLimitFlags.h>
 
 namespace Stagepost {
 
@@ -48,6 +48,9 @@
         options.http.requestTimeout = TRY(flags.duration("request-timeout-ms", Milliseconds(1), hour));
         options.http.keepAliveTimeout = TRY(flags.duration("keep-alive-timeout-ms", Milliseconds(1), hour));
         options.http.maxConnections = TRY(flags.number("most-connections", 1, 1000000));
+        options.clients = TRY(readClientLimits(flags));
+        options.clients.connections = std::min(options.clients.connections, options.http.maxConnections);
+        options.http.apply(options.clients);
         return options;
     }
 
@@ -55,7 +58,7 @@
 
 Result<Options> Options::parse(int argc, char const* const* argv)
 {
-    auto const flags = TRY(Flags::parse("stagepostd", "The daemon of one entry VM.", flagDefinitions, argc, argv));
+    auto const flags = TRY(Flags::parse("stagepostd", "The daemon of one entry VM.", withClientLimitFlags(flagDefinitions), argc, argv));
     if (flags.message().empty())
         return readOptions(flags);
     Options options;
--- a/Services/stagepostd/Options.h
+++ b/Services/stagepostd/Options.h
@@ -24,6 +24,8 @@
     // How long a draining daemon waits for open requests after the grace period.
     Milliseconds drainLimit { 600000 };
     HttpServerOptions http;
+    // What clients may take of the machine.
+    ClientLimits clients;
 
     // If set, the process prints the message (the help or the version) and exits.
     bool printsMessage { false };
--- a/Services/stagepostd/RequestReader.cpp
+++ b/Services/stagepostd/RequestReader.cpp
@@ -25,6 +25,18 @@
         return { reason, Verdict::NotRun, std::move(detail), {} };
     }
 
+    bool isChatPath(HttpRequest const& call)
+    {
+        return call.path() == chatPath;
+    }
+
+    std::optional<Refusal> checkPath(HttpRequest const& call)
+    {
+        if (isChatPath(call) || call.target.starts_with(servicePrefix))
+            return {};
+        return refuse(RefusalReason::NoSuchPath, "paths are /v1/chat/completions and /services/NAME/...");
+    }
+
     int parseUrgency(std::string_view priority)
     {
         auto const found = priority.find("u=");
@@ -173,17 +185,25 @@
     return settings.organisations.at(found->second);
 }
 
+std::optional<Refusal> checkRequestHead(HttpRequest const& call, FleetSettings const& settings)
+{
+    if (auto refusal = checkPath(call))
+        return refusal;
+    auto const organisation = authenticate(call, settings);
+    auto const* refusal = std::get_if<Refusal>(&organisation);
+    return refusal ? std::optional(*refusal) : std::nullopt;
+}
+
 std::variant<CallerRequest, Refusal> readRequest(HttpRequest const& call, FleetSettings const& settings, Instant now)
 {
-    bool const isChat = call.path() == chatPath;
-    if (!isChat && !call.target.starts_with(servicePrefix))
-        return refuse(RefusalReason::NoSuchPath, "paths are /v1/chat/completions and /services/NAME/...");
+    if (auto refusal = checkPath(call))
+        return *refusal;
     auto organisation = authenticate(call, settings);
     if (auto* refusal = std::get_if<Refusal>(&organisation))
         return *refusal;
     CallerRequest request;
     request.organisation = std::get<OrganisationSettings>(organisation);
-    if (isChat)
+    if (isChatPath(call))
         return readChat(call, settings, std::move(request), now);
     return readService(call, settings, std::move(request), now);
 }
--- a/Services/stagepostd/RequestReader.h
+++ b/Services/stagepostd/RequestReader.h
@@ -29,6 +29,9 @@
 // its pool in the settings.
 std::variant<CallerRequest, Refusal> readRequest(HttpRequest const&, FleetSettings const&, Instant now);
 
+// Returns the refusal of a request whose header already shows that it can't be served.
+std::optional<Refusal> checkRequestHead(HttpRequest const&, FleetSettings const&);
+
 // The id of a chat. Chats of the same name in different organisations or pools have different ids.
 ChatId chatIdOf(std::string_view name, OrganisationId, PoolId);
 
