Gateway: Let no service take all connections and memory

Requests that wait at a service whose upstreams are silent kept callers of all other services out: with 300 descriptors no request was answered until the deadlines of 600 waiting ones, 60 s.

One service's requests have three quarters of the callers' connections, and bodies of 60% of the clients' memory. Others are refused at once as not run, over-capacity, and may come back after 250 ms. A single request is always taken.

--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -20,6 +20,8 @@
     constexpr Milliseconds portTimeout { 500 };
     constexpr Milliseconds linkProbeTimeout { 100 };
     constexpr unsigned statusUnready = 503;
+    // When a caller may return whose service has its share of this daemon.
+    constexpr Milliseconds serviceRetryDelay { 250 };
 
     FleetShare makeFleetShare(GatewayOptions const& options, Instant now)
     {
@@ -38,6 +40,7 @@
     , m_settingsFreshness({ m_options.peerSettingsTimeout, m_options.exchange.fallbackAge })
     , m_settingsLoader(loop, { m_dialect.readSettings, [this](Result<RouteTable::Parts>&& parts, SettingsLoader::PendingSettings const& loaded) { return applySettings(std::move(parts), loaded); }, [this](Microseconds turn) { m_metrics.observe("stagepost_settings_turn_seconds", turn); } })
     , m_clientMemory(std::make_shared<ClientMemory>(m_options.clients.memory))
+    , m_serviceShares(m_options.clients)
     , m_fingerprintKey(std::to_string(m_random()))
     , m_suspects(VMId::fromName(m_options.name))
     , m_partSuspects(VMId::fromName(m_options.name), {}, [this](Fingerprint fingerprint) { return m_peers.triesParts(fingerprint); })
@@ -621,6 +624,11 @@
     handleStall(m_stallDetector.check(m_loop.now(), m_server.openExchanges()));
     updateReadiness();
     auto routed = m_router.route(exchange->request(), detour);
+    if (auto* request = std::get_if<RoutedRequest>(&routed)) {
+        request->share = m_serviceShares.enter(request->service, exchange->request().body.size());
+        if (!request->share)
+            routed = Refusal { RefusalReason::OverCapacity, Verdict::NotRun, "the requests to this service take all that this daemon has for one", serviceRetryDelay };
+    }
     if (auto const* refusal = std::get_if<Refusal>(&routed))
         exchange->respond(refuseUnrouted(exchange->request(), *refusal));
     else
--- a/Services/stagepostd/Gateway.h
+++ b/Services/stagepostd/Gateway.h
@@ -12,6 +12,7 @@
 #include <stagepostd/RequestRouter.h>
 #include <stagepostd/RolloutController.h>
 #include <stagepostd/ServerDrain.h>
+#include <stagepostd/ServiceShares.h>
 #include <stagepostd/SettingsFreshness.h>
 #include <stagepostd/SettingsLoader.h>
 #include <stagepostd/StallDetector.h>
@@ -165,6 +166,7 @@
     SettingsFreshness m_settingsFreshness;
     SettingsLoader m_settingsLoader;
     std::shared_ptr<ClientMemory> m_clientMemory;
+    ServiceShares m_serviceShares;
     // Derived from the fleet's key once that is known; random until then.
     FingerprintKey m_fingerprintKey;
     CrashSuspects m_suspects;
--- a/Services/stagepostd/RoutedRequest.h
+++ b/Services/stagepostd/RoutedRequest.h
@@ -22,6 +22,8 @@
     unsigned priority { 5 };
     bool needsKey { false };
     Instant receivedAt;
+    // Counts the request for its service for as long as it lasts; see ServiceShares.
+    std::shared_ptr<void const> share;
     // Set if another daemon received the request from its caller and passed it on to this one.
     std::optional<DetourTerms> detour;
 };
