RequestReader: Bound the values of a chat

A single chat of legal size, 8 MiB of "[],", "1," or {"a":0}, took 184 to 240 MB of the product's daemon while it was read: the tree of a JSON text takes a large multiple of it where values are short. A machine of 260 MB would have ended the process.

The values are counted before the tree is built, and bodies with more than 262,144 are refused as bad-json. Bodies of fewer bytes can't have that many.

--- a/Services/stagepostd/RequestReader.cpp
+++ b/Services/stagepostd/RequestReader.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <stagepostd/JsonValueCounter.h>
 
 namespace Stagepost {
 
@@ -19,6 +20,8 @@
     constexpr int defaultUrgency = 3;
     constexpr size_t estimatedBytesPerToken = 4;
     constexpr size_t maxIdempotencyKeyLength = 255;
+    // A value takes up to some hundred bytes while the body is read, however short its text is.
+    constexpr size_t maxJsonValues = 262144;
 
     Refusal refuse(RefusalReason reason, std::string detail)
     {
@@ -125,6 +128,8 @@
     {
         if (call.method != "POST")
             return refuse(RefusalReason::BadRequest, "a chat completion is a POST");
+        if (!hasAtMostJsonValues(call.body.bytes(), maxJsonValues))
+            return refuse(RefusalReason::BadJson, "the body is no JSON text, or has more than " + std::to_string(maxJsonValues) + " values");
         auto const body = Json::parse(call.body.bytes(), nullptr, false);
         if (!body.is_object())
             return refuse(RefusalReason::BadJson, "the body is not a JSON object");
--- a/Tests/Processes/test_product_client_crowds.py
+++ b/Tests/Processes/test_product_client_crowds.py
@@ -25,6 +25,7 @@
 
 class DaemonWithCrowd(Fleet):
     MAX_DESCRIPTORS = None
+    MAX_BODY = MAX_BODY
 
     def setUp(self):
         super().setUp()
@@ -32,7 +33,7 @@
         self.engine(token_ms=2000)
         self.publish(self.settings(organisation="requests_per_second = 100000.0\nin_flight = 10000"))
         with mock.patch.dict(os.environ, ENVIRONMENT), descriptor_limit(self.MAX_DESCRIPTORS) if self.MAX_DESCRIPTORS else contextlib.nullcontext():
-            self.entry = self.daemon(extra=("--largest-body", str(MAX_BODY), "--request-timeout-ms", "60000"))
+            self.entry = self.daemon(extra=("--largest-body", str(self.MAX_BODY), "--request-timeout-ms", "60000"))
         self.serve(self.entry, upstreams=2)
         self.usage = Usage(self.entry, [self.entry.endpoint])
         self.addCleanup(self.usage.stop)
@@ -103,6 +104,29 @@
         self.check(self.crowd(send_on_and_on(chunked(head()), chunks(65536, 4), 4 * MAX_BODY)))
 
 
+class LargeChats(DaemonWithCrowd):
+    """Chats of a few bytes a value, whose tree takes a large multiple of their text."""
+
+    MAX_BODY = 8 * MEGABYTE
+
+    def chat_of(self, value):
+        begin, end = b'{"model":"small","messages":[{"role":"user","content":"73"}],"x":[0', b"]}"
+        return begin + (b"," + value) * ((self.MAX_BODY - len(begin + end)) // (len(value) + 1)) + end
+
+    def send(self, value):
+        body = self.chat_of(value)
+        self.check(self.crowd(send_all(with_length(head("/v1/chat/completions"), len(body)) + body), callers=4))
+
+    def test_empty_lists(self):
+        self.send(b"[]")
+
+    def test_numbers(self):
+        self.send(b"1")
+
+    def test_small_objects(self):
+        self.send(b'{"a":0}')
+
+
 class Connections(DaemonWithCrowd):
     def test_unread_answers_to_many_requests_in_a_row(self):
         self.check(self.crowd(send_all(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n" * 2000)))
