--- a/Libraries/LibProxy/HttpServer.h
+++ b/Libraries/LibProxy/HttpServer.h
@@ -72,9 +72,10 @@
 
     // The number of requests that have been read and whose responses are incomplete.
     size_t openExchanges() const;
-    size_t connectionCount() const;
     // Calls back for each of them.
     void forEachOpenRequest(std::function<void(HttpRequest const&)> const&) const;
+    // The number of open connections.
+    size_t connectionCount() const;
 
     struct State;
 
--- a/Tests/Processes/test_client_crowds.py
+++ b/Tests/Processes/test_client_crowds.py
@@ -7,11 +7,14 @@
 import contextlib
 import os
 import unittest
+from unittest import mock
 
 from crowds import (CALLERS, ENVIRONMENT, IDLE_CONNECTIONS, MACHINE_DESCRIPTORS, MACHINE_MEMORY, MAX_BODY, MEGABYTE, Crowd, Usage, chunked, chunks, descriptor_limit,
                     eventually_answered, open_many, send_after_answer, send_again, send_all, send_in_pieces, send_on_and_on, with_length)
 from fleet import Ports, eventually
 from platform_stand_ins import Store, Upstream
+from test_detours import ROUTES as DETOUR_ROUTES
+from test_detours import FleetWithDetours
 from test_platform import HOST, KEY, Entry, manifest, request, route
 
 # Callers of a crowd are not ended by the time for a request, so that they hold what they can during a test.
@@ -200,6 +203,42 @@
         self.check(*(self.crowd(send_all(body), callers=60, endpoint=endpoint) for endpoint in (self.entry.endpoint, self.entry.ready_endpoint, self.peer_endpoint)))
 
 
+class DetouredBodies(FleetWithDetours):
+    """Bodies that one daemon passes on to another, since it has lost its links to the upstreams: both hold them."""
+
+    DAEMONS = 2
+
+    def setUp(self):
+        with mock.patch.dict(os.environ, ENVIRONMENT):
+            super().setUp()
+        self.store.put("keyed.op", "config", manifest(4, routes=[*DETOUR_ROUTES, route("limits", "/limits/", "safe", "book")], limits=LIMITS))
+        for member in self.members:
+            eventually_answered(lambda member=member: self.call(member, "/limits/x"), "a request by the new configuration")
+        self.cut(self.members[0])
+        self.usages = [Usage(member.entry, member.ports) for member in self.members]
+
+    def check(self, script):
+        crowd = Crowd(self.members[0].entry.endpoint, CALLERS, script)
+        self.addCleanup(crowd.leave)
+        crowd.wait()
+        self.usages[0].settle()
+        for member in self.members:
+            eventually_answered(lambda member=member: self.call(member, "/lookup/x"), "an ordinary request beside the crowd")
+        crowd.leave()
+        for member, usage in zip(self.members, self.usages):
+            usage.stop()
+            self.assertIsNone(member.entry.process.poll(), "the daemon has ended")
+            self.assertLess(usage.peak_memory / MEGABYTE, MACHINE_MEMORY / MEGABYTE, "MB of memory")
+
+    def test_whole_to_silent_upstreams(self):
+        for upstream in self.upstreams:
+            upstream.fault = "mute" if upstream.service == "chat" else None
+        self.check(send_all(with_length(head("/stream/once/x"), MAX_BODY) + BODY))
+
+    def test_whole_that_are_answered(self):
+        self.check(send_all(with_length(head("/lookup/x"), MAX_BODY) + BODY))
+
+
 class Descriptors(DaemonWithCrowd):
     """Clients open more connections than the process may."""
 
