IncomingBody: Give each request of a connection room for its body

The second request with a body on a connection was never read: the room of the first one counted as its own, though its memory had gone to the handler, and the session asked for more bytes again and again. The fault came with the account of what clients hold.

EachRequestOfAConnectionHasItsOwnBody failed before (one of three requests was handled) and passes.

--- a/Libraries/LibProxy/Detail/IncomingBody.cpp
+++ b/Libraries/LibProxy/Detail/IncomingBody.cpp
@@ -40,6 +40,7 @@
     auto const storage = std::make_shared<BodyStorage>();
     storage->charge = std::move(m_charge);
     storage->bytes = std::move(m_bytes);
+    m_capacity = 0;
     return { storage, { storage->bytes.get(), std::exchange(m_size, 0) } };
 }
 
--- a/Tests/LibProxy/TestClientLimits.cpp
+++ b/Tests/LibProxy/TestClientLimits.cpp
@@ -124,6 +124,20 @@
     BOOST_TEST(client.receive().find(" 401 ") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(EachRequestOfAConnectionHasItsOwnBody)
+{
+    LimitedServer server({});
+    Client const client(server.endpoint);
+    for (std::string const body : { "first", "a longer second one", "3" }) {
+        client.send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        server.loop.runFor(runTime);
+        BOOST_TEST_REQUIRE(!server.requests.empty());
+        BOOST_TEST(server.requests.back()->request().body.bytes() == body);
+        BOOST_TEST(client.receive().ends_with("answer"));
+    }
+    BOOST_TEST(server.requests.size() == 3);
+}
+
 BOOST_AUTO_TEST_CASE(RequestsWithoutMemoryAreRefusedAsNotRun)
 {
     LimitedServer server({}, 128 * kilobyte);
