Session: Count the kernel's receive buffer with each connection

The kernel's buffer was counted only for bytes behind a request.

It is counted from the accept on, so that what memory bears bounds the number of connections, and the bytes behind a request need no charge of their own. Connections that wait to be accepted are bounded to an eighth of the memory, since the kernel receives data for them as well.

--- a/Libraries/LibProxy/Detail/Session.cpp
+++ b/Libraries/LibProxy/Detail/Session.cpp
@@ -12,15 +12,13 @@
     // Read from a client after its last response. A client that goes on sending doesn't read it.
     constexpr size_t maxDiscardedBytes = 256u << 10;
     constexpr size_t discardedReadSize = 16u << 10; // bytes
-    // The memory of an open connection besides its buffer, here and in the kernel.
-    constexpr size_t connectionMemory = 8u << 10; // bytes
+    // The memory of an open connection besides its buffers.
+    constexpr size_t sessionMemory = 8u << 10; // bytes
     // A head is copied for the handler and for the upstream. Its fields take more memory than their text.
     constexpr size_t copiesOfHead = 4;
     constexpr size_t memoryPerField = 80; // bytes
     // When a client may return that was refused for lack of memory.
     constexpr Milliseconds memoryRetryDelay { 1000 };
-    // The kernel's default size of a connection's buffer.
-    constexpr size_t defaultSocketBufferSize = 128u << 10; // bytes
 
     HttpRequest toHttpRequest(Http::request<Http::buffer_body> const& message)
     {
@@ -67,7 +65,6 @@
     , m_stream(std::move(socket))
     , m_body(m_server->memory)
     , m_connectionCharge(m_server->memory)
-    , m_unreadCharge(m_server->memory)
     , m_responseCharge(m_server->memory)
     , m_maxDiscarded(maxDiscardedBytes)
 {
@@ -80,7 +77,7 @@
 
 bool Session::reserveMemory()
 {
-    return m_connectionCharge.tryResize(connectionMemory + initialReadSize, ClientMemory::Use::Connection, this);
+    return m_connectionCharge.tryResize(connectionMemory() + initialReadSize, ClientMemory::Use::Connection, this);
 }
 
 Net::awaitable<void> Session::run()
@@ -105,7 +102,7 @@
         co_return;
     }
     m_phase = Phase::Ending;
-    m_connectionCharge.resize(connectionMemory + discardedReadSize);
+    m_connectionCharge.resize(connectionMemory() + discardedReadSize);
     m_server->memory->setIdle(*this);
     NetError failure;
     m_stream.socket().shutdown(Tcp::socket::shutdown_send, failure);
@@ -140,7 +137,7 @@
     }
     m_hasGivenWay = true;
     m_body.uncharge();
-    m_connectionCharge.resize(connectionMemory);
+    m_connectionCharge.resize(connectionMemory());
     m_stream.cancel();
 }
 
@@ -164,7 +161,6 @@
     m_stopWatching.emit(Net::cancellation_type::terminal);
     --m_server->openExchanges;
     m_exchange.reset();
-    m_unreadCharge.resize(0);
     m_responseCharge.resize(0);
     m_headMemory = 0;
     m_phase = Phase::Idle;
@@ -179,7 +175,7 @@
     // The buffer may have grown with the last request.
     if (m_buffer.capacity() > initialReadSize)
         m_buffer = Beast::flat_buffer(maxUnparsedBytes);
-    m_connectionCharge.resize(connectionMemory + initialReadSize);
+    m_connectionCharge.resize(connectionMemory() + initialReadSize);
     m_server->memory->setIdle(*this);
     m_stream.expires_after(m_server->options.keepAliveTimeout);
     auto const [failure, size] = co_await m_stream.async_read_some(m_buffer.prepare(initialReadSize), useTuple);
@@ -289,7 +285,7 @@
 
 bool Session::chargeConnection()
 {
-    auto const bytes = connectionMemory + std::max(initialReadSize, m_buffer.capacity()) + m_headMemory;
+    auto const bytes = connectionMemory() + std::max(initialReadSize, m_buffer.capacity()) + m_headMemory;
     return m_connectionCharge.tryResize(bytes, m_server->options.requestUse, this) || refuseForMemory();
 }
 
@@ -334,14 +330,14 @@
 // The forwarder, and what the kernel holds of the request for the upstream and of the response for the client.
 size_t Session::forwardMemory(ForwardPlan const& plan) const
 {
-    auto const bufferSize = socketBufferSize();
+    auto const bufferSize = m_server->options.socketBufferSize;
     return sizeof(Forwarder) + bufferSize + std::min(plan.request.body.size(), bufferSize);
 }
 
-size_t Session::socketBufferSize() const
+// The kernel may receive a whole buffer before any of it is read, also behind a request that is served.
+size_t Session::connectionMemory() const
 {
-    auto const size = m_server->options.socketBufferSize;
-    return size ? size : defaultSocketBufferSize;
+    return sessionMemory + m_server->options.socketBufferSize;
 }
 
 Net::awaitable<bool> Session::writeResponse(HttpResponse response, unsigned version, bool keepAlive, bool isHead)
@@ -361,7 +357,7 @@
     co_return keepAlive && !failure;
 }
 
-// While a request is served its client sends nothing, except for pipelined requests, for which there must be memory.
+// While a request is served its client sends nothing, except for pipelined requests.
 // An end of file or an error means that the client has disconnected.
 void Session::watchForDisconnect(std::shared_ptr<SessionExchange> const& exchange)
 {
@@ -371,8 +367,7 @@
             return;
         char byte = 0;
         auto const received = ::recv(self->m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        bool const hasEnded = received == 0 || (received < 0 && errno != EAGAIN);
-        if (hasEnded || !self->m_unreadCharge.tryResize(self->socketBufferSize(), ClientMemory::Use::Request, self.get()))
+        if (received == 0 || (received < 0 && errno != EAGAIN))
             watched->handleClientDisconnect();
     };
     m_stream.socket().async_wait(Tcp::socket::wait_read, Net::bind_cancellation_slot(m_stopWatching.slot(), std::move(onReadable)));
--- a/Libraries/LibProxy/Detail/Session.h
+++ b/Libraries/LibProxy/Detail/Session.h
@@ -24,6 +24,7 @@
 
     Net::awaitable<void> acceptLoop();
     void serve(Tcp::socket);
+    int maxWaitingConnections() const;
 
     Net::io_context& context;
     HttpServerOptions options;
@@ -89,16 +90,14 @@
     Net::awaitable<void> end();
     void watchForDisconnect(std::shared_ptr<SessionExchange> const&);
     size_t forwardMemory(ForwardPlan const&) const;
-    size_t socketBufferSize() const;
+    size_t connectionMemory() const;
 
     std::shared_ptr<HttpServer::State> m_server;
     TcpStream m_stream;
     Beast::flat_buffer m_buffer { maxUnparsedBytes };
     IncomingBody m_body;
-    // The memory of the connection with its buffer and the head of its request, of the bytes behind that request that nobody
-    // has read, and of the response.
+    // The memory of the connection, with its buffers and the head of its request, and of the response.
     ClientMemory::Charge m_connectionCharge;
-    ClientMemory::Charge m_unreadCharge;
     ClientMemory::Charge m_responseCharge;
     Net::cancellation_signal m_stopWatching;
     std::weak_ptr<SessionExchange> m_exchange;
--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -9,6 +9,9 @@
     // After a failed accept. A process that has run out of file
     // descriptors needs time to free some.
     constexpr Milliseconds acceptRetryDelay { 50 };
+    // The part of the clients' memory that connections may take which wait to be accepted.
+    constexpr uint64_t waitingPartOfLimit = 8;
+    constexpr uint64_t minWaitingConnections = 64;
 
 }
 
@@ -74,7 +77,7 @@
     if (!failure)
         acceptor.bind(nativeEndpoint, failure);
     if (!failure)
-        acceptor.listen(Net::socket_base::max_listen_connections, failure);
+        acceptor.listen(m_state->maxWaitingConnections(), failure);
     if (failure) {
         NetError ignored;
         acceptor.close(ignored);
@@ -84,6 +87,16 @@
     return toEndpoint(acceptor.local_endpoint());
 }
 
+// The kernel receives data also for connections that nobody has accepted yet.
+int HttpServer::State::maxWaitingConnections() const
+{
+    constexpr int max = Net::socket_base::max_listen_connections;
+    if (!options.socketBufferSize)
+        return max;
+    auto const count = memory->limit() / waitingPartOfLimit / options.socketBufferSize;
+    return static_cast<int>(std::clamp<uint64_t>(count, minWaitingConnections, max));
+}
+
 Net::awaitable<void> HttpServer::State::acceptLoop()
 {
     auto const self = shared_from_this();
