Session: Take the limits of a request when it begins

While a keep-alive connection was idle, its next parser kept the limits from before, and the room for the body was bounded by those in force: a configuration that lowers the largest body let a chunked body above it arrive without room, and the session asked for the same bytes for ever, also after the time for a request.

Both take the limits once the first bytes have arrived, so that they apply to the next request of an open connection, as setOptions() says. A read that lacks room ends the request as too large.

ClientLimitsTests/ALowerLimitAppliesToTheNextRequestOfAnIdleConnection failed before (no answer) and passes; AChunkedBodyOfTheLargestSizeIsTaken passes before and after.

--- a/Libraries/LibProxy/Detail/Session.cpp
+++ b/Libraries/LibProxy/Detail/Session.cpp
@@ -187,11 +187,13 @@
 
 Net::awaitable<bool> Session::readRequest(RequestParser& parser)
 {
-    parser.header_limit(static_cast<uint32_t>(m_server->options.maxHeaderSize));
-    parser.body_limit(m_server->options.maxBodySize);
     bool const hasBegun = co_await awaitRequest();
     if (!hasBegun)
         co_return false;
+    // The connection may have been idle while the options changed.
+    auto const maxBodySize = m_server->options.maxBodySize;
+    parser.header_limit(static_cast<uint32_t>(m_server->options.maxHeaderSize));
+    parser.body_limit(maxBodySize);
     // Once the first byte of a request has arrived, the request must get a response.
     // closeIfIdle() would lose it between its reading and its handling.
     m_phase = Phase::Reading;
@@ -202,7 +204,7 @@
     if (!failure && !isRefused())
         failure = co_await continueAfterHead(parser);
     if (!failure && !isRefused())
-        failure = co_await readBody(parser);
+        failure = co_await readBody(parser, maxBodySize);
     if (m_hasGivenWay)
         refuseForMemory();
     m_hasGivenWay = false;
@@ -213,7 +215,7 @@
     m_buffer = Beast::flat_buffer(maxUnparsedBytes);
     if (m_earlyResponse) {
         // The client may be within its limits, and learns the reason only if it can send the rest.
-        m_maxDiscarded = std::max(maxDiscardedBytes, m_server->options.maxBodySize);
+        m_maxDiscarded = std::max(maxDiscardedBytes, maxBodySize);
         m_stream.expires_after(m_server->options.requestTimeout);
         co_await writeResponse(std::move(*m_earlyResponse), 11, false, false);
     } else if (failure != Http::error::end_of_stream) {
@@ -250,10 +252,10 @@
     co_return failure;
 }
 
-Net::awaitable<NetError> Session::readBody(RequestParser& parser)
+Net::awaitable<NetError> Session::readBody(RequestParser& parser, size_t maxSizeOfChunks)
 {
     parser.eager(true);
-    auto const maxSize = static_cast<size_t>(parser.content_length().value_or(m_server->options.maxBodySize));
+    auto const maxSize = static_cast<size_t>(parser.content_length().value_or(maxSizeOfChunks));
     while (!parser.is_done() && !isRefused()) {
         if (!m_body.makeRoom(maxSize, *this)) {
             refuseForMemory();
@@ -267,6 +269,9 @@
         target.size = room.size();
         auto const [failure, size] = co_await Http::async_read_some(m_stream, m_buffer, parser, useTuple);
         m_body.commit(room.size() - target.size);
+        // Without room the same bytes would be read again and again.
+        if (failure == Http::error::need_buffer && room.empty())
+            co_return Http::make_error_code(Http::error::body_limit);
         if (withoutNeedForRoom(failure))
             co_return failure;
         if (!m_hasGivenWay && chargeConnection())
--- a/Libraries/LibProxy/Detail/Session.h
+++ b/Libraries/LibProxy/Detail/Session.h
@@ -77,7 +77,8 @@
     Net::awaitable<bool> readRequest(RequestParser&);
     Net::awaitable<NetError> readHead(RequestParser&);
     Net::awaitable<NetError> continueAfterHead(RequestParser const&);
-    Net::awaitable<NetError> readBody(RequestParser&);
+    // The size bounds a body without an announced length.
+    Net::awaitable<NetError> readBody(RequestParser&, size_t maxSizeOfChunks);
     bool checkHead(RequestParser const&);
     // Whether the rest of the request is not read.
     bool isRefused() const { return m_hasGivenWay || m_earlyResponse; }
--- a/Tests/LibProxy/TestClientLimits.cpp
+++ b/Tests/LibProxy/TestClientLimits.cpp
@@ -124,6 +124,37 @@
     BOOST_TEST(client.receive().find(" 401 ") != std::string::npos);
 }
 
+// Guards against a session that asks for bytes for which it has no room, again and again.
+BOOST_AUTO_TEST_CASE(ALowerLimitAppliesToTheNextRequestOfAnIdleConnection)
+{
+    HttpServerOptions options;
+    LimitedServer server(options);
+    Client const client(server.endpoint);
+    server.loop.runFor(runTime);
+    options.maxBodySize = kilobyte;
+    server.server.setOptions(options);
+    std::string const chunk = "4000\r\n" + std::string(16 * kilobyte, 'x') + "\r\n";
+    client.send("POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n\r\n");
+    server.loop.runFor(runTime);
+    BOOST_TEST(client.receive().find(" 413 ") != std::string::npos);
+    BOOST_TEST(server.requests.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AChunkedBodyOfTheLargestSizeIsTaken)
+{
+    HttpServerOptions options;
+    options.maxBodySize = 32 * kilobyte;
+    LimitedServer server(options);
+    Client const client(server.endpoint);
+    std::string const chunk = "4000\r\n" + std::string(16 * kilobyte, 'x') + "\r\n";
+    client.send("POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + chunk);
+    server.loop.runFor(runTime);
+    client.send("0\r\n\r\n");
+    server.loop.runFor(runTime);
+    BOOST_TEST_REQUIRE(server.requests.size() == 1);
+    BOOST_TEST(server.requests.back()->request().body.size() == options.maxBodySize);
+}
+
 BOOST_AUTO_TEST_CASE(EachRequestOfAConnectionHasItsOwnBody)
 {
     LimitedServer server({});
