HttpServer: Never refuse the balancer's checks for lack of memory

Memory that requests under way need in any case is charged without a limit, so that many of them may take more than all of it. The connections of the balancer's checks were then closed, and the balancer would have taken a busy daemon for one that has ended.

Checks have a use of their own that is never refused: their connections (64 at most) and bodies (4 KiB) are bounded already.

ClientLimitsTests/ChecksAreAnsweredWhileRequestsTakeAllMemory failed with the use that checks had before (no answer) and passes.

--- a/Libraries/LibProxy/ClientMemory.cpp
+++ b/Libraries/LibProxy/ClientMemory.cpp
@@ -30,6 +30,8 @@
 
 uint64_t ClientMemory::limitOf(Use use) const
 {
+    if (use == Use::Check)
+        return UINT64_MAX;
     auto const limit = static_cast<double>(m_limit);
     if (use == Use::LargeBody)
         return static_cast<uint64_t>(limit * largeBodyShare);
--- a/Libraries/LibProxy/ClientMemory.h
+++ b/Libraries/LibProxy/ClientMemory.h
@@ -15,6 +15,8 @@
 public:
     // What memory is needed for. Each use leaves a part of the limit to those before it.
     enum class Use : uint8_t {
+        // Never refused: the load balancer's checks, whose number and size are bounded.
+        Check,
         Connection,
         Request,
         LargeBody,
--- a/Libraries/LibProxy/Detail/Session.cpp
+++ b/Libraries/LibProxy/Detail/Session.cpp
@@ -77,7 +77,8 @@
 
 bool Session::reserveMemory()
 {
-    return m_connectionCharge.tryResize(connectionMemory() + initialReadSize, ClientMemory::Use::Connection, this);
+    auto const use = std::min(m_server->options.requestUse, ClientMemory::Use::Connection);
+    return m_connectionCharge.tryResize(connectionMemory() + initialReadSize, use, this);
 }
 
 Net::awaitable<void> Session::run()
--- a/Services/stagepostd/GatewayServerOptions.cpp
+++ b/Services/stagepostd/GatewayServerOptions.cpp
@@ -23,14 +23,13 @@
     return options;
 }
 
-// The checks come also while callers take all memory that requests may have.
 HttpServerOptions checkServerOptions(ClientLimits const& clients)
 {
     HttpServerOptions options;
     options.apply(clients);
     options.maxBodySize = maxCheckBodySize;
     options.maxConnections = clients.checkConnections;
-    options.requestUse = ClientMemory::Use::Connection;
+    options.requestUse = ClientMemory::Use::Check;
     return options;
 }
 
--- a/Tests/LibProxy/TestClientLimits.cpp
+++ b/Tests/LibProxy/TestClientLimits.cpp
@@ -220,6 +220,20 @@
     BOOST_TEST(server.memory->used() == 0);
 }
 
+// Guards against a balancer that takes a busy daemon for one that has ended: requests under way fill the memory.
+BOOST_AUTO_TEST_CASE(ChecksAreAnsweredWhileRequestsTakeAllMemory)
+{
+    HttpServerOptions options;
+    options.requestUse = ClientMemory::Use::Check;
+    LimitedServer server(options);
+    ClientMemory::Charge others(server.memory);
+    others.resize(2 * server.memory->limit());
+    Client const client(server.endpoint);
+    client.send("GET /readyz HTTP/1.1\r\nHost: a\r\n\r\n");
+    server.loop.runFor(runTime);
+    BOOST_TEST(client.receive().ends_with("answer"));
+}
+
 // Guards against idle clients that keep all others out.
 BOOST_AUTO_TEST_CASE(AnIdleConnectionGivesItsPlaceToANewOne)
 {
