ClientLimits: Assume a small machine where the system doesn't tell its size

If neither the flags nor the system told the machine's memory, clients had one byte of it, and the daemon would have refused every request.

256 MB and 1,024 descriptors are assumed then. ClientMemoryTests/AnUnknownMachineHasRoomForClients failed before and passes.

--- a/Libraries/LibProxy/ClientLimits.cpp
+++ b/Libraries/LibProxy/ClientLimits.cpp
@@ -25,6 +25,10 @@
     constexpr uint64_t minSocketBufferSize = 32u << 10;
     constexpr uint64_t maxSocketBufferSize = 256u << 10;
 
+    // Where the system does not tell them.
+    constexpr uint64_t assumedMemory = 256u << 20;
+    constexpr uint64_t assumedDescriptors = 1024;
+
     size_t shareOf(uint64_t total, double share)
     {
         return std::max<size_t>(1, static_cast<size_t>(static_cast<double>(total) * share));
@@ -35,8 +39,8 @@
 ClientLimits ClientLimits::forMachine(Machine const& machine)
 {
     ClientLimits limits;
-    limits.memory = shareOf(machine.memory, memoryShare);
-    auto const all = std::min(machine.descriptors, maxDescriptors);
+    limits.memory = shareOf(machine.memory ? machine.memory : assumedMemory, memoryShare);
+    auto const all = std::min(machine.descriptors ? machine.descriptors : assumedDescriptors, maxDescriptors);
     limits.checkConnections = std::clamp<uint64_t>(all / ownDescriptorsDivisor, 1, maxCheckConnections);
     limits.peerConnections = std::clamp<uint64_t>(all / ownDescriptorsDivisor, 1, maxPeerConnections);
     // A request of another daemon needs a connection to an upstream as well.
--- a/Libraries/LibProxy/ClientLimits.h
+++ b/Libraries/LibProxy/ClientLimits.h
@@ -5,7 +5,7 @@
 
 namespace Stagepost {
 
-// What a process may use.
+// What a process may use; 0 where that is not known.
 struct Machine {
     uint64_t memory { 0 }; // bytes
     uint64_t descriptors { 0 };
--- a/Tests/LibProxy/TestClientMemory.cpp
+++ b/Tests/LibProxy/TestClientMemory.cpp
@@ -162,6 +162,14 @@
     BOOST_TEST(memory->used() <= megabyte / 32);
 }
 
+// Guards against a daemon that refuses everything where the system doesn't tell what the machine has.
+BOOST_AUTO_TEST_CASE(AnUnknownMachineHasRoomForClients)
+{
+    auto const limits = ClientLimits::forMachine({});
+    BOOST_TEST(limits.memory >= 64 * megabyte);
+    BOOST_TEST(limits.connections >= 100);
+}
+
 BOOST_AUTO_TEST_CASE(ClientsNeverTakeAllDescriptors)
 {
     for (uint64_t descriptors = 256; descriptors <= 1u << 20; descriptors += descriptors / 7) {
