Session: Reserve the memory to forward a request before it is taken

What a request needs once it is sent to an upstream was counted only then, without a limit: requests that wait for a place could together take more than all memory of clients.

The forwarder's memory and the kernel's buffers are reserved when the request is complete and can still be refused as not run.

--- a/Libraries/LibProxy/Detail/Session.cpp
+++ b/Libraries/LibProxy/Detail/Session.cpp
@@ -206,6 +206,8 @@
         failure = co_await continueAfterHead(parser);
     if (!failure && !isRefused())
         failure = co_await readBody(parser, maxBodySize);
+    if (!failure && !isRefused())
+        reserveForwardMemory();
     if (m_hasGivenWay)
         refuseForMemory();
     m_hasGivenWay = false;
@@ -323,7 +325,6 @@
         auto* forward = std::get_if<SessionExchange::ForwardAction>(&action);
         if (!forward)
             co_return false;
-        m_responseCharge.resize(forwardMemory(forward->plan));
         Forwarder forwarder(m_server->context, *m_server->upstreams, *exchange, { m_stream, version >= 11, keepAlive, isHead }, forward->plan);
         auto const result = co_await forwarder.run();
         m_isResponseCut = result.failure && forwarder.isResponseEndedByClose();
@@ -333,11 +334,13 @@
     }
 }
 
-// The forwarder, and what the kernel holds of the request for the upstream and of the response for the client.
-size_t Session::forwardMemory(ForwardPlan const& plan) const
+// The forwarder, and what the kernel holds of the request for the upstream and of the response for the client. It is
+// reserved before the handler has the request, which can still be refused then.
+bool Session::reserveForwardMemory()
 {
     auto const bufferSize = m_server->options.socketBufferSize;
-    return sizeof(Forwarder) + bufferSize + std::min(plan.request.body.size(), bufferSize);
+    auto const bytes = sizeof(Forwarder) + bufferSize + std::min(m_body.size(), bufferSize);
+    return m_connectionCharge.tryResize(m_connectionCharge.bytes() + bytes, m_server->options.requestUse, this) || refuseForMemory();
 }
 
 // The kernel may receive a whole buffer before any of it is read, also behind a request that is served.
--- a/Libraries/LibProxy/Detail/Session.h
+++ b/Libraries/LibProxy/Detail/Session.h
@@ -82,15 +82,15 @@
     bool checkHead(RequestParser const&);
     // Whether the rest of the request is not read.
     bool isRefused() const { return m_hasGivenWay || m_earlyResponse; }
-    // Both return false if the request is refused.
+    // These return false if the request is refused.
     bool chargeConnection();
+    bool reserveForwardMemory();
     bool refuseForMemory();
     Net::awaitable<bool> sendResponse(RequestParser const&, std::shared_ptr<SessionExchange>);
     Net::awaitable<bool> writeResponse(HttpResponse, unsigned version, bool keepAlive, bool isHead);
     Net::awaitable<void> rejectUnreadableRequest(NetError);
     Net::awaitable<void> end();
     void watchForDisconnect(std::shared_ptr<SessionExchange> const&);
-    size_t forwardMemory(ForwardPlan const&) const;
     size_t connectionMemory() const;
 
     std::shared_ptr<HttpServer::State> m_server;
--- a/Tests/LibProxy/TestClientLimits.cpp
+++ b/Tests/LibProxy/TestClientLimits.cpp
@@ -187,6 +187,32 @@
     BOOST_TEST(first.receive().empty());
 }
 
+// Guards against requests that wait for an upstream and take more than all memory once they are sent.
+BOOST_AUTO_TEST_CASE(ARequestIsTakenOnlyWithTheMemoryToForwardIt)
+{
+    HttpServerOptions options;
+    options.socketBufferSize = 16 * kilobyte;
+    LimitedServer server(options, 512 * kilobyte);
+    server.answers = false;
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int count = 0; count < 12; ++count) {
+        clients.push_back(std::make_unique<Client>(server.endpoint));
+        clients.back()->send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+        server.loop.runFor(Milliseconds(10));
+    }
+    BOOST_TEST(!server.requests.empty());
+    BOOST_TEST(server.requests.size() < clients.size());
+    BOOST_TEST(clients.back()->receive().ends_with("client-memory-full"));
+    ListeningPort const silent(64);
+    for (auto const& request : server.requests) {
+        ForwardPlan plan;
+        plan.upstream = silent.endpoint;
+        request->forward(plan, [](ForwardResult const&) {});
+    }
+    server.loop.runFor(runTime);
+    BOOST_TEST(server.memory->used() <= server.memory->limit());
+}
+
 BOOST_AUTO_TEST_CASE(AnUnfinishedBodyIsRefusedForAnOrdinaryRequest)
 {
     LimitedServer server({}, 512 * kilobyte);
