ClientLimits: Leave connections to other daemons beside detours

With 4,100 descriptors other daemons had 256 connections, and as many requests may be passed on at a time (--max-detoured 256): while all places were taken, no daemon could fetch this one's state. With 1,024 descriptors a daemon offered 256 places and closed all connections from the 65th on, which the others would count as its failures.

Other daemons have a twelfth of the descriptors (320 at most), and requests that are passed on take four fifths of these: still 256 with 4,100 descriptors. Callers have 1,384 connections there (1,441 before).

ClientMemoryTests/DetoursLeaveConnectionsToOtherDaemons is new; that the state could not be fetched is read, not shown by a run.

--- a/Libraries/LibProxy/ClientLimits.cpp
+++ b/Libraries/LibProxy/ClientLimits.cpp
@@ -14,7 +14,9 @@
     constexpr uint64_t minOwnDescriptors = 64;
     constexpr uint64_t ownDescriptorsDivisor = 16;
     constexpr uint64_t maxCheckConnections = 64;
+    constexpr uint64_t peerConnectionsDivisor = 12;
     constexpr uint64_t maxPeerConnections = 320;
+    constexpr double detouredShare = 0.8;
     // Of the descriptors for callers and upstreams. Each request of a caller may need a connection to an upstream as well.
     constexpr double callerShare = 0.45;
     constexpr double idleUpstreamShare = 0.1;
@@ -42,7 +44,8 @@
     limits.memory = shareOf(machine.memory ? machine.memory : assumedMemory, memoryShare);
     auto const all = std::min(machine.descriptors ? machine.descriptors : assumedDescriptors, maxDescriptors);
     limits.checkConnections = std::clamp<uint64_t>(all / ownDescriptorsDivisor, 1, maxCheckConnections);
-    limits.peerConnections = std::clamp<uint64_t>(all / ownDescriptorsDivisor, 1, maxPeerConnections);
+    limits.peerConnections = std::clamp<uint64_t>(all / peerConnectionsDivisor, 1, maxPeerConnections);
+    limits.detouredRequests = shareOf(limits.peerConnections, detouredShare);
     // A request of another daemon needs a connection to an upstream as well.
     auto const reserved = minOwnDescriptors + all / ownDescriptorsDivisor + limits.checkConnections + 2 * limits.peerConnections;
     auto const left = all - std::min(all, reserved);
--- a/Libraries/LibProxy/ClientLimits.h
+++ b/Libraries/LibProxy/ClientLimits.h
@@ -23,6 +23,8 @@
     size_t connections { 0 };
     size_t checkConnections { 0 };
     size_t peerConnections { 0 };
+    // Requests taken from other daemons at a time. Their connections leave some for the state that others fetch.
+    size_t detouredRequests { 0 };
     // Idle connections to upstreams. Each request under way may have one more.
     size_t idleUpstreamConnections { 0 };
 
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -52,7 +52,7 @@
     , m_rollouts(makeRollouts(std::move(rolloutRecords)))
     , m_portProbe(loop)
     , m_links(m_options.maxDetoured > 0, loop, m_metrics, m_serviceTable, linkHooks())
-    , m_detourServer(m_options.maxDetoured, m_dialect.idField, m_metrics, detourHooks())
+    , m_detourServer(std::min(m_options.maxDetoured, m_options.clients.detouredRequests), m_dialect.idField, m_metrics, detourHooks())
     , m_detourClient(loop, m_metrics, m_dialect, m_links, m_peers)
     , m_router(m_dialect, { [this] { return m_table; }, [this] { return areKeysFresh(); }, [this] { return m_loop.now(); }, m_random })
     , m_crashDetector(loop, m_metrics, m_suspects, m_partSuspects, crashDetectorHooks())
--- a/Tests/LibProxy/TestClientMemory.cpp
+++ b/Tests/LibProxy/TestClientMemory.cpp
@@ -170,6 +170,16 @@
     BOOST_TEST(limits.connections >= 100);
 }
 
+// Guards against detours that keep other daemons from fetching this one's state.
+BOOST_AUTO_TEST_CASE(DetoursLeaveConnectionsToOtherDaemons)
+{
+    for (uint64_t descriptors : { 256, 1024, 4100, 20000 }) {
+        auto const limits = ClientLimits::forMachine({ 260 * megabyte, descriptors });
+        BOOST_TEST(limits.detouredRequests < limits.peerConnections);
+    }
+    BOOST_TEST(ClientLimits::forMachine({ 260 * megabyte, 4100 }).detouredRequests >= 256);
+}
+
 BOOST_AUTO_TEST_CASE(ClientsNeverTakeAllDescriptors)
 {
     for (uint64_t descriptors = 256; descriptors <= 1u << 20; descriptors += descriptors / 7) {
