Tests: Share the checks of both modules of crowds

The checks of a daemon with a crowd, and those of descriptors, stood in both modules. CrowdChecks and DescriptorChecks serve both now.

--- a/Tests/Processes/crowds.py
+++ b/Tests/Processes/crowds.py
@@ -27,7 +27,7 @@
 # No caller of a crowd waits longer for a daemon that doesn't read.
 SEND_SECONDS = 10
 SAMPLE_SECONDS = 0.02
-QUIET_SAMPLES = 10
+QUIET_SAMPLES = 25
 # The state of an open connection in the kernel's table.
 CONNECTED = "01"
 
@@ -147,6 +147,45 @@
     raise AssertionError(f"no answer to {what}: {seen}")
 
 
+class CrowdChecks:
+    """For test cases with a daemon in `entry` that `usage` watches. They say how to send an ordinary request with and without a
+    large body, and the balancer's check."""
+
+    def crowd(self, script, callers=CALLERS, endpoint=None):
+        crowd = Crowd(endpoint or self.entry.endpoint, callers, script)
+        self.addCleanup(crowd.leave)
+        return crowd
+
+    def check(self, *crowds):
+        """Checks the daemon while the crowds are there, and once they have left."""
+        for crowd in crowds:
+            crowd.wait()
+        self.usage.settle()
+        eventually_answered(self.send_ordinary, "an ordinary request beside the crowd")
+        eventually_answered(self.send_balancers_check, "the balancer's check")
+        for crowd in crowds:
+            crowd.leave()
+        eventually_answered(self.send_ordinary_body, "an ordinary request after the crowd")
+        self.usage.stop()
+        self.assertIsNone(self.entry.process.poll(), "the daemon has ended")
+        self.assertLess(self.usage.peak_memory / MEGABYTE, MACHINE_MEMORY / MEGABYTE, "MB of memory")
+
+
+class DescriptorChecks(CrowdChecks):
+    """For those whose clients open more connections than the process may. They say how to use a new configuration, which the
+    daemon has to read from the platform."""
+
+    MAX_DESCRIPTORS = MACHINE_DESCRIPTORS
+
+    def check(self, *crowds):
+        for crowd in crowds:
+            crowd.wait()
+        self.use_new_configuration()
+        super().check(*crowds)
+        self.assertLess(self.usage.peak_descriptors, MACHINE_DESCRIPTORS)
+        self.assertFalse([line for line in self.entry.lines if "Too many open files" in line])
+
+
 # The scripts of a crowd. `head` is a request's header without the fields that frame its body.
 
 
--- a/Tests/Processes/test_client_crowds.py
+++ b/Tests/Processes/test_client_crowds.py
@@ -9,7 +9,7 @@
 import unittest
 from unittest import mock
 
-from crowds import (CALLERS, ENVIRONMENT, IDLE_CONNECTIONS, MACHINE_DESCRIPTORS, MACHINE_MEMORY, MAX_BODY, MEGABYTE, Crowd, Usage, chunked, chunks, descriptor_limit,
+from crowds import (CALLERS, ENVIRONMENT, IDLE_CONNECTIONS, MACHINE_MEMORY, MAX_BODY, MEGABYTE, Crowd, CrowdChecks, DescriptorChecks, Usage, chunked, chunks, descriptor_limit,
                     eventually_answered, open_many, send_after_answer, send_again, send_all, send_in_pieces, send_on_and_on, with_length)
 from fleet import Ports, eventually
 from platform_stand_ins import Store, Upstream
@@ -37,7 +37,7 @@
     return (f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: 60000\r\nX-Api-Key: {key}\r\n{extra}").encode()
 
 
-class DaemonWithCrowd(unittest.TestCase):
+class DaemonWithCrowd(CrowdChecks, unittest.TestCase):
     MAX_DESCRIPTORS = None
 
     def setUp(self):
@@ -47,8 +47,7 @@
         for upstream in self.upstreams.values():
             self.addCleanup(upstream.stop)
             self.store.put("keyed.servers", upstream.instance, upstream.record())
-        services = [{"name": name, "healthPath": "/healthz", "maxConns": 1000} for name in self.upstreams]
-        self.store.put("keyed.op", "config", manifest(3, routes=ROUTES, services=services, limits=LIMITS))
+        self.store.put("keyed.op", "config", self.configuration(3))
         with descriptor_limit(self.MAX_DESCRIPTORS) if self.MAX_DESCRIPTORS else contextlib.nullcontext():
             self.entry = Entry(self.store, "--peer-listen", Ports(3).take(), environment=dict(os.environ, **ENVIRONMENT))
         self.addCleanup(self.entry.stop)
@@ -58,29 +57,23 @@
         self.addCleanup(self.usage.stop)
         self.attempts = 0
 
+    def configuration(self, version, *routes):
+        services = [{"name": name, "healthPath": "/healthz", "maxConns": 1000} for name in self.upstreams]
+        return manifest(version, routes=[*ROUTES, *routes], services=services, limits=LIMITS)
+
     def call(self, path="/lookup/x", body=None):
         self.attempts += 1
         fields = {"Host": HOST, "X-Attempt-Id": f"ordinary-{self.attempts}", "X-Deadline-Ms": "5000", "X-Api-Key": KEY}
         return request(self.entry.endpoint, "POST" if body else "GET", path, body, fields)
 
-    def crowd(self, script, callers=CALLERS, endpoint=None):
-        crowd = Crowd(endpoint or self.entry.endpoint, callers, script)
-        self.addCleanup(crowd.leave)
-        return crowd
-
-    def check(self, *crowds):
-        """Checks the daemon while the crowds are there, and once they have left."""
-        for crowd in crowds:
-            crowd.wait()
-        self.usage.settle()
-        eventually_answered(self.call, "an ordinary request beside the crowd")
-        eventually(self.entry.is_ready, "the balancer's check is answered")
-        for crowd in crowds:
-            crowd.leave()
-        eventually_answered(lambda: self.call(body="y" * 72000), "an ordinary request after the crowd")
-        self.usage.stop()
-        self.assertIsNone(self.entry.process.poll(), "the daemon has ended")
-        self.assertLess(self.usage.peak_memory / MEGABYTE, MACHINE_MEMORY / MEGABYTE, "MB of memory")
+    def send_ordinary(self):
+        return self.call()
+
+    def send_ordinary_body(self):
+        return self.call(body="y" * 72000)
+
+    def send_balancers_check(self):
+        return self.entry.get_ready("/readyz")
 
 
 class Bodies(DaemonWithCrowd):
@@ -239,20 +232,10 @@
         self.check(send_all(with_length(head("/lookup/x"), MAX_BODY) + BODY))
 
 
-class Descriptors(DaemonWithCrowd):
-    """Clients open more connections than the process may."""
-
-    MAX_DESCRIPTORS = MACHINE_DESCRIPTORS
-
-    def check(self, *crowds):
-        for crowd in crowds:
-            crowd.wait()
-        # The daemon still reads the store.
-        self.store.put("keyed.op", "config", manifest(4, routes=[*ROUTES, route("new", "/new/", "safe", "book")], services=[{"name": name, "healthPath": "/healthz", "maxConns": 1000} for name in self.upstreams], limits=LIMITS))
+class Descriptors(DescriptorChecks, DaemonWithCrowd):
+    def use_new_configuration(self):
+        self.store.put("keyed.op", "config", self.configuration(4, route("new", "/new/", "safe", "book")))
         eventually_answered(lambda: self.call("/new/x"), "a request by the new configuration")
-        super().check(*crowds)
-        self.assertLess(self.usage.peak_descriptors, MACHINE_DESCRIPTORS)
-        self.assertFalse([line for line in self.entry.lines if "Too many open files" in line])
 
     def test_idle_connections(self):
         self.check(self.crowd(open_many(b"", IDLE_CONNECTIONS), callers=1))
--- a/Tests/Processes/test_product_client_crowds.py
+++ b/Tests/Processes/test_product_client_crowds.py
@@ -9,7 +9,7 @@
 import unittest
 from unittest import mock
 
-from crowds import (CALLERS, ENVIRONMENT, IDLE_CONNECTIONS, MACHINE_DESCRIPTORS, MACHINE_MEMORY, MAX_BODY, MEGABYTE, Crowd, Usage, chunked, chunks, descriptor_limit,
+from crowds import (ENVIRONMENT, IDLE_CONNECTIONS, MAX_BODY, MEGABYTE, CrowdChecks, DescriptorChecks, Usage, chunked, chunks, descriptor_limit,
                     eventually_answered, open_many, send_after_answer, send_all, send_in_pieces, send_on_and_on, with_length)
 from fleet import OPERATOR_TOKEN, TOKEN, Fleet
 
@@ -23,7 +23,7 @@
     return f"POST {path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {token}\r\n{extra}".encode()
 
 
-class DaemonWithCrowd(Fleet):
+class DaemonWithCrowd(CrowdChecks, Fleet):
     MAX_DESCRIPTORS = None
     MAX_BODY = MAX_BODY
 
@@ -38,24 +38,14 @@
         self.usage = Usage(self.entry, [self.entry.endpoint])
         self.addCleanup(self.usage.stop)
 
-    def crowd(self, script, callers=CALLERS):
-        crowd = Crowd(self.entry.endpoint, callers, script)
-        self.addCleanup(crowd.leave)
-        return crowd
-
-    def check(self, *crowds):
-        """Checks the daemon while the crowds are there, and once they have left."""
-        for crowd in crowds:
-            crowd.wait()
-        self.usage.settle()
-        eventually_answered(lambda: self.entry.call("GET", "/services/book/lookup"), "an ordinary request beside the crowd")
-        eventually_answered(lambda: self.entry.call("GET", "/readyz"), "the balancer's check")
-        for crowd in crowds:
-            crowd.leave()
-        eventually_answered(lambda: self.entry.call("POST", "/services/book/lookup", "y" * 72000), "an ordinary request after the crowd")
-        self.usage.stop()
-        self.assertIsNone(self.entry.process.poll(), "the daemon has ended")
-        self.assertLess(self.usage.peak_memory / MEGABYTE, MACHINE_MEMORY / MEGABYTE, "MB of memory")
+    def send_ordinary(self):
+        return self.entry.call("GET", "/services/book/lookup")
+
+    def send_ordinary_body(self):
+        return self.entry.call("POST", "/services/book/lookup", "y" * 72000)
+
+    def send_balancers_check(self):
+        return self.entry.call("GET", "/readyz")
 
 
 class Bodies(DaemonWithCrowd):
@@ -135,18 +125,10 @@
         self.check(self.crowd(open_many(head(extra="X-Long: " + "x" * 15000), 500), callers=15))
 
 
-class Descriptors(DaemonWithCrowd):
-    MAX_DESCRIPTORS = MACHINE_DESCRIPTORS
-
-    def check(self, *crowds):
-        for crowd in crowds:
-            crowd.wait()
-        # The daemon still reads the log.
+class Descriptors(DescriptorChecks, DaemonWithCrowd):
+    def use_new_configuration(self):
         self.publish(self.settings(organisation="requests_per_second = 90000.0\nin_flight = 10000"))
-        eventually_answered(lambda: self.entry.call("GET", "/services/book/lookup"), "a request after new settings")
-        super().check(*crowds)
-        self.assertLess(self.usage.peak_descriptors, MACHINE_DESCRIPTORS)
-        self.assertFalse([line for line in self.entry.lines if "Too many open files" in line])
+        eventually_answered(self.send_ordinary, "a request after new settings")
 
     def test_idle_connections(self):
         self.check(self.crowd(open_many(b"", IDLE_CONNECTIONS), callers=1))
