--- a/Services/stagepostd/Daemon.cpp
+++ b/Services/stagepostd/Daemon.cpp
@@ -11,6 +11,13 @@
 namespace {
 
     constexpr unsigned statusUnready = 503;
+    // The settings usually arrive within moments of the start.
+    constexpr Milliseconds settingsRetryDelay { 1000 };
+
+    Refusal noSettingsRefusal()
+    {
+        return { RefusalReason::NoSettings, Verdict::NotRun, "this daemon has no settings yet", settingsRetryDelay };
+    }
 
 }
 
@@ -176,7 +183,7 @@
             return checkOperator(head);
         auto const settings = m_settingsFollower.settings();
         if (!settings)
-            return Refusal { RefusalReason::NoSettings, Verdict::NotRun, "this daemon has no settings yet", Milliseconds(1000) };
+            return noSettingsRefusal();
         if (path != "/v1/tickets")
             return checkRequestHead(head, *settings);
         auto const organisation = authenticate(head, *settings);
@@ -282,7 +289,7 @@
 {
     auto const settings = m_settingsFollower.settings();
     if (!settings) {
-        exchange->respond(refuse({ RefusalReason::NoSettings, Verdict::NotRun, "this daemon has no settings yet", Milliseconds(1000) }));
+        exchange->respond(refuse(noSettingsRefusal()));
         return;
     }
     auto request = readRequest(exchange->request(), *settings, m_loop.now());
@@ -315,7 +322,7 @@
 {
     auto const settings = m_settingsFollower.settings();
     if (!settings)
-        return refuse({ RefusalReason::NoSettings, Verdict::NotRun, "this daemon has no settings yet", Milliseconds(1000) });
+        return refuse(noSettingsRefusal());
     auto const organisation = authenticate(call, *settings);
     if (auto const* refusal = std::get_if<Refusal>(&organisation))
         return refuse(*refusal);
