--- a/Tests/platform/TestFleetRegistry.cpp
+++ b/Tests/platform/TestFleetRegistry.cpp
@@ -67,7 +67,7 @@
 
     std::string append(std::string const& body)
     {
-        auto const keySize = static_cast<size_t>(body[4]);
+        auto const keySize = static_cast<size_t>(static_cast<unsigned char>(body[4]));
         records.emplace_back(body.substr(5, keySize), body.substr(5 + keySize));
         return nlohmann::json { { "offset", records.size() - 1 }, { "end", records.size() } }.dump();
     }
