Verdict: Take a proof for "not run", and say in the log which

What callers saw: a request that may not be repeated got a status that says that it has not run, and ran. The daemon's line of a request has its verdict, but not what the verdict rests on, so that an answer that proves nothing and a path that leaves the initial value look the same.

Cause of the class: "not run" was the initial value of Refusal, ForwardResult, RequestAttempts and of the forwarder's result, so that a path which left something out told callers "not run".

Change: a verdict of "not run" is made from a NotRunProof only, which has a private constructor and one factory for each ground. Refusal has no default verdict, and ForwardResult begins at MayHaveRun. RequestAttempts counts a send as open from recordSend(), or beginDetour(), until the verdict of that send is recorded; as long as it is open, the request may have run. The line of a request has the proof, and stagepost_not_run_total counts refusals by it.

Evidence: ASendThatHasNotEndedMayHaveRun, which the interface before could not state.

--- a/Libraries/LibBase/Metrics.cpp
+++ b/Libraries/LibBase/Metrics.cpp
@@ -56,6 +56,8 @@
 {
     count("stagepost_refusals_total", reasonLabel(nameOf(refusal.reason)));
     count("stagepost_verdicts_total", "verdict=\"" + std::string(nameOf(refusal.verdict)) + '"');
+    if (auto const proof = refusal.verdict.proof())
+        count("stagepost_not_run_total", "proof=\"" + std::string(proof->name()) + '"');
 }
 
 void Metrics::countRetry(std::string_view reason)
--- a/Libraries/LibBase/RefusalReason.h
+++ b/Libraries/LibBase/RefusalReason.h
@@ -65,7 +65,7 @@
 // What a caller is told about a request that no upstream answered.
 struct Refusal {
     RefusalReason reason { RefusalReason::BadRequest };
-    Verdict verdict { Verdict::NotRun };
+    Verdict verdict;
     std::string detail;
     // How long to wait before a retry; empty if waiting does not help.
     std::optional<Milliseconds> retryAfter;
--- a/Libraries/LibBase/Verdict.cpp
+++ b/Libraries/LibBase/Verdict.cpp
@@ -1,25 +1,43 @@
 #include <LibBase/Verdict.h>
 
-#include <algorithm>
-
 namespace Stagepost {
 
+std::string_view NotRunProof::name() const
+{
+    switch (m_ground) {
+    case Ground::NothingSent:
+        return "nothing-sent";
+    case Ground::NotConnected:
+        return "not-connected";
+    case Ground::OtherInstance:
+        return "other-instance";
+    case Ground::UpstreamSaidSo:
+        return "upstream-said-so";
+    case Ground::OtherDaemonSaidSo:
+        return "other-daemon-said-so";
+    }
+    return "unknown";
+}
+
+std::string_view Verdict::proofName() const
+{
+    return m_proof ? m_proof->name() : "none";
+}
+
 std::string_view nameOf(Verdict verdict)
 {
-    switch (verdict) {
-    case Verdict::NotRun:
+    if (verdict.isNotRun())
         return "not-run";
-    case Verdict::MayHaveRun:
-        return "may-have-run";
-    case Verdict::Ran:
-        return "ran";
-    }
-    return "may-have-run";
+    return verdict == Verdict::Ran ? "ran" : "may-have-run";
 }
 
 Verdict combine(Verdict first, Verdict second)
 {
-    return std::max(first, second);
+    if (first == Verdict::Ran || second == Verdict::Ran)
+        return Verdict::Ran;
+    if (!first.m_proof || !second.m_proof)
+        return Verdict::MayHaveRun;
+    return first.m_proof->m_ground < second.m_proof->m_ground ? second : first;
 }
 
 }
--- a/Libraries/LibOnce/ClaimGate.cpp
+++ b/Libraries/LibOnce/ClaimGate.cpp
@@ -16,11 +16,11 @@
 
     Refusal const keyExpired { RefusalReason::KeyOutOfWindow, Verdict::MayHaveRun, "the key is older than what is remembered", {} };
     Refusal const claimMayBeLost { RefusalReason::KeyOutOfWindow, Verdict::MayHaveRun, "the log came back from a copy and may have lost what the key did", {} };
-    Refusal const keyInFuture { RefusalReason::KeyOutOfWindow, Verdict::NotRun, "the key's time is in the future", {} };
+    Refusal const keyInFuture { RefusalReason::KeyOutOfWindow, NotRunProof::nothingSent(), "the key's time is in the future", {} };
 
     Refusal notRun(RefusalReason reason, char const* detail)
     {
-        return { reason, Verdict::NotRun, detail, retryDelay };
+        return { reason, NotRunProof::nothingSent(), detail, retryDelay };
     }
 
 }
@@ -104,7 +104,7 @@
     if (!entry || entry->nonce == ownNonce)
         return mayHaveLostClaim(shard, key) ? std::optional<Decision>(claimMayBeLost) : std::nullopt;
     if (entry->fingerprint != fingerprint)
-        return Refusal { RefusalReason::KeyReused, Verdict::NotRun, "the key was used for another request", {} };
+        return Refusal { RefusalReason::KeyReused, NotRunProof::nothingSent(), "the key was used for another request", {} };
     if (entry->state == ClaimTable::State::Done && entry->response.isComplete)
         return Replay { entry->response };
     if (entry->state == ClaimTable::State::Done)
--- a/Libraries/LibOnce/TicketRegistry.cpp
+++ b/Libraries/LibOnce/TicketRegistry.cpp
@@ -72,7 +72,7 @@
 
 TicketRegistry::Decision TicketRegistry::redeem(std::string_view ticket, OrganisationId organisation, uint64_t fingerprint)
 {
-    Refusal const invalid { RefusalReason::TicketInvalid, Verdict::NotRun, "not a ticket of this fleet and organisation", {} };
+    Refusal const invalid { RefusalReason::TicketInvalid, NotRunProof::nothingSent(), "not a ticket of this fleet and organisation", {} };
     if (ticket.size() != ticketSize)
         return invalid;
     std::string const payload(ticket.substr(0, ticketSize - fieldSize));
@@ -87,7 +87,7 @@
     if (!slot)
         return Refusal { RefusalReason::KeyOutOfWindow, Verdict::MayHaveRun, "the ticket is older than what is remembered", {} };
     if (slot->state != State::Unused && slot->fingerprint != fingerprint)
-        return Refusal { RefusalReason::KeyReused, Verdict::NotRun, "the ticket was used for another request", {} };
+        return Refusal { RefusalReason::KeyReused, NotRunProof::nothingSent(), "the ticket was used for another request", {} };
     switch (slot->state) {
     case State::Unused:
         slot->state = State::Running;
--- a/Libraries/LibProxy/Detail/Exchange.cpp
+++ b/Libraries/LibProxy/Detail/Exchange.cpp
@@ -7,6 +7,7 @@
     ForwardResult callerGone()
     {
         ForwardResult result;
+        result.verdict = NotRunProof::nothingSent();
         result.failure = RefusalReason::CallerGone;
         result.detail = "the client left before its request was sent";
         return result;
--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -119,7 +119,7 @@
 {
     if (!m_connection)
         return;
-    bool const isWhole = !m_result.failure || m_result.verdict == Verdict::NotRun;
+    bool const isWhole = !m_result.failure || m_result.verdict.isNotRun();
     m_connection->isAnswered = isWhole && m_parser->is_done();
     if (mayReuseConnection()) {
         m_connections.release(m_plan.upstream, std::move(m_connection), m_plan.maxIdleConnections);
@@ -145,6 +145,7 @@
     auto [failure] = co_await m_connection->stream.async_connect(toNativeEndpoint<Tcp>(m_plan.upstream), useTuple);
     if (failure || m_exchange.isClientDisconnected() || m_watchdog->hasExpired()) {
         m_result.deadlineReached = m_watchdog->hasReachedDeadline();
+        m_result.verdict = NotRunProof::notConnected();
         fail(RefusalReason::UpstreamRefused, m_plan.upstream.toString() + ": " + failure.message());
         co_return false;
     }
@@ -158,7 +159,6 @@
 
 void Forwarder::sendRequest()
 {
-    m_result.verdict = Verdict::MayHaveRun;
     m_watchdog->restart(m_plan.responseHeaderTimeout);
     m_watchdog->setExtendCallback([this] { return handleSilence(); });
     startWritingRequest(m_connection, m_plan, m_requestId);
@@ -239,7 +239,7 @@
 Net::awaitable<void> Forwarder::drainRejectedBody()
 {
     bool const isShort = m_parser->content_length().value_or(maxDrainedBodySize + 1) <= maxDrainedBodySize;
-    if (m_result.verdict != Verdict::NotRun || !isShort)
+    if (!m_result.verdict.isNotRun() || !isShort)
         co_return;
     std::string_view ignored;
     bool canContinue = true;
--- a/Libraries/LibProxy/Detail/Session.cpp
+++ b/Libraries/LibProxy/Detail/Session.cpp
@@ -41,14 +41,14 @@
     Refusal refusalForReadError(NetError failure)
     {
         if (failure == Http::error::body_limit)
-            return { RefusalReason::BodyTooLarge, Verdict::NotRun, "the body is larger than this daemon takes", {} };
+            return { RefusalReason::BodyTooLarge, NotRunProof::nothingSent(), "the body is larger than this daemon takes", {} };
         if (failure == Http::error::header_limit || failure == Http::error::buffer_overflow)
-            return { RefusalReason::HeadersTooLarge, Verdict::NotRun, "the header fields are larger than this daemon takes", {} };
+            return { RefusalReason::HeadersTooLarge, NotRunProof::nothingSent(), "the header fields are larger than this daemon takes", {} };
         if (failure == Beast::error::timeout)
-            return { RefusalReason::SlowCaller, Verdict::NotRun, "the request did not arrive in time", {} };
+            return { RefusalReason::SlowCaller, NotRunProof::nothingSent(), "the request did not arrive in time", {} };
         if (failure == Http::error::partial_message)
-            return { RefusalReason::BadRequest, Verdict::NotRun, "the request ended before it was complete", {} };
-        return { RefusalReason::BadRequest, Verdict::NotRun, failure.message(), {} };
+            return { RefusalReason::BadRequest, NotRunProof::nothingSent(), "the request ended before it was complete", {} };
+        return { RefusalReason::BadRequest, NotRunProof::nothingSent(), failure.message(), {} };
     }
 
     // Reads that only lacked room for the body have not failed.
@@ -299,7 +299,7 @@
 
 bool Session::refuseForMemory()
 {
-    m_earlyResponse = m_server->refusalHook({ RefusalReason::ClientMemoryFull, Verdict::NotRun, "the requests under way take all memory that this daemon has for them", memoryRetryDelay });
+    m_earlyResponse = m_server->refusalHook({ RefusalReason::ClientMemoryFull, NotRunProof::nothingSent(), "the requests under way take all memory that this daemon has for them", memoryRetryDelay });
     return false;
 }
 
--- a/Libraries/LibProxy/ForwardResult.h
+++ b/Libraries/LibProxy/ForwardResult.h
@@ -11,8 +11,8 @@
 
 // The outcome of forwarding a request to one upstream.
 struct ForwardResult {
-    // NotRun if no connection came up, or if the response filter determined it.
-    Verdict verdict { Verdict::NotRun };
+    // Not run if nothing was sent, or if the response filter determined it.
+    Verdict verdict { Verdict::MayHaveRun };
     // Empty if the client received the complete response.
     std::optional<RefusalReason> failure;
     std::string detail;
@@ -48,7 +48,7 @@
     bool hasForeignBytes { false };
 
     // Whether nothing of the request was sent.
-    bool isUnconnected() const { return failure && verdict == Verdict::NotRun && failure != RefusalReason::OverCapacity; }
+    bool isUnconnected() const { return failure && verdict.isNotRun() && failure != RefusalReason::OverCapacity; }
     // Whether it failed because the client has disconnected or does not read the response.
     bool isCallerLost() const { return failure == RefusalReason::CallerGone || failure == RefusalReason::SlowCaller; }
 };
--- a/Libraries/LibRouting/LeaseClient.cpp
+++ b/Libraries/LibRouting/LeaseClient.cpp
@@ -136,7 +136,7 @@
 void LeaseClient::queueAtFullUpstream(RequestNumber number, PendingPlacement& pending, Instant now)
 {
     if (now >= pending.request.deadline) {
-        complete(number, Refusal { RefusalReason::DeadlinePassed, Verdict::NotRun, "no place before the deadline", Milliseconds(1000) });
+        complete(number, Refusal { RefusalReason::DeadlinePassed, NotRunProof::nothingSent(), "no place before the deadline", Milliseconds(1000) });
         return;
     }
     if (pending.full.empty() && scheduleRestart(pending, now))
@@ -307,9 +307,9 @@
         if (!outstanding.isFinalAttempt)
             pending.full.push_back({ outstanding.candidate.upstream, response.estimate, response.load });
         else
-            pending.refusal = { RefusalReason::DeadlinePassed, Verdict::NotRun, "no place before the deadline", std::chrono::ceil<Milliseconds>(response.estimate) };
+            pending.refusal = { RefusalReason::DeadlinePassed, NotRunProof::nothingSent(), "no place before the deadline", std::chrono::ceil<Milliseconds>(response.estimate) };
     } else {
-        pending.refusal = { response.reason, Verdict::NotRun, "the upstream's owner refused it", std::chrono::ceil<Milliseconds>(response.estimate) };
+        pending.refusal = { response.reason, NotRunProof::nothingSent(), "the upstream's owner refused it", std::chrono::ceil<Milliseconds>(response.estimate) };
     }
     tryNextCandidate(outstanding.placement, now);
 }
--- a/Libraries/LibRouting/LeaseClient.h
+++ b/Libraries/LibRouting/LeaseClient.h
@@ -87,7 +87,7 @@
         std::deque<Candidate> candidates;
         std::vector<UpstreamId> tried;
         std::vector<FullUpstream> full;
-        Refusal refusal { RefusalReason::NoUpstream, Verdict::NotRun, "no upstream could be asked", {} };
+        Refusal refusal { RefusalReason::NoUpstream, NotRunProof::nothingSent(), "no upstream could be asked", {} };
         // A lease at an upstream without the context, held while other upstreams are probed
         // for the context.
         std::optional<Lease> leaseWithoutContext;
--- a/Libraries/LibRouting/OrganisationLimiter.cpp
+++ b/Libraries/LibRouting/OrganisationLimiter.cpp
@@ -69,10 +69,10 @@
     if (m_tokens < 1) {
         auto const rate = std::max(1e-3, m_limits.requestsPerSecond * m_rateShare);
         auto const wait = Milliseconds(static_cast<int64_t>(std::ceil((1 - m_tokens) / rate * 1000)));
-        return Refusal { RefusalReason::OrganisationRate, Verdict::NotRun, "the organisation's rate is used up", wait };
+        return Refusal { RefusalReason::OrganisationRate, NotRunProof::nothingSent(), "the organisation's rate is used up", wait };
     }
     if (static_cast<double>(m_inFlight) >= inFlightLimit())
-        return Refusal { RefusalReason::OrganisationInFlight, Verdict::NotRun, "the organisation has as many requests in flight as it may", inFlightRetryAfter };
+        return Refusal { RefusalReason::OrganisationInFlight, NotRunProof::nothingSent(), "the organisation has as many requests in flight as it may", inFlightRetryAfter };
     m_tokens -= 1;
     ++m_inFlight;
     return {};
--- a/Libraries/LibRouting/RequestAttempts.cpp
+++ b/Libraries/LibRouting/RequestAttempts.cpp
@@ -64,7 +64,7 @@
 
 void RequestAttempts::recordMove(UpstreamId silent)
 {
-    m_verdict = combine(m_verdict, Verdict::MayHaveRun);
+    endSend(Verdict::MayHaveRun);
     m_failed.push_back(silent);
 }
 
@@ -78,7 +78,7 @@
 {
     if (!hasArrived())
         return true;
-    bool const isAllowed = m_verdict == Verdict::NotRun || (m_limits.isRepeatable && m_sends < m_limits.maxSends);
+    bool const isAllowed = verdict().isNotRun() || (m_limits.isRepeatable && m_sends < m_limits.maxSends);
     return isAllowed && m_budget.mayRetry(now);
 }
 
@@ -121,6 +121,13 @@
 void RequestAttempts::recordSend()
 {
     ++m_sends;
+    m_isSendOpen = true;
+}
+
+void RequestAttempts::endSend(Verdict verdict)
+{
+    m_verdict = combine(m_verdict, verdict);
+    m_isSendOpen = false;
 }
 
 bool RequestAttempts::recordFailure(UpstreamId upstream, FailedAttempt const& attempt, Instant now)
@@ -133,7 +140,7 @@
         --m_sends;
         ++m_rejections;
     }
-    m_verdict = combine(m_verdict, attempt.verdict);
+    endSend(attempt.verdict);
     m_failed.push_back(upstream);
     if (!maySendAgain(attempt, now))
         return false;
@@ -146,7 +153,7 @@
 {
     if (attempt.isCallerLost || attempt.deadlinePassed || attempt.cannotBeContinued || attempt.mayCrashUpstreams || isOver(now))
         return false;
-    if (attempt.verdict != Verdict::NotRun && !m_limits.isRepeatable)
+    if (!attempt.verdict.isNotRun() && !m_limits.isRepeatable)
         return false;
     if (attempt.isUnconnected && m_sends == 0 && m_rejections == 0)
         return m_connectFailures < maxConnectFailures;
--- a/Libraries/LibRouting/RequestAttempts.h
+++ b/Libraries/LibRouting/RequestAttempts.h
@@ -96,15 +96,17 @@
     // Records a failed attempt. Returns true if the request is to be sent to another upstream.
     // That counts against the budget, unless no connection was established.
     bool recordFailure(UpstreamId, FailedAttempt const&, Instant now);
-    void recordResponse() { m_verdict = Verdict::Ran; }
-    // Records how another daemon's attempts at the request have ended.
-    void recordDetour(Verdict verdict) { m_verdict = combine(m_verdict, verdict); }
+    void recordResponse() { endSend(Verdict::Ran); }
+    // The request is being passed on to another daemon, until endDetour() records how its attempts have ended.
+    void beginDetour() { m_isSendOpen = true; }
+    void endDetour(Verdict verdict) { endSend(verdict); }
 
     // Returns the delay after which the caller should retry. It is short enough for the
     // second response to still meet the objective.
     Milliseconds retryAfter() const;
 
-    Verdict verdict() const { return m_verdict; }
+    // A send that has not ended may have run the request.
+    Verdict verdict() const { return m_isSendOpen ? combine(m_verdict, Verdict::MayHaveRun) : m_verdict; }
     // Number of times that the request was, or may have been, executed.
     size_t sends() const { return m_sends; }
     // Number of times that an upstream rejected the request without executing it.
@@ -117,6 +119,7 @@
 private:
     bool maySendAgain(FailedAttempt const&, Instant now) const;
     bool isSendLeft(Instant now) const;
+    void endSend(Verdict);
 
     AttemptLimits m_limits;
     RetryBudget& m_budget;
@@ -124,7 +127,9 @@
     size_t m_sends { 0 };
     size_t m_connectFailures { 0 };
     size_t m_rejections { 0 };
-    Verdict m_verdict { Verdict::NotRun };
+    // Of the sends that have ended, the proof of each included.
+    Verdict m_verdict { NotRunProof::nothingSent() };
+    bool m_isSendOpen { false };
 };
 
 }
--- a/Libraries/LibRouting/RetryPolicy.cpp
+++ b/Libraries/LibRouting/RetryPolicy.cpp
@@ -36,7 +36,7 @@
         return RetryDecision::CallerGone;
     if (context.answerStarted)
         return RetryDecision::AnswerStarted;
-    if (context.verdict != Verdict::NotRun && !context.isRepeatable)
+    if (!context.verdict.isNotRun() && !context.isRepeatable)
         return RetryDecision::MayHaveRun;
     if (context.attempts >= context.maxAttempts)
         return RetryDecision::TooManyTries;
--- a/Services/stagepostd/Daemon.cpp
+++ b/Services/stagepostd/Daemon.cpp
@@ -16,7 +16,7 @@
 
     Refusal noSettingsRefusal()
     {
-        return { RefusalReason::NoSettings, Verdict::NotRun, "this daemon has no settings yet", settingsRetryDelay };
+        return { RefusalReason::NoSettings, NotRunProof::nothingSent(), "this daemon has no settings yet", settingsRetryDelay };
     }
 
 }
@@ -248,7 +248,7 @@
     auto const expected = m_authenticator.computeTag("Bearer " + m_options.operatorToken);
     if (call.method == "POST" && m_authenticator.verifyTag(call.headers.find("Authorization"), expected))
         return {};
-    return Refusal { RefusalReason::WrongToken, Verdict::NotRun, "the operator's token is wrong or missing", {} };
+    return Refusal { RefusalReason::WrongToken, NotRunProof::nothingSent(), "the operator's token is wrong or missing", {} };
 }
 
 HttpResponse Daemon::handleOperatorRequest(HttpRequest const& call)
--- a/Services/stagepostd/DetourClient.cpp
+++ b/Services/stagepostd/DetourClient.cpp
@@ -29,9 +29,9 @@
         return result.failure == RefusalReason::UpstreamBroken && result.status;
     }
 
-    Verdict verdictFromName(std::string_view name)
+    Verdict verdictOfOtherDaemon(std::string_view name)
     {
-        for (auto const verdict : { Verdict::NotRun, Verdict::Ran }) {
+        for (auto const verdict : { Verdict(NotRunProof::otherDaemonSaidSo()), Verdict::Ran }) {
             if (name == nameOf(verdict))
                 return verdict;
         }
@@ -113,12 +113,12 @@
             return ResponseRejection { RefusalReason::UpstreamMixedAnswer, Verdict::MayHaveRun, "a success without an upstream's signature" };
         return {};
     }
-    auto const verdict = verdictFromName(headers.find("Stagepost-Verdict"));
+    auto const verdict = verdictOfOtherDaemon(headers.find("Stagepost-Verdict"));
     auto const reason = std::string(headers.find("Stagepost-Reason"));
     // This daemon has accepted the request, so the other one's reason, such as an unknown key, is not
     // the caller's.
     detour.mayTryElsewhere = headers.find(DetourServer::refusalHeader) == DetourServer::refusedHere;
-    detour.outcome.refusal = Refusal { verdict == Verdict::NotRun ? RefusalReason::NoUpstream : RefusalReason::UpstreamBroken, verdict, "the other daemon answered " + reason, parseRetryAfter(headers.find("Retry-After")) };
+    detour.outcome.refusal = Refusal { verdict.isNotRun() ? RefusalReason::NoUpstream : RefusalReason::UpstreamBroken, verdict, "the other daemon answered " + reason, parseRetryAfter(headers.find("Retry-After")) };
     return ResponseRejection { RefusalReason::OverCapacity, verdict, detour.outcome.refusal->detail };
 }
 
@@ -132,17 +132,19 @@
     auto plan = makePlan(*detour, *m_peers.endpointOf(daemon));
     plan.responseFilter = [this, detour](unsigned status, HttpFields const& headers) { return checkResponseHeader(*detour, status, headers); };
     m_peers.detourStarted(daemon);
+    detour->request.attempts.beginDetour();
     detour->request.exchange->forward(std::move(plan), [this, detour, daemon](ForwardResult const& result) { finishSend(detour, daemon, result); });
 }
 
 void DetourClient::finishSend(std::shared_ptr<Detour> const& detour, VMId daemon, ForwardResult const& result)
 {
     countForwardEnd(m_metrics, result);
+    detour->request.attempts.endDetour(result.verdict);
     bool const isFailure = result.failure && !result.isCallerLost();
     bool const isDaemonAtFault = isFailure && !mayBeUpstreamsCut(result) && (!detour->outcome.refusal || detour->mayTryElsewhere);
     m_peers.detourEnded(daemon, isDaemonAtFault);
     detour->outcome.result = result;
-    if (isDaemonAtFault && result.verdict == Verdict::NotRun && !result.deadlineReached && detour->tried.size() < maxDaemonsTried) {
+    if (isDaemonAtFault && result.verdict.isNotRun() && !result.deadlineReached && detour->tried.size() < maxDaemonsTried) {
         chooseDaemon(detour);
         return;
     }
--- a/Services/stagepostd/DetourClient.h
+++ b/Services/stagepostd/DetourClient.h
@@ -24,7 +24,7 @@
     struct Request {
         std::shared_ptr<Exchange> exchange;
         RoutedRequest const& routed;
-        RequestAttempts const& attempts;
+        RequestAttempts& attempts;
         std::shared_ptr<EventProgress> progress;
         // Whether it counts for this daemon's retry budget.
         bool isCounted { false };
--- a/Services/stagepostd/DetourServer.cpp
+++ b/Services/stagepostd/DetourServer.cpp
@@ -41,7 +41,7 @@
 
         void respond(HttpResponse response) override
         {
-            bool const isOwnReason = response.headers.find("Stagepost-Verdict") == nameOf(Verdict::NotRun) && concernsOneDaemon(response.headers.find("Stagepost-Reason"));
+            bool const isOwnReason = response.headers.find("Stagepost-Verdict") == nameOf(Verdict(NotRunProof::nothingSent())) && concernsOneDaemon(response.headers.find("Stagepost-Reason"));
             respond(std::move(response), isOwnReason ? DetourServer::refusedHere : DetourServer::refusedFinally);
         }
 
@@ -73,11 +73,11 @@
 {
     auto const refusal = [&]() -> std::optional<Refusal> {
         if (!isAvailable())
-            return Refusal { RefusalReason::NoUpstream, Verdict::NotRun, "this daemon takes no requests of others now", {} };
+            return Refusal { RefusalReason::NoUpstream, NotRunProof::nothingSent(), "this daemon takes no requests of others now", {} };
         if (m_hooks.settingsVersion() < terms.settingsVersion)
-            return Refusal { RefusalReason::SettingsTooOld, Verdict::NotRun, "this daemon has an older configuration", {} };
+            return Refusal { RefusalReason::SettingsTooOld, NotRunProof::nothingSent(), "this daemon has an older configuration", {} };
         if (!terms.sendsLeft)
-            return Refusal { RefusalReason::NoUpstream, Verdict::NotRun, "the request may be sent to no more upstreams", {} };
+            return Refusal { RefusalReason::NoUpstream, NotRunProof::nothingSent(), "the request may be sent to no more upstreams", {} };
         return {};
     }();
     auto const detoured = std::make_shared<DetouredExchange>(std::move(exchange), m_requestIdField, m_open);
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -20,8 +20,6 @@
     constexpr Milliseconds portTimeout { 500 };
     constexpr Milliseconds linkProbeTimeout { 100 };
     constexpr unsigned statusUnready = 503;
-    // When a caller may return whose service has its share of this daemon.
-    constexpr Milliseconds serviceRetryDelay { 250 };
 
     FleetShare makeFleetShare(GatewayOptions const& options, Instant now)
     {
@@ -606,7 +604,7 @@
 HttpResponse Gateway::refuseUnrouted(HttpRequest const& request, Refusal const& refusal)
 {
     logRequest(
-        { { "id", m_dialect.readCall(request).id }, { "outcome", "refused" }, { "reason", nameOf(refusal.reason) },
+        { { "id", m_dialect.readCall(request).id }, { "outcome", "refused" }, { "reason", nameOf(refusal.reason) }, { "verdict", nameOf(refusal.verdict) }, { "proof", refusal.verdict.proofName() },
             { "settings", settingsVersion() }, { "settings_age_ms", settingsAgeMilliseconds() } });
     return refuse(refusal);
 }
@@ -627,7 +625,7 @@
     if (auto* request = std::get_if<RoutedRequest>(&routed)) {
         request->share = m_serviceShares.enter(request->service, exchange->request().body.size());
         if (!request->share)
-            routed = Refusal { RefusalReason::OverCapacity, Verdict::NotRun, "the requests to this service take all that this daemon has for one", serviceRetryDelay };
+            routed = ServiceShares::refusal();
     }
     if (auto const* refusal = std::get_if<Refusal>(&routed))
         exchange->respond(refuseUnrouted(exchange->request(), *refusal));
--- a/Services/stagepostd/GatewayReply.cpp
+++ b/Services/stagepostd/GatewayReply.cpp
@@ -24,7 +24,7 @@
 unsigned gatewayStatusOf(Refusal const& refusal)
 {
     auto const status = httpStatusOf(refusal.reason);
-    if (refusal.verdict == Verdict::NotRun)
+    if (refusal.verdict.isNotRun())
         return status >= firstServerError ? statusUnavailable : status;
     return status == statusUnavailable ? statusBadGateway : status;
 }
@@ -39,7 +39,7 @@
     auto reply = refusalReply(refusal);
     reply.status = gatewayStatusOf(refusal);
     reply.headers.remove("Retry-After");
-    if (refusal.retryAfter && refusal.verdict == Verdict::NotRun)
+    if (refusal.retryAfter && refusal.verdict.isNotRun())
         reply.headers.add("Retry-After", secondsOf(*refusal.retryAfter));
     return reply;
 }
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -55,7 +55,7 @@
         m_service.retries.recordRequest(m_services.loop.now());
     auto const occupancy = m_service.placement.occupancy();
     if (!m_service.gate.admits(occupancy, m_request.priority)) {
-        refuse({ RefusalReason::QueueFull, Verdict::NotRun, "the service has fewer places than requests", m_service.gate.retryDelay(occupancy) });
+        refuse({ RefusalReason::QueueFull, NotRunProof::nothingSent(), "the service has fewer places than requests", m_service.gate.retryDelay(occupancy) });
         return;
     }
     if (m_request.call.prompt.sharedParts().empty())
@@ -195,11 +195,9 @@
         m_services.metrics.count("stagepost_answers_total");
         log("answered", result, "none", m_attempts.verdict());
     } else {
-        m_attempts.recordDetour(result.verdict);
-        if (outcome.refusal && !result.isCallerLost() && !result.responseStarted)
-            refuse({ outcome.refusal->reason, m_attempts.verdict(), result.detail, outcome.refusal->retryAfter });
-        else
-            failRequest(result);
+    } else if (outcome.refusal && !result.isCallerLost() && !result.responseStarted) {
+        refuse({ outcome.refusal->reason, m_attempts.verdict(), result.detail, outcome.refusal->retryAfter });
+        failRequest(result);
     }
 }
 
@@ -438,7 +436,7 @@
     if (response.isLeaving)
         m_services.serviceTable.markLeaving(upstream, now);
     if (response.isNotRun)
-        return ResponseRejection { RefusalReason::OverCapacity, Verdict::NotRun, "the upstream has not run the request" };
+        return ResponseRejection { RefusalReason::OverCapacity, NotRunProof::upstreamSaidSo(), "the upstream has not run the request" };
     if (status >= 200 && status < 300 && !response.isSigned)
         return ResponseRejection { RefusalReason::UpstreamMixedAnswer, Verdict::MayHaveRun, "a success without the upstream's signature" };
     if (promisesNotRun(status) && !m_request.route->isRepeatable())
@@ -525,11 +523,11 @@
     FailedAttempt attempt;
     attempt.verdict = result.verdict;
     attempt.isUnconnected = result.isUnconnected();
-    attempt.isRejected = result.verdict == Verdict::NotRun && result.failure == RefusalReason::OverCapacity;
+    attempt.isRejected = result.verdict.isNotRun() && result.failure == RefusalReason::OverCapacity;
     attempt.deadlinePassed = result.deadlineReached;
     attempt.isCallerLost = result.isCallerLost();
     attempt.cannotBeContinued = !result.canBeContinued;
-    attempt.mayCrashUpstreams = attempt.verdict != Verdict::NotRun && m_evidence.mayCrashUpstreams();
+    attempt.mayCrashUpstreams = !attempt.verdict.isNotRun() && m_evidence.mayCrashUpstreams();
     if (m_attempts.recordFailure(upstream, attempt, m_services.loop.now())) {
         recordRetry(result);
         placeRequest();
@@ -673,7 +671,7 @@
     log("refused", none, nameOf(refusal.reason), refusal.verdict);
     auto reply = refusal;
     // The daemon that passed the request on would try another one, and nobody would count that as a retry.
-    if (m_request.detour && m_attempts.hasArrived() && refusal.verdict == Verdict::NotRun)
+    if (m_request.detour && m_attempts.hasArrived() && refusal.verdict.isNotRun())
         reply.reason = RefusalReason::OverCapacity;
     m_exchange->respond(gatewayReply(reply));
 }
@@ -696,7 +694,7 @@
 {
     auto const now = m_services.loop.now();
     logRequest(
-        { { "id", m_request.call.id }, { "request", outcome == "answered" ? "" : toHex(m_evidence.fingerprint().value()) }, { "outcome", outcome }, { "reason", reason }, { "verdict", nameOf(verdict) },
+        { { "id", m_request.call.id }, { "request", outcome == "answered" ? "" : toHex(m_evidence.fingerprint().value()) }, { "outcome", outcome }, { "reason", reason }, { "verdict", nameOf(verdict) }, { "proof", verdict.proofName() },
             { "status", result.status }, { "route", m_request.route->name }, { "service", m_request.service },
             { "organisation", m_request.organisation }, { "context", toHex(m_request.call.prompt.sharedKey().value_or(0)) },
             { "upstream", m_instance }, { "context_source", m_contextSource }, { "placed_by", nameOf(m_placementReason.rule) }, { "counts_age_ms", m_placementReason.countsAge.count() / 1000 }, { "hold_ms", m_placementReason.hold.count() / 1000 }, { "owners_asked", m_placementReason.asks }, { "owner_counted", m_placementReason.counted }, { "owner_limit", m_placementReason.limit }, { "owner", m_placementReason.owner == VMId {} ? "" : toHex(m_placementReason.owner.value()) }, { "mean_load", m_placementReason.mean }, { "rest_left_ms", m_remainingBackoff.count() / 1000 }, { "sends", m_attempts.sends() }, { "detour", m_detour }, { "detour_from", m_request.detour ? toHex(m_request.detour->from.value()) : "" },
--- a/Services/stagepostd/OnceGateway.cpp
+++ b/Services/stagepostd/OnceGateway.cpp
@@ -114,11 +114,11 @@
     if (!countText.empty()) {
         auto const [end, code] = std::from_chars(countText.data(), countText.data() + countText.size(), count);
         if (code != std::errc() || end != countText.data() + countText.size() || count == 0 || count > maxTicketsPerRequest)
-            return m_dependencies.refuse({ RefusalReason::BadRequest, Verdict::NotRun, "count is a number from 1 to 256", {} });
+            return m_dependencies.refuse({ RefusalReason::BadRequest, NotRunProof::nothingSent(), "count is a number from 1 to 256", {} });
     }
     auto const tickets = m_ticketRegistry.issue(organisation, count);
     if (tickets.empty())
-        return m_dependencies.refuse({ RefusalReason::OnceMemoryFull, Verdict::NotRun, "as many tickets are running as can be remembered", Milliseconds(1000) });
+        return m_dependencies.refuse({ RefusalReason::OnceMemoryFull, NotRunProof::nothingSent(), "as many tickets are running as can be remembered", Milliseconds(1000) });
     return makeJsonResponse(200, nlohmann::json { { "tickets", tickets } }.dump() + '\n');
 }
 
@@ -163,7 +163,7 @@
     exchange->forward(std::move(plan), [this, exchange, alive = std::weak_ptr(m_alive), onUnreachable = std::move(onUnreachable)](ForwardResult const& result) {
         if (alive.expired() || !result.failure || result.responseStarted || exchange->isClientDisconnected())
             return;
-        if (result.verdict == Verdict::NotRun)
+        if (result.verdict.isNotRun())
             onUnreachable();
         else
             refuse(*exchange, { *result.failure, Verdict::MayHaveRun, "the daemon that decides on this request was lost", {} });
@@ -200,7 +200,7 @@
         m_dependencies.run(exchange, request, [this, serial](RequestHandler::Outcome const& outcome) {
             if (!outcome.refusal)
                 m_ticketRegistry.done(serial, toRecordedAnswer(outcome.result));
-            else if (outcome.refusal->verdict == Verdict::NotRun)
+            else if (outcome.refusal->verdict.isNotRun())
                 m_ticketRegistry.notRun(serial);
             else
                 m_ticketRegistry.inDoubt(serial);
@@ -212,7 +212,7 @@
 {
     auto const key = IdempotencyKey::parse(request.idempotencyKey, request.organisation.id.value());
     if (!key) {
-        refuse(*exchange, { RefusalReason::BadRequest, Verdict::NotRun, key.error().detail, {} });
+        refuse(*exchange, { RefusalReason::BadRequest, NotRunProof::nothingSent(), key.error().detail, {} });
         return;
     }
     auto const shard = ClaimGate::shardOf(*key);
@@ -245,7 +245,7 @@
             auto const now = m_dependencies.loop.now();
             if (!outcome.refusal)
                 m_claimGate.done(key, granted.nonce, toRecordedAnswer(outcome.result), now);
-            else if (outcome.refusal->verdict == Verdict::NotRun)
+            else if (outcome.refusal->verdict.isNotRun())
                 m_claimGate.abandon(key, granted.nonce, now);
             // Otherwise the claim stays, and a resend is told that the request may have run.
         });
--- a/Services/stagepostd/RequestHandler.cpp
+++ b/Services/stagepostd/RequestHandler.cpp
@@ -75,7 +75,7 @@
         }
     }
     m_services.admission.release(lease.id, LeaseOutcome::Unused, m_services.loop.now());
-    refuse({ RefusalReason::NoUpstream, Verdict::NotRun, "the upstream has left the list", Milliseconds(1000) });
+    refuse({ RefusalReason::NoUpstream, NotRunProof::nothingSent(), "the upstream has left the list", Milliseconds(1000) });
 }
 
 void RequestHandler::forward(Lease const& lease, VMEntry const& upstream)
--- a/Services/stagepostd/RequestHandler.h
+++ b/Services/stagepostd/RequestHandler.h
@@ -56,7 +56,7 @@
     std::optional<LeaseClient::RequestNumber> m_placementNumber;
     size_t m_attempts { 0 };
     // The verdicts of all failed attempts, combined: whether one of them may have run.
-    Verdict m_combinedVerdict { Verdict::NotRun };
+    Verdict m_combinedVerdict { NotRunProof::nothingSent() };
     std::optional<Refusal> m_lastFailure;
     bool m_isForwarding { false };
     bool m_isFinished { false };
--- a/Services/stagepostd/RequestReader.cpp
+++ b/Services/stagepostd/RequestReader.cpp
@@ -25,7 +25,7 @@
 
     Refusal refuse(RefusalReason reason, std::string detail)
     {
-        return { reason, Verdict::NotRun, std::move(detail), {} };
+        return { reason, NotRunProof::nothingSent(), std::move(detail), {} };
     }
 
     bool isChatPath(HttpRequest const& call)
--- a/Services/stagepostd/RequestRouter.cpp
+++ b/Services/stagepostd/RequestRouter.cpp
@@ -16,15 +16,15 @@
 {
     auto table = m_hooks.table();
     if (!table)
-        return Refusal { RefusalReason::NoSettings, Verdict::NotRun, "this daemon has no configuration yet", platformRetryDelay };
+        return Refusal { RefusalReason::NoSettings, NotRunProof::nothingSent(), "this daemon has no configuration yet", platformRetryDelay };
     RoutedRequest request;
     request.receivedAt = m_hooks.now();
     request.route = table->find(call.headers.find("Host"), call.path());
     if (!request.route)
-        return Refusal { RefusalReason::NoSuchRoute, Verdict::NotRun, "no route serves this host and path", {} };
+        return Refusal { RefusalReason::NoSuchRoute, NotRunProof::nothingSent(), "no route serves this host and path", {} };
     request.call = m_dialect.readCall(call);
     if (request.call.id.empty())
-        return Refusal { RefusalReason::BadRequest, Verdict::NotRun, "the request has no id", {} };
+        return Refusal { RefusalReason::BadRequest, NotRunProof::nothingSent(), "the request has no id", {} };
     request.priority = request.route->priority;
     request.needsKey = table->needsKeys() && !request.route->isPublic;
     request.table = std::move(table);
@@ -43,9 +43,9 @@
 {
     auto const* organisation = request.table->organisationOf(request.call.key);
     if (!m_hooks.areKeysFresh())
-        return Refusal { RefusalReason::SettingsTooOld, Verdict::NotRun, "the configuration is too old to tell whether the key is good", platformRetryDelay };
+        return Refusal { RefusalReason::SettingsTooOld, NotRunProof::nothingSent(), "the configuration is too old to tell whether the key is good", platformRetryDelay };
     if (!organisation)
-        return Refusal { RefusalReason::UnknownKey, Verdict::NotRun, "no organisation has this key", {} };
+        return Refusal { RefusalReason::UnknownKey, NotRunProof::nothingSent(), "no organisation has this key", {} };
     request.organisation = organisation->name;
     request.priority = organisation->priority.value_or(request.priority);
     return {};
--- a/Services/stagepostd/ServiceShares.cpp
+++ b/Services/stagepostd/ServiceShares.cpp
@@ -8,6 +8,8 @@
 
     constexpr double connectionShare = 0.75;
     constexpr double memoryShare = 0.6;
+    // When a caller may return whose service has its share of this daemon.
+    constexpr Milliseconds retryDelay { 250 };
 
 }
 
@@ -33,4 +35,9 @@
             } };
 }
 
+Refusal ServiceShares::refusal()
+{
+    return { RefusalReason::OverCapacity, NotRunProof::nothingSent(), "the requests to this service take all that this daemon has for one", retryDelay };
+}
+
 }
--- a/Services/stagepostd/ServiceShares.h
+++ b/Services/stagepostd/ServiceShares.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibBase/RefusalReason.h>
 #include <LibProxy/ClientLimits.h>
 #include <map>
 #include <memory>
@@ -15,6 +16,8 @@
 
     // Counts a request with a body of that many bytes until the result is destroyed. Returns null if the service has its share.
     std::shared_ptr<void const> enter(std::string const& service, size_t bodySize);
+    // What callers of a service that has its share are told.
+    static Refusal refusal();
 
 private:
     struct Usage {
--- a/Tests/LibBase/TestMetrics.cpp
+++ b/Tests/LibBase/TestMetrics.cpp
@@ -18,7 +18,7 @@
 BOOST_AUTO_TEST_CASE(CountsRefusalsAndVerdicts)
 {
     Metrics metrics;
-    metrics.countRefusal({ RefusalReason::QueueFull, Verdict::NotRun, "", {} });
+    metrics.countRefusal({ RefusalReason::QueueFull, NotRunProof::nothingSent(), "", {} });
     BOOST_TEST(metrics.counter("stagepost_refusals_total", "reason=\"queue-full\"") == 1u);
     BOOST_TEST(metrics.counter("stagepost_verdicts_total", "verdict=\"not-run\"") == 1u);
 }
@@ -36,8 +36,12 @@
 
 BOOST_AUTO_TEST_CASE(CombineKeepsTheDoubt)
 {
-    BOOST_TEST((combine(Verdict::NotRun, Verdict::MayHaveRun) == Verdict::MayHaveRun));
-    BOOST_TEST((combine(Verdict::NotRun, Verdict::NotRun) == Verdict::NotRun));
+    BOOST_TEST((combine(NotRunProof::nothingSent(), Verdict::MayHaveRun) == Verdict::MayHaveRun));
+    BOOST_TEST((combine(Verdict::MayHaveRun, NotRunProof::upstreamSaidSo()) == Verdict::MayHaveRun));
+    BOOST_TEST((combine(Verdict::MayHaveRun, Verdict::Ran) == Verdict::Ran));
+    BOOST_TEST(combine(NotRunProof::nothingSent(), NotRunProof::nothingSent()).isNotRun());
+    BOOST_TEST(combine(NotRunProof::notConnected(), NotRunProof::nothingSent()).proofName() == "not-connected");
+    BOOST_TEST(combine(NotRunProof::notConnected(), NotRunProof::otherDaemonSaidSo()).proofName() == "other-daemon-said-so");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibOnce/OnceSimulation.cpp
+++ b/Tests/LibOnce/OnceSimulation.cpp
@@ -107,7 +107,7 @@
 void OnceSimulation::recordVerdict(std::shared_ptr<Submission> const& submission, Verdict verdict)
 {
     submission->isAnswered = true;
-    if (verdict == Verdict::NotRun) {
+    if (verdict.isNotRun()) {
         ++m_counts.notRun;
         submission->wasToldNotRun = true;
     } else if (verdict == Verdict::MayHaveRun) {
@@ -128,7 +128,7 @@
             return;
         if (injectsFault()) {
             submission->isFaulted = true;
-            finished(Verdict::NotRun);
+            finished(NotRunProof::nothingSent());
             return;
         }
         submission->hasRun = true;
@@ -163,7 +163,7 @@
         auto& gate = *m_daemons[index].gate;
         if (verdict == Verdict::Ran)
             gate.done(key, nonce, { 200, "text/plain", submission->call, true }, m_events.now());
-        else if (verdict == Verdict::NotRun)
+        else if (verdict.isNotRun())
             gate.abandon(key, nonce, m_events.now());
         recordVerdict(submission, verdict);
     });
@@ -190,7 +190,7 @@
         // A naive client: it takes a timeout to mean that the call has not run.
         m_events.after(naiveTimeout, [this, submission] {
             if (!submission->isAnswered)
-                recordVerdict(submission, Verdict::NotRun);
+                recordVerdict(submission, NotRunProof::nothingSent());
         });
     }
     if (retries > 0)
@@ -216,7 +216,7 @@
             auto& tickets = *m_daemons[index].tickets;
             if (verdict == Verdict::Ran)
                 tickets.done(serial, { 200, "text/plain", submission->call, true });
-            else if (verdict == Verdict::NotRun)
+            else if (verdict.isNotRun())
                 tickets.notRun(serial);
             else
                 tickets.inDoubt(serial);
--- a/Tests/LibProxy/TestExchange.cpp
+++ b/Tests/LibProxy/TestExchange.cpp
@@ -46,7 +46,7 @@
     BOOST_TEST(!world.hasForwardAction());
     BOOST_REQUIRE(world.ends.size() == 1u);
     BOOST_TEST(world.ends.front().isCallerLost());
-    BOOST_TEST((world.ends.front().verdict == Verdict::NotRun));
+    BOOST_TEST((world.ends.front().verdict.isNotRun()));
 }
 
 BOOST_AUTO_TEST_CASE(ForwardEndsIfTheClientHasLeft)
--- a/Tests/LibRouting/TestDecisions.cpp
+++ b/Tests/LibRouting/TestDecisions.cpp
@@ -194,7 +194,7 @@
     context.isRepeatable = false;
     context.verdict = Verdict::MayHaveRun;
     BOOST_TEST((retries.decide(context, at(1)) == RetryDecision::MayHaveRun));
-    context.verdict = Verdict::NotRun;
+    context.verdict = NotRunProof::nothingSent();
     BOOST_TEST((retries.decide(context, at(1)) == RetryDecision::Retry));
     BOOST_TEST((retries.decide(context, at(11)) == RetryDecision::DeadlineTooNear));
     context.attempts = 3;
--- a/Tests/LibRouting/TestRequestAttempts.cpp
+++ b/Tests/LibRouting/TestRequestAttempts.cpp
@@ -37,7 +37,7 @@
 FailedAttempt rejected()
 {
     FailedAttempt attempt;
-    attempt.verdict = Verdict::NotRun;
+    attempt.verdict = NotRunProof::upstreamSaidSo();
     attempt.isRejected = true;
     return attempt;
 }
@@ -45,7 +45,7 @@
 FailedAttempt unconnected()
 {
     FailedAttempt attempt;
-    attempt.verdict = Verdict::NotRun;
+    attempt.verdict = NotRunProof::notConnected();
     attempt.isUnconnected = true;
     return attempt;
 }
@@ -68,6 +68,26 @@
     BOOST_TEST(!again.recordFailure(UpstreamId(2), broken(Verdict::Ran), at(10)));
 }
 
+// Guards against a request that is refused as not run on a path that forgot a send.
+BOOST_AUTO_TEST_CASE(ASendThatHasNotEndedMayHaveRun)
+{
+    Fixture fixture;
+    auto attempts = fixture.attempts(false, 2);
+    BOOST_TEST(attempts.verdict().proofName() == "nothing-sent");
+    attempts.recordSend();
+    BOOST_TEST((attempts.verdict() == Verdict::MayHaveRun));
+    BOOST_TEST(!attempts.mayDetour(at(10)));
+    BOOST_TEST(attempts.recordFailure(UpstreamId(1), rejected(), at(10)));
+    BOOST_TEST(attempts.verdict().proofName() == "upstream-said-so");
+    attempts.beginDetour();
+    BOOST_TEST((attempts.verdict() == Verdict::MayHaveRun));
+    attempts.endDetour(NotRunProof::otherDaemonSaidSo());
+    BOOST_TEST(attempts.verdict().proofName() == "other-daemon-said-so");
+    attempts.recordSend();
+    attempts.recordMove(UpstreamId(2));
+    BOOST_TEST((attempts.verdict() == Verdict::MayHaveRun));
+}
+
 BOOST_AUTO_TEST_CASE(RejectedRequestIsSentAgainOnce)
 {
     Fixture fixture;
@@ -76,7 +96,7 @@
     BOOST_TEST(once.recordFailure(UpstreamId(1), rejected(), at(10)));
     once.recordSend();
     BOOST_TEST(!once.recordFailure(UpstreamId(2), rejected(), at(10)));
-    BOOST_TEST((once.verdict() == Verdict::NotRun));
+    BOOST_TEST((once.verdict().isNotRun()));
 }
 
 // Guards against giving up on a request that may run once because its upstream's address was
@@ -207,7 +227,7 @@
     } while (once.recordFailure(UpstreamId(tried), unconnected(), at(10)));
     BOOST_TEST(tried == 5u);
     BOOST_TEST(once.sends() == 0u);
-    BOOST_TEST((once.verdict() == Verdict::NotRun));
+    BOOST_TEST((once.verdict().isNotRun()));
 }
 
 BOOST_AUTO_TEST_CASE(NoRetryAfterTheCallerLeftOrTheDeadlinePassed)
--- a/Tests/platform/TestPlatformReaders.cpp
+++ b/Tests/platform/TestPlatformReaders.cpp
@@ -348,10 +348,10 @@
             BOOST_TEST((reply.status != 503 && !reply.headers.contains("Retry-After")));
         }
     }
-    auto const reply = gatewayReply({ RefusalReason::UpstreamBroken, Verdict::NotRun, "", Milliseconds(50) });
+    auto const reply = gatewayReply({ RefusalReason::UpstreamBroken, NotRunProof::nothingSent(), "", Milliseconds(50) });
     BOOST_TEST(reply.status == 503u);
     BOOST_TEST(reply.headers.find("Retry-After") == "0.050");
-    BOOST_TEST(gatewayStatusOf({ RefusalReason::UnknownKey, Verdict::NotRun, "", {} }) == 401u);
+    BOOST_TEST(gatewayStatusOf({ RefusalReason::UnknownKey, NotRunProof::nothingSent(), "", {} }) == 401u);
 }
 
 BOOST_AUTO_TEST_CASE(GatewayStateRoundTrips)
