PlatformDialect: Take a 421 for "not run" only if it proves that

What callers saw: "not run", 503, for requests that may not be repeated and had run, often at two upstreams.

Cause: each 421 of an upstream counted as a rejection, so that the request went to another upstream, or was refused as not run. An upstream that runs a request and then answers 421 made both untrue.

Change: an answer proves "not run" with X-Not-Executed, or as an unsigned 421 that names one instance, and another one than the request was addressed to: such a process does not run what is not addressed to it. After each other 421 the request may have run; it is never passed on as 421. What decides on an answer that proves nothing moves out of GatewayRequestHandler to AnswerCheck.

The stand-in of an upstream signed its 421 and named nobody, a form that other instances don't send. It names its instance now and does not sign.

--- /dev/null
+++ b/Services/stagepostd/AnswerCheck.cpp
@@ -0,0 +1,27 @@
+#include <stagepostd/AnswerCheck.h>
+
+#include <stagepostd/GatewayReply.h>
+
+namespace Stagepost {
+
+namespace {
+
+    constexpr unsigned statusOk = 200;
+    constexpr unsigned statusMisdirectedRequest = 421;
+    constexpr unsigned firstRedirect = 300;
+
+}
+
+std::optional<ResponseRejection> checkAnswer(UpstreamResponseInfo const& answer, unsigned status, AnswerContext context)
+{
+    bool const isSuccess = status >= statusOk && status < firstRedirect;
+    if (isSuccess && !answer.isSigned)
+        return ResponseRejection { RefusalReason::UpstreamMixedAnswer, Verdict::MayHaveRun, "a success without the upstream's signature" };
+    if (status == statusMisdirectedRequest || (promisesNotRun(status) && !context.isRepeatable))
+        return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::MayHaveRun, "the upstream's status promises what its answer does not prove" };
+    if (context.hasStreamBegun && status != statusOk)
+        return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::MayHaveRun, "the stream could not be taken up" };
+    return {};
+}
+
+}
--- a/Services/stagepostd/DetourClient.cpp
+++ b/Services/stagepostd/DetourClient.cpp
@@ -109,7 +109,7 @@
     if (!headers.contains(DetourServer::refusalHeader)) {
         if (progress && progress->isHeaderSent && status != 200)
             return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::MayHaveRun, "the stream could not be taken up" };
-        if (status >= 200 && status < 300 && !m_dialect.readResponseHeader(status, headers).isSigned)
+        if (status >= 200 && status < 300 && !m_dialect.readResponseHeader(status, headers, {}).isSigned)
             return ResponseRejection { RefusalReason::UpstreamMixedAnswer, Verdict::MayHaveRun, "a success without an upstream's signature" };
         return {};
     }
--- a/Services/stagepostd/GatewayDialect.h
+++ b/Services/stagepostd/GatewayDialect.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Result.h>
+#include <LibBase/Verdict.h>
 #include <LibProxy/EventFormat.h>
 #include <LibProxy/HttpMessage.h>
 #include <LibRouting/LoadEstimate.h>
@@ -46,8 +47,8 @@
 
 // What the gateway reads from the status and the header fields of an upstream's answer.
 struct UpstreamResponseInfo {
-    // The upstream reports that it has not run the request.
-    bool isNotRun { false };
+    // Set if the answer proves that the request has not run.
+    std::optional<NotRunProof> notRun {};
     // The answer carries the upstream's signature. Callers do not accept answers without it.
     bool isSigned { false };
     std::optional<UpstreamLoadReport> load;
@@ -73,7 +74,8 @@
     // Passes a caller's request on to another daemon, with the time that the caller still waits and
     // the last event that it has received.
     std::function<HttpRequest(HttpRequest const&, Milliseconds timeLeft, std::optional<uint64_t> lastEvent)> writeDetour;
-    std::function<UpstreamResponseInfo(unsigned status, HttpFields const&)> readResponseHeader;
+    // The expected instance is the one that the request was addressed to; empty if it was addressed to none.
+    std::function<UpstreamResponseInfo(unsigned status, HttpFields const&, std::string_view expectedInstance)> readResponseHeader;
     // The fields of an upstream's answer that its Connection field can't make connection-specific.
     std::span<std::string_view const> endToEndResponseFields {};
     // The form of the events that upstreams send in streams.
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -4,6 +4,7 @@
 #include <LibBase/Log.h>
 #include <algorithm>
 #include <limits>
+#include <stagepostd/AnswerCheck.h>
 #include <stagepostd/ConnectionMetrics.h>
 #include <stagepostd/GatewayReply.h>
 #include <stagepostd/VersionGate.h>
@@ -194,9 +195,9 @@
         m_attempts.recordResponse();
         m_services.metrics.count("stagepost_answers_total");
         log("answered", result, "none", m_attempts.verdict());
-    } else {
     } else if (outcome.refusal && !result.isCallerLost() && !result.responseStarted) {
         refuse({ outcome.refusal->reason, m_attempts.verdict(), result.detail, outcome.refusal->retryAfter });
+    } else {
         failRequest(result);
     }
 }
@@ -425,7 +426,7 @@
 std::optional<ResponseRejection> GatewayRequestHandler::checkResponseHeader(UpstreamId upstream, unsigned status, HttpFields const& headers)
 {
     auto const now = m_services.loop.now();
-    auto const response = m_services.dialect.readResponseHeader(status, headers);
+    auto const response = m_services.dialect.readResponseHeader(status, headers, m_instance);
     if (response.load)
         m_service.placement.reported(upstream, *response.load, now);
     if (response.coldLeft)
@@ -435,14 +436,10 @@
     m_service.placement.brittlenessAnnounced(upstream, response.isBrittle, now);
     if (response.isLeaving)
         m_services.serviceTable.markLeaving(upstream, now);
-    if (response.isNotRun)
-        return ResponseRejection { RefusalReason::OverCapacity, NotRunProof::upstreamSaidSo(), "the upstream has not run the request" };
-    if (status >= 200 && status < 300 && !response.isSigned)
-        return ResponseRejection { RefusalReason::UpstreamMixedAnswer, Verdict::MayHaveRun, "a success without the upstream's signature" };
-    if (promisesNotRun(status) && !m_request.route->isRepeatable())
-        return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::MayHaveRun, "the upstream's status promises what it does not say" };
-    if (m_progress && m_progress->isHeaderSent && status != 200)
-        return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::MayHaveRun, "the stream could not be taken up" };
+    if (response.notRun)
+        return ResponseRejection { RefusalReason::OverCapacity, *response.notRun, "the upstream has not run the request" };
+    if (auto rejection = checkAnswer(response, status, { m_request.route->isRepeatable(), m_progress && m_progress->isHeaderSent }))
+        return rejection;
     if (status >= firstServerError && couldSendAgain())
         return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::Ran, "the upstream answered " + std::to_string(status) };
     return {};
--- a/Tests/Processes/platform_stand_ins.py
+++ b/Tests/Processes/platform_stand_ins.py
@@ -342,7 +342,7 @@
 class Upstream:
     """A worker of the platform that sends plain answers, or a stream on /stream/ paths.
 
-    fault: None, "refuse" (503, not run), "other-instance" (421), "fail" (500), "mute" (no answer),
+    fault: None, "refuse" (503, not run), "other-instance" (421 of a process with another id), "fail" (500), "mute" (no answer),
     "cut" (truncated answer), "stall" (a stream stops without an end), "unsigned" (no signature),
     "foreign" (the id of another request), "extra" (bytes after a complete answer), "early" (answers
     before it reads the body), "unframed" (no length), "unframed-reset" (no length, and the connection
@@ -438,7 +438,8 @@
             return True
         expected = request["headers"].get("x-expect-instance")
         if fault == "other-instance" or (expected and expected != self.instance):
-            connection.sendall(self.head(request, 421, 0))
+            own = self.instance if fault != "other-instance" else f"{self.instance}-next"
+            connection.sendall(f"HTTP/1.1 421 X\r\nX-Attempt-Id: {request['headers'].get('x-attempt-id', '')}\r\nX-Instance-Id: {own}\r\nContent-Length: 0\r\n\r\n".encode())
             return True
         if fault == "refuse":
             request["rest"] = self.rest
--- a/Tests/platform/TestPlatformReaders.cpp
+++ b/Tests/platform/TestPlatformReaders.cpp
@@ -320,23 +320,45 @@
     BOOST_TEST(!dialect.readCall(call({ { "Connection", "keep-alive, X-Other" }, { "X-Tenant", "forged" } })).namesReservedField);
 }
 
+// Guards against "not run" for a request that its upstream has run before it answered 421.
+BOOST_AUTO_TEST_CASE(OnlyProofsShowThatARequestHasNotRun)
+{
+    auto const proofOf = [dialect = platformDialect()](unsigned status, HttpFields const& fields, std::string_view expected = "i-1") {
+        auto const proof = dialect.readResponseHeader(status, fields, expected).notRun;
+        return proof ? std::string(proof->name()) : std::string();
+    };
+    for (auto const status : { 400u, 421u, 429u, 503u }) {
+        BOOST_TEST(proofOf(status, { { "X-Not-Executed", "1" } }) == "upstream-said-so");
+        BOOST_TEST(proofOf(status, { { "X-Not-Executed", "1" }, { "X-Response-Signature", "s" } }) == "upstream-said-so");
+        BOOST_TEST(proofOf(status, {}) == "");
+        BOOST_TEST(proofOf(status, { { "X-Response-Signature", "s" } }) == "");
+    }
+    BOOST_TEST(proofOf(421, { { "x-instance-id", "i-2" } }) == "other-instance");
+    // The request was addressed to this instance, or to none.
+    BOOST_TEST(proofOf(421, { { "X-Instance-Id", "i-1" } }) == "");
+    BOOST_TEST(proofOf(421, { { "X-Instance-Id", "i-2" } }, {}) == "");
+    BOOST_TEST(proofOf(421, { { "X-Instance-Id", "" } }) == "");
+    BOOST_TEST(proofOf(421, { { "X-Instance-Id", "i-2" }, { "X-Instance-Id", "i-1" } }) == "");
+    BOOST_TEST(proofOf(421, { { "X-Instance-Id", "i-2" }, { "X-Response-Signature", "s" } }) == "");
+    BOOST_TEST(proofOf(421, { { "X-Instance-Id", "i-2" }, { "X-Response-Signature", "" } }) == "");
+    for (auto const status : { 408u, 429u, 500u, 502u, 503u })
+        BOOST_TEST(proofOf(status, { { "X-Instance-Id", "i-2" } }) == "");
+}
+
 BOOST_AUTO_TEST_CASE(AnswerHeadsAreParsed)
 {
-    auto const dialect = platformDialect();
-    BOOST_TEST(dialect.readResponseHeader(503, { { "X-Not-Executed", "1" } }).isNotRun);
-    BOOST_TEST(dialect.readResponseHeader(421, {}).isNotRun);
-    BOOST_TEST(!dialect.readResponseHeader(503, {}).isNotRun);
-    BOOST_TEST(dialect.readResponseHeader(503, { { "Retry-After", "2.5" } }).backoff.value_or(Milliseconds(0)).count() == 2500);
+    auto const readHeader = [dialect = platformDialect()](unsigned status, HttpFields const& fields) { return dialect.readResponseHeader(status, fields, "i-1"); };
+    BOOST_TEST(readHeader(503, { { "Retry-After", "2.5" } }).backoff.value_or(Milliseconds(0)).count() == 2500);
     for (auto const* text : { "", "0", "-1", "soon", "nan", "inf", "Wed, 21 Oct 2026 07:28:00 GMT" })
-        BOOST_TEST(dialect.readResponseHeader(503, { { "Retry-After", text } }).backoff.value_or(Milliseconds(0)).count() <= 86400000);
-    BOOST_TEST(!dialect.readResponseHeader(503, { { "Retry-After", "soon" } }).backoff.has_value());
-    BOOST_TEST(dialect.readResponseHeader(200, { { "Server-Leaving", "1" } }).isLeaving);
-    BOOST_TEST(!dialect.readResponseHeader(200, {}).isLeaving);
-    BOOST_TEST(!dialect.readResponseHeader(429, { { "Retry-After", "2" } }).backoff.has_value());
-    auto const head = dialect.readResponseHeader(200, { { "X-Response-Signature", "s" }, { "X-Server-Load", "3,1,8" } });
+        BOOST_TEST(readHeader(503, { { "Retry-After", text } }).backoff.value_or(Milliseconds(0)).count() <= 86400000);
+    BOOST_TEST(!readHeader(503, { { "Retry-After", "soon" } }).backoff.has_value());
+    BOOST_TEST(readHeader(200, { { "Server-Leaving", "1" } }).isLeaving);
+    BOOST_TEST(!readHeader(200, {}).isLeaving);
+    BOOST_TEST(!readHeader(429, { { "Retry-After", "2" } }).backoff.has_value());
+    auto const head = readHeader(200, { { "X-Response-Signature", "s" }, { "X-Server-Load", "3,1,8" } });
     BOOST_TEST(head.isSigned);
     BOOST_TEST((head.load->running == 3u && head.load->waiting == 1u && head.load->slots == 8u));
-    BOOST_TEST(!dialect.readResponseHeader(200, { { "X-Server-Load", "3,1" } }).load.has_value());
+    BOOST_TEST(!readHeader(200, { { "X-Server-Load", "3,1" } }).load.has_value());
 }
 
 BOOST_AUTO_TEST_CASE(OnlyRequestsThatDidNotRunGetStatus503)
@@ -526,7 +548,7 @@
         (void)GatewayState::decode(bytes);
         (void)readPromptParts(bytes);
         (void)dialect.readCall({ "GET", bytes, { { "X-Prompt-Prefix", bytes }, { "X-Deadline-Ms", bytes }, { "Last-Event-Id", bytes } }, bytes });
-        (void)dialect.readResponseHeader(200, { { "X-Server-Load", bytes } });
+        (void)dialect.readResponseHeader(200, { { "X-Server-Load", bytes } }, {});
         RC_SUCCEED();
     }));
 }
