GatewayReply: Give no status that promises "not run" without a proof

What callers would see: 408, 421 or 429 for a request that may have run, if it is refused for a reason with such a status, for example a caller or an organisation that is over its limit. Only 503 was replaced by 502. No path is known that ends a request in this way after a send.

Change: a request without a proof gets 502 instead of each of the four.

Evidence: OnlyRequestsThatDidNotRunGetAStatusThatSaysSo fails 6 times without the change to gatewayStatusOf(): 3 reasons, each with two verdicts.

--- a/Services/stagepostd/GatewayReply.cpp
+++ b/Services/stagepostd/GatewayReply.cpp
@@ -26,7 +26,7 @@
     auto const status = httpStatusOf(refusal.reason);
     if (refusal.verdict.isNotRun())
         return status >= firstServerError ? statusUnavailable : status;
-    return status == statusUnavailable ? statusBadGateway : status;
+    return promisesNotRun(status) ? statusBadGateway : status;
 }
 
 bool promisesNotRun(unsigned status)
--- a/Services/stagepostd/GatewayReply.h
+++ b/Services/stagepostd/GatewayReply.h
@@ -6,7 +6,7 @@
 namespace Stagepost {
 
 // The HTTP status of a refusal. For a request that has not run, every server error becomes 503. A
-// request that may have run never gets 503.
+// request that may have run gets no status that promises that it has not.
 unsigned gatewayStatusOf(Refusal const&);
 
 // Whether the status tells the caller that its request has not run.
--- a/Tests/platform/TestPlatformReaders.cpp
+++ b/Tests/platform/TestPlatformReaders.cpp
@@ -361,13 +361,14 @@
     BOOST_TEST(!readHeader(200, { { "X-Server-Load", "3,1" } }).load.has_value());
 }
 
-BOOST_AUTO_TEST_CASE(OnlyRequestsThatDidNotRunGetStatus503)
+// Guards against requests that may have run and were refused for a reason whose status promises the opposite.
+BOOST_AUTO_TEST_CASE(OnlyRequestsThatDidNotRunGetAStatusThatSaysSo)
 {
     for (size_t index = 0; index < static_cast<size_t>(RefusalReason::Count); ++index) {
         auto const reason = static_cast<RefusalReason>(index);
         for (auto const verdict : { Verdict::MayHaveRun, Verdict::Ran }) {
             auto const reply = gatewayReply({ reason, verdict, "", Milliseconds(100) });
-            BOOST_TEST((reply.status != 503 && !reply.headers.contains("Retry-After")));
+            BOOST_TEST((!promisesNotRun(reply.status) && !reply.headers.contains("Retry-After")));
         }
     }
     auto const reply = gatewayReply({ RefusalReason::UpstreamBroken, NotRunProof::nothingSent(), "", Milliseconds(50) });
