Exchange: Carry out nothing after the answer, or beside a forward

What callers would see: a request that runs after it was refused, or twice, if a handler's callback comes twice or after the answer. respond() and forward() replaced each other as long as the session had not taken the action up; an answer that a handler gave during a forward was kept and sent once the forward failed; a forward that was replaced or left over never called back. No path is known that does this.

Change: an exchange is open, being forwarded or answered. Only an open one takes an answer or a forward. Other actions are not carried out, and counted in stagepost_late_actions_total; the callback of such a forward gets a failure with nothing sent. After the answer the session ends the exchange, so that a forward that is left over calls back as well.

Evidence: three unit tests of ExchangeTests; without the check of the state each of them fails.

--- a/Libraries/LibProxy/Detail/Exchange.cpp
+++ b/Libraries/LibProxy/Detail/Exchange.cpp
@@ -4,24 +4,62 @@
 
 namespace {
 
-    ForwardResult callerGone()
+    ForwardResult neverSent(std::string detail)
     {
         ForwardResult result;
         result.verdict = NotRunProof::nothingSent();
         result.failure = RefusalReason::CallerGone;
-        result.detail = "the client left before its request was sent";
+        result.detail = std::move(detail);
         return result;
     }
 
+    ForwardResult callerGone()
+    {
+        return neverSent("the client left before its request was sent");
+    }
+
 }
 
 // Each callback runs exactly once, since handlers count their requests from the call of forward() on.
 void SessionExchange::forward(ForwardPlan plan, ForwardCallback callback)
 {
-    if (m_isEnded)
-        Net::post(m_context, [callback = std::move(callback)] { callback(callerGone()); });
-    else
-        setAction(ForwardAction { std::move(plan), std::move(callback) });
+    if (!mayAct()) {
+        auto result = m_state == State::Open ? callerGone() : neverSent("the request is answered or under way already");
+        Net::post(m_context, [callback = std::move(callback), result = std::move(result)] { callback(result); });
+        return;
+    }
+    m_state = State::Forwarding;
+    setAction(ForwardAction { std::move(plan), [this, callback = std::move(callback)](ForwardResult const& result) {
+                                 m_state = State::Open;
+                                 callback(result);
+                             } });
+}
+
+void SessionExchange::respond(HttpResponse response)
+{
+    if (!mayAct())
+        return;
+    m_state = State::Answered;
+    setAction(std::move(response));
+}
+
+void SessionExchange::abort()
+{
+    if (m_state == State::Answered)
+        return;
+    m_isAborted = true;
+    m_actionReady.cancel();
+}
+
+// A request is never sent after its answer, and is answered or sent again only once its forward has ended. Otherwise it
+// could run after its caller was told that it has not.
+bool SessionExchange::mayAct()
+{
+    if (m_state == State::Open)
+        return !m_isEnded;
+    if (m_onLateAction)
+        m_onLateAction();
+    return false;
 }
 
 void SessionExchange::end()
--- a/Libraries/LibProxy/Detail/Exchange.h
+++ b/Libraries/LibProxy/Detail/Exchange.h
@@ -18,23 +18,21 @@
     using Action = std::variant<std::monostate, HttpResponse, ForwardAction>;
 
     // The charge counts what is held of the answer.
-    SessionExchange(Net::io_context& context, HttpRequest request, ClientMemory::Charge answerCharge = {})
+    // Actions that come too late are reported to the hook.
+    SessionExchange(Net::io_context& context, HttpRequest request, ClientMemory::Charge answerCharge = {}, std::function<void()> onLateAction = {})
         : m_context(context)
         , m_request(std::move(request))
         , m_answerCharge(std::move(answerCharge))
+        , m_onLateAction(std::move(onLateAction))
         , m_actionReady(context, ClockTimer::time_point::max())
     {
     }
 
     HttpRequest const& request() const override { return m_request; }
-    void respond(HttpResponse response) override { setAction(std::move(response)); }
+    void respond(HttpResponse) override;
     void forward(ForwardPlan, ForwardCallback) override;
     void stopForward() override;
-    void abort() override
-    {
-        m_isAborted = true;
-        m_actionReady.cancel();
-    }
+    void abort() override;
     void onClientDisconnect(std::function<void()> callback) override { m_disconnectCallback = std::move(callback); }
     bool isClientDisconnected() const override { return m_isClientDisconnected; }
 
@@ -44,6 +42,8 @@
     Net::awaitable<Action> nextAction();
 
     void handleClientDisconnect();
+    // The session waits for no further action, since the request was answered or its client has left.
+    void end();
 
     // The upstream connection in use, which is closed if the client disconnects.
     void setUpstream(UpstreamConnection* connection)
@@ -59,12 +59,24 @@
     bool mayHold(size_t bytes) { return m_answerCharge.tryResize(bytes, ClientMemory::Use::Request, nullptr); }
 
 private:
+    // What the handler may do next.
+    enum class State : uint8_t {
+        // Answer or forward.
+        Open,
+        // Wait for the callback of the forward.
+        Forwarding,
+        // Nothing: the answer may say that the request has not run.
+        Answered,
+    };
+
+    bool mayAct();
     void setAction(Action);
-    void end();
 
     Net::io_context& m_context;
     HttpRequest m_request;
     ClientMemory::Charge m_answerCharge;
+    std::function<void()> m_onLateAction;
+    State m_state { State::Open };
     // Never expires: cancelling it wakes nextAction().
     ClockTimer m_actionReady;
     Action m_action;
--- a/Libraries/LibProxy/Detail/Session.cpp
+++ b/Libraries/LibProxy/Detail/Session.cpp
@@ -153,12 +153,13 @@
     m_server->memory->remove(*this);
     auto request = toHttpRequest(parser.get());
     request.body = m_body.release();
-    auto exchange = std::make_shared<SessionExchange>(m_server->context, std::move(request), ClientMemory::Charge(m_server->memory));
+    auto exchange = std::make_shared<SessionExchange>(m_server->context, std::move(request), ClientMemory::Charge(m_server->memory), [server = m_server] { ++server->lateActions; });
     ++m_server->openExchanges;
     m_exchange = exchange;
     watchForDisconnect(exchange);
     m_server->handler(exchange);
     bool const keepAlive = co_await sendResponse(parser, exchange);
+    exchange->end();
     m_stopWatching.emit(Net::cancellation_type::terminal);
     --m_server->openExchanges;
     m_exchange.reset();
--- a/Libraries/LibProxy/Detail/Session.h
+++ b/Libraries/LibProxy/Detail/Session.h
@@ -36,6 +36,7 @@
     std::shared_ptr<UpstreamConnections> upstreams { std::make_shared<UpstreamConnections>() };
     std::set<Session*> sessions;
     size_t openExchanges { 0 };
+    size_t lateActions { 0 };
     bool closeAfterResponse { false };
     bool stopped { false };
 };
--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -168,6 +168,11 @@
     return m_state->sessions.size();
 }
 
+size_t HttpServer::lateActions() const
+{
+    return m_state->lateActions;
+}
+
 size_t HttpServer::openExchanges() const
 {
     return m_state->openExchanges;
--- a/Libraries/LibProxy/HttpServer.h
+++ b/Libraries/LibProxy/HttpServer.h
@@ -74,6 +74,9 @@
     size_t openExchanges() const;
     // Calls back for each of them.
     void forEachOpenRequest(std::function<void(HttpRequest const&)> const&) const;
+    // How many answers and forwards of handlers came after the answer to their request, or while it was being forwarded,
+    // and were not carried out.
+    size_t lateActions() const;
     // The number of open connections.
     size_t connectionCount() const;
 
--- a/Services/stagepostd/ClientGauges.cpp
+++ b/Services/stagepostd/ClientGauges.cpp
@@ -11,6 +11,7 @@
     metrics.setGauge("stagepost_client_connections", static_cast<double>(server.connectionCount()));
     metrics.setGauge("stagepost_client_connections_limit", static_cast<double>(limits.connections));
     metrics.setGauge("stagepost_client_connections_closed_total", static_cast<double>(memory.counts().closedConnections));
+    metrics.setGauge("stagepost_late_actions_total", static_cast<double>(server.lateActions()));
     metrics.setGauge("stagepost_client_requests_given_way_total", static_cast<double>(memory.counts().refusedRequests));
 }
 
--- a/Tests/LibProxy/TestExchange.cpp
+++ b/Tests/LibProxy/TestExchange.cpp
@@ -8,9 +8,10 @@
 // A session that waits for one action, and a handler that counts the ends of its forwards.
 struct World {
     Net::io_context context;
-    std::shared_ptr<SessionExchange> exchange { std::make_shared<SessionExchange>(context, HttpRequest {}) };
+    std::shared_ptr<SessionExchange> exchange { std::make_shared<SessionExchange>(context, HttpRequest {}, ClientMemory::Charge(), [this] { ++lateActions; }) };
     std::optional<SessionExchange::Action> action;
     std::vector<ForwardResult> ends;
+    size_t lateActions { 0 };
 
     void wait()
     {
@@ -27,6 +28,7 @@
         context.restart();
         context.poll();
     }
+    bool hasResponse() const { return action && std::holds_alternative<HttpResponse>(*action); }
     bool hasForwardAction() const { return action && std::holds_alternative<SessionExchange::ForwardAction>(*action); }
 };
 
@@ -75,4 +77,62 @@
     BOOST_TEST(world.ends.empty());
 }
 
+// Guards against a request that runs after its caller was told that it has not: a callback that comes after the answer, or
+// twice, may forward it.
+BOOST_AUTO_TEST_CASE(ARequestIsNotForwardedAfterItsAnswer)
+{
+    World world;
+    world.exchange->respond({ 503, {}, "" });
+    world.forward();
+    BOOST_TEST(world.ends.empty());
+    world.wait();
+    BOOST_TEST(world.hasResponse());
+    BOOST_REQUIRE(world.ends.size() == 1u);
+    BOOST_TEST(world.ends.front().verdict.isNotRun());
+    BOOST_TEST(world.lateActions == 1u);
+    world.forward();
+    world.wait();
+    BOOST_TEST(!world.hasForwardAction());
+    BOOST_TEST((world.ends.size() == 2u && world.lateActions == 2u));
+}
+
+BOOST_AUTO_TEST_CASE(TheFirstAnswerCounts)
+{
+    World world;
+    world.exchange->respond({ 502, {}, "" });
+    world.exchange->respond({ 503, {}, "" });
+    world.exchange->abort();
+    world.wait();
+    BOOST_REQUIRE(world.hasResponse());
+    BOOST_TEST(std::get<HttpResponse>(*world.action).status == 502u);
+    BOOST_TEST(world.lateActions == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(ARequestIsNeitherAnsweredNorForwardedWhileItIsForwarded)
+{
+    World world;
+    world.wait();
+    world.forward();
+    world.run();
+    BOOST_REQUIRE(world.hasForwardAction());
+    world.exchange->respond({ 503, {}, "" });
+    world.forward();
+    world.run();
+    BOOST_REQUIRE(world.ends.size() == 1u);
+    BOOST_TEST(world.ends.front().verdict.isNotRun());
+    BOOST_TEST(world.lateActions == 2u);
+    auto const forward = std::get<SessionExchange::ForwardAction>(*world.action);
+    forward.callback({});
+    BOOST_TEST(world.ends.size() == 2u);
+    // Neither of the late ones is left over.
+    world.action.reset();
+    world.wait();
+    BOOST_TEST(!world.action.has_value());
+    world.exchange->respond({ 502, {}, "" });
+    world.run();
+    BOOST_REQUIRE(world.hasResponse());
+    BOOST_TEST(std::get<HttpResponse>(*world.action).status == 502u);
+    BOOST_TEST(world.lateActions == 2u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
