--- a/Tests/Processes/platform_stand_ins.py
+++ b/Tests/Processes/platform_stand_ins.py
@@ -412,14 +412,19 @@
             self.connections_open -= 1
 
     def read_head(self, reader):
+        """Returns none if the connection ends before the head is complete."""
         line = reader.readline().decode()
-        if not line:
+        if not line.endswith("\n"):
             return None
         method, target, _ = line.split(" ", 2)
         headers = {}
-        while (line := reader.readline().decode().strip()):
+        while (line := reader.readline().decode()).strip():
+            if not line.endswith("\n"):
+                return None
             name, _, value = line.partition(":")
             headers[name.strip().lower()] = value.strip()
+        if not line:
+            return None
         return {"method": method, "target": target, "headers": headers, "ran": False, "at": time.monotonic()}
 
     def serve_one(self, connection, reader):
--- a/Tests/Soak/links.py
+++ b/Tests/Soak/links.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import random
 import socket
 import struct
@@ -28,6 +29,20 @@
         self.thread.join(10)
 
 
+@dataclasses.dataclass
+class Direction:
+    """One direction of a forwarded connection."""
+
+    reader: asyncio.StreamReader
+    # Of the sender.
+    source: asyncio.Transport
+    writer: asyncio.StreamWriter
+    # The attribute of the link that tells whether this direction is open.
+    flag: str
+    # The address of the client.
+    client: str
+
+
 class TcpLink:
     """Forwards TCP connections to an endpoint. Data in a closed direction is held back and forwarded
     when the direction reopens, as after a network partition."""
@@ -64,6 +79,7 @@
         if self.refuses:
             reset(writer.transport)
             return
+        await self.wait_before_connecting()
         host, port = self.target.rsplit(":", 1)
         try:
             target_reader, target_writer = await asyncio.open_connection(host, int(port))
@@ -74,7 +90,8 @@
         client = writer.get_extra_info("peername")[0]
         self.transports.update((transport, client) for transport in ends)
         try:
-            await asyncio.gather(self.pump(reader, target_writer, "is_forward_open", client), self.pump(target_reader, writer, "is_backward_open", client))
+            await asyncio.gather(self.pump(Direction(reader, writer.transport, target_writer, "is_forward_open", client)),
+                                 self.pump(Direction(target_reader, target_writer.transport, writer, "is_backward_open", client)))
         except OSError:
             for transport in ends:
                 reset(transport)
@@ -84,16 +101,26 @@
             writer.close()
             target_writer.close()
 
-    async def pump(self, reader, writer, direction_flag, client):
-        while data := await reader.read(65536):
-            if self.delay:
-                await asyncio.sleep(self.delay)
-            while not getattr(self, direction_flag) or client in self.held:
-                await asyncio.sleep(0.02)
-            writer.write(data)
-            await writer.drain()
-        if writer.can_write_eof() and not writer.transport.is_closing():
-            writer.write_eof()
+    async def wait_before_connecting(self):
+        """Delays the connection to the endpoint; the client's is up by then."""
+
+    async def pump(self, direction):
+        while data := await direction.reader.read(65536):
+            await self.forward(direction, data)
+        end_writing(direction.writer)
+
+    async def forward(self, direction, data):
+        if self.delay:
+            await asyncio.sleep(self.delay)
+        while not getattr(self, direction.flag) or direction.client in self.held:
+            await asyncio.sleep(0.02)
+        direction.writer.write(data)
+        await direction.writer.drain()
+
+
+def end_writing(writer):
+    if writer.can_write_eof() and not writer.transport.is_closing():
+        writer.write_eof()
 
 
 def reset(transport):
@@ -106,13 +133,13 @@
 class PeerLink(asyncio.DatagramProtocol):
     """Forwards datagrams and TCP connections from other daemons to one daemon, on the same port."""
 
-    def __init__(self, network, target):
+    def __init__(self, network, target, tcp_link=TcpLink):
         self.network = network
         host, port = target.rsplit(":", 1)
         self.address = (host, int(port))
         self.loss = 0.0
         self.delay = 0.0
-        self.tcp = TcpLink(network, target)
+        self.tcp = tcp_link(network, target)
         self.endpoint = self.tcp.endpoint
         local = ("127.0.0.1", int(self.endpoint.rsplit(":", 1)[1]))
         self.transport = network.call(network.loop.create_datagram_endpoint(lambda: self, local_addr=local))[0]
--- a/Tests/Soak/world.py
+++ b/Tests/Soak/world.py
@@ -51,6 +51,8 @@
 class SoakUpstream(Upstream):
     """An upstream behind a link. It can fail a fraction of its requests, crash and restart."""
 
+    LINK = TcpLink
+
     def __init__(self, network, instance, service, hall, version="v1", address="127.0.0.1", held=()):
         self.kind, self.share = None, 0.0
         self.random = random.Random(instance)
@@ -59,7 +61,7 @@
         self.born = None
         super().__init__(instance, service, hall, version=version)
         self.events, self.event_pause, self.stop_after = EVENTS, 0.02, 4
-        self.link = TcpLink(network, self.endpoint, host=address, held=held)
+        self.link = self.LINK(network, self.endpoint, host=address, held=held)
 
     @property
     def fault(self):
@@ -103,13 +105,16 @@
 class Daemon:
     """One daemon. Its ports and links persist across restarts of its process."""
 
+    HALLS = ("north", "south")
+    LINK = TcpLink
+
     def __init__(self, world, number):
         self.world, self.name = world, f"entry-{number}"
-        self.hall = ("north", "south")[number % 2]
+        self.hall = self.HALLS[number % len(self.HALLS)]
         self.listen, self.ready, self.peer = (world.ports.take() for _ in range(3))
-        self.to_store = TcpLink(world.network, world.store.endpoint)
-        self.to_peers = PeerLink(world.network, self.peer)
-        self.callers = TcpLink(world.network, self.listen)
+        self.to_store = self.LINK(world.network, world.store.endpoint)
+        self.to_peers = PeerLink(world.network, self.peer, self.LINK)
+        self.callers = self.LINK(world.network, self.listen)
         self.log = open(os.path.join(world.directory, self.name + ".log"), "a", encoding="utf-8")
         self.suspended_time = SuspendedTime() if world.seed >= FIRST_WITH_SUSPENSION else None
         self.address = f"127.0.2.{number + 1}"
@@ -148,15 +153,16 @@
         return dict(self.suspended_time.environment, STAGEPOST_LINK_FILE=self.links_file.name, STAGEPOST_LINK_SOURCE=self.address,
                     STAGEPOST_UPSTREAM_ADDRESS=UPSTREAM_ADDRESS, STAGEPOST_BLACK_HOLE_PORT=str(self.world.black_hole.port))
 
+    def arguments(self):
+        return [self.program(), "--name", self.name, "--hall", self.hall, "--listen", self.listen, "--ready-listen", self.ready,
+                "--peer-listen", self.peer, "--peer-address", self.to_peers.endpoint, "--store", self.to_store.endpoint,
+                "--key-bound-ms", str(int(KEY_BOUND * 1000)), "--leave-bound-ms", str(int(LEAVE_BOUND * 1000)),
+                "--empty-hall-bound-ms", str(int(EMPTY_BOUND * 1000)), "--cold-overshoot", "1.5", "--cold-slack", "5", "--drain-s", str(STOP_LIMIT), "--retry-slack", "50", *self.world.daemon_flags]
+
     def start(self):
         self.starts += 1
         self.is_expected = True
-        self.process = subprocess.Popen(
-            [self.program(), "--name", self.name, "--hall", self.hall, "--listen", self.listen, "--ready-listen", self.ready,
-             "--peer-listen", self.peer, "--peer-address", self.to_peers.endpoint, "--store", self.to_store.endpoint,
-             "--key-bound-ms", str(int(KEY_BOUND * 1000)), "--leave-bound-ms", str(int(LEAVE_BOUND * 1000)),
-             "--empty-hall-bound-ms", str(int(EMPTY_BOUND * 1000)), "--cold-overshoot", "1.5", "--cold-slack", "5", "--drain-s", str(STOP_LIMIT), "--retry-slack", "50", *self.world.daemon_flags], stdout=self.log, stderr=self.log,
-            env=self.environment())
+        self.process = subprocess.Popen(self.arguments(), stdout=self.log, stderr=self.log, env=self.environment())
 
     def signal(self, number):
         if self.process.poll() is None:
@@ -250,6 +256,11 @@
         if attempt.outcome != "whole" or attempt.headers.get("Connection", "").lower() == "close":
             self.connection.close()
             self.connection = None
+        return attempt
+
+    def deadline(self, _):
+        """The seconds that a request of that kind may take."""
+        return self.world.timeout
 
     def connect(self):
         if self.connection:
@@ -263,7 +274,7 @@
 
     def exchange(self, attempt):
         method = "POST" if attempt.kind in ("unsafe", "resumable", "once") else "GET"
-        headers = {"Host": HOST, "X-Attempt-Id": attempt.id, "X-Deadline-Ms": str(int(self.world.timeout * 1000)), "X-Api-Key": attempt.key}
+        headers = {"Host": HOST, "X-Attempt-Id": attempt.id, "X-Deadline-Ms": str(int(1000 * self.deadline(attempt.kind))), "X-Api-Key": attempt.key}
         if attempt.kind in ("resumable", "once"):
             headers["X-Prompt-Prefix"] = f"aa:500,b{self.random.randrange(20)}:900,{attempt.id.replace('-', '')}:30"
         try:
