Tests: Let upstreams answer what they have run as if they had not

In the soak of refusals, upstreams now also answer a request that they have run with a 408, 429, 503 or 504 of their own, send a head with X-Not-Executed before the final one, surplus bytes, or the answer to another request. None of them says that the request has not run.

--- a/Tests/Soak/refusal_faults.py
+++ b/Tests/Soak/refusal_faults.py
@@ -140,8 +140,8 @@
         self.for_a_while(f"{len(upstreams)} upstreams of {service} are slow", lambda: [setattr(upstream, "slowdown", 1.0) for upstream in upstreams])
 
     def fail_requests(self):
-        """Upstreams of a service reject or fail some requests. "refuse" and "other-instance" don't run them."""
-        kind = self.random.choice(("refuse", "refuse", "refuse", "other-instance", "fail", "cut"))
+        """Upstreams reject or fail some requests. Only "refuse" and "other-instance" don't run them."""
+        kind = self.random.choice(("refuse", "refuse", "refuse", "other-instance", "fail", "cut", "extra", "foreign", "unframed-reset", "interim", "own-408", "own-429", "own-503", "own-504"))
         upstreams = self.random.sample(self.world.upstreams, self.random.choice((1, 3, len(self.world.upstreams))))
         for upstream in upstreams:
             upstream.kind, upstream.share = kind, self.random.uniform(0.1, 0.6)
--- a/Tests/Soak/refusal_world.py
+++ b/Tests/Soak/refusal_world.py
@@ -99,12 +99,19 @@
             return "admitted"
 
     def work(self, connection, request, fault, send):
+        """Runs the request. Faults beside those of Upstream: "own-STATUS" answers with that status, signed and without
+        X-Not-Executed; "interim" sends a head with X-Not-Executed before the final one."""
         request["began_at"], request["instance"] = time.monotonic(), self.instance
         request["ran"] = True
         self.released.wait(self.slowdown * self.random.uniform(*WORK[self.service]))
         if self.random.random() < self.misdirected_share:
             connection.sendall(self.head(request, 421, 0))
             return True
+        if fault and fault.startswith("own-"):
+            connection.sendall(self.head(request, int(fault.removeprefix("own-")), 0))
+            return True
+        if fault == "interim":
+            connection.sendall(self.head(request, 103, None, "X-Not-Executed: 1\r\n"))
         return send(connection, request, fault)
 
     def become(self, instance):
