Tests: Send long bodies and more detours in the soak of refusals

Bodies of up to 90,000 bytes arrive in several parts, between which a link may fail, and daemons lose their links to all upstreams more often, so that more requests take detours over other daemons' links.

--- a/Tests/Soak/refusal_faults.py
+++ b/Tests/Soak/refusal_faults.py
@@ -21,7 +21,7 @@
 
     def run(self, seconds):
         choices = [self.harm_links, self.harm_links, self.harm_links, self.silence_links, self.reset_links, self.harm_datagrams,
-                   self.freeze, self.freeze, self.end_daemon, self.end_daemon, self.end_several, self.cut_from_upstreams,
+                   self.freeze, self.freeze, self.end_daemon, self.end_daemon, self.end_several, self.cut_from_upstreams, self.cut_from_upstreams, self.cut_from_upstreams,
                    self.replace_upstream, self.lapse, self.drain_upstream, self.slow_down, self.slow_down, self.fail_requests, self.fail_requests, self.break_store]
         end = time.monotonic() + seconds
         while time.monotonic() < end:
--- a/Tests/Soak/refusal_world.py
+++ b/Tests/Soak/refusal_world.py
@@ -30,6 +30,8 @@
 DEADLINES = {"safe": 0.6, "unsafe": 0.6, "resumable": 2.5, "once": 2.5}
 # The share of upstreams that drop a waiting request whose connection has closed.
 DROPPING_SHARE = 0.6
+# Bytes that are added to bodies. Long ones arrive in several parts, between which a link may fail.
+PADDINGS = (0, 600, 3600, 90000)
 # Requests that a caller sends again after promises, each under an identifier of its own.
 MAX_RETRIES = 2
 ROUTES = [route("lookup", "/lookup/", "safe", "book", targetLatencyMs=100, timeoutMs=600, maxAttempts=2),
@@ -158,6 +160,9 @@
     def deadline(self, kind):
         return DEADLINES[kind]
 
+    def body(self, attempt):
+        return attempt.id + "." * self.random.choice(PADDINGS)
+
 
 class RefusalWorld:
     """The store, the upstreams, the daemons and their callers."""
--- a/Tests/Soak/world.py
+++ b/Tests/Soak/world.py
@@ -262,6 +262,9 @@
         """The seconds that a request of that kind may take."""
         return self.world.timeout
 
+    def body(self, attempt):
+        return attempt.id
+
     def connect(self):
         if self.connection:
             self.connection.close()
@@ -284,7 +287,7 @@
             attempt.outcome = "unconnected"
             return
         try:
-            self.connection.request(method, attempt.path, attempt.id if method == "POST" else None, headers)
+            self.connection.request(method, attempt.path, self.body(attempt) if method == "POST" else None, headers)
             answer = self.connection.getresponse()
             attempt.status, attempt.headers = answer.status, dict(answer.headers)
             attempt.outcome = "cut"
