LibProxy: Write bodies to upstreams in pieces, so that small buffers don't stall

What callers saw: on a machine of 260 MB, a single body of 4 MiB took 2.21 s, and 0.0055 s with the limits of a machine of 16 GB.

Cause: the send buffer to the upstream. The whole body was passed to the kernel at once. With a buffer of 32 KiB it becomes one segment on an interface with a large MTU, nothing else fits beside it, and the upstream delays the acknowledgement of a single segment by some 40 ms. A program with two sockets shows the same: 4 MiB take 2.1 to 2.6 s with SO_SNDBUF of 32 KiB when written at once, 0.001 to 0.014 s in pieces of 16 KiB, and 0.004 to 0.012 s with SO_RCVBUF of 32 KiB at the receiver. So it is not the receive buffer.

Change: the head is serialised, and head and body are written at most 16 KiB at a time. Buffers and charges are as before.

Answers still have a stall of some 40 ms now and then.

--- a/Libraries/LibProxy/Detail/UpstreamRequest.cpp
+++ b/Libraries/LibProxy/Detail/UpstreamRequest.cpp
@@ -3,21 +3,32 @@
 #include <array>
 #include <charconv>
 #include <random>
+#include <sstream>
 
 namespace Stagepost {
 
 namespace {
 
+    // The most bytes of a body that are passed to the kernel at a time. A larger piece may fill the send buffer as a single
+    // segment, and the upstream delays the acknowledgement of a single one by some 40 ms.
+    constexpr size_t maxWriteSize = 16u << 10;
+
     // Refers to the body of the plan, which it keeps.
     struct Request {
+        std::string head;
         HttpBody body;
-        Http::request<Http::span_body<char const>> message;
     };
 
+    std::string serializeHead(Http::request<Http::empty_body> const& message)
+    {
+        std::ostringstream text;
+        text << message.base();
+        return std::move(text).str();
+    }
+
     Request buildRequest(ForwardPlan const& plan, std::string const& requestId)
     {
-        Request result { plan.request.body, {} };
-        auto& request = result.message;
+        Http::request<Http::empty_body> request;
         request.method_string(plan.request.method);
         request.target(plan.request.target);
         request.version(11);
@@ -30,10 +41,9 @@
         if (!plan.preserveHost)
             request.set(Http::field::host, plan.upstream.toString());
         request.set(plan.requestIdField, requestId);
-        request.body() = { result.body.bytes().data(), result.body.size() };
         if (!plan.request.body.empty() || plan.request.method == "POST" || plan.request.method == "PUT")
             request.content_length(plan.request.body.size());
-        return result;
+        return { serializeHead(request), plan.request.body };
     }
 
 }
@@ -52,7 +62,10 @@
     auto const request = std::make_shared<Request const>(buildRequest(plan, requestId));
     connection->isRequestWritten = false;
     connection->isAnswered = false;
-    Http::async_write(connection->stream, request->message, [connection, request](NetError failure, size_t) {
+    auto const bytes = request->body.bytes();
+    std::array const buffers { Net::buffer(request->head), Net::buffer(bytes.data(), bytes.size()) };
+    auto const sizeOfNextWrite = [](NetError failure, size_t) { return failure ? 0 : maxWriteSize; };
+    Net::async_write(connection->stream, buffers, sizeOfNextWrite, [connection, request](NetError failure, size_t) {
         connection->isRequestWritten = !failure;
         connection->writeFailure = failure;
     });
