Session: Announce the close also in answers that were under way

A caller whose request was being served when a daemon began to stop got an answer without Connection: close, kept the connection, and sent its next request to the daemon that was about to end.

Whether the connection stays open was decided when the request was read. It is decided when the head of the answer is written now.

HttpServerTests/AnswersUnderWayAnnounceThatTheConnectionCloses fails with LibProxy as it was, for an answer of the server itself and for a forwarded one, and passes now.

--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -1,6 +1,7 @@
 #include <LibProxy/Detail/Forwarder.h>
 
 #include <LibProxy/Detail/InterimResponses.h>
+#include <LibProxy/Detail/MessageFields.h>
 #include <LibProxy/Detail/ResponseRules.h>
 #include <LibProxy/Detail/UpstreamRequest.h>
 #include <algorithm>
@@ -205,7 +206,7 @@
     m_isEventStream = isEventStream(header[Http::field::content_type]) && (isSuccess(m_result.status) || !m_plan.progress);
     if (auto const keepAlive = parseKeepAliveTimeout(header["Keep-Alive"]))
         m_connection->keepAlive = *keepAlive;
-    if (auto const rejection = m_plan.responseFilter ? m_plan.responseFilter(m_result.status, upstreamHeaders()) : std::nullopt) {
+    if (auto const rejection = m_plan.responseFilter ? m_plan.responseFilter(m_result.status, toHttpFields(m_parser->get())) : std::nullopt) {
         m_result.verdict = rejection->verdict;
         fail(rejection->reason, rejection->detail);
         return false;
@@ -255,14 +256,6 @@
     return length ? std::optional<uint64_t>(*length) : std::nullopt;
 }
 
-HttpFields Forwarder::upstreamHeaders() const
-{
-    HttpFields headers;
-    for (auto const& field : m_parser->get())
-        headers.add(field.name_string(), field.value());
-    return headers;
-}
-
 // Returns whether the response may be forwarded. Until that is decided, nothing more is read from the upstream, so the
 // upstream isn't silent.
 Net::awaitable<bool> Forwarder::passRelayGate()
@@ -306,7 +299,7 @@
         co_return;
     if (m_plan.maxRecordedBytes) {
         m_result.recordedResponse.status = m_result.status;
-        m_result.recordedResponse.headers = upstreamHeaders();
+        m_result.recordedResponse.headers = toHttpFields(m_parser->get());
         m_result.recordedResponse.headers.removeHopByHop(m_plan.endToEndFields);
         m_result.recordedResponse.headers.remove("Content-Length");
     }
@@ -428,7 +421,7 @@
 // does not support chunked encoding.
 Net::awaitable<bool> Forwarder::writeHeader(std::optional<uint64_t> length)
 {
-    auto headers = upstreamHeaders();
+    auto headers = toHttpFields(m_parser->get());
     headers.removeHopByHop(m_plan.endToEndFields);
     headers.remove("Content-Length");
     for (auto const& field : m_plan.extraResponseHeaders)
@@ -440,7 +433,7 @@
         response.insert(field.name, field.value);
     bool const hasBody = !m_client.isHeadRequest && mayHaveBody(m_result.status);
     m_isChunked = hasBody && !length && m_client.supportsChunked;
-    m_isClientKeptAlive = m_client.keepAlive && (!hasBody || length || m_isChunked);
+    m_isClientKeptAlive = m_client.keepAlive() && (!hasBody || length || m_isChunked);
     if (hasBody && !length && !m_isChunked)
         endByClose();
     response.keep_alive(m_isClientKeptAlive);
@@ -485,7 +478,7 @@
     // The forward that began a continued stream has written its header, which kept the
     // client's connection alive.
     if (m_plan.progress && m_plan.progress->isHeaderSent && m_isChunked)
-        m_isClientKeptAlive = m_client.keepAlive;
+        m_isClientKeptAlive = m_client.keepAlive();
     if (!m_isHeaderWritten) {
         std::optional<uint64_t> length;
         if (!m_events)
--- a/Libraries/LibProxy/Detail/Forwarder.h
+++ b/Libraries/LibProxy/Detail/Forwarder.h
@@ -15,7 +15,8 @@
     struct Client {
         TcpStream& stream;
         bool supportsChunked;
-        bool keepAlive;
+        // Asked when the head of the response is written.
+        std::function<bool()> keepAlive;
         bool isHeadRequest;
     };
 
@@ -66,7 +67,6 @@
     Net::awaitable<void> writeErrorEvent();
     bool finishWrite(NetError);
     void endByClose();
-    HttpFields upstreamHeaders() const;
     std::optional<uint64_t> upstreamContentLength() const;
     bool handleSilence();
     // Whether another upstream may send the response, or what is missing of it.
--- a/Libraries/LibProxy/Detail/Session.cpp
+++ b/Libraries/LibProxy/Detail/Session.cpp
@@ -1,6 +1,7 @@
 #include <LibProxy/Detail/Session.h>
 
 #include <LibProxy/Detail/Forwarder.h>
+#include <LibProxy/Detail/MessageFields.h>
 #include <array>
 #include <sys/socket.h>
 
@@ -25,8 +26,7 @@
         HttpRequest request;
         request.method = message.method_string();
         request.target = message.target();
-        for (auto const& field : message)
-            request.headers.add(field.name_string(), field.value());
+        request.headers = toHttpFields(message);
         return request;
     }
 
@@ -316,12 +316,12 @@
 Net::awaitable<bool> Session::sendResponse(RequestParser const& parser, std::shared_ptr<SessionExchange> exchange)
 {
     auto const version = parser.get().version();
-    bool const keepAlive = parser.keep_alive() && !m_server->closeAfterResponse;
+    auto const keepAlive = [this, &parser] { return parser.keep_alive() && !m_server->closeAfterResponse; };
     bool const isHead = parser.get().method() == Http::verb::head;
     while (true) {
         auto action = co_await exchange->nextAction();
         if (auto* response = std::get_if<HttpResponse>(&action))
-            co_return co_await writeResponse(std::move(*response), version, keepAlive, isHead);
+            co_return co_await writeResponse(std::move(*response), version, keepAlive(), isHead);
         auto* forward = std::get_if<SessionExchange::ForwardAction>(&action);
         if (!forward)
             co_return false;
--- a/Libraries/LibProxy/HttpClient.cpp
+++ b/Libraries/LibProxy/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include <LibProxy/HttpClient.h>
 
 #include <LibProxy/Detail/InterimResponses.h>
+#include <LibProxy/Detail/MessageFields.h>
 #include <LibProxy/Detail/UpstreamConnections.h>
 
 namespace Stagepost {
@@ -67,8 +68,7 @@
         connection.isAnswered = true;
         HttpResponse response;
         response.status = parser->get().result_int();
-        for (auto const& field : parser->get())
-            response.headers.add(field.name_string(), field.value());
+        response.headers = toHttpFields(parser->get());
         response.body = std::move(parser->get().body());
         co_return response;
     }
--- a/Tests/LibProxy/TestHttpServer.cpp
+++ b/Tests/LibProxy/TestHttpServer.cpp
@@ -50,6 +50,41 @@
     BOOST_TEST(next.receive().find("Connection: close") == std::string::npos);
 }
 
+// Guards against clients that come back to a server which is about to stop, after an answer that was under way.
+BOOST_AUTO_TEST_CASE(AnswersUnderWayAnnounceThatTheConnectionCloses)
+{
+    EventLoop loop;
+    ScriptedUpstream upstream;
+    std::shared_ptr<Exchange> waiting;
+    HttpServer server(
+        loop, {}, [&](std::shared_ptr<Exchange> const& exchange) {
+            waiting = exchange;
+            if (exchange->request().target != "/forwarded")
+                return;
+            ForwardPlan plan;
+            plan.upstream = upstream.endpoint();
+            plan.request = exchange->request();
+            exchange->forward(std::move(plan), [](ForwardResult const&) {}); },
+        [](Refusal const&) { return makeTextResponse(400, ""); });
+    auto const endpoint = server.listen({ "127.0.0.1", 0 });
+    Client const forwarded(*endpoint);
+    forwarded.send("GET /forwarded HTTP/1.1\r\nHost: a\r\n\r\n");
+    loop.runFor(Milliseconds(20));
+    upstream.accept();
+    upstream.readRequest();
+    Client const answered(*endpoint);
+    answered.send("GET /answered HTTP/1.1\r\nHost: a\r\n\r\n");
+    loop.runFor(Milliseconds(20));
+    server.setCloseAfterResponse(true);
+    waiting->respond(makeTextResponse(200, "answer"));
+    upstream.send("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nanswer");
+    loop.runFor(Milliseconds(20));
+    BOOST_TEST(answered.receive().find("Connection: close") != std::string::npos);
+    auto const response = forwarded.receive();
+    BOOST_TEST(response.ends_with("answer"));
+    BOOST_TEST(response.find("Connection: close") != std::string::npos);
+}
+
 // Guards against answers that are cut by a reset: the server closes the connection after its answer, while bytes
 // of the client are unread and the client has yet to read most of the answer.
 BOOST_AUTO_TEST_CASE(SlowClientThatSendsMoreGetsTheWholeAnswer)
