Tests: Require promises that rest on an upstream's word in the soak of refusals

Most promises were made before a request reached an upstream, which shows nothing about answers that are taken for a proof. Upstreams are slow and reject more often, answers without a body come a second time, perhaps when the next one is due on that connection, configurations change, and a run also needs 20 promises for requests that had arrived at an upstream.

--- a/Tests/Soak/refusal_faults.py
+++ b/Tests/Soak/refusal_faults.py
@@ -20,9 +20,10 @@
         self.incarnations = 0
 
     def run(self, seconds):
-        choices = [self.harm_links, self.harm_links, self.harm_links, self.silence_links, self.reset_links, self.harm_datagrams,
-                   self.freeze, self.freeze, self.end_daemon, self.end_daemon, self.end_several, self.cut_from_upstreams, self.cut_from_upstreams, self.cut_from_upstreams,
-                   self.replace_upstream, self.lapse, self.drain_upstream, self.slow_down, self.slow_down, self.fail_requests, self.fail_requests, self.break_store]
+        often = [self.harm_links, self.slow_down, self.fail_requests]
+        choices = [self.silence_links, self.reset_links, self.harm_datagrams, self.freeze, self.freeze, self.end_daemon, self.end_daemon, self.end_several,
+                   self.cut_from_upstreams, self.cut_from_upstreams, self.replace_upstream, self.lapse, self.drain_upstream, self.repeat_answers,
+                   self.break_store, self.configure] + 3 * often
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             self.random.choice(choices)()
@@ -147,6 +148,12 @@
             upstream.kind, upstream.share = kind, self.random.uniform(0.1, 0.6)
         self.for_a_while(f"{len(upstreams)} upstreams {kind}", lambda: [setattr(upstream, "share", 0.0) for upstream in upstreams])
 
+    def repeat_answers(self):
+        upstreams = self.random.sample(self.world.upstreams, len(self.world.upstreams) // 2)
+        for upstream in upstreams:
+            upstream.surplus_share = 0.5
+        self.for_a_while(f"{len(upstreams)} upstreams repeat answers", lambda: [setattr(upstream, "surplus_share", 0.0) for upstream in upstreams])
+
     # The store.
 
     def break_store(self):
@@ -154,6 +161,11 @@
         self.world.store.mode = mode
         self.for_a_while(f"the store is {mode}", self.restore)
 
+    def configure(self):
+        self.note("configure")
+        for step in range(self.random.choice((1, 5))):
+            self.schedule.after(0.2 * step, self.world.publish)
+
     def restore(self):
         with self.world.store.changed:
             self.world.store.mode = "up"
--- a/Tests/Soak/refusal_soak.py
+++ b/Tests/Soak/refusal_soak.py
@@ -73,6 +73,10 @@
         """Those whose answer says "not-run" in its body, whatever its status is, are promises as well."""
         return [attempt for attempt in self.single() if attempt.status in STATUSES_NOT_EXECUTED or '"verdict":"not-run"' in attempt.body]
 
+    def promised_after_arrival(self):
+        """Those that rest on what an upstream has said."""
+        return [attempt for attempt in self.promised() if self.arrivals.get(attempt.id)]
+
     def violations(self):
         """By rule, the attempts that broke it."""
         return {"refused, but begun": [attempt for attempt in self.promised() if self.begun(attempt)],
@@ -93,9 +97,8 @@
     def summary(self):
         statuses = collections.Counter(str(attempt.status or attempt.outcome) for attempt in self.world.attempts)
         refused = collections.Counter(attempt.status for attempt in self.refused())
-        arrived = sum(bool(self.arrivals.get(attempt.id)) for attempt in self.promised())
         return (f"{len(self.world.attempts)} attempts, {len(self.single())} not repeatable, {len(self.promised())} promises {dict(refused)}, "
-                f"{arrived} of them had arrived at an upstream, outcomes {dict(sorted(statuses.items()))}")
+                f"{len(self.promised_after_arrival())} of them had arrived at an upstream, outcomes {dict(sorted(statuses.items()))}")
 
 
 def run_seed(seed, options):
@@ -113,9 +116,9 @@
                 print(rule, *soak.timeline(attempt), sep="\n  ", file=log)
         for attempt in attempts[:3]:
             print(rule, *soak.timeline(attempt), sep="\n  ")
-    is_proof = len(soak.promised()) >= options.min_promises
+    is_proof = len(soak.promised()) >= options.min_promises and len(soak.promised_after_arrival()) >= options.min_arrivals
     if not is_proof:
-        print(f"  only {len(soak.promised())} promises, {options.min_promises} required")
+        print(f"  too few promises, required are {options.min_promises}, and {options.min_arrivals} of requests that had arrived at an upstream")
     has_failed = any(counts.values()) or bool(soak.died) or not is_proof
     if has_failed:
         print(f"  logs: {directory}")
@@ -131,6 +134,7 @@
     parser.add_argument("--seeds", type=int, default=1, help="number of seeds to run")
     parser.add_argument("--seconds", type=float, default=12, help="duration of the fault schedule")
     parser.add_argument("--min-promises", type=int, default=100, help="promises without which a run proves nothing")
+    parser.add_argument("--min-arrivals", type=int, default=20, help="promises for requests that had arrived at an upstream without which a run proves nothing")
     parser.add_argument("--misdirected-share", type=float, default=0.0, help="share of requests that upstreams run and then answer with 421 without X-Not-Executed")
     parser.add_argument("--directory", help="log directory (default: a temporary one, kept if a rule was broken)")
     options = parser.parse_args()
--- a/Tests/Soak/refusal_world.py
+++ b/Tests/Soak/refusal_world.py
@@ -30,6 +30,8 @@
 DEADLINES = {"safe": 0.6, "unsafe": 0.6, "resumable": 2.5, "once": 2.5}
 # The share of upstreams that drop a waiting request whose connection has closed.
 DROPPING_SHARE = 0.6
+# Seconds until an answer is sent a second time.
+SURPLUS_DELAY = (0.0, 0.08)
 # Bytes that are added to bodies. Long ones arrive in several parts, between which a link may fail.
 PADDINGS = (0, 600, 3600, 90000)
 # Requests that a caller sends again after promises, each under an identifier of its own.
@@ -52,10 +54,26 @@
         self.slowdown = 1.0
         # The share of requests that it runs and then answers with 421 and a signature, without X-Not-Executed.
         self.misdirected_share = 0.0
+        # The share of answers without a body that it sends a second time, perhaps when the next one is due.
+        self.surplus_share = 0.0
+        self.last = threading.local()
         super().__init__(network, instance, service, hall, **link)
         self.slots, self.events, self.event_pause = SLOTS[service], EVENTS, EVENT_PAUSE
         self.drops = self.random.random() < DROPPING_SHARE
 
+    def head(self, request, status, length, extra=""):
+        head = super().head(request, status, length, extra)
+        self.last.answer = head if length == 0 else None
+        return head
+
+    def serve_one(self, connection, reader):
+        self.last.answer = None
+        is_open = super().serve_one(connection, reader)
+        if is_open and self.last.answer and self.random.random() < self.surplus_share:
+            self.released.wait(self.random.uniform(*SURPLUS_DELAY))
+            connection.sendall(self.last.answer)
+        return is_open
+
     def plain(self, connection, request, fault):
         return self.admit(connection, request, fault, super().plain)
 
@@ -177,7 +195,8 @@
         self.held_addresses = set()
         self.is_over = False
         self.attempts, self.upstreams = [], []
-        self.store.put("keyed.op", "config", manifest(3, routes=ROUTES))
+        self.version = 0
+        self.publish()
         for service, count in UPSTREAMS.items():
             for number in range(count):
                 self.add_upstream(service, HALLS[number % len(HALLS)])
@@ -188,6 +207,10 @@
         self.threads = [threading.Thread(target=caller.run, daemon=True) for caller in self.callers]
         self.threads.append(threading.Thread(target=self.balance, daemon=True))
 
+    def publish(self):
+        self.version += 1
+        self.store.put("keyed.op", "config", manifest(self.version, routes=ROUTES))
+
     def add_upstream(self, service, hall):
         upstream = SheddingUpstream(self.network, f"{service}-{len(self.upstreams)}", service, hall, address=UPSTREAM_ADDRESS, held=self.held_addresses)
         upstream.misdirected_share = self.misdirected_share
