RequestAttempts: Send a rejected stream again over a new connection

Callers of streams that cannot be resumed got 503, which promises that the stream has not run, while an upstream ran it. An upstream may send an answer a second time, in the place where the next one is due, and the request's id tells the two apart only if the next request is another one. Where a process had taken the address of an upstream that was still listed, the daemon sent the rejected request again over the same connection, and took the repeated 421 for the new process's word.

A request that may not be repeated now gets a new connection for each send after a rejection. Others keep using open connections: a repeated rejection costs them a send, but promises nothing that matters.

TestRouting's new case fails without the change.

--- a/Libraries/LibRouting/RequestAttempts.cpp
+++ b/Libraries/LibRouting/RequestAttempts.cpp
@@ -115,7 +115,8 @@
 
 bool RequestAttempts::needsFreshConnection(ServicePlacement::Choice const& choice) const
 {
-    return choice.needsNewConnection || (!m_limits.isRepeatable && !m_limits.isStream);
+    bool const isOpenConnectionSafe = m_limits.isRepeatable || (m_limits.isStream && !m_rejections);
+    return choice.needsNewConnection || !isOpenConnectionSafe;
 }
 
 void RequestAttempts::recordSend()
--- a/Libraries/LibRouting/RequestAttempts.h
+++ b/Libraries/LibRouting/RequestAttempts.h
@@ -90,7 +90,8 @@
     // Returns how long to wait for a connection.
     Milliseconds connectTimeout() const;
     // Whether the request must use a new connection. A reused one may already be closed or
-    // broken, which would leave it unclear whether the request was executed.
+    // broken, which would leave it unclear whether the request was executed. After a rejection, its upstream
+    // may send the rejection once more, which would pass for the answer to the next send.
     bool needsFreshConnection(ServicePlacement::Choice const&) const;
 
     // Records a failed attempt. Returns true if the request is to be sent to another upstream.
--- a/Tests/LibRouting/TestRequestAttempts.cpp
+++ b/Tests/LibRouting/TestRequestAttempts.cpp
@@ -257,6 +257,21 @@
     BOOST_TEST(fixture.attempts(false, 1).needsFreshConnection(sound));
 }
 
+// A rejection that arrives twice would say of the second send that it has not run.
+BOOST_AUTO_TEST_CASE(RejectedUnrepeatableStreamsNeedFreshConnections)
+{
+    Fixture fixture;
+    ServicePlacement::Choice const sound { UpstreamId(2), {}, false };
+    for (bool const isRepeatable : { false, true }) {
+        auto attempts = fixture.attempts(isRepeatable, 1, true);
+        attempts.recordSend();
+        BOOST_TEST(!attempts.needsFreshConnection(sound));
+        BOOST_TEST(attempts.recordFailure(UpstreamId(1), rejected(), at(10)));
+        attempts.recordSend();
+        BOOST_TEST(attempts.needsFreshConnection(sound) == !isRepeatable);
+    }
+}
+
 // A request that may have run goes to another daemon only where it might also be sent again here.
 BOOST_AUTO_TEST_CASE(AnotherDaemonGetsOnlyWhatMayStillBeSent)
 {
