Daemon: Refuse during a planned stop what its limit would cut

It asks StopAdmission before each send, as the gateway does, by the durations of earlier requests of the same pool, or by the pool's answer timeout as long as there are too few. Requests that still run at the end are given up with an answer, without a retry and without counting against the upstream.

--- a/Services/stagepostd/Daemon.cpp
+++ b/Services/stagepostd/Daemon.cpp
@@ -13,6 +13,8 @@
     constexpr unsigned statusUnready = 503;
     // The settings usually arrive within moments of the start.
     constexpr Milliseconds settingsRetryDelay { 1000 };
+    // Until the callers of requests that are given up have their answers.
+    constexpr Milliseconds lastAnswers { 150 };
 
     Refusal noSettingsRefusal()
     {
@@ -76,7 +78,7 @@
     , m_server(
           loop, m_options.http, [this](std::shared_ptr<Exchange> const& exchange) { handleRequest(exchange); }, [this](Refusal const& refusal) { return refuse(refusal); }, m_clientMemory, [this](HttpRequest const& head) { return checkHead(head); })
     , m_tickTimer(loop)
-    , m_drain(loop, m_server, "X-Request-Id", {})
+    , m_drain(loop, m_server, "X-Request-Id", { [] { return size_t { 0 }; }, [this] { m_stop.requests().giveUpAll(); } })
 {
 }
 
@@ -277,7 +279,7 @@
 
 void Daemon::setDraining(bool draining)
 {
-    if (m_isStopping || draining == m_isDraining)
+    if (m_stop.isUnderWay() || draining == m_isDraining)
         return;
     m_isDraining = draining;
     logEvent(LogLevel::Info, draining ? "draining" : "undrained", { { "open", m_server.openExchanges() } });
@@ -314,7 +316,7 @@
         finished({ refusal, {} });
         return;
     }
-    RequestServices const services { m_loop, m_admission, m_retryPolicy, m_metrics, m_vmListFollower.list() };
+    RequestServices const services { m_loop, m_admission, m_retryPolicy, m_metrics, m_vmListFollower.list(), m_stop };
     std::make_shared<RequestHandler>(services, exchange, std::move(request), std::move(finished))->start();
 }
 
@@ -331,13 +333,13 @@
 
 void Daemon::drain(std::function<void()> drained)
 {
-    if (m_isStopping)
-        return;
     setDraining(true);
-    m_isStopping = true;
+    auto const end = m_options.drainGrace + m_options.drainLimit;
+    StopTimes const times { m_options.drainGrace, end, end + lastAnswers };
+    if (!m_stop.begin(m_loop.now(), times))
+        return;
     m_server.setCloseAfterResponse(true);
-    auto const limit = m_options.drainGrace + m_options.drainLimit;
-    m_drain.start({ m_options.drainGrace, limit, limit }, [this, drained = std::move(drained)] {
+    m_drain.start(times, [this, drained = std::move(drained)] {
         m_admission.tick(m_loop.now());
         drained();
     });
--- a/Services/stagepostd/Daemon.h
+++ b/Services/stagepostd/Daemon.h
@@ -17,6 +17,7 @@
 #include <stagepostd/ServerDrain.h>
 #include <stagepostd/SettingsFollower.h>
 #include <stagepostd/SettingsPolicies.h>
+#include <stagepostd/StopAdmission.h>
 #include <stagepostd/UpstreamWatcher.h>
 #include <stagepostd/VMListFollower.h>
 
@@ -81,6 +82,7 @@
     SettingsPolicies m_policies;
     PeerSettings m_peerSettings;
     UpstreamWatcher m_upstreamWatcher;
+    StopAdmission m_stop;
     OnceGateway m_onceGateway;
     OperatorServer m_operatorServer;
     std::shared_ptr<ClientMemory> m_clientMemory;
@@ -91,7 +93,6 @@
     bool m_isViewStale { false };
     double m_shareOfFleet { 1 };
     bool m_isDraining { false };
-    bool m_isStopping { false };
 };
 
 }
--- a/Services/stagepostd/RequestHandler.cpp
+++ b/Services/stagepostd/RequestHandler.cpp
@@ -18,6 +18,12 @@
     , m_request(std::move(request))
     , m_finishedCallback(std::move(finished))
     , m_startedAt(services.loop.now())
+    // An answer begins within that time. Nothing bounds the length of a stream.
+    , m_work { workIdOf("", m_request.pool.path), {}, m_request.pool.answerTimeout }
+    , m_running(services.stop.requests().add(m_work.id, m_startedAt, [exchange = std::weak_ptr(m_exchange)] {
+        if (auto const open = exchange.lock())
+            open->stopForward();
+    }))
 {
 }
 
@@ -33,6 +39,8 @@
 
 void RequestHandler::requestPlacement()
 {
+    if (refuseForStop())
+        return;
     ++m_attempts;
     // acquire() may call back before it returns the number.
     auto const number = m_services.admission.acquire(m_request.placement, m_services.loop.now(), [self = shared_from_this()](Placement const& placement) {
@@ -66,6 +74,10 @@
         return;
     }
     auto const& lease = std::get<Lease>(placement);
+    if (refuseForStop()) {
+        m_services.admission.release(lease.id, LeaseOutcome::Unused, m_services.loop.now());
+        return;
+    }
     m_services.metrics.observe("stagepost_placement_seconds", m_services.loop.now() - m_startedAt);
     m_services.metrics.count("stagepost_placements_total", lease.holdsContext ? "context=\"held\"" : "context=\"new\"");
     for (auto const& [id, entry] : m_services.vms.entries()) {
@@ -109,15 +121,19 @@
     m_isForwarding = false;
     if (m_isFinished)
         return;
-    m_services.admission.release(lease.id, outcomeOf(result), m_services.loop.now());
+    auto const now = m_services.loop.now();
+    bool const isGivenUp = result.failure && m_services.stop.isOver(now);
+    m_services.admission.release(lease.id, isGivenUp ? LeaseOutcome::Unused : outcomeOf(result), now);
     if (!result.failure) {
+        m_running->answered(now);
         finish({}, result);
         return;
     }
+    m_running->brokenOff(now);
     m_combinedVerdict = combine(m_combinedVerdict, result.verdict);
     Refusal const refusal { *result.failure, m_combinedVerdict, result.detail, {} };
     m_lastFailure = refusal;
-    if (retry(lease, result))
+    if (!isGivenUp && retry(lease, result))
         return;
     if (result.responseStarted || result.failure == RefusalReason::CallerGone)
         finish(refusal, result);
@@ -147,6 +163,14 @@
     return true;
 }
 
+bool RequestHandler::refuseForStop()
+{
+    if (m_services.stop.mayTake(m_work, m_services.loop.now()))
+        return false;
+    refuse({ RefusalReason::Draining, Verdict::NotRun, "this daemon is about to stop, and the request may take longer", {} });
+    return true;
+}
+
 // An earlier attempt of the request may have run, so its verdict is included.
 void RequestHandler::refuse(Refusal refusal)
 {
--- a/Services/stagepostd/RequestHandler.h
+++ b/Services/stagepostd/RequestHandler.h
@@ -8,6 +8,7 @@
 #include <LibRouting/RetryPolicy.h>
 #include <memory>
 #include <stagepostd/RequestReader.h>
+#include <stagepostd/StopAdmission.h>
 
 namespace Stagepost {
 
@@ -18,6 +19,7 @@
     RetryPolicy& retryPolicy;
     Metrics& metrics;
     VMList const& vms;
+    StopAdmission& stop;
 };
 
 // Handles one request: obtains a lease on an upstream, forwards the request, and retries it at
@@ -43,6 +45,8 @@
     void forward(Lease const&, VMEntry const&);
     void handleForwardResult(Lease const&, ForwardResult const&);
     bool retry(Lease const&, ForwardResult const&);
+    // Whether the request is refused because the daemon stops before it could end.
+    bool refuseForStop();
     void refuse(Refusal);
     void finish(std::optional<Refusal> const&, ForwardResult const&);
     void handleCallerGone();
@@ -53,6 +57,8 @@
     CallerRequest m_request;
     FinishedCallback m_finishedCallback;
     Instant m_startedAt;
+    StopAdmission::Work m_work;
+    std::unique_ptr<RunningRequests::Entry> m_running;
     std::optional<LeaseClient::RequestNumber> m_placementNumber;
     size_t m_attempts { 0 };
     // The verdicts of all failed attempts, combined: whether one of them may have run.
--- a/Tests/Processes/test_proxy.py
+++ b/Tests/Processes/test_proxy.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import subprocess
+import threading
 import time
 import unittest
 
@@ -219,6 +220,27 @@
             self.assertTrue(read_all(connection).endswith(b"0\r\n\r\n"))
         self.assertEqual(entry.process.wait(30), 0)
 
+    def test_a_planned_stop_refuses_what_its_limit_would_cut(self):
+        """A request that is sent on and cut may have run; one that is refused goes elsewhere."""
+        entry = self.daemon(extra=("--drain-grace-ms", "2000", "--drain-limit-ms", "500"))
+        self.engine(token_ms=20)
+        self.publish()
+        self.serve(entry)
+        threads = [threading.Thread(target=entry.chat, kwargs={"max_tokens": 60}) for _ in range(20)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        entry.terminate()
+        eventually(lambda: not entry.ready(), "the daemon is not ready")
+        time.sleep(1)
+        refused = entry.chat("late", max_tokens=60)
+        self.assertEqual((refused.status, refused.error()["reason"], refused.error()["verdict"]), (503, "draining", "not-run"))
+        self.assertEqual(refused.headers["Connection"], "close")
+        begun = time.monotonic()
+        self.assertEqual(entry.process.wait(30), 0)
+        self.assertLess(time.monotonic() - begun, 2)
+
 
 class Flags(unittest.TestCase):
     def run_daemon(self, *arguments):
