--- a/Libraries/LibProxy/Detail/Session.cpp
+++ b/Libraries/LibProxy/Detail/Session.cpp
@@ -85,10 +85,8 @@
 {
     auto const self = shared_from_this();
     m_server->sessions.insert(this);
-    while (co_await serveRequest()) {
-        if (m_server->stopped)
-            break;
-    }
+    // Once the server is stopped, only a client that was told before that the connection stays open may send one more request.
+    while (co_await serveRequest()) { }
     co_await end();
     m_server->sessions.erase(this);
 }
--- a/Tests/LibProxy/TestHttpServer.cpp
+++ b/Tests/LibProxy/TestHttpServer.cpp
@@ -85,6 +85,41 @@
     BOOST_TEST(response.find("Connection: close") != std::string::npos);
 }
 
+// Guards against requests that cross the close of a connection which, as the head of the answer before has said, stays open.
+BOOST_AUTO_TEST_CASE(ARequestAfterAnAnswerFromBeforeTheStopIsAnswered)
+{
+    EventLoop loop;
+    ScriptedUpstream upstream;
+    HttpServer server(
+        loop, {}, [&](std::shared_ptr<Exchange> const& exchange) {
+            if (exchange->request().target != "/stream")
+                return exchange->respond(makeTextResponse(503, "draining"));
+            ForwardPlan plan;
+            plan.upstream = upstream.endpoint();
+            plan.request = exchange->request();
+            exchange->forward(std::move(plan), [](ForwardResult const&) {}); },
+        [](Refusal const&) { return makeTextResponse(400, ""); });
+    auto const endpoint = server.listen({ "127.0.0.1", 0 });
+    Client const client(*endpoint);
+    client.send("GET /stream HTTP/1.1\r\nHost: a\r\n\r\n");
+    loop.runFor(Milliseconds(20));
+    upstream.accept();
+    upstream.readRequest();
+    upstream.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n");
+    loop.runFor(Milliseconds(20));
+    server.stopListening();
+    upstream.send("0\r\n\r\n");
+    loop.runFor(Milliseconds(20));
+    BOOST_TEST(client.receive().ends_with("0\r\n\r\n"));
+    client.send("GET /next HTTP/1.1\r\nHost: a\r\n\r\n");
+    loop.runFor(Milliseconds(20));
+    std::string received;
+    auto const end = client.receiveAll(received);
+    BOOST_TEST(received.find("HTTP/1.1 503") == 0);
+    BOOST_TEST(received.find("Connection: close") != std::string::npos);
+    BOOST_TEST((end == Client::End::Normal));
+}
+
 // Guards against answers that are cut by a reset: the server closes the connection after its answer, while bytes
 // of the client are unread and the client has yet to read most of the answer.
 BOOST_AUTO_TEST_CASE(SlowClientThatSendsMoreGetsTheWholeAnswer)
--- a/Tests/platform/TestDetourServer.cpp
+++ b/Tests/platform/TestDetourServer.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 #include <stagepostd/DetourServer.h>
+#include <stagepostd/GatewayReply.h>
 
 using namespace Stagepost;
 
@@ -108,6 +109,15 @@
     BOOST_TEST(world.handled.empty());
 }
 
+// Guards against requests that nobody serves because the daemon they were passed on to has begun to stop.
+BOOST_AUTO_TEST_CASE(ADaemonThatStopsLeavesTheRequestToOthers)
+{
+    World world;
+    auto const exchange = world.serve(termsFor(5));
+    world.handled.front()->respond(gatewayReply({ RefusalReason::Draining, Verdict::NotRun, "this daemon is about to stop", {} }));
+    checkRefusedElsewhere(*exchange);
+}
+
 BOOST_AUTO_TEST_CASE(OnlySoManyAreTakenAtATime)
 {
     World world;
