--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -445,8 +445,10 @@
     Http::response_serializer<Http::empty_body> serializer(response);
     m_isHeaderWritten = true;
     m_result.responseStarted = true;
-    if (m_events && m_plan.progress)
+    if (m_events && m_plan.progress) {
         m_plan.progress->isHeaderSent = true;
+        m_plan.progress->isClientKeptAlive = m_isClientKeptAlive;
+    }
     m_isWritingToClient = true;
     auto [failure, written] = co_await Http::async_write_header(m_client.stream, serializer, useTuple);
     co_return finishWrite(failure);
@@ -475,10 +477,9 @@
 
 Net::awaitable<bool> Forwarder::finishResponse()
 {
-    // The forward that began a continued stream has written its header, which kept the
-    // client's connection alive.
+    // The forward that began a continued stream has written its header.
     if (m_plan.progress && m_plan.progress->isHeaderSent && m_isChunked)
-        m_isClientKeptAlive = m_client.keepAlive();
+        m_isClientKeptAlive = m_plan.progress->isClientKeptAlive;
     if (!m_isHeaderWritten) {
         std::optional<uint64_t> length;
         if (!m_events)
--- a/Libraries/LibProxy/EventProgress.h
+++ b/Libraries/LibProxy/EventProgress.h
@@ -10,6 +10,8 @@
 struct EventProgress {
     // Whether the client has the head of an event stream.
     bool isHeaderSent { false };
+    // Whether that head says that the client's connection stays open.
+    bool isClientKeptAlive { false };
     // The number of events that were forwarded.
     uint64_t eventCount { 0 };
     // The highest event id that the client has.
--- a/Tests/LibProxy/TestHttpServer.cpp
+++ b/Tests/LibProxy/TestHttpServer.cpp
@@ -86,7 +86,7 @@
 }
 
 // Guards against requests that cross the close of a connection which, as the head of the answer before has said, stays open.
-BOOST_AUTO_TEST_CASE(ARequestAfterAnAnswerFromBeforeTheStopIsAnswered)
+void checkRequestAfterStream(std::shared_ptr<EventProgress> const& progress)
 {
     EventLoop loop;
     ScriptedUpstream upstream;
@@ -97,6 +97,7 @@
             ForwardPlan plan;
             plan.upstream = upstream.endpoint();
             plan.request = exchange->request();
+            plan.progress = progress;
             exchange->forward(std::move(plan), [](ForwardResult const&) {}); },
         [](Refusal const&) { return makeTextResponse(400, ""); });
     auto const endpoint = server.listen({ "127.0.0.1", 0 });
@@ -105,7 +106,7 @@
     loop.runFor(Milliseconds(20));
     upstream.accept();
     upstream.readRequest();
-    upstream.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n");
+    upstream.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n");
     loop.runFor(Milliseconds(20));
     server.stopListening();
     upstream.send("0\r\n\r\n");
@@ -120,6 +121,12 @@
     BOOST_TEST((end == Client::End::Normal));
 }
 
+BOOST_AUTO_TEST_CASE(ARequestAfterAnAnswerFromBeforeTheStopIsAnswered)
+{
+    checkRequestAfterStream(nullptr);
+    checkRequestAfterStream(std::make_shared<EventProgress>());
+}
+
 // Guards against answers that are cut by a reset: the server closes the connection after its answer, while bytes
 // of the client are unread and the client has yet to read most of the answer.
 BOOST_AUTO_TEST_CASE(SlowClientThatSendsMoreGetsTheWholeAnswer)
