platform: Bound what one answer or one list of the store may take

A store that sends answers without end made a daemon hold up to 16 MB for each of its calls, parse a page of empty items to a tree of many times its size, and keep a list whose pages never end until the memory of the machine was used up.

--- a/Libraries/LibProxy/HttpClient.cpp
+++ b/Libraries/LibProxy/HttpClient.cpp
@@ -18,7 +18,7 @@
     // the timeout of 1 s for reads from the store.
     constexpr int maxTimeoutsPerResponse = 8;
 
-    Net::awaitable<Result<HttpResponse>> fetchResponse(Net::io_context& context, Endpoint endpoint, HttpRequest httpRequest, Milliseconds timeout)
+    Net::awaitable<Result<HttpResponse>> fetchResponse(Net::io_context& context, Endpoint endpoint, HttpRequest httpRequest, Milliseconds timeout, size_t maxBodySize)
     {
         UpstreamConnection connection(context);
         auto& stream = connection.stream;
@@ -51,7 +51,7 @@
         do {
             // A parser reads one response only.
             parser.emplace();
-            parser->body_limit(HttpClient::maxResponseBodySize);
+            parser->body_limit(maxBodySize);
             readBytes = 0;
             while (!parser->is_done()) {
                 auto [readFailure, read] = co_await Http::async_read_some(stream, connection.buffer, *parser, useTuple);
@@ -78,7 +78,7 @@
 void HttpClient::fetch(Endpoint const& endpoint, HttpRequest httpRequest, Milliseconds timeout, Callback callback)
 {
     auto& context = m_loop.native().context;
-    Net::co_spawn(context, fetchResponse(context, endpoint, std::move(httpRequest), timeout),
+    Net::co_spawn(context, fetchResponse(context, endpoint, std::move(httpRequest), timeout, m_maxBodySize),
         [callback = std::move(callback)](std::exception_ptr const& exception, Result<HttpResponse> result) {
             if (exception)
                 std::rethrow_exception(exception);
--- a/Libraries/LibProxy/HttpClient.h
+++ b/Libraries/LibProxy/HttpClient.h
@@ -15,8 +15,10 @@
     static constexpr size_t maxResponseBodySize = 16u << 20; // bytes
     using Callback = std::function<void(Result<HttpResponse>)>;
 
-    explicit HttpClient(EventLoop& loop)
+    // A response with a larger body, in bytes, is malformed.
+    explicit HttpClient(EventLoop& loop, size_t maxBodySize = maxResponseBodySize)
         : m_loop(loop)
+        , m_maxBodySize(maxBodySize)
     {
     }
 
@@ -29,6 +31,7 @@
 
 private:
     EventLoop& m_loop;
+    size_t m_maxBodySize;
 };
 
 }
--- a/Tests/platform/TestStoreClient.cpp
+++ b/Tests/platform/TestStoreClient.cpp
@@ -210,4 +210,40 @@
     BOOST_TEST(failures == (std::vector<size_t> { 1, 2, 3, 1 }), boost::test_tools::per_element());
 }
 
+// Guards against a list that never ends: its pages go back to keys that were listed before.
+BOOST_AUTO_TEST_CASE(EndsAListWhoseKeysDontRise)
+{
+    size_t calls = 0;
+    StoreClient const client({}, [&](Endpoint const&, HttpRequest const&, Milliseconds, auto const& callback) {
+        constexpr size_t maxCalls = 10;
+        auto const* key = calls % 2 ? "a" : "b";
+        callback(HttpResponse { 200, {}, nlohmann::json { { "items", { { { "key", key }, { "value", "dg==" } } } }, { "hasMore", ++calls < maxCalls }, { "end", 2 } }.dump() });
+    });
+    std::optional<Result<KeyedRecords>> found;
+    client.readLatest(
+        "keyed.topic", [] { return true; }, [&](auto const& result) { found = result; });
+    BOOST_REQUIRE(found.has_value());
+    BOOST_TEST((!*found && found->error().code == make_error_code(ErrorCode::PlatformDown)));
+    BOOST_TEST(calls == 2);
+}
+
+// Guards against a list of ever new keys, which took the memory of the daemon's machine.
+BOOST_AUTO_TEST_CASE(EndsAListLargerThanItsLimit)
+{
+    constexpr uint64_t maxListBytes = 10'000;
+    size_t calls = 0;
+    StoreClient const client(
+        {}, [&](Endpoint const&, HttpRequest const&, Milliseconds, auto const& callback) {
+            auto const key = std::to_string(1'000'000 + ++calls);
+            callback(HttpResponse { 200, {}, nlohmann::json { { "items", { { { "key", key }, { "value", std::string(4000, 'A') } } } }, { "hasMore", calls < 10 }, { "end", 2 } }.dump() });
+        },
+        maxListBytes);
+    std::optional<Result<KeyedRecords>> found;
+    client.readLatest(
+        "keyed.topic", [] { return true; }, [&](auto const& result) { found = result; });
+    BOOST_REQUIRE(found.has_value());
+    BOOST_TEST((!*found && found->error().code == make_error_code(ErrorCode::PlatformDown)));
+    BOOST_TEST(calls == 4);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
