--- a/Services/stagepostd/RequestHandler.cpp
+++ b/Services/stagepostd/RequestHandler.cpp
@@ -167,7 +167,7 @@
 {
     if (m_services.stop.mayTake(m_work, m_services.loop.now()))
         return false;
-    refuse({ RefusalReason::Draining, Verdict::NotRun, "this daemon is about to stop, and the request may take longer", {} });
+    refuse({ RefusalReason::Draining, m_combinedVerdict, "this daemon is about to stop, and the request may take longer", {} });
     return true;
 }
 
--- a/Tests/platform/TestDetourServer.cpp
+++ b/Tests/platform/TestDetourServer.cpp
@@ -114,7 +114,7 @@
 {
     World world;
     auto const exchange = world.serve(termsFor(5));
-    world.handled.front()->respond(gatewayReply({ RefusalReason::Draining, Verdict::NotRun, "this daemon is about to stop", {} }));
+    world.handled.front()->respond(gatewayReply({ RefusalReason::Draining, NotRunProof::nothingSent(), "this daemon is about to stop", {} }));
     checkRefusedElsewhere(*exchange);
 }
 
