--- a/Libraries/LibBase/Verdict.cpp
+++ b/Libraries/LibBase/Verdict.cpp
@@ -28,15 +28,15 @@
 {
     if (verdict.isNotRun())
         return "not-run";
-    return verdict == Verdict::Ran ? "ran" : "may-have-run";
+    return verdict == Verdict::ran ? "ran" : "may-have-run";
 }
 
 Verdict combine(Verdict first, Verdict second)
 {
-    if (first == Verdict::Ran || second == Verdict::Ran)
-        return Verdict::Ran;
+    if (first == Verdict::ran || second == Verdict::ran)
+        return Verdict::ran;
     if (!first.m_proof || !second.m_proof)
-        return Verdict::MayHaveRun;
+        return Verdict::mayHaveRun;
     return first.m_proof->m_ground < second.m_proof->m_ground ? second : first;
 }
 
--- a/Libraries/LibBase/Verdict.h
+++ b/Libraries/LibBase/Verdict.h
@@ -48,12 +48,12 @@
     Ground m_ground;
 };
 
-// Whether a request was executed by an upstream. "Not run" takes a proof; any uncertainty is MayHaveRun. There is no
+// Whether a request was executed by an upstream. "Not run" takes a proof; any uncertainty is mayHaveRun. There is no
 // default, so that no path tells a caller "not run" by leaving something out.
 class Verdict {
 public:
-    static Verdict const MayHaveRun;
-    static Verdict const Ran;
+    static Verdict const mayHaveRun;
+    static Verdict const ran;
 
     constexpr Verdict(NotRunProof proof)
         : m_proof(proof)
@@ -82,8 +82,8 @@
     bool m_hasRun { false };
 };
 
-inline constexpr Verdict Verdict::MayHaveRun { false };
-inline constexpr Verdict Verdict::Ran { true };
+inline constexpr Verdict Verdict::mayHaveRun { false };
+inline constexpr Verdict Verdict::ran { true };
 
 // Returns the name that callers see: "not-run", "may-have-run" or "ran".
 std::string_view nameOf(Verdict);
--- a/Libraries/LibOnce/ClaimGate.cpp
+++ b/Libraries/LibOnce/ClaimGate.cpp
@@ -14,8 +14,8 @@
     // restore of the log moves offsets back and fences must keep increasing.
     constexpr unsigned restoreCountShift = 48;
 
-    Refusal const keyExpired { RefusalReason::KeyOutOfWindow, Verdict::MayHaveRun, "the key is older than what is remembered", {} };
-    Refusal const claimMayBeLost { RefusalReason::KeyOutOfWindow, Verdict::MayHaveRun, "the log came back from a copy and may have lost what the key did", {} };
+    Refusal const keyExpired { RefusalReason::KeyOutOfWindow, Verdict::mayHaveRun, "the key is older than what is remembered", {} };
+    Refusal const claimMayBeLost { RefusalReason::KeyOutOfWindow, Verdict::mayHaveRun, "the log came back from a copy and may have lost what the key did", {} };
     Refusal const keyInFuture { RefusalReason::KeyOutOfWindow, NotRunProof::nothingSent(), "the key's time is in the future", {} };
 
     Refusal notRun(RefusalReason reason, char const* detail)
@@ -108,8 +108,8 @@
     if (entry->state == ClaimTable::State::Done && entry->response.isComplete)
         return Replay { entry->response };
     if (entry->state == ClaimTable::State::Done)
-        return Refusal { RefusalReason::KeyInProgress, Verdict::Ran, "the call has run; its answer is not kept", {} };
-    return Refusal { RefusalReason::KeyInProgress, Verdict::MayHaveRun, "another attempt with this key holds it", retryDelay };
+        return Refusal { RefusalReason::KeyInProgress, Verdict::ran, "the call has run; its answer is not kept", {} };
+    return Refusal { RefusalReason::KeyInProgress, Verdict::mayHaveRun, "another attempt with this key holds it", retryDelay };
 }
 
 void ClaimGate::claim(IdempotencyKey const& key, uint64_t fingerprint, Instant now, DecisionCallback callback)
--- a/Libraries/LibOnce/TicketRegistry.cpp
+++ b/Libraries/LibOnce/TicketRegistry.cpp
@@ -82,10 +82,10 @@
     if (VMId(field(0)) != m_self)
         return HeldElsewhere { VMId(field(0)) };
     if (Incarnation(field(1)) != m_incarnation)
-        return Refusal { RefusalReason::TicketHolderGone, Verdict::MayHaveRun, "the daemon that handed the ticket out has restarted", {} };
+        return Refusal { RefusalReason::TicketHolderGone, Verdict::mayHaveRun, "the daemon that handed the ticket out has restarted", {} };
     auto* slot = findSlot(field(2));
     if (!slot)
-        return Refusal { RefusalReason::KeyOutOfWindow, Verdict::MayHaveRun, "the ticket is older than what is remembered", {} };
+        return Refusal { RefusalReason::KeyOutOfWindow, Verdict::mayHaveRun, "the ticket is older than what is remembered", {} };
     if (slot->state != State::Unused && slot->fingerprint != fingerprint)
         return Refusal { RefusalReason::KeyReused, NotRunProof::nothingSent(), "the ticket was used for another request", {} };
     switch (slot->state) {
@@ -94,15 +94,15 @@
         slot->fingerprint = fingerprint;
         return MayRun { field(2) };
     case State::Running:
-        return Refusal { RefusalReason::KeyInProgress, Verdict::MayHaveRun, "the ticket's call is running", Milliseconds(1000) };
+        return Refusal { RefusalReason::KeyInProgress, Verdict::mayHaveRun, "the ticket's call is running", Milliseconds(1000) };
     case State::Done:
         if (slot->response.isComplete)
             return Replay { slot->response };
-        return Refusal { RefusalReason::KeyInProgress, Verdict::Ran, "the call has run; its answer is not kept", {} };
+        return Refusal { RefusalReason::KeyInProgress, Verdict::ran, "the call has run; its answer is not kept", {} };
     case State::InDoubt:
         break;
     }
-    return Refusal { RefusalReason::KeyInProgress, Verdict::MayHaveRun, "nobody can say whether the ticket's call has run", {} };
+    return Refusal { RefusalReason::KeyInProgress, Verdict::mayHaveRun, "nobody can say whether the ticket's call has run", {} };
 }
 
 void TicketRegistry::done(uint64_t serial, RecordedResponse response)
--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -342,7 +342,7 @@
         co_return;
     }
     m_result.isRecordingComplete = m_plan.maxRecordedBytes && m_result.recordedResponse.body.size() <= m_plan.maxRecordedBytes;
-    m_result.verdict = Verdict::Ran;
+    m_result.verdict = Verdict::ran;
     co_await finishResponse();
 }
 
--- a/Libraries/LibProxy/ForwardPlan.h
+++ b/Libraries/LibProxy/ForwardPlan.h
@@ -17,7 +17,7 @@
 // Why an upstream's response is not forwarded, and whether the request has run.
 struct ResponseRejection {
     RefusalReason reason { RefusalReason::UpstreamRefused };
-    Verdict verdict { Verdict::MayHaveRun };
+    Verdict verdict { Verdict::mayHaveRun };
     std::string detail;
 };
 
--- a/Libraries/LibProxy/ForwardResult.h
+++ b/Libraries/LibProxy/ForwardResult.h
@@ -12,7 +12,7 @@
 // The outcome of forwarding a request to one upstream.
 struct ForwardResult {
     // Not run if nothing was sent, or if the response filter determined it.
-    Verdict verdict { Verdict::MayHaveRun };
+    Verdict verdict { Verdict::mayHaveRun };
     // Empty if the client received the complete response.
     std::optional<RefusalReason> failure;
     std::string detail;
--- a/Libraries/LibRouting/RequestAttempts.cpp
+++ b/Libraries/LibRouting/RequestAttempts.cpp
@@ -64,7 +64,7 @@
 
 void RequestAttempts::recordMove(UpstreamId silent)
 {
-    endSend(Verdict::MayHaveRun);
+    endSend(Verdict::mayHaveRun);
     m_failed.push_back(silent);
 }
 
--- a/Libraries/LibRouting/RequestAttempts.h
+++ b/Libraries/LibRouting/RequestAttempts.h
@@ -35,7 +35,7 @@
 
 // How an attempt without a complete response ended.
 struct FailedAttempt {
-    Verdict verdict { Verdict::MayHaveRun };
+    Verdict verdict { Verdict::mayHaveRun };
     // No connection could be established.
     bool isUnconnected { false };
     // The upstream responded that it has not executed the request, because it is at
@@ -96,7 +96,7 @@
     // Records a failed attempt. Returns true if the request is to be sent to another upstream.
     // That counts against the budget, unless no connection was established.
     bool recordFailure(UpstreamId, FailedAttempt const&, Instant now);
-    void recordResponse() { endSend(Verdict::Ran); }
+    void recordResponse() { endSend(Verdict::ran); }
     // The request is being passed on to another daemon, until endDetour() records how its attempts have ended.
     void beginDetour() { m_isSendOpen = true; }
     void endDetour(Verdict verdict) { endSend(verdict); }
@@ -106,7 +106,7 @@
     Milliseconds retryAfter() const;
 
     // A send that has not ended may have run the request.
-    Verdict verdict() const { return m_isSendOpen ? combine(m_verdict, Verdict::MayHaveRun) : m_verdict; }
+    Verdict verdict() const { return m_isSendOpen ? combine(m_verdict, Verdict::mayHaveRun) : m_verdict; }
     // Number of times that the request was, or may have been, executed.
     size_t sends() const { return m_sends; }
     // Number of times that an upstream rejected the request without executing it.
--- a/Libraries/LibRouting/RetryPolicy.h
+++ b/Libraries/LibRouting/RetryPolicy.h
@@ -24,7 +24,7 @@
 
 // The state of a request after a failed attempt.
 struct RetryContext {
-    Verdict verdict { Verdict::MayHaveRun };
+    Verdict verdict { Verdict::mayHaveRun };
     RefusalReason reason { RefusalReason::UpstreamBroken };
     bool isRepeatable { false };
     bool answerStarted { false };
--- a/Services/stagepostd/AnswerCheck.cpp
+++ b/Services/stagepostd/AnswerCheck.cpp
@@ -16,11 +16,11 @@
 {
     bool const isSuccess = status >= statusOk && status < firstRedirect;
     if (isSuccess && !answer.isSigned)
-        return ResponseRejection { RefusalReason::UpstreamMixedAnswer, Verdict::MayHaveRun, "a success without the upstream's signature" };
+        return ResponseRejection { RefusalReason::UpstreamMixedAnswer, Verdict::mayHaveRun, "a success without the upstream's signature" };
     if (status == statusMisdirectedRequest || (promisesNotRun(status) && !context.isRepeatable))
-        return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::MayHaveRun, "the upstream's status promises what its answer does not prove" };
+        return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::mayHaveRun, "the upstream's status promises what its answer does not prove" };
     if (context.hasStreamBegun && status != statusOk)
-        return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::MayHaveRun, "the stream could not be taken up" };
+        return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::mayHaveRun, "the stream could not be taken up" };
     return {};
 }
 
--- a/Services/stagepostd/DetourClient.cpp
+++ b/Services/stagepostd/DetourClient.cpp
@@ -31,11 +31,11 @@
 
     Verdict verdictOfOtherDaemon(std::string_view name)
     {
-        for (auto const verdict : { Verdict(NotRunProof::otherDaemonSaidSo()), Verdict::Ran }) {
+        for (auto const verdict : { Verdict(NotRunProof::otherDaemonSaidSo()), Verdict::ran }) {
             if (name == nameOf(verdict))
                 return verdict;
         }
-        return Verdict::MayHaveRun;
+        return Verdict::mayHaveRun;
     }
 
 }
@@ -108,9 +108,9 @@
     auto const& progress = detour.request.progress;
     if (!headers.contains(DetourServer::refusalHeader)) {
         if (progress && progress->isHeaderSent && status != 200)
-            return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::MayHaveRun, "the stream could not be taken up" };
+            return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::mayHaveRun, "the stream could not be taken up" };
         if (status >= 200 && status < 300 && !m_dialect.readResponseHeader(status, headers, {}).isSigned)
-            return ResponseRejection { RefusalReason::UpstreamMixedAnswer, Verdict::MayHaveRun, "a success without an upstream's signature" };
+            return ResponseRejection { RefusalReason::UpstreamMixedAnswer, Verdict::mayHaveRun, "a success without an upstream's signature" };
         return {};
     }
     auto const verdict = verdictOfOtherDaemon(headers.find("Stagepost-Verdict"));
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -441,7 +441,7 @@
     if (auto rejection = checkAnswer(response, status, { m_request.route->isRepeatable(), m_progress && m_progress->isHeaderSent }))
         return rejection;
     if (status >= firstServerError && couldSendAgain())
-        return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::Ran, "the upstream answered " + std::to_string(status) };
+        return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::ran, "the upstream answered " + std::to_string(status) };
     return {};
 }
 
@@ -480,7 +480,7 @@
             return SendOutcome::Refused;
         if (result.isUnconnected())
             return SendOutcome::ConnectFailed;
-        if (result.verdict == Verdict::Ran)
+        if (result.verdict == Verdict::ran)
             return SendOutcome::Failed;
         return m_services.links.wasLostSince(m_sentAt) ? SendOutcome::Unknown : SendOutcome::NoUsableAnswer;
     }();
@@ -515,7 +515,7 @@
         log("answered", result, "none", m_attempts.verdict());
         return;
     }
-    if (result.failure == RefusalReason::UpstreamBroken && result.verdict == Verdict::MayHaveRun)
+    if (result.failure == RefusalReason::UpstreamBroken && result.verdict == Verdict::mayHaveRun)
         m_evidence.answerBroke(upstream);
     FailedAttempt attempt;
     attempt.verdict = result.verdict;
--- a/Services/stagepostd/OnceGateway.cpp
+++ b/Services/stagepostd/OnceGateway.cpp
@@ -133,7 +133,7 @@
     HttpResponse reply { answer.status, {}, answer.body };
     if (!answer.contentType.empty())
         reply.headers.add("Content-Type", answer.contentType);
-    reply.headers.add("Stagepost-Verdict", nameOf(Verdict::Ran));
+    reply.headers.add("Stagepost-Verdict", nameOf(Verdict::ran));
     reply.headers.add("Stagepost-Replayed", "true");
     exchange.respond(std::move(reply));
 }
@@ -166,7 +166,7 @@
         if (result.verdict.isNotRun())
             onUnreachable();
         else
-            refuse(*exchange, { *result.failure, Verdict::MayHaveRun, "the daemon that decides on this request was lost", {} });
+            refuse(*exchange, { *result.failure, Verdict::mayHaveRun, "the daemon that decides on this request was lost", {} });
     });
 }
 
@@ -183,7 +183,7 @@
 
 void OnceGateway::serveTicket(std::shared_ptr<Exchange> const& exchange, CallerRequest const& request)
 {
-    Refusal const issuerUnreachable { RefusalReason::TicketHolderGone, Verdict::MayHaveRun, "the daemon that handed the ticket out cannot be reached", {} };
+    Refusal const issuerUnreachable { RefusalReason::TicketHolderGone, Verdict::mayHaveRun, "the daemon that handed the ticket out cannot be reached", {} };
     auto const decision = m_ticketRegistry.redeem(request.ticket, request.organisation.id, requestFingerprint(exchange->request()));
     if (auto const* refusal = std::get_if<Refusal>(&decision)) {
         refuse(*exchange, *refusal);
--- a/Services/stagepostd/RequestEvidence.cpp
+++ b/Services/stagepostd/RequestEvidence.cpp
@@ -17,7 +17,7 @@
 std::optional<Refusal> RequestEvidence::refusal(Verdict verdict)
 {
     if (m_services.crashDetector.hasSuspects() && m_services.crashDetector.isPoison(fingerprint()))
-        return Refusal { RefusalReason::EndsUpstreams, Verdict::MayHaveRun, "upstreams have ended under this request: it goes to none any more", {} };
+        return Refusal { RefusalReason::EndsUpstreams, Verdict::mayHaveRun, "upstreams have ended under this request: it goes to none any more", {} };
     if (!hasPoisonPart())
         return {};
     auto const pause = std::chrono::duration_cast<Milliseconds>(m_services.partSuspects.timeToTrial(sharedParts(), m_services.loop.now()));
--- a/Services/stagepostd/RequestHandler.cpp
+++ b/Services/stagepostd/RequestHandler.cpp
@@ -84,7 +84,7 @@
     ForwardPlan plan;
     plan.upstream = upstream.endpoint;
     plan.request = m_request.upstreamCall;
-    plan.extraResponseHeaders.add("Stagepost-Verdict", nameOf(Verdict::Ran));
+    plan.extraResponseHeaders.add("Stagepost-Verdict", nameOf(Verdict::ran));
     if (m_request.isChat)
         plan.extraResponseHeaders.add("Stagepost-Hint", toHex(lease.upstream.value()));
     plan.responseHeaderTimeout = pool.answerTimeout;
@@ -169,7 +169,7 @@
         { { "organisation", m_request.organisation.name }, { "pool", m_request.pool.path },
             { "priority", m_request.placement.priority == Priority::Urgent ? "urgent" : "bulk" },
             { "reason", refusal ? nameOf(refusal->reason) : "none" },
-            { "verdict", nameOf(refusal ? refusal->verdict : Verdict::Ran) },
+            { "verdict", nameOf(refusal ? refusal->verdict : Verdict::ran) },
             { "status", result.status }, { "tries", m_attempts }, { "bytes", result.responseBytes },
             { "took_us", (now - m_startedAt).count() } });
     if (auto const finished = std::exchange(m_finishedCallback, nullptr))
--- a/Tests/LibBase/TestMetrics.cpp
+++ b/Tests/LibBase/TestMetrics.cpp
@@ -36,9 +36,9 @@
 
 BOOST_AUTO_TEST_CASE(CombineKeepsTheDoubt)
 {
-    BOOST_TEST((combine(NotRunProof::nothingSent(), Verdict::MayHaveRun) == Verdict::MayHaveRun));
-    BOOST_TEST((combine(Verdict::MayHaveRun, NotRunProof::upstreamSaidSo()) == Verdict::MayHaveRun));
-    BOOST_TEST((combine(Verdict::MayHaveRun, Verdict::Ran) == Verdict::Ran));
+    BOOST_TEST((combine(NotRunProof::nothingSent(), Verdict::mayHaveRun) == Verdict::mayHaveRun));
+    BOOST_TEST((combine(Verdict::mayHaveRun, NotRunProof::upstreamSaidSo()) == Verdict::mayHaveRun));
+    BOOST_TEST((combine(Verdict::mayHaveRun, Verdict::ran) == Verdict::ran));
     BOOST_TEST(combine(NotRunProof::nothingSent(), NotRunProof::nothingSent()).isNotRun());
     BOOST_TEST(combine(NotRunProof::notConnected(), NotRunProof::nothingSent()).proofName() == "not-connected");
     BOOST_TEST(combine(NotRunProof::notConnected(), NotRunProof::otherDaemonSaidSo()).proofName() == "other-daemon-said-so");
--- a/Tests/LibOnce/OnceSimulation.cpp
+++ b/Tests/LibOnce/OnceSimulation.cpp
@@ -110,7 +110,7 @@
     if (verdict.isNotRun()) {
         ++m_counts.notRun;
         submission->wasToldNotRun = true;
-    } else if (verdict == Verdict::MayHaveRun) {
+    } else if (verdict == Verdict::mayHaveRun) {
         ++m_counts.mayHaveRun;
     }
 }
@@ -137,12 +137,12 @@
             ++m_counts.duplicates;
         if (injectsFault()) {
             submission->isFaulted = true;
-            finished(Verdict::MayHaveRun);
+            finished(Verdict::mayHaveRun);
             return;
         }
         m_events.after(randomDuration(20000), [isAlive, finished] {
             if (isAlive())
-                finished(Verdict::Ran);
+                finished(Verdict::ran);
         });
     });
 }
@@ -155,13 +155,13 @@
     }
     if (std::holds_alternative<ClaimGate::Replay>(decision)) {
         ++m_counts.replayed;
-        recordVerdict(submission, Verdict::Ran);
+        recordVerdict(submission, Verdict::ran);
         return;
     }
     auto const nonce = std::get<ClaimGate::MayRun>(decision).nonce;
     execute(index, submission, [this, index, submission, key, nonce](Verdict verdict) {
         auto& gate = *m_daemons[index].gate;
-        if (verdict == Verdict::Ran)
+        if (verdict == Verdict::ran)
             gate.done(key, nonce, { 200, "text/plain", submission->call, true }, m_events.now());
         else if (verdict.isNotRun())
             gate.abandon(key, nonce, m_events.now());
@@ -214,7 +214,7 @@
         auto const serial = granted ? granted->serial : 0;
         execute(index, submission, [this, index, submission, serial](Verdict verdict) {
             auto& tickets = *m_daemons[index].tickets;
-            if (verdict == Verdict::Ran)
+            if (verdict == Verdict::ran)
                 tickets.done(serial, { 200, "text/plain", submission->call, true });
             else if (verdict.isNotRun())
                 tickets.notRun(serial);
@@ -224,7 +224,7 @@
         });
     } else if (std::holds_alternative<TicketRegistry::Replay>(decision)) {
         ++m_counts.replayed;
-        recordVerdict(submission, Verdict::Ran);
+        recordVerdict(submission, Verdict::ran);
     } else {
         recordVerdict(submission, std::get<Refusal>(decision).verdict);
     }
--- a/Tests/LibOnce/TestOnce.cpp
+++ b/Tests/LibOnce/TestOnce.cpp
@@ -103,7 +103,7 @@
     auto const ticket = fixture.tickets.issue(fixture.organisation, 1).front();
     auto const first = fixture.tickets.redeem(ticket, fixture.organisation, 1);
     BOOST_REQUIRE(std::holds_alternative<TicketRegistry::MayRun>(first));
-    BOOST_TEST((std::get<Refusal>(fixture.tickets.redeem(ticket, fixture.organisation, 1)).verdict == Verdict::MayHaveRun));
+    BOOST_TEST((std::get<Refusal>(fixture.tickets.redeem(ticket, fixture.organisation, 1)).verdict == Verdict::mayHaveRun));
     fixture.tickets.done(std::get<TicketRegistry::MayRun>(first).serial, { 200, "", "body", true });
     BOOST_TEST(std::get<TicketRegistry::Replay>(fixture.tickets.redeem(ticket, fixture.organisation, 1)).response.body == "body");
     BOOST_TEST((std::get<Refusal>(fixture.tickets.redeem(ticket, fixture.organisation, 2)).reason == RefusalReason::KeyReused));
@@ -125,7 +125,7 @@
     auto const ticket = fixture.tickets.issue(fixture.organisation, 1).front();
     TicketRegistry restarted(fixture.authenticator, VMId(1), Incarnation(6), 4, 100);
     auto const refusal = std::get<Refusal>(restarted.redeem(ticket, fixture.organisation, 1));
-    BOOST_TEST((refusal.reason == RefusalReason::TicketHolderGone && refusal.verdict == Verdict::MayHaveRun));
+    BOOST_TEST((refusal.reason == RefusalReason::TicketHolderGone && refusal.verdict == Verdict::mayHaveRun));
 }
 
 BOOST_AUTO_TEST_CASE(OnlyAWindowOfTicketsIsTracked)
@@ -135,7 +135,7 @@
     BOOST_REQUIRE(std::holds_alternative<TicketRegistry::MayRun>(fixture.tickets.redeem(tickets[1], fixture.organisation, 1)));
     BOOST_TEST(fixture.tickets.issue(fixture.organisation, 3).size() == 1u);
     auto const refusal = std::get<Refusal>(fixture.tickets.redeem(tickets[0], fixture.organisation, 1));
-    BOOST_TEST((refusal.reason == RefusalReason::KeyOutOfWindow && refusal.verdict == Verdict::MayHaveRun));
+    BOOST_TEST((refusal.reason == RefusalReason::KeyOutOfWindow && refusal.verdict == Verdict::mayHaveRun));
 }
 
 BOOST_AUTO_TEST_CASE(AppendsAreRateLimitedAndBackOffAfterFailures)
@@ -230,7 +230,7 @@
     ++restoreCount;
     ClaimGate after({}, hooks);
     auto const refused = std::get<Refusal>(decisionOf(after, "1000-a"));
-    BOOST_TEST((refused.reason == RefusalReason::KeyOutOfWindow && refused.verdict == Verdict::MayHaveRun));
+    BOOST_TEST((refused.reason == RefusalReason::KeyOutOfWindow && refused.verdict == Verdict::mayHaveRun));
     wallClockSeconds = 1100;
     auto const later = std::get<ClaimGate::MayRun>(decisionOf(after, "1090-a"));
     // Fences increase although offsets start again.
--- a/Tests/LibProxy/ForwardedAnswer.h
+++ b/Tests/LibProxy/ForwardedAnswer.h
@@ -70,7 +70,7 @@
         {
             BOOST_TEST((result->failure == RefusalReason::UpstreamMixedAnswer));
             BOOST_TEST(result->hasForeignBytes);
-            BOOST_TEST((result->verdict == Verdict::MayHaveRun));
+            BOOST_TEST((result->verdict == Verdict::mayHaveRun));
             BOOST_TEST((result->responseStarted || received.starts_with("HTTP/1.1 502 ")));
             BOOST_TEST(!received.ends_with("0\r\n\r\n"));
         }
--- a/Tests/LibProxy/TestRelayGate.cpp
+++ b/Tests/LibProxy/TestRelayGate.cpp
@@ -87,7 +87,7 @@
     BOOST_TEST(!stream.hasEvent());
     BOOST_REQUIRE(stream.result.has_value());
     BOOST_TEST((stream.result->failure == RefusalReason::UpstreamMixedAnswer));
-    BOOST_TEST((stream.result->verdict == Verdict::MayHaveRun));
+    BOOST_TEST((stream.result->verdict == Verdict::mayHaveRun));
     BOOST_TEST(!stream.result->responseStarted);
 }
 
--- a/Tests/LibProxy/TestTruncatedHeads.cpp
+++ b/Tests/LibProxy/TestTruncatedHeads.cpp
@@ -130,7 +130,7 @@
         auto const answer = request({ target }).front();
         BOOST_TEST(answer.status == 502);
         BOOST_TEST((m_results.at(target).failure == RefusalReason::UpstreamBroken));
-        BOOST_TEST((m_results.at(target).verdict == Verdict::MayHaveRun));
+        BOOST_TEST((m_results.at(target).verdict == Verdict::mayHaveRun));
     }
 
 private:
@@ -262,7 +262,7 @@
             BOOST_TEST((answer.status == 502 || !answer.isWhole));
             BOOST_TEST(result.failure.has_value());
             BOOST_TEST(!result.isRecordingComplete);
-            BOOST_TEST((result.verdict == Verdict::MayHaveRun));
+            BOOST_TEST((result.verdict == Verdict::mayHaveRun));
             return;
         }
         // A reset may discard bytes that the server has yet to read.
--- a/Tests/LibRouting/TestDecisions.cpp
+++ b/Tests/LibRouting/TestDecisions.cpp
@@ -192,7 +192,7 @@
     RetryContext context;
     context.deadline = at(10);
     context.isRepeatable = false;
-    context.verdict = Verdict::MayHaveRun;
+    context.verdict = Verdict::mayHaveRun;
     BOOST_TEST((retries.decide(context, at(1)) == RetryDecision::MayHaveRun));
     context.verdict = NotRunProof::nothingSent();
     BOOST_TEST((retries.decide(context, at(1)) == RetryDecision::Retry));
--- a/Tests/LibRouting/TestRequestAttempts.cpp
+++ b/Tests/LibRouting/TestRequestAttempts.cpp
@@ -59,13 +59,13 @@
     Fixture fixture;
     auto once = fixture.attempts(false, 2);
     once.recordSend();
-    BOOST_TEST(!once.recordFailure(UpstreamId(1), broken(Verdict::MayHaveRun), at(10)));
-    BOOST_TEST((once.verdict() == Verdict::MayHaveRun));
+    BOOST_TEST(!once.recordFailure(UpstreamId(1), broken(Verdict::mayHaveRun), at(10)));
+    BOOST_TEST((once.verdict() == Verdict::mayHaveRun));
     auto again = fixture.attempts(true, 2);
     again.recordSend();
-    BOOST_TEST(again.recordFailure(UpstreamId(1), broken(Verdict::MayHaveRun), at(10)));
+    BOOST_TEST(again.recordFailure(UpstreamId(1), broken(Verdict::mayHaveRun), at(10)));
     again.recordSend();
-    BOOST_TEST(!again.recordFailure(UpstreamId(2), broken(Verdict::Ran), at(10)));
+    BOOST_TEST(!again.recordFailure(UpstreamId(2), broken(Verdict::ran), at(10)));
 }
 
 // Guards against a request that is refused as not run on a path that forgot a send.
@@ -75,17 +75,17 @@
     auto attempts = fixture.attempts(false, 2);
     BOOST_TEST(attempts.verdict().proofName() == "nothing-sent");
     attempts.recordSend();
-    BOOST_TEST((attempts.verdict() == Verdict::MayHaveRun));
+    BOOST_TEST((attempts.verdict() == Verdict::mayHaveRun));
     BOOST_TEST(!attempts.mayDetour(at(10)));
     BOOST_TEST(attempts.recordFailure(UpstreamId(1), rejected(), at(10)));
     BOOST_TEST(attempts.verdict().proofName() == "upstream-said-so");
     attempts.beginDetour();
-    BOOST_TEST((attempts.verdict() == Verdict::MayHaveRun));
+    BOOST_TEST((attempts.verdict() == Verdict::mayHaveRun));
     attempts.endDetour(NotRunProof::otherDaemonSaidSo());
     BOOST_TEST(attempts.verdict().proofName() == "other-daemon-said-so");
     attempts.recordSend();
     attempts.recordMove(UpstreamId(2));
-    BOOST_TEST((attempts.verdict() == Verdict::MayHaveRun));
+    BOOST_TEST((attempts.verdict() == Verdict::mayHaveRun));
 }
 
 BOOST_AUTO_TEST_CASE(RejectedRequestIsSentAgainOnce)
@@ -109,15 +109,15 @@
     BOOST_TEST(once.recordFailure(UpstreamId(1), rejected(), at(10)));
     once.recordSend();
     BOOST_TEST(once.sends() == 1u);
-    BOOST_TEST(!once.recordFailure(UpstreamId(2), broken(Verdict::MayHaveRun), at(10)));
+    BOOST_TEST(!once.recordFailure(UpstreamId(2), broken(Verdict::mayHaveRun), at(10)));
     // A rejection doesn't use up the second execution that the route allows.
     auto again = fixture.attempts(true, 2);
     again.recordSend();
-    BOOST_TEST(again.recordFailure(UpstreamId(1), broken(Verdict::Ran), at(10)));
+    BOOST_TEST(again.recordFailure(UpstreamId(1), broken(Verdict::ran), at(10)));
     again.recordSend();
     BOOST_TEST(again.recordFailure(UpstreamId(2), rejected(), at(10)));
     again.recordSend();
-    BOOST_TEST(!again.recordFailure(UpstreamId(3), broken(Verdict::Ran), at(10)));
+    BOOST_TEST(!again.recordFailure(UpstreamId(3), broken(Verdict::ran), at(10)));
     BOOST_TEST(again.rejections() == 1u);
 }
 
@@ -144,7 +144,7 @@
     BOOST_TEST(!first.reserveMove(3, at(5)).has_value());
     second.recordMove(UpstreamId(1));
     BOOST_TEST((second.failedUpstreams() == std::vector { UpstreamId(1) }));
-    BOOST_TEST((second.verdict() == Verdict::MayHaveRun));
+    BOOST_TEST((second.verdict() == Verdict::mayHaveRun));
 }
 
 // Guards against answers that are given up by one rule and could not be sent again by another.
@@ -236,13 +236,13 @@
     for (auto const change : { &FailedAttempt::isCallerLost, &FailedAttempt::deadlinePassed, &FailedAttempt::cannotBeContinued }) {
         auto attempts = fixture.attempts(true, 2);
         attempts.recordSend();
-        auto attempt = broken(Verdict::MayHaveRun);
+        auto attempt = broken(Verdict::mayHaveRun);
         attempt.*change = true;
         BOOST_TEST(!attempts.recordFailure(UpstreamId(1), attempt, at(10)));
     }
     auto late = fixture.attempts(true, 2);
     late.recordSend();
-    BOOST_TEST(!late.recordFailure(UpstreamId(1), broken(Verdict::MayHaveRun), at(11.999)));
+    BOOST_TEST(!late.recordFailure(UpstreamId(1), broken(Verdict::mayHaveRun), at(11.999)));
     BOOST_TEST(late.isOver(at(11.999)));
 }
 
@@ -255,7 +255,7 @@
     BOOST_TEST((first.firstByte == Milliseconds(200)));
     BOOST_TEST((first.betweenParts == Milliseconds(900)));
     BOOST_TEST((again.timeouts(1, {}, at(10)).firstByte == Milliseconds(2000)));
-    BOOST_TEST(again.recordFailure(UpstreamId(1), broken(Verdict::MayHaveRun), at(10)));
+    BOOST_TEST(again.recordFailure(UpstreamId(1), broken(Verdict::mayHaveRun), at(10)));
     again.recordSend();
     BOOST_TEST((again.timeouts(3, {}, at(10)).firstByte == Milliseconds(2000)));
     auto once = fixture.attempts(false, 1, true);
@@ -287,14 +287,14 @@
     BOOST_TEST(unsent.mayDetour(at(0)));
     auto unsafe = fixture.attempts(false, 2);
     unsafe.recordSend();
-    unsafe.recordFailure(UpstreamId(1), broken(Verdict::MayHaveRun), at(0));
+    unsafe.recordFailure(UpstreamId(1), broken(Verdict::mayHaveRun), at(0));
     BOOST_TEST(!unsafe.mayDetour(at(0)));
     auto safe = fixture.attempts(true, 2);
     safe.recordSend();
-    safe.recordFailure(UpstreamId(1), broken(Verdict::MayHaveRun), at(0));
+    safe.recordFailure(UpstreamId(1), broken(Verdict::mayHaveRun), at(0));
     BOOST_TEST(safe.mayDetour(at(0)));
     safe.recordSend();
-    safe.recordFailure(UpstreamId(2), broken(Verdict::MayHaveRun), at(0));
+    safe.recordFailure(UpstreamId(2), broken(Verdict::mayHaveRun), at(0));
     BOOST_TEST(!safe.mayDetour(at(0)));
 }
 
--- a/Tests/platform/TestPlatformReaders.cpp
+++ b/Tests/platform/TestPlatformReaders.cpp
@@ -366,7 +366,7 @@
 {
     for (size_t index = 0; index < static_cast<size_t>(RefusalReason::Count); ++index) {
         auto const reason = static_cast<RefusalReason>(index);
-        for (auto const verdict : { Verdict::MayHaveRun, Verdict::Ran }) {
+        for (auto const verdict : { Verdict::mayHaveRun, Verdict::ran }) {
             auto const reply = gatewayReply({ reason, verdict, "", Milliseconds(100) });
             BOOST_TEST((!promisesNotRun(reply.status) && !reply.headers.contains("Retry-After")));
         }
