DetourClient: Check answers of upstreams by this daemon's own route

What callers would see: a status that promises "not run" for a request that may have run, after another daemon took it and holds its route for one whose requests may be repeated, for example by a newer configuration. The daemon passed an upstream's 408, 421, 429 or 503 on without a look at its own route.

Change: answers that the other daemon did not give itself go through the same AnswerCheck as those of this daemon's upstreams.

A run with two configurations was not made.

--- a/Services/stagepostd/DetourClient.cpp
+++ b/Services/stagepostd/DetourClient.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Hex.h>
 #include <charconv>
+#include <stagepostd/AnswerCheck.h>
 #include <stagepostd/ConnectionMetrics.h>
 #include <stagepostd/DetourServer.h>
 
@@ -107,11 +108,9 @@
 {
     auto const& progress = detour.request.progress;
     if (!headers.contains(DetourServer::refusalHeader)) {
-        if (progress && progress->isHeaderSent && status != 200)
-            return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::mayHaveRun, "the stream could not be taken up" };
-        if (status >= 200 && status < 300 && !m_dialect.readResponseHeader(status, headers, {}).isSigned)
-            return ResponseRejection { RefusalReason::UpstreamMixedAnswer, Verdict::mayHaveRun, "a success without an upstream's signature" };
-        return {};
+        // The other daemon answers for an upstream that has not run the request, so this one passed its check. Only this
+        // daemon knows whether its caller's route allows repeats.
+        return checkAnswer(m_dialect.readResponseHeader(status, headers, {}), status, { detour.request.routed.route->isRepeatable(), progress && progress->isHeaderSent });
     }
     auto const verdict = verdictOfOtherDaemon(headers.find("Stagepost-Verdict"));
     auto const reason = std::string(headers.find("Stagepost-Reason"));
