DetourServer: Remove an upstream's fields that mark a daemon's own answer

What callers saw: 503, not-run, for requests that had run, or a second run at another daemon's upstream, if an upstream's answer has the fields Stagepost-Detour and Stagepost-Verdict. The daemon that had passed the request on took the answer for the other daemon's word.

Change: the daemon that takes a detour removes these fields from answers of upstreams. Only its own answers carry them.

Evidence: test_untrue_refusals, three real daemons, one without links. Now it runs once and the upstream's 500 is passed on.

--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -431,6 +431,8 @@
     auto headers = upstreamHeaders();
     headers.removeHopByHop(m_plan.endToEndFields);
     headers.remove("Content-Length");
+    for (auto const field : m_plan.removedResponseFields)
+        headers.remove(field);
     for (auto const& field : m_plan.extraResponseHeaders)
         headers.set(field.name, field.value);
     Http::response<Http::empty_body> response;
--- a/Libraries/LibProxy/ForwardPlan.h
+++ b/Libraries/LibProxy/ForwardPlan.h
@@ -55,6 +55,8 @@
     HttpRequest request;
     // Fields of the response that are forwarded even if the upstream's Connection field names them.
     std::span<std::string_view const> endToEndFields {};
+    // Fields of the response that are not forwarded.
+    std::span<std::string_view const> removedResponseFields {};
     // Added to the upstream's response, where they replace fields of the same name.
     HttpFields extraResponseHeaders;
     Milliseconds connectTimeout { 1000 };
--- a/Services/stagepostd/DetourClient.cpp
+++ b/Services/stagepostd/DetourClient.cpp
@@ -5,6 +5,7 @@
 #include <stagepostd/AnswerCheck.h>
 #include <stagepostd/ConnectionMetrics.h>
 #include <stagepostd/DetourServer.h>
+#include <stagepostd/RefusalReply.h>
 
 namespace Stagepost {
 
@@ -112,8 +113,8 @@
         // daemon knows whether its caller's route allows repeats.
         return checkAnswer(m_dialect.readResponseHeader(status, headers, {}), status, { detour.request.routed.route->isRepeatable(), progress && progress->isHeaderSent });
     }
-    auto const verdict = verdictOfOtherDaemon(headers.find("Stagepost-Verdict"));
-    auto const reason = std::string(headers.find("Stagepost-Reason"));
+    auto const verdict = verdictOfOtherDaemon(headers.find(RefusalFields::verdict));
+    auto const reason = std::string(headers.find(RefusalFields::reason));
     // This daemon has accepted the request, so the other one's reason, such as an unknown key, is not
     // the caller's.
     detour.mayTryElsewhere = headers.find(DetourServer::refusalHeader) == DetourServer::refusedHere;
--- a/Services/stagepostd/DetourServer.cpp
+++ b/Services/stagepostd/DetourServer.cpp
@@ -4,11 +4,15 @@
 #include <algorithm>
 #include <array>
 #include <stagepostd/GatewayReply.h>
+#include <stagepostd/RefusalReply.h>
 
 namespace Stagepost {
 
 namespace {
 
+    // The other daemon takes an answer with these fields for one of this daemon.
+    constexpr std::array<std::string_view, 3> markFields { DetourServer::refusalHeader, RefusalFields::reason, RefusalFields::verdict };
+
     // Whether another daemon may serve a request that was refused for this reason.
     bool concernsOneDaemon(std::string_view reason)
     {
@@ -33,7 +37,11 @@
         ~DetouredExchange() override { --*m_open; }
 
         HttpRequest const& request() const override { return m_request; }
-        void forward(ForwardPlan plan, ForwardCallback callback) override { m_exchange->forward(std::move(plan), std::move(callback)); }
+        void forward(ForwardPlan plan, ForwardCallback callback) override
+        {
+            plan.removedResponseFields = markFields;
+            m_exchange->forward(std::move(plan), std::move(callback));
+        }
         void stopForward() override { m_exchange->stopForward(); }
         void abort() override { m_exchange->abort(); }
         void onClientDisconnect(std::function<void()> callback) override { m_exchange->onClientDisconnect(std::move(callback)); }
@@ -41,7 +49,7 @@
 
         void respond(HttpResponse response) override
         {
-            bool const isOwnReason = response.headers.find("Stagepost-Verdict") == nameOf(Verdict(NotRunProof::nothingSent())) && concernsOneDaemon(response.headers.find("Stagepost-Reason"));
+            bool const isOwnReason = response.headers.find(RefusalFields::verdict) == nameOf(Verdict(NotRunProof::nothingSent())) && concernsOneDaemon(response.headers.find(RefusalFields::reason));
             respond(std::move(response), isOwnReason ? DetourServer::refusedHere : DetourServer::refusedFinally);
         }
 
--- a/Services/stagepostd/RefusalReply.cpp
+++ b/Services/stagepostd/RefusalReply.cpp
@@ -15,8 +15,8 @@
         error["retry_after_ms"] = refusal.retryAfter->count();
     auto const body = nlohmann::json { { "error", error } }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     auto reply = makeJsonResponse(httpStatusOf(refusal.reason), body + '\n');
-    reply.headers.add("Stagepost-Reason", nameOf(refusal.reason));
-    reply.headers.add("Stagepost-Verdict", nameOf(refusal.verdict));
+    reply.headers.add(RefusalFields::reason, nameOf(refusal.reason));
+    reply.headers.add(RefusalFields::verdict, nameOf(refusal.verdict));
     if (refusal.retryAfter) {
         auto const seconds = std::chrono::ceil<Seconds>(*refusal.retryAfter).count();
         reply.headers.add("Retry-After", std::to_string(std::max<int64_t>(1, seconds)));
--- a/Tests/Processes/test_untrue_refusals.py
+++ b/Tests/Processes/test_untrue_refusals.py
@@ -6,6 +6,8 @@
 import unittest
 
 from fleet import eventually
+from test_detours import FleetWithDetours
+from test_lost_links import CuttableUpstream
 from test_platform import HOST, KEY, Entry, manifest, request
 from platform_stand_ins import Store, Upstream
 
@@ -41,6 +43,10 @@
     pass
 
 
+class CuttableRefusingUpstream(Refusing, CuttableUpstream):
+    pass
+
+
 class UntrueRefusals(unittest.TestCase):
     def setUp(self):
         self.store = Store()
@@ -104,5 +110,29 @@
         self.assertIn('stagepost_not_run_total{proof="upstream-said-so"} 1', metrics)
 
 
+class UntrueRefusalsThroughOtherDaemons(FleetWithDetours):
+    UPSTREAM = CuttableRefusingUpstream
+
+    def test_refusals_without_proof_are_no_promise(self):
+        self.cut(self.members[0])
+        for status in STATUSES_NOT_EXECUTED:
+            with self.subTest(status):
+                before = len(self.runs())
+                reply = self.call(self.members[0], "/confirm/x", X_Test_Answer=str(status), X_Test_Fields="signed")
+                self.assertEqual((reply.status, len(self.runs()) - before), (502, 1))
+
+    def test_marks_of_an_upstream_are_not_taken_for_those_of_a_daemon(self):
+        self.cut(self.members[0])
+        for mark in ("elsewhere", "refused"):
+            for status in (500, 503):
+                with self.subTest((mark, status)):
+                    before = len(self.runs())
+                    forged = f"signed Stagepost-Detour: {mark}|Stagepost-Verdict: not-run|Stagepost-Reason: no-upstream"
+                    reply = self.call(self.members[0], "/confirm/x", X_Test_Answer=str(status), X_Test_Fields=forged)
+                    self.assertEqual(len(self.runs()) - before, 1)
+                    self.assertEqual(reply.status, 500 if status == 500 else 502)
+                    self.assertNotEqual(reply.headers.get("Stagepost-Verdict"), "not-run")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/Tests/platform/TestDetourServer.cpp
+++ b/Tests/platform/TestDetourServer.cpp
@@ -10,7 +10,11 @@
 public:
     HttpRequest const& request() const override { return m_request; }
     void respond(HttpResponse response) override { answer = std::move(response); }
-    void forward(ForwardPlan, ForwardCallback) override { wasForwarded = true; }
+    void forward(ForwardPlan plan, ForwardCallback) override
+    {
+        wasForwarded = true;
+        removedFields.assign(plan.removedResponseFields.begin(), plan.removedResponseFields.end());
+    }
     void stopForward() override { }
     void abort() override { }
     void onClientDisconnect(std::function<void()>) override { }
@@ -18,6 +22,7 @@
 
     std::optional<HttpResponse> answer;
     bool wasForwarded { false };
+    std::vector<std::string_view> removedFields;
 
 private:
     HttpRequest m_request { "POST", "/draft/x", { { "Id-Field", "id-7" }, { DetourServer::termsHeader, "signed" }, { "Other", "kept" } }, "body" };
@@ -91,6 +96,8 @@
     world.handled.front()->forward({}, {});
     BOOST_TEST(exchange->wasForwarded);
     BOOST_TEST(!exchange->answer);
+    // An upstream's answer can't be taken for one of this daemon.
+    BOOST_TEST((exchange->removedFields == std::vector<std::string_view> { DetourServer::refusalHeader, "Stagepost-Reason", "Stagepost-Verdict" }));
 }
 
 BOOST_AUTO_TEST_CASE(ADaemonThatReachesNoUpstreamRefuses)
