--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -1,5 +1,6 @@
 #include <LibProxy/Detail/Forwarder.h>
 
+#include <LibProxy/Detail/ForwardedFields.h>
 #include <LibProxy/Detail/InterimResponses.h>
 #include <LibProxy/Detail/ResponseRules.h>
 #include <LibProxy/Detail/UpstreamRequest.h>
@@ -428,13 +429,7 @@
 // does not support chunked encoding.
 Net::awaitable<bool> Forwarder::writeHeader(std::optional<uint64_t> length)
 {
-    auto headers = upstreamHeaders();
-    headers.removeHopByHop(m_plan.endToEndFields);
-    headers.remove("Content-Length");
-    for (auto const field : m_plan.removedResponseFields)
-        headers.remove(field);
-    for (auto const& field : m_plan.extraResponseHeaders)
-        headers.set(field.name, field.value);
+    auto const headers = forwardedFields(upstreamHeaders(), m_plan);
     Http::response<Http::empty_body> response;
     response.version(11);
     response.result(m_result.status);
