--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -1,5 +1,6 @@
 #include <LibProxy/Detail/Forwarder.h>
 
+#include <LibProxy/Detail/ForwardedFields.h>
 #include <LibProxy/Detail/InterimResponses.h>
 #include <LibProxy/Detail/MessageFields.h>
 #include <LibProxy/Detail/ResponseRules.h>
@@ -335,7 +336,7 @@
         co_return;
     }
     m_result.isRecordingComplete = m_held.isRecordingComplete();
-    m_result.verdict = Verdict::Ran;
+    m_result.verdict = Verdict::ran;
     co_await finishResponse();
 }
 
@@ -416,11 +417,7 @@
 // does not support chunked encoding.
 Net::awaitable<bool> Forwarder::writeHeader(std::optional<uint64_t> length)
 {
-    auto headers = toHttpFields(m_parser->get());
-    headers.removeHopByHop(m_plan.endToEndFields);
-    headers.remove("Content-Length");
-    for (auto const& field : m_plan.extraResponseHeaders)
-        headers.set(field.name, field.value);
+    auto const headers = forwardedFields(toHttpFields(m_parser->get()), m_plan);
     Http::response<Http::empty_body> response;
     response.version(11);
     response.result(m_result.status);
--- a/Services/stagepostd/DetourClient.cpp
+++ b/Services/stagepostd/DetourClient.cpp
@@ -2,8 +2,10 @@
 
 #include <LibBase/Hex.h>
 #include <charconv>
+#include <stagepostd/AnswerCheck.h>
 #include <stagepostd/ConnectionMetrics.h>
 #include <stagepostd/DetourServer.h>
+#include <stagepostd/RefusalReply.h>
 
 namespace Stagepost {
 
@@ -31,11 +33,11 @@
 
     Verdict verdictOfOtherDaemon(std::string_view name)
     {
-        for (auto const verdict : { Verdict(NotRunProof::otherDaemonSaidSo()), Verdict::Ran }) {
+        for (auto const verdict : { Verdict(NotRunProof::otherDaemonSaidSo()), Verdict::ran }) {
             if (name == nameOf(verdict))
                 return verdict;
         }
-        return Verdict::MayHaveRun;
+        return Verdict::mayHaveRun;
     }
 
 }
@@ -107,14 +109,12 @@
 {
     auto const& progress = detour.request.progress;
     if (!headers.contains(DetourServer::refusalHeader)) {
-        if (progress && progress->isHeaderSent && status != 200)
-            return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::MayHaveRun, "the stream could not be taken up" };
-        if (status >= 200 && status < 300 && !m_dialect.readResponseHeader(status, headers, {}).isSigned)
-            return ResponseRejection { RefusalReason::UpstreamMixedAnswer, Verdict::MayHaveRun, "a success without an upstream's signature" };
-        return {};
+        // The other daemon answers for an upstream that has not run the request, so this one passed its check. Only this
+        // daemon knows whether its caller's route allows repeats.
+        return checkAnswer(m_dialect.readResponseHeader(status, headers, {}), status, { detour.request.routed.route->isRepeatable(), progress && progress->isHeaderSent });
     }
-    auto const verdict = verdictOfOtherDaemon(headers.find("Stagepost-Verdict"));
-    auto const reason = std::string(headers.find("Stagepost-Reason"));
+    auto const verdict = verdictOfOtherDaemon(headers.find(RefusalFields::verdict));
+    auto const reason = std::string(headers.find(RefusalFields::reason));
     // This daemon has accepted the request, so the other one's reason, such as an unknown key, is not
     // the caller's.
     detour.mayTryElsewhere = headers.find(DetourServer::refusalHeader) == DetourServer::refusedHere;
