test_planned_stop: Judge cut requests by what the upstream did

The check of requests from before the signal went by how long the upstream was asked to work. On a machine with a load of 48, the stand-in's streams took 0.1 to 0.2 s longer than that, and two cut streams that still ran counted as finished. The upstream notes now when it has finished, and a cut request must not have been finished before the last part of the grace; that it was not cut earlier is checked as before.

Forwarder moves what it is given of the client, as lint demands.

--- a/Libraries/LibProxy/Detail/Forwarder.h
+++ b/Libraries/LibProxy/Detail/Forwarder.h
@@ -24,7 +24,7 @@
         : m_context(context)
         , m_connections(connections)
         , m_exchange(exchange)
-        , m_client(client)
+        , m_client(std::move(client))
         , m_plan(plan)
     {
     }
--- a/Tests/Processes/test_planned_stop.py
+++ b/Tests/Processes/test_planned_stop.py
@@ -7,6 +7,7 @@
 import dataclasses
 import http.client
 import itertools
+import math
 import random
 import signal
 import sys
@@ -33,7 +34,7 @@
 
     def plain(self, connection, request, fault):
         time.sleep(float(request["headers"].get("x-work-s", 0)))
-        request["answered_at"] = time.monotonic()
+        request["answered_at"] = request["finished_at"] = time.monotonic()
         return super().plain(connection, request, fault)
 
     def stream(self, connection, request, fault):
@@ -44,6 +45,7 @@
             event = f"id: {number}\ndata: word{number} {request['headers']['x-attempt-id']}\n\n".encode()
             connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
             time.sleep(EVENT_PAUSE_S)
+        request["finished_at"] = time.monotonic()
         connection.sendall(b"0\r\n\r\n")
         return True
 
@@ -228,7 +230,7 @@
             if attempt.status == 200:
                 continue
             self.assertIn(attempt.identifier, runs)
-            self.assertGreater(attempt.sent_at + attempt.seconds, stop.signal_at + grace_s * LAST_PART, attempt)
+            self.assertGreater(runs[attempt.identifier].get("finished_at", math.inf), stop.signal_at + grace_s * LAST_PART, attempt)
             self.assertGreater(attempt.answered_at, stop.signal_at + grace_s * LAST_PART, attempt)
             # Until its head was sent, there is an answer that says that it may have run.
             if "/stream/" not in attempt.work.path:
