LibProxy: Enlarge the kernel's buffers while a large body passes

What callers saw: at the limits of a machine of 260 MB, an answer of 256 KiB took 0.043 to 0.046 s, and 0.0013 s at those of 16 GB. Between halls and regions, 32 KiB a round trip also bound the rate (2.7 MB/s at 12 ms, computed).

Cause: the buffers in the kernel keep their small size, whatever passes. An answer waits for a delayed acknowledgement.

Change: SocketBuffer enlarges a buffer with the body, up to 1 MiB (256 KiB to clients), while clients take less than half of their memory. What the kernel allocates beyond the usual size is charged, also while bytes are left in it; nobody gives way to it, and an idle connection returns it before it is closed.

--- a/Libraries/LibProxy/ClientMemory.cpp
+++ b/Libraries/LibProxy/ClientMemory.cpp
@@ -12,6 +12,7 @@
     // these for connections.
     constexpr double largeBodyShare = 0.75;
     constexpr double requestShare = 0.875;
+    constexpr double socketBufferShare = 0.5;
     // A large body that makes no progress for this long gives way to other large ones. To ordinary requests it always does.
     constexpr Milliseconds stallTime { 500 };
     // Unused memory is returned to the system once it may be that part of the limit.
@@ -33,6 +34,8 @@
     if (use == Use::Check)
         return UINT64_MAX;
     auto const limit = static_cast<double>(m_limit);
+    if (use == Use::SocketBuffer)
+        return static_cast<uint64_t>(limit * socketBufferShare);
     if (use == Use::LargeBody)
         return static_cast<uint64_t>(limit * largeBodyShare);
     return use == Use::Request ? static_cast<uint64_t>(limit * requestShare) : m_limit;
@@ -112,14 +115,18 @@
     if (found == queue.end() || (*found)->m_lastProgress > latestProgress)
         return false;
     auto& client = **found;
-    ++(&queue == &m_idle ? m_counts.closedConnections : m_counts.refusedRequests);
     remove(client);
     client.giveWay();
+    // An idle connection may have had something else to free.
+    if (!client.m_queue)
+        ++(&queue == &m_idle ? m_counts.closedConnections : m_counts.refusedRequests);
     return true;
 }
 
 bool ClientMemory::makeRoom(Use use, Client const* client)
 {
+    if (use == Use::SocketBuffer)
+        return false;
     if (use == Use::LargeBody)
         return reclaim(m_large, client, MonotonicClock::now() - stallTime);
     return reclaim(m_large, client, Instant::max()) || reclaim(m_idle, client, Instant::max()) || reclaim(m_ordinary, client, Instant::max());
--- a/Libraries/LibProxy/ClientMemory.h
+++ b/Libraries/LibProxy/ClientMemory.h
@@ -20,6 +20,8 @@
         Connection,
         Request,
         LargeBody,
+        // Larger buffers in the kernel, which only make large bodies faster. Nobody gives way to them.
+        SocketBuffer,
     };
 
     // Bodies of more bytes are large. Ordinary requests are smaller.
--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -137,7 +137,7 @@
         m_connection = m_connections.acquire(m_plan.upstream, m_plan.maxConnectionIdleTime);
     m_result.reusedConnection = m_connection != nullptr;
     if (!m_connection)
-        m_connection = std::make_shared<UpstreamConnection>(m_context);
+        m_connection = m_connections.create(m_context);
     m_exchange.setUpstream(m_connection.get());
     m_watchdog.emplace(m_context, m_plan.connectTimeout, m_plan.deadline, [this] { handleTimeout(); });
     if (m_result.reusedConnection)
@@ -149,10 +149,7 @@
         co_return false;
     }
     reportActivity(UpstreamActivity::Connected);
-    resetWhenClosed(m_connection->stream);
-    m_connection->stream.socket().set_option(Tcp::no_delay(true), failure);
-    if (auto const size = m_connections.socketBufferSize())
-        m_connection->stream.socket().set_option(Net::socket_base::send_buffer_size(size), failure);
+    m_connection->setOptions();
     co_return true;
 }
 
@@ -469,6 +466,7 @@
 Net::awaitable<bool> Forwarder::writeBodyChunk(std::string_view bytes)
 {
     auto const buffer = Net::buffer(bytes.data(), bytes.size());
+    m_client.sendBuffer.fit(m_client.stream.socket(), upstreamContentLength().value_or(2 * m_result.responseBytes));
     m_isWritingToClient = true;
     NetError failure;
     if (m_isChunked)
--- a/Libraries/LibProxy/Detail/Forwarder.h
+++ b/Libraries/LibProxy/Detail/Forwarder.h
@@ -14,6 +14,7 @@
 public:
     struct Client {
         TcpStream& stream;
+        SocketBuffer& sendBuffer;
         bool supportsChunked;
         bool keepAlive;
         bool isHeadRequest;
--- a/Libraries/LibProxy/Detail/IncomingBody.h
+++ b/Libraries/LibProxy/Detail/IncomingBody.h
@@ -17,6 +17,7 @@
     }
 
     size_t size() const { return m_size; }
+    size_t capacity() const { return m_capacity; }
     bool isLarge() const { return m_capacity > ClientMemory::maxOrdinaryBodySize; }
 
     // Makes room for more bytes, unless there is some or the body has this size already. Returns false if the memory is not to
--- a/Libraries/LibProxy/Detail/Session.cpp
+++ b/Libraries/LibProxy/Detail/Session.cpp
@@ -17,6 +17,8 @@
     // A head is copied for the handler and for the upstream. Its fields take more memory than their text.
     constexpr size_t copiesOfHead = 4;
     constexpr size_t memoryPerField = 80; // bytes
+    // The kernel may hold that much for a client that doesn't read, also after its connection was closed.
+    constexpr size_t maxSendBufferSize = 256u << 10; // bytes
     // When a client may return that was refused for lack of memory.
     constexpr Milliseconds memoryRetryDelay { 1000 };
 
@@ -64,6 +66,8 @@
     , m_server(std::move(server))
     , m_stream(std::move(socket))
     , m_body(m_server->memory)
+    , m_receiveBuffer(m_server->memory, SocketBuffer::Direction::Receive, { m_server->options.socketBufferSize })
+    , m_sendBuffer(m_server->memory, SocketBuffer::Direction::Send, { m_server->options.socketBufferSize, maxSendBufferSize })
     , m_connectionCharge(m_server->memory)
     , m_responseCharge(m_server->memory)
     , m_maxDiscarded(maxDiscardedBytes)
@@ -131,6 +135,13 @@
 // A pending read may still write to the body and the buffer. They are freed as soon as it has ended.
 void Session::giveWay()
 {
+    if (m_phase == Phase::Idle && m_receiveBuffer.isEnlarged()) {
+        m_receiveBuffer.fit(m_stream.socket(), 0);
+        if (!m_receiveBuffer.isEnlarged()) {
+            m_server->memory->setIdle(*this);
+            return;
+        }
+    }
     if (m_phase != Phase::Reading) {
         m_connectionCharge.resize(0);
         m_stream.close();
@@ -138,6 +149,7 @@
     }
     m_hasGivenWay = true;
     m_body.uncharge();
+    m_receiveBuffer.fit(m_stream.socket(), 0);
     m_connectionCharge.resize(connectionMemory());
     m_stream.cancel();
 }
@@ -177,6 +189,7 @@
     if (m_buffer.capacity() > initialReadSize)
         m_buffer = Beast::flat_buffer(maxUnparsedBytes);
     m_connectionCharge.resize(connectionMemory() + initialReadSize);
+    m_sendBuffer.fit(m_stream.socket(), 0);
     m_server->memory->setIdle(*this);
     m_stream.expires_after(m_server->options.keepAliveTimeout);
     auto const [failure, size] = co_await m_stream.async_read_some(m_buffer.prepare(initialReadSize), useTuple);
@@ -215,6 +228,7 @@
         co_return true;
     m_server->memory->remove(*this);
     m_body.clear();
+    m_receiveBuffer.fit(m_stream.socket(), 0);
     m_buffer = Beast::flat_buffer(maxUnparsedBytes);
     if (m_earlyResponse) {
         // The client may be within its limits, and learns the reason only if it can send the rest.
@@ -266,6 +280,7 @@
         }
         if (m_body.isLarge() && !checkHead(parser))
             break;
+        m_receiveBuffer.grow(m_stream.socket(), m_body.capacity());
         auto const room = m_body.room();
         auto& target = parser.get().body();
         target.data = room.data();
@@ -280,6 +295,7 @@
         if (!m_hasGivenWay && chargeConnection())
             m_server->memory->recordProgress(*this, m_body.isLarge());
     }
+    m_receiveBuffer.trim(m_stream.socket());
     co_return NetError();
 }
 
@@ -325,7 +341,7 @@
         auto* forward = std::get_if<SessionExchange::ForwardAction>(&action);
         if (!forward)
             co_return false;
-        Forwarder forwarder(m_server->context, *m_server->upstreams, *exchange, { m_stream, version >= 11, keepAlive, isHead }, forward->plan);
+        Forwarder forwarder(m_server->context, *m_server->upstreams, *exchange, { m_stream, m_sendBuffer, version >= 11, keepAlive, isHead }, forward->plan);
         auto const result = co_await forwarder.run();
         m_isResponseCut = result.failure && forwarder.isResponseEndedByClose();
         forward->callback(result);
--- a/Libraries/LibProxy/Detail/Session.h
+++ b/Libraries/LibProxy/Detail/Session.h
@@ -2,6 +2,7 @@
 
 #include <LibProxy/Detail/Exchange.h>
 #include <LibProxy/Detail/IncomingBody.h>
+#include <LibProxy/Detail/SocketBuffer.h>
 #include <LibProxy/Detail/UpstreamConnections.h>
 #include <LibProxy/HttpServer.h>
 #include <set>
@@ -33,7 +34,7 @@
     std::shared_ptr<ClientMemory> memory;
     HeadHook headHook;
     Tcp::acceptor acceptor;
-    std::shared_ptr<UpstreamConnections> upstreams { std::make_shared<UpstreamConnections>() };
+    std::shared_ptr<UpstreamConnections> upstreams { std::make_shared<UpstreamConnections>(memory) };
     std::set<Session*> sessions;
     size_t openExchanges { 0 };
     bool closeAfterResponse { false };
@@ -97,6 +98,8 @@
     TcpStream m_stream;
     Beast::flat_buffer m_buffer { maxUnparsedBytes };
     IncomingBody m_body;
+    SocketBuffer m_receiveBuffer;
+    SocketBuffer m_sendBuffer;
     // The memory of the connection, with its buffers and the head of its request, and of the response.
     ClientMemory::Charge m_connectionCharge;
     ClientMemory::Charge m_responseCharge;
--- a/Libraries/LibProxy/Detail/UpstreamConnections.cpp
+++ b/Libraries/LibProxy/Detail/UpstreamConnections.cpp
@@ -23,6 +23,14 @@
 
 }
 
+void UpstreamConnection::setOptions()
+{
+    resetWhenClosed(stream);
+    NetError ignored;
+    stream.socket().set_option(Tcp::no_delay(true), ignored);
+    sendBuffer.apply(stream.socket());
+}
+
 void UpstreamConnection::close()
 {
     if (!stream.socket().is_open())
@@ -35,6 +43,11 @@
     end = ConnectionEnd::Closed;
 }
 
+std::shared_ptr<UpstreamConnection> UpstreamConnections::create(Net::io_context& context) const
+{
+    return std::make_shared<UpstreamConnection>(context, m_memory, m_limits.socketBufferSize);
+}
+
 // Reuses the newest connection first, so that surplus ones expire.
 std::shared_ptr<UpstreamConnection> UpstreamConnections::acquire(Endpoint const& endpoint, Milliseconds maxIdleTime)
 {
@@ -78,6 +91,7 @@
     }
     auto& idle = m_idle[endpoint];
     connection->idleSince = MonotonicClock::now();
+    connection->sendBuffer.fit(connection->stream.socket(), 0);
     idle.push_back(std::move(connection));
     if (idle.size() > maxIdle)
         idle.erase(idle.begin(), idle.end() - static_cast<std::ptrdiff_t>(maxIdle));
--- a/Libraries/LibProxy/Detail/UpstreamConnections.h
+++ b/Libraries/LibProxy/Detail/UpstreamConnections.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibProxy/Detail/ConnectionClose.h>
+#include <LibProxy/Detail/SocketBuffer.h>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -10,18 +11,22 @@
 namespace Stagepost {
 
 struct UpstreamConnection {
-    explicit UpstreamConnection(Net::io_context& context)
+    explicit UpstreamConnection(Net::io_context& context, std::shared_ptr<ClientMemory> memory = {}, size_t socketBufferSize = 0)
         : stream(context)
+        , sendBuffer(std::move(memory), SocketBuffer::Direction::Send, { socketBufferSize })
     {
     }
     ~UpstreamConnection() { close(); }
     UpstreamConnection(UpstreamConnection const&) = delete;
     UpstreamConnection& operator=(UpstreamConnection const&) = delete;
 
+    // Sets the options of a connection that was just opened.
+    void setOptions();
     // Takes the last request back as far as possible, unless it was answered.
     void close();
 
     TcpStream stream;
+    SocketBuffer sendBuffer;
     // Bytes that were read from the stream and not parsed yet.
     Beast::flat_buffer buffer { maxUnparsedBytes };
     Instant idleSince;
@@ -50,11 +55,19 @@
         // Idle connections to all upstreams together.
         size_t maxIdle { SIZE_MAX };
         // Of what the kernel holds for an upstream that reads slowly, in bytes; 0 for the kernel's default.
-        int socketBufferSize { 0 };
+        size_t socketBufferSize { 0 };
     };
 
+    // Larger buffers of connections are charged to the memory.
+    explicit UpstreamConnections(std::shared_ptr<ClientMemory> memory)
+        : m_memory(std::move(memory))
+    {
+    }
+
     void setLimits(Limits const& limits) { m_limits = limits; }
-    int socketBufferSize() const { return m_limits.socketBufferSize; }
+
+    // Returns a connection that is not open yet.
+    std::shared_ptr<UpstreamConnection> create(Net::io_context&) const;
 
     // Removes and returns a connection that has been idle for at most maxIdleTime and has
     // no unread data, or returns null.
@@ -69,6 +82,7 @@
 private:
     size_t idleCount() const;
 
+    std::shared_ptr<ClientMemory> m_memory;
     Limits m_limits;
     std::map<Endpoint, std::vector<std::shared_ptr<UpstreamConnection>>> m_idle;
 };
--- a/Libraries/LibProxy/Detail/UpstreamRequest.cpp
+++ b/Libraries/LibProxy/Detail/UpstreamRequest.cpp
@@ -62,6 +62,7 @@
     auto const request = std::make_shared<Request const>(buildRequest(plan, requestId));
     connection->isRequestWritten = false;
     connection->isAnswered = false;
+    connection->sendBuffer.fit(connection->stream.socket(), plan.request.body.size());
     auto const bytes = request->body.bytes();
     std::array const buffers { Net::buffer(request->head), Net::buffer(bytes.data(), bytes.size()) };
     auto const sizeOfNextWrite = [](NetError failure, size_t) { return failure ? 0 : maxWriteSize; };
--- a/Libraries/LibProxy/HttpServer.cpp
+++ b/Libraries/LibProxy/HttpServer.cpp
@@ -136,7 +136,7 @@
 void HttpServer::setOptions(HttpServerOptions const& options)
 {
     m_state->options = options;
-    m_state->upstreams->setLimits({ options.maxIdleUpstreamConnections, static_cast<int>(options.socketBufferSize) });
+    m_state->upstreams->setLimits({ options.maxIdleUpstreamConnections, options.socketBufferSize });
 }
 
 void HttpServer::setCloseAfterResponse(bool closeAfterResponse)
--- a/Tests/Processes/test_body_times.py
+++ b/Tests/Processes/test_body_times.py
@@ -25,6 +25,10 @@
         for size in (72 << 10, 256 << 10, MEGABYTE, MAX_BODY):
             self.check(size, 1)
 
+    def test_answers(self):
+        for size in (256 << 10, MEGABYTE, MAX_BODY):
+            self.check(1, size)
+
 
 if __name__ == "__main__":
     unittest.main()
