--- a/Libraries/LibProxy/Detail/Forwarder.h
+++ b/Libraries/LibProxy/Detail/Forwarder.h
@@ -14,6 +14,7 @@
 public:
     struct Client {
         TcpStream& stream;
+        SocketBuffer& sendBuffer;
         bool supportsChunked;
         // Asked when the head of the response is written.
         std::function<bool()> keepAlive;
