UpstreamConnections: Send a rejected request again over another connection

Callers of safe requests and of streams that may be resumed got 503, which promises that the request has not run, while an upstream ran it. Where two records name one address, the request is sent again to the same address; an upstream's repetition of its first rejection has the same request id and was taken for the answer to the second send. Streams that cannot be resumed were mended before by a new connection after each rejection; the cause was in the pool, for every kind of request and for a second request with the same id.

A connection remembers the requests that were rejected on it, and carries none of them again. After 32 rejections it is not reused.

--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -114,7 +114,7 @@
 // may leave an extra response on the connection, which the next request would receive.
 bool Forwarder::mayReuseConnection() const
 {
-    return m_connection->isAnswered && m_connection->isRequestWritten && m_parser->keep_alive() && !m_connection->buffer.size() && repeatsRequestId();
+    return m_connection->isAnswered && m_connection->isRequestWritten && m_parser->keep_alive() && !m_connection->buffer.size() && !m_connection->hasManyRejections() && repeatsRequestId();
 }
 
 void Forwarder::releaseConnection()
@@ -123,6 +123,8 @@
         return;
     bool const isWhole = !m_result.failure || m_result.verdict.isNotRun();
     m_connection->isAnswered = isWhole && m_parser->is_done();
+    if (m_result.verdict.isNotRun())
+        m_connection->recordRejection(m_requestId);
     if (mayReuseConnection()) {
         m_connections.release(m_plan.upstream, std::move(m_connection), m_plan.maxIdleConnections);
         return;
@@ -136,7 +138,7 @@
 Net::awaitable<bool> Forwarder::connect()
 {
     if (!m_plan.requireNewConnection)
-        m_connection = m_connections.acquire(m_plan.upstream, m_plan.maxConnectionIdleTime);
+        m_connection = m_connections.acquire(m_plan.upstream, m_plan.maxConnectionIdleTime, m_requestId);
     m_result.reusedConnection = m_connection != nullptr;
     if (!m_connection)
         m_connection = m_connections.create(m_context);
--- a/Libraries/LibProxy/Detail/UpstreamConnections.cpp
+++ b/Libraries/LibProxy/Detail/UpstreamConnections.cpp
@@ -1,5 +1,6 @@
 #include <LibProxy/Detail/UpstreamConnections.h>
 
+#include <LibBase/Hash.h>
 #include <algorithm>
 #include <sys/socket.h>
 
@@ -48,8 +49,18 @@
     return std::make_shared<UpstreamConnection>(context, m_memory, m_limits.socketBufferSize);
 }
 
+void UpstreamConnection::recordRejection(std::string const& requestId)
+{
+    m_rejectedRequests.push_back(hashOf(requestId));
+}
+
+bool UpstreamConnection::mayCarry(std::string const& requestId) const
+{
+    return std::find(m_rejectedRequests.begin(), m_rejectedRequests.end(), hashOf(requestId)) == m_rejectedRequests.end();
+}
+
 // Reuses the newest connection first, so that surplus ones expire.
-std::shared_ptr<UpstreamConnection> UpstreamConnections::acquire(Endpoint const& endpoint, Milliseconds maxIdleTime)
+std::shared_ptr<UpstreamConnection> UpstreamConnections::acquire(Endpoint const& endpoint, Milliseconds maxIdleTime, std::string const& requestId)
 {
     auto const found = m_idle.find(endpoint);
     if (found == m_idle.end())
@@ -57,15 +68,16 @@
     auto& idle = found->second;
     auto const now = MonotonicClock::now();
     std::erase_if(idle, [&](auto const& connection) { return !isWithinKeepAlive(*connection, now - connection->idleSince); });
-    while (!idle.empty()) {
-        if (now - idle.back()->idleSince > maxIdleTime)
-            return nullptr;
-        auto connection = std::move(idle.back());
-        idle.pop_back();
+    for (auto position = idle.size(); position-- > 0 && now - idle[position]->idleSince <= maxIdleTime;) {
+        if (!idle[position]->mayCarry(requestId))
+            continue;
+        auto connection = std::move(idle[position]);
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(position));
         if (isOpenWithoutData(*connection))
             return connection;
     }
-    m_idle.erase(found);
+    if (idle.empty())
+        m_idle.erase(found);
     return nullptr;
 }
 
--- a/Libraries/LibProxy/Detail/UpstreamConnections.h
+++ b/Libraries/LibProxy/Detail/UpstreamConnections.h
@@ -25,6 +25,13 @@
     // Takes the last request back as far as possible, unless it was answered.
     void close();
 
+    // Records that the request was rejected on this connection.
+    void recordRejection(std::string const& requestId);
+    // Whether an answer that repeats the request's id can't be the repetition of an earlier rejection.
+    bool mayCarry(std::string const& requestId) const;
+    // Whether no more rejections can be remembered, so that the connection may carry no other request.
+    bool hasManyRejections() const { return m_rejectedRequests.size() >= maxRejectedRequests; }
+
     TcpStream stream;
     SocketBuffer sendBuffer;
     // Bytes that were read from the stream and not parsed yet.
@@ -40,6 +47,12 @@
     bool isAnswered { true };
     ConnectionEnd end { ConnectionEnd::None };
     NetError writeFailure;
+
+private:
+    static constexpr size_t maxRejectedRequests = 32;
+
+    // The hashes of the ids of requests that were rejected on this connection.
+    std::vector<uint64_t> m_rejectedRequests;
 };
 
 // The pool of idle connections to upstreams. It holds only connections whose last response
@@ -69,9 +82,9 @@
     // Returns a connection that is not open yet.
     std::shared_ptr<UpstreamConnection> create(Net::io_context&) const;
 
-    // Removes and returns a connection that has been idle for at most maxIdleTime and has
-    // no unread data, or returns null.
-    std::shared_ptr<UpstreamConnection> acquire(Endpoint const&, Milliseconds maxIdleTime);
+    // Removes and returns a connection that has been idle for at most maxIdleTime, has no unread data and may carry
+    // the request, or returns null.
+    std::shared_ptr<UpstreamConnection> acquire(Endpoint const&, Milliseconds maxIdleTime, std::string const& requestId);
     // Adds a connection to the pool, which keeps the newest maxIdle of this upstream. At the limit of all, it is closed.
     void release(Endpoint const&, std::shared_ptr<UpstreamConnection>, size_t maxIdle);
     // Whether the other end has closed any of the idle connections.
--- a/Tests/Processes/platform_stand_ins.py
+++ b/Tests/Processes/platform_stand_ins.py
@@ -444,7 +444,7 @@
         expected = request["headers"].get("x-expect-instance")
         if fault == "other-instance" or (expected and expected != self.instance):
             own = self.instance if fault != "other-instance" else f"{self.instance}-next"
-            connection.sendall(f"HTTP/1.1 421 X\r\nX-Attempt-Id: {request['headers'].get('x-attempt-id', '')}\r\nX-Instance-Id: {own}\r\nContent-Length: 0\r\n\r\n".encode())
+            connection.sendall(self.misdirected_head(request, own))
             return True
         if fault == "refuse":
             request["rest"] = self.rest
@@ -471,6 +471,11 @@
         return (f"HTTP/1.1 {status} X\r\nX-Attempt-Id: {identifier}\r\nX-Response-Signature: by-{self.instance}\r\n"
                 f"X-Server-Load: 1,0,{self.slots}\r\n{framing}{extra}\r\n").encode()
 
+    def misdirected_head(self, request, own, extra=""):
+        """The answer of the instance `own` to a request that is addressed to another one."""
+        identifier = request["headers"].get("x-attempt-id", "")
+        return f"HTTP/1.1 421 X\r\nX-Attempt-Id: {identifier}\r\nX-Instance-Id: {own}\r\n{extra}Content-Length: 0\r\n\r\n".encode()
+
     def plain(self, connection, request, fault):
         body = f"{self.instance} {request['target']} {request['body'].decode(errors='replace')}".encode()
         answer = self.head(request, 200, None if fault in ("unframed", "unframed-reset") else len(body)) + body
--- a/Tests/Processes/test_surplus_rejections.py
+++ b/Tests/Processes/test_surplus_rejections.py
@@ -21,7 +21,7 @@
 
 
 class RepeatingUpstream(Upstream):
-    """Sends each rejection twice. The second one arrives when the answer to the next request is due."""
+    """Sends each rejection twice, each with the field that proves it. The second one arrives when the answer to the next request is due."""
 
     def serve_one(self, connection, reader):
         self.last.answer = None
@@ -35,10 +35,9 @@
         self.last = threading.local()
         super().__init__(*arguments)
 
-    def head(self, request, status, length, extra=""):
-        head = super().head(request, status, length, extra)
-        self.last.answer = head if status == 421 else None
-        return head
+    def misdirected_head(self, request, own, extra=""):
+        self.last.answer = super().misdirected_head(request, own, "X-Not-Executed: 1\r\n")
+        return self.last.answer
 
 
 class SurplusRejections(unittest.TestCase):
@@ -82,6 +81,12 @@
     def test_unsafe_requests(self):
         self.check("book", "/confirm/x")
 
+    def test_streams_that_may_be_resumed(self):
+        self.check("chat", "/stream/again/x")
+
+    def test_safe_requests(self):
+        self.check("book", "/lookup/x")
+
 
 if __name__ == "__main__":
     unittest.main()
