--- a/Tests/platform/TestPlatformReaders.cpp
+++ b/Tests/platform/TestPlatformReaders.cpp
@@ -333,6 +333,11 @@
         BOOST_TEST(proofOf(status, {}) == "");
         BOOST_TEST(proofOf(status, { { "X-Response-Signature", "s" } }) == "");
     }
+    // Upstreams that have run a request contradict themselves, and heads of two answers may be joined.
+    for (auto const status : { 200u, 404u, 408u, 500u, 502u, 504u })
+        BOOST_TEST(proofOf(status, { { "X-Not-Executed", "1" } }) == "");
+    BOOST_TEST(proofOf(503, { { "X-Not-Executed", "1" }, { "X-Not-Executed", "1" } }) == "");
+    BOOST_TEST(proofOf(503, { { "X-Not-Executed", "1HTTP/1.1 200 OK" } }) == "");
     BOOST_TEST(proofOf(421, { { "x-instance-id", "i-2" } }) == "other-instance");
     // The request was addressed to this instance, or to none.
     BOOST_TEST(proofOf(421, { { "X-Instance-Id", "i-1" } }) == "");
