AnswerCheck: Pass on a status that promises "not run" only with a signature

What callers would see: an upstream's 408, 429 or 503 that neither says "not run" nor is signed, for a request that may be repeated. Without a signature the caller takes it for the daemon's own promise. It is a broken answer now: the request is sent again, or ends as 502. Found by review. AStatusThatPromisesNotRunReachesNoCallerWhoseRequestMayNotBeRepeated fails 3 times before.

--- a/Services/stagepostd/AnswerCheck.cpp
+++ b/Services/stagepostd/AnswerCheck.cpp
@@ -17,7 +17,8 @@
     bool const isSuccess = status >= statusOk && status < firstRedirect;
     if (isSuccess && !answer.isSigned)
         return ResponseRejection { RefusalReason::UpstreamMixedAnswer, Verdict::mayHaveRun, "a success without the upstream's signature" };
-    if (status == statusMisdirectedRequest || (promisesNotRun(status) && !context.isRepeatable))
+    bool const isPassedOn = context.isRepeatable && answer.isSigned && status != statusMisdirectedRequest;
+    if (promisesNotRun(status) && !isPassedOn)
         return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::mayHaveRun, "the upstream's status promises what its answer does not prove" };
     if (context.hasStreamBegun && status != statusOk)
         return ResponseRejection { RefusalReason::UpstreamBroken, Verdict::mayHaveRun, "the stream could not be taken up" };
--- a/Tests/platform/TestAnswerCheck.cpp
+++ b/Tests/platform/TestAnswerCheck.cpp
@@ -29,6 +29,10 @@
     for (auto const status : { 408u, 429u, 503u })
         BOOST_TEST(!check(status, { true, false }));
     BOOST_TEST(check(421, { true, false }).has_value());
+    // Without a signature, the caller would take it for the daemon's own word.
+    for (auto const status : { 408u, 421u, 429u, 503u })
+        BOOST_TEST((check(status, { true, false }, false)->verdict == Verdict::mayHaveRun));
+    BOOST_TEST(!check(500, { true, false }, false));
 }
 
 BOOST_AUTO_TEST_CASE(ASuccessNeedsTheSignature)
