Exchange: Give no proof of "not run" for a forward beside another one

A forward that is not carried out, since the request is answered or under way, called back with a proof that nothing was sent. The other forward may still run the request, and the callback's verdict closed the open send. It says "may have run" now. The two cases of ExchangeTests demanded the proof; they demand its absence now, and fail before. Found by review; no path is known that forwards twice.

--- a/Libraries/LibProxy/Detail/Exchange.cpp
+++ b/Libraries/LibProxy/Detail/Exchange.cpp
@@ -4,18 +4,22 @@
 
 namespace {
 
-    ForwardResult neverSent(std::string detail)
+    ForwardResult callerGone()
     {
         ForwardResult result;
         result.verdict = NotRunProof::nothingSent();
         result.failure = RefusalReason::CallerGone;
-        result.detail = std::move(detail);
+        result.detail = "the client left before its request was sent";
         return result;
     }
 
-    ForwardResult callerGone()
+    // Another forward of the request may have run it, or still run it.
+    ForwardResult lateForward()
     {
-        return neverSent("the client left before its request was sent");
+        ForwardResult result;
+        result.failure = RefusalReason::CallerGone;
+        result.detail = "the request is answered or under way already";
+        return result;
     }
 
 }
@@ -24,7 +28,7 @@
 void SessionExchange::forward(ForwardPlan plan, ForwardCallback callback)
 {
     if (!mayAct()) {
-        auto result = m_state == State::Open ? callerGone() : neverSent("the request is answered or under way already");
+        auto result = m_state == State::Open ? callerGone() : lateForward();
         Net::post(m_context, [callback = std::move(callback), result = std::move(result)] { callback(result); });
         return;
     }
--- a/Tests/LibProxy/TestExchange.cpp
+++ b/Tests/LibProxy/TestExchange.cpp
@@ -88,7 +88,7 @@
     world.wait();
     BOOST_TEST(world.hasResponse());
     BOOST_REQUIRE(world.ends.size() == 1u);
-    BOOST_TEST(world.ends.front().verdict.isNotRun());
+    BOOST_TEST((world.ends.front().verdict == Verdict::mayHaveRun));
     BOOST_TEST(world.lateActions == 1u);
     world.forward();
     world.wait();
@@ -119,7 +119,7 @@
     world.forward();
     world.run();
     BOOST_REQUIRE(world.ends.size() == 1u);
-    BOOST_TEST(world.ends.front().verdict.isNotRun());
+    BOOST_TEST((world.ends.front().verdict == Verdict::mayHaveRun));
     BOOST_TEST(world.lateActions == 2u);
     auto const forward = std::get<SessionExchange::ForwardAction>(*world.action);
     forward.callback({});
