GatewayRequestHandler: Never refuse with another verdict than that of the request's sends

refuse() trusted the verdict that its caller had made, perhaps before another send. It combines it with the sends of the request, so that no stored refusal can promise more than they prove. All callers were right by reading.

Fields that mark a daemon's own answers are removed from upstreams' answers to callers as well, not only to other daemons.

--- a/Services/stagepostd/DetourServer.cpp
+++ b/Services/stagepostd/DetourServer.cpp
@@ -4,15 +4,11 @@
 #include <algorithm>
 #include <array>
 #include <stagepostd/GatewayReply.h>
-#include <stagepostd/RefusalReply.h>
 
 namespace Stagepost {
 
 namespace {
 
-    // The other daemon takes an answer with these fields for one of this daemon.
-    constexpr std::array<std::string_view, 3> markFields { DetourServer::refusalHeader, RefusalFields::reason, RefusalFields::verdict };
-
     // Whether another daemon may serve a request that was refused for this reason.
     bool concernsOneDaemon(std::string_view reason)
     {
@@ -39,7 +35,7 @@
         HttpRequest const& request() const override { return m_request; }
         void forward(ForwardPlan plan, ForwardCallback callback) override
         {
-            plan.removedResponseFields = markFields;
+            plan.removedResponseFields = DetourServer::markFields;
             m_exchange->forward(std::move(plan), std::move(callback));
         }
         void stopForward() override { m_exchange->stopForward(); }
--- a/Services/stagepostd/DetourServer.h
+++ b/Services/stagepostd/DetourServer.h
@@ -2,9 +2,11 @@
 
 #include <LibBase/Metrics.h>
 #include <LibProxy/Exchange.h>
+#include <array>
 #include <functional>
 #include <memory>
 #include <stagepostd/DetourTerms.h>
+#include <stagepostd/RefusalReply.h>
 
 namespace Stagepost {
 
@@ -18,6 +20,9 @@
     static constexpr char const* refusalHeader = "Stagepost-Detour";
     static constexpr char const* refusedHere = "elsewhere";
     static constexpr char const* refusedFinally = "refused";
+    // Callers and other daemons take an answer with these fields for one of this daemon, so that they are removed from
+    // answers of upstreams.
+    static constexpr std::array<std::string_view, 3> markFields { refusalHeader, RefusalFields::reason, RefusalFields::verdict };
     // Carries the signed terms.
     static constexpr char const* termsHeader = "Stagepost-Detour-Terms";
 
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <stagepostd/AnswerCheck.h>
 #include <stagepostd/ConnectionMetrics.h>
+#include <stagepostd/DetourServer.h>
 #include <stagepostd/GatewayReply.h>
 #include <stagepostd/IdleConnectionLimit.h>
 #include <stagepostd/VersionGate.h>
@@ -335,6 +336,7 @@
     plan.upstream = target.endpoint;
     plan.request = m_services.dialect.writeCall(m_exchange->request(), buildSend(choice, target, service, now));
     plan.endToEndFields = m_services.dialect.endToEndResponseFields;
+    plan.removedResponseFields = DetourServer::markFields;
     plan.requestIdField = m_services.dialect.idField;
     plan.requestId = m_request.call.id;
     plan.preserveHost = true;
@@ -644,8 +646,10 @@
     });
 }
 
-void GatewayRequestHandler::refuse(Refusal const& refusal)
+void GatewayRequestHandler::refuse(Refusal refusal)
 {
+    // Whatever it was made for, it says nothing else than the sends of the request.
+    refusal.verdict = combine(refusal.verdict, m_attempts.verdict());
     m_services.metrics.countRefusal(refusal);
     ForwardResult none;
     none.detail = refusal.detail;
@@ -656,11 +660,10 @@
         return;
     }
     log("refused", none, nameOf(refusal.reason), refusal.verdict);
-    auto reply = refusal;
     // The daemon that passed the request on would try another one, and nobody would count that as a retry.
     if (m_request.detour && m_attempts.hasArrived() && refusal.verdict.isNotRun())
-        reply.reason = RefusalReason::OverCapacity;
-    m_exchange->respond(gatewayReply(reply));
+        refusal.reason = RefusalReason::OverCapacity;
+    m_exchange->respond(gatewayReply(refusal));
 }
 
 std::vector<LogField> GatewayRequestHandler::additionalLogFields(std::string_view outcome) const
--- a/Services/stagepostd/GatewayRequestHandler.h
+++ b/Services/stagepostd/GatewayRequestHandler.h
@@ -101,7 +101,7 @@
     void failRequest(ForwardResult const&);
     // Refuses a request that reached no upstream, or passes it on if this daemon's links are at fault.
     void refuseUnreachable(Refusal const&);
-    void refuse(Refusal const&);
+    void refuse(Refusal);
     std::vector<LogField> additionalLogFields(std::string_view outcome) const;
     // The verdict is the one that the caller gets, or would get if it had not left.
     void log(std::string_view outcome, ForwardResult const&, std::string_view reason, Verdict) const;
