ClientLimits: Take a control group's limit for the machine's memory

What operators would see: in a unit or container with less memory than its machine, the default for clients is two fifths of the whole machine, so that a crowd ends the process at its group's limit. Machine::current() read the machine's size only.

It takes the smallest limit of the process's control group and its ancestors where that is less, for versions 1 and 2. Where none is set, or the files are missing or odd, nothing changes.

--- a/Libraries/LibProxy/ClientLimits.cpp
+++ b/Libraries/LibProxy/ClientLimits.cpp
@@ -1,5 +1,6 @@
 #include <LibProxy/ClientLimits.h>
 
+#include <LibProxy/Detail/ControlGroupMemory.h>
 #include <algorithm>
 #include <sys/resource.h>
 #include <sys/sysinfo.h>
@@ -54,13 +55,16 @@
     return limits;
 }
 
-Machine Machine::current()
+Machine Machine::current(std::filesystem::path const& root)
 {
     struct ::sysinfo memory { };
     ::rlimit descriptors {};
     ::sysinfo(&memory);
     ::getrlimit(RLIMIT_NOFILE, &descriptors);
-    return { memory.totalram * memory.mem_unit, descriptors.rlim_cur };
+    uint64_t const whole = memory.totalram * memory.mem_unit;
+    auto const limit = controlGroupMemoryLimit(root);
+    // Without the machine's size, the limit is all that is known.
+    return { limit && (!whole || *limit < whole) ? *limit : whole, descriptors.rlim_cur };
 }
 
 size_t ClientLimits::socketBufferSize() const
--- a/Libraries/LibProxy/ClientLimits.h
+++ b/Libraries/LibProxy/ClientLimits.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <filesystem>
 
 namespace Stagepost {
 
@@ -10,8 +11,9 @@
     uint64_t memory { 0 }; // bytes
     uint64_t descriptors { 0 };
 
-    // The memory of this machine and the limit of this process.
-    static Machine current();
+    // The memory of this machine, or the smaller limit of this process's control group, and the process's limit of
+    // descriptors. The control group is told by files below the given root.
+    static Machine current(std::filesystem::path const& root = "/");
 };
 
 // What the clients of a process may take of its machine, over all its servers. The rest is for its own state, its store,
--- a/Services/stagepostd/ClientLimitFlags.cpp
+++ b/Services/stagepostd/ClientLimitFlags.cpp
@@ -12,7 +12,7 @@
 
 std::vector<FlagDefinition> withClientLimitFlags(std::vector<FlagDefinition> definitions)
 {
-    definitions.push_back({ "machine-memory-mb", "0", "memory that this process may use, in MB; 0 stands for the machine's", false });
+    definitions.push_back({ "machine-memory-mb", "0", "memory that this process may use, in MB; 0 stands for the machine's, or for the limit of its control group", false });
     definitions.push_back({ "client-memory-mb", "0", "memory of it that clients may take with their connections and requests, in MB; 0 stands for two fifths", false });
     definitions.push_back({ "descriptors", "0", "descriptors that this process may open; 0 stands for the process's limit", false });
     return definitions;
