--- a/Tests/Processes/test_surplus_rejections.py
+++ b/Tests/Processes/test_surplus_rejections.py
@@ -29,10 +29,12 @@
         if is_open and self.last.answer:
             self.released.wait(0.03)
             connection.sendall(self.last.answer)
+            self.repetitions += 1
         return is_open
 
     def __init__(self, *arguments):
         self.last = threading.local()
+        self.repetitions = 0
         super().__init__(*arguments)
 
     def misdirected_head(self, request, own, extra=""):
@@ -72,6 +74,7 @@
         details = [line for line in self.entry.lines if any(f"id=attempt-{number} " in line for number in untrue[:2])]
         print(f"{self.id()}: {len(rejected)} rejections, {sum(status in PROMISES for status in statuses)} promises, {len(untrue)} untrue", flush=True)
         self.assertGreater(len(rejected), 0, "no request was sent to the old process")
+        self.assertGreater(self.upstream.repetitions, 0, "no rejection was sent twice")
         self.assertEqual(untrue, [], f"refused as not run, but begun: {details}")
         self.assertEqual(len(begun), len(set(begun)), "begun twice")
 
