--- a/review/support-2/world.py
+++ b/review/support-2/world.py
@@ -222,7 +222,7 @@
         self.world.store.put("keyed.servers", self.instance, None)
 
     def crash(self):
-        """The process ends: its port and all its channels are closed at once."""
+        """The process ends: it answers nothing more, and its port and all its channels are closed."""
         with self.lock:
             self.is_down = True
             connections = list(self.connections)
@@ -305,7 +305,8 @@
 
     def run(self, connection, request):
         time.sleep(self.work_s)
-        self.answer(connection, request, 200, self.body_of(request))
+        if not self.is_down:
+            self.answer(connection, request, 200, self.body_of(request))
 
     @staticmethod
     def body_of(request):
@@ -317,6 +318,32 @@
         connection.sendall(head.encode() + body)
 
 
+class StreamWorker(Worker):
+    """Answers with a stream of `events` numbered events, one each `gap_s`."""
+
+    def __init__(self, *arguments, events=20, gap_s=0.1, **options):
+        self.events, self.gap_s = events, gap_s
+        super().__init__(*arguments, **options)
+
+    def run(self, connection, request):
+        connection.sendall((f"HTTP/1.1 200 X\r\nX-Attempt-Id: {request['id']}\r\nX-Instance-Id: {self.instance}\r\nX-Response-Signature: {self.instance}.{request['id']}\r\n"
+                            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
+        for number in range(int(request["headers"].get("last-event-id", 0)) + 1, self.events + 1):
+            time.sleep(self.gap_s)
+            if self.is_down:
+                return
+            event = self.event(number)
+            connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+        connection.sendall(b"0\r\n\r\n")
+
+    @staticmethod
+    def event(number):
+        return f"id: {number}\ndata: word{number}\n\n".encode()
+
+    def whole(self):
+        return b"".join(self.event(number) for number in range(1, self.events + 1))
+
+
 def close(connection):
     try:
         connection.shutdown(socket.SHUT_RDWR)
@@ -331,14 +358,16 @@
 
 
 class World:
-    def __init__(self, folder, zones=("boa-viagem", "santo-amaro", "jaboatao"), daemons=3):
+    def __init__(self, folder, zones=("boa-viagem", "santo-amaro", "jaboatao"), daemons=(1, 1, 1)):
+        """daemons: how many of them each zone has."""
         self.record, self.zones = Record(folder), zones
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.store, self.workers, self.runs, self.lock = Store(), [], [], threading.Lock()
-        addresses = [f"127.40.{number}.1" for number in range(1, daemons + 1)]
+        zone_of = [zone for zone, count in zip(zones, daemons) for _ in range(count)]
+        addresses = [f"127.40.{number}.1" for number in range(1, len(zone_of) + 1)]
         self.front_port, self.ready_port = free_port(addresses), free_port(addresses)
         self.peer_port = free_port(addresses)
-        self.daemons = [Daemon(self, number, zones[(number - 1) % len(zones)]) for number in range(1, daemons + 1)]
+        self.daemons = [Daemon(self, number, zone) for number, zone in enumerate(zone_of, 1)]
         self.attempts = 0
 
     def ran(self, worker, request):
@@ -413,6 +442,8 @@
 def play(case, folder, **options):
     """Runs the case and exits as the review asks: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     world = None
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    code = 2
     try:
         world = World(os.path.abspath(folder), **options)
         broken = case(world)
