--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+exec python3 -B "$(dirname "$0")/case.py"
