--- a/review/6/case.py
+++ b/review/6/case.py
@@ -90,4 +90,4 @@
     return f"Starved: {starved[0]} is served at {traffic.share(starved):.3f}, all requests at {every:.3f}" if starved else ""
 
 
-play(case, HERE)
+play(case, os.path.join(HERE, "record.txt"))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -68,4 +68,4 @@
     return f"Starved: {', '.join(starved)}: none of {sum(sent[kind] for kind in starved)} served, {sum(ran[kind] for kind in starved)} were run" if starved else ""
 
 
-play(case, HERE)
+play(case, os.path.join(HERE, "record.txt"))
--- a/review/support-2/world.py
+++ b/review/support-2/world.py
@@ -188,10 +188,10 @@
 
 
 class Record:
-    """What was sent, answered and run, written to record.txt."""
+    """What was sent, answered and run, written to a file."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.lock, self.begin = threading.Lock(), time.monotonic()
 
     def add(self, text):
@@ -358,9 +358,9 @@
 
 
 class World:
-    def __init__(self, folder, zones=("boa-viagem", "santo-amaro", "jaboatao"), daemons=(1, 1, 1)):
+    def __init__(self, record, zones=("boa-viagem", "santo-amaro", "jaboatao"), daemons=(1, 1, 1)):
         """daemons: how many of them each zone has."""
-        self.record, self.zones = Record(folder), zones
+        self.record, self.zones = Record(record), zones
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.store, self.workers, self.runs, self.lock = Store(), [], [], threading.Lock()
         zone_of = [zone for zone, count in zip(zones, daemons) for _ in range(count)]
@@ -439,13 +439,13 @@
         self.store.stop()
 
 
-def play(case, folder, **options):
+def play(case, record, **options):
     """Runs the case and exits as the review asks: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     world = None
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     code = 2
     try:
-        world = World(os.path.abspath(folder), **options)
+        world = World(os.path.abspath(record), **options)
         broken = case(world)
         code = 1 if broken else 0
         world.record.add(f"verdict  {'BROKEN: ' + broken if broken else 'the rule held'}")
