LibRouting, stagepostd: Try a request whose upstreams crashed together, once for the fleet

What callers saw: all upstreams of a service crash at one moment and are back after three seconds.

Cause: CrashSuspects took three crashes of upstreams that had a request in flight for proof, whenever they were. A request that many callers send is at all upstreams when these crash for a reason of their own, and once it is refused everywhere no answer can clear it.

Evidence: crash-evidence lines of one request with ends=1, 2, 3 guilty=1 within 10 ms, and no send afterwards.

Change: crashes are told with the time for which the request had been in flight, from the moment at which its answer broke off. They are separate only if the request was sent after the one before. A request with three crashes is tried: 0.5 s after crashes of one moment, 1.5 s after two separate ones, 30 and 300 s after three and four. Six observations of crashes could be of one upstream, so that others had no room; two of each are kept now.

--- a/Libraries/LibBase/RefusalReason.cpp
+++ b/Libraries/LibBase/RefusalReason.cpp
@@ -22,7 +22,7 @@
         ReasonRow { RefusalReason::DeadlinePassed, "deadline-passed", 504, "Give more time, or add upstreams if it is frequent." },
         ReasonRow { RefusalReason::DeadlineTooNear, "deadline-too-near", 503, "Come back after Retry-After, or give more time; add upstreams if it is frequent." },
         ReasonRow { RefusalReason::Draining, "draining", 503, "Nothing: the balancer sends elsewhere. With 502, the daemon ended before the answer; give the stop more time if it is frequent." },
-        ReasonRow { RefusalReason::EndsUpstreams, "ends-upstreams", 502, "Look at the upstreams, which end when they run this request or any with a part of its prompt; mend them or have its sender change it. A request is let through again ten minutes after the last end, one with such a part is tried every five minutes." },
+        ReasonRow { RefusalReason::EndsUpstreams, "ends-upstreams", 502, "Look at the upstreams, which end when they run this request or any with a part of its prompt; mend them or have its sender change it. A request is tried 30 s and five minutes after the last end, within seconds if its upstreams have ended together, and let through again after ten minutes; one with such a part is tried every five minutes." },
         ReasonRow { RefusalReason::HeadersTooLarge, "headers-too-large", 431, "Send less, or raise --largest-headers on every daemon." },
         ReasonRow { RefusalReason::KeyInProgress, "key-in-progress", 409, "Look at the verdict: the call is running, has run, or nobody can say. Never send it under another key." },
         ReasonRow { RefusalReason::KeyOutOfWindow, "key-out-of-window", 409, "Make a new key; check first whether the old call took effect." },
--- a/Libraries/LibRouting/CrashExchange.cpp
+++ b/Libraries/LibRouting/CrashExchange.cpp
@@ -30,6 +30,7 @@
             writer.id(crash.upstream);
             writer.id(crash.observer);
             writer.duration(now - crash.observedAt);
+            writer.duration(crash.inFlight);
         }
     }
 
@@ -43,7 +44,8 @@
         for (size_t index = 0; index < count && !reader.failed(); ++index) {
             auto const upstream = reader.id<UpstreamId>();
             auto const observer = reader.id<VMId>();
-            suspect.crashes.push_back({ upstream, observer, now - reader.duration() });
+            auto const observedAt = now - reader.duration();
+            suspect.crashes.push_back({ upstream, observer, observedAt, reader.duration() });
         }
         return suspect;
     }
--- a/Libraries/LibRouting/CrashSuspects.cpp
+++ b/Libraries/LibRouting/CrashSuspects.cpp
@@ -7,12 +7,37 @@
 
 namespace {
 
+    bool isObservedBefore(UpstreamCrash const& lhs, UpstreamCrash const& rhs)
+    {
+        return lhs.observedAt < rhs.observedAt;
+    }
+
+    Instant lastCrashOf(CrashSuspect const& suspect)
+    {
+        auto const last = std::max_element(suspect.crashes.begin(), suspect.crashes.end(), isObservedBefore);
+        return last == suspect.crashes.end() ? Instant {} : last->observedAt;
+    }
+
     Instant lastUpdateOf(CrashSuspect const& suspect)
     {
-        auto newest = suspect.clearedAt.value_or(Instant {});
-        for (auto const& crash : suspect.crashes)
-            newest = std::max(newest, crash.observedAt);
-        return newest;
+        return std::max(suspect.clearedAt.value_or(Instant {}), lastCrashOf(suspect));
+    }
+
+    // An observation that another one of the same upstream confirms, or else the one that came soonest after another.
+    std::vector<UpstreamCrash>::iterator leastTelling(std::vector<UpstreamCrash>& crashes)
+    {
+        std::sort(crashes.begin(), crashes.end(), isObservedBefore);
+        std::set<UpstreamId> seen;
+        auto const repeated = std::find_if(crashes.begin(), crashes.end(), [&seen](auto const& crash) { return !seen.insert(crash.upstream).second; });
+        if (repeated != crashes.end())
+            return repeated;
+        auto const gapBefore = [&crashes](size_t index) { return crashes[index].observedAt - crashes[index - 1].observedAt; };
+        size_t soonest = 1;
+        for (size_t index = 2; index < crashes.size(); ++index) {
+            if (gapBefore(index) < gapBefore(soonest))
+                soonest = index;
+        }
+        return crashes.begin() + static_cast<ptrdiff_t>(soonest);
     }
 
     // Suspects with fewer crashes are evicted first, then those updated longest ago.
@@ -27,9 +52,16 @@
 
 bool CrashSuspects::add(CrashSuspect& suspect, UpstreamCrash const& crash) const
 {
-    bool const isDuplicate = std::any_of(suspect.crashes.begin(), suspect.crashes.end(), [&](auto const& known) {
-        return known.upstream == crash.upstream && (known.observer == crash.observer || !m_bounds.keepsAllObservers);
-    });
+    size_t observations = 0;
+    bool isDuplicate = false;
+    for (auto const& known : suspect.crashes) {
+        if (known.upstream != crash.upstream)
+            continue;
+        ++observations;
+        isDuplicate = isDuplicate || known.observer == crash.observer;
+    }
+    // Two observers confirm a crash. More of them would take the place of other crashes.
+    isDuplicate = isDuplicate || observations >= (m_bounds.keepsTwoObservers ? 2 : 1);
     bool const isCleared = suspect.clearedAt && crash.observedAt <= *suspect.clearedAt;
     if (isDuplicate || isCleared || !makeRoom(suspect, crash))
         return false;
@@ -37,20 +69,23 @@
     return true;
 }
 
+// Where observers confirm each other, only a crash that is separate from all known ones takes the place of another.
 bool CrashSuspects::makeRoom(CrashSuspect& suspect, UpstreamCrash const& crash) const
 {
     if (suspect.crashes.size() < m_bounds.maxCrashesPerSuspect)
         return true;
-    auto const oldest = std::min_element(suspect.crashes.begin(), suspect.crashes.end(), [](auto const& lhs, auto const& rhs) { return lhs.observedAt < rhs.observedAt; });
-    if (m_bounds.keepsAllObservers || crash.observedAt <= oldest->observedAt)
+    if (m_bounds.keepsTwoObservers && crash.sentAt() < lastCrashOf(suspect))
+        return false;
+    auto const victim = m_bounds.keepsTwoObservers ? leastTelling(suspect.crashes) : std::min_element(suspect.crashes.begin(), suspect.crashes.end(), isObservedBefore);
+    if (crash.observedAt <= victim->observedAt)
         return false;
-    suspect.crashes.erase(oldest);
+    suspect.crashes.erase(victim);
     return true;
 }
 
-bool CrashSuspects::recordCrash(Fingerprint request, UpstreamId upstream, Instant now)
+bool CrashSuspects::recordCrash(Fingerprint request, UpstreamId upstream, Instant observedAt, Microseconds inFlight)
 {
-    return merge({ request, { { upstream, m_self, now } }, {} }, now);
+    return merge({ request, { { upstream, m_self, observedAt, inFlight } }, {} }, observedAt);
 }
 
 bool CrashSuspects::recordSuccess(Fingerprint request, Instant now)
@@ -125,6 +160,46 @@
     return crashCount(request) >= m_bounds.poisonThreshold;
 }
 
+size_t CrashSuspects::separateCrashCount(Fingerprint request) const
+{
+    auto const* suspect = find(request);
+    if (!suspect)
+        return 0;
+    // From the first send to an upstream to the first sign of its crash, whoever observed them.
+    struct Flight {
+        Instant begin;
+        Instant end;
+    };
+    std::map<UpstreamId, Flight> flights;
+    for (auto const& crash : suspect->crashes) {
+        auto& flight = flights.try_emplace(crash.upstream, Flight { crash.sentAt(), crash.observedAt }).first->second;
+        flight = { std::min(flight.begin, crash.sentAt()), std::min(flight.end, crash.observedAt) };
+    }
+    std::vector<Flight> ordered;
+    ordered.reserve(flights.size());
+    for (auto const& [upstream, flight] : flights)
+        ordered.push_back(flight);
+    std::sort(ordered.begin(), ordered.end(), [](auto const& lhs, auto const& rhs) { return lhs.end < rhs.end; });
+    size_t count = 0;
+    Instant last;
+    for (auto const& flight : ordered) {
+        if (count && (flight.begin < last || flight.end - last < m_bounds.commonCauseSpan))
+            continue;
+        ++count;
+        last = flight.end;
+    }
+    return count;
+}
+
+std::optional<Instant> CrashSuspects::nextTrialAt(Fingerprint request) const
+{
+    auto const* suspect = find(request);
+    auto const separate = separateCrashCount(request);
+    if (!suspect || !separate || separate > m_bounds.trialIntervals.size())
+        return {};
+    return lastCrashOf(*suspect) + m_bounds.trialIntervals[separate - 1];
+}
+
 CrashSuspect const* CrashSuspects::find(Fingerprint request) const
 {
     auto const found = m_suspects.find(request);
--- a/Libraries/LibRouting/CrashSuspects.h
+++ b/Libraries/LibRouting/CrashSuspects.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Ids.h>
 #include <LibBase/Time.h>
+#include <array>
 #include <map>
 #include <optional>
 #include <vector>
@@ -13,7 +14,12 @@
     // Identifies one process: a restarted upstream has another id.
     UpstreamId upstream;
     VMId observer;
+    // When the answer to the request broke off.
     Instant observedAt;
+    // How long the request had been there by then.
+    Microseconds inFlight { 0 };
+
+    Instant sentAt() const { return observedAt - inFlight; }
 };
 
 // A request that was in flight at upstreams when they crashed, or a part of the prompts of such requests.
@@ -29,6 +35,10 @@
 // crashes becomes a suspect. A suspect with several crashes and no successful answer in between is
 // poison and is not sent to any upstream. Without this, retries of a single poison request crashed
 // nine upstreams 20 times in 16 s and cut off 163 answers to other requests.
+//
+// Upstreams that crash together for another reason make poison of a sound request that was in flight at all of
+// them. Only an answer can show that it is sound, so poison is tried again: soon if its crashes may have had a
+// common cause, and rarely if it was sent to each upstream after the crash of the one before.
 class CrashSuspects {
 public:
     struct Bounds {
@@ -42,9 +52,16 @@
         size_t capacity { 1024 };
         // Further crashes do not change the result.
         size_t maxCrashesPerSuspect { 6 };
-        // Whether observations of a crash by several daemons are kept, which confirm each other. If not, only
-        // the first of them is, and the latest crashes replace the oldest.
-        bool keepsAllObservers { true };
+        // Whether two observations of a crash are kept, which confirm each other. If not, only the first one is, and
+        // the latest crashes replace the oldest.
+        bool keepsTwoObservers { true };
+        // Crashes of the same cause may be observed this far apart. A later one is separate from them if its
+        // request was sent after them.
+        Microseconds commonCauseSpan { 20000 };
+        // How long after its latest crash a poison request is tried, by the number of its separate crashes: from
+        // one on. A request with more of them is not tried. The users' requirements allow three trials that crash
+        // upstreams later than 3 s after the third crash.
+        std::array<Microseconds, 4> trialIntervals { Milliseconds(500), Milliseconds(1500), Seconds(30), Seconds(300) };
         // A poison request is admitted again after this, since the upstreams may have been fixed.
         Microseconds retention { 600000000 };
     };
@@ -59,9 +76,9 @@
     {
     }
 
-    // Records a crash that this daemon observed while the request was in flight at the upstream.
-    // Returns whether the crash was new.
-    bool recordCrash(Fingerprint, UpstreamId, Instant now);
+    // Records a crash that this daemon observed after the request had been in flight at the upstream for the given
+    // time. Returns whether the crash was new.
+    bool recordCrash(Fingerprint, UpstreamId, Instant observedAt, Microseconds inFlight = {});
     // Records that this daemon saw the request answered in full, which clears its crashes. Returns
     // false if it had none.
     bool recordSuccess(Fingerprint, Instant now);
@@ -74,6 +91,13 @@
     bool isPoison(Fingerprint) const;
     // The number of crashed upstreams that count against the request.
     size_t crashCount(Fingerprint) const;
+    // The most crashes of which each came after the request was sent again since the one before. Crashes of
+    // upstreams that the request was in flight at together count once.
+    size_t separateCrashCount(Fingerprint) const;
+    // Whether the request has crashed upstreams one after the other, which no common cause explains.
+    bool isProven(Fingerprint request) const { return isPoison(request) && separateCrashCount(request) >= m_bounds.poisonThreshold; }
+    // From when on a poison request may be tried; none if it is not tried any more.
+    std::optional<Instant> nextTrialAt(Fingerprint) const;
     CrashSuspect const* find(Fingerprint) const;
     // If there are no suspects, requests need not be fingerprinted.
     bool isEmpty() const { return m_suspects.empty(); }
--- a/Libraries/LibRouting/PromptPartSuspects.cpp
+++ b/Libraries/LibRouting/PromptPartSuspects.cpp
@@ -14,7 +14,7 @@
         result.poisonThreshold = bounds.poisonThreshold;
         // All requests in flight at an upstream may have the part, so that many daemons observe its crash. The
         // latest crashes show when the latest trial was.
-        result.keepsAllObservers = false;
+        result.keepsTwoObservers = false;
         result.maxCrashesPerSuspect = 12;
         // Most crashes may be observed by one daemon. A part that it blames wrongly is cleared by an answer.
         result.maxCrashesPerRemoteObserver = result.maxCrashesPerSuspect;
--- a/Libraries/LibRouting/Routing.h
+++ b/Libraries/LibRouting/Routing.h
@@ -48,6 +48,7 @@
 #include <LibRouting/StreamOriginEvidence.h>
 #include <LibRouting/StreamOriginExchange.h>
 #include <LibRouting/StreamOriginLogRelay.h>
+#include <LibRouting/TrialExchange.h>
 #include <LibRouting/UpstreamBackoff.h>
 #include <LibRouting/UpstreamHealth.h>
 #include <LibRouting/UpstreamOwner.h>
--- a/Services/stagepostd/CrashDetector.cpp
+++ b/Services/stagepostd/CrashDetector.cpp
@@ -31,13 +31,19 @@
 void CrashDetector::requestBroken(BrokenRequest const& broken)
 {
     auto& check = startCheck(broken);
-    check.requests.insert(broken.request);
-    check.promptParts.insert(broken.promptParts.begin(), broken.promptParts.end());
+    check.add(broken.request, broken.sentAt, broken.promptParts);
 }
 
-void CrashDetector::answerEndedWithConnection(BrokenRequest const& request, Instant sentAt)
+void CrashDetector::answerEndedWithConnection(BrokenRequest const& request)
 {
-    startCheck(request).unconfirmedAnswers.push_back({ request.request, request.promptParts, sentAt });
+    startCheck(request).unconfirmedAnswers.push_back({ request.request, request.promptParts, request.sentAt });
+}
+
+void CrashDetector::PendingCheck::add(Fingerprint request, Instant sentAt, std::span<Fingerprint const> parts)
+{
+    auto& firstSentAt = requests.try_emplace(request, sentAt).first->second;
+    firstSentAt = std::min(firstSentAt, sentAt);
+    promptParts.insert(parts.begin(), parts.end());
 }
 
 CrashDetector::PendingCheck& CrashDetector::startCheck(BrokenRequest const& broken)
@@ -109,10 +115,8 @@
     auto check = m_pendingChecks.extract(upstream);
     if (check.empty())
         return;
-    for (auto const& answer : check.mapped().unconfirmedAnswers) {
-        check.mapped().requests.insert(answer.request);
-        check.mapped().promptParts.insert(answer.promptParts.begin(), answer.promptParts.end());
-    }
+    for (auto const& answer : check.mapped().unconfirmedAnswers)
+        check.mapped().add(answer.request, answer.sentAt, answer.promptParts);
     m_metrics.count("stagepost_upstream_ends_total");
     logEvent(LogLevel::Warning, "upstream-ended", { { "instance", check.mapped().instance }, { "evidence", evidence }, { "requests", check.mapped().requests.size() } });
     recordCrash(upstream, check.mapped());
@@ -121,10 +125,10 @@
 
 void CrashDetector::recordCrash(UpstreamId upstream, PendingCheck const& check)
 {
-    for (auto const request : check.requests) {
-        if (!m_suspects.recordCrash(request, upstream, m_loop.now()))
+    for (auto const& [request, sentAt] : check.requests) {
+        if (!m_suspects.recordCrash(request, upstream, check.since, check.since - sentAt))
             continue;
-        logEvent(LogLevel::Info, "crash-evidence", { { "request", toHex(request.value()) }, { "source", "seen" }, { "instance", check.instance }, { "ends", m_suspects.crashCount(request) }, { "guilty", m_suspects.isPoison(request) ? 1 : 0 } });
+        logEvent(LogLevel::Info, "crash-evidence", { { "request", toHex(request.value()) }, { "source", "seen" }, { "instance", check.instance }, { "ends", m_suspects.crashCount(request) }, { "separate", m_suspects.separateCrashCount(request) }, { "guilty", m_suspects.isPoison(request) ? 1 : 0 } });
         m_hooks.evidenceChanged(request);
     }
 }
--- a/Services/stagepostd/CrashDetector.h
+++ b/Services/stagepostd/CrashDetector.h
@@ -5,7 +5,9 @@
 #include <LibRouting/CrashSuspects.h>
 #include <LibRouting/LinkFailureDetector.h>
 #include <LibRouting/PromptPartSuspects.h>
+#include <map>
 #include <set>
+#include <span>
 
 namespace Stagepost {
 
@@ -34,6 +36,8 @@
         // Only logged.
         std::string instance;
         Endpoint endpoint;
+        // When it was sent to the upstream.
+        Instant sentAt;
         // The parts of its prompt that other requests may have as well.
         std::vector<Fingerprint> promptParts {};
     };
@@ -47,11 +51,15 @@
     bool isPoison(Fingerprint request) const { return m_suspects.isPoison(request); }
     // Whether an upstream has ended under the request, which need not be its fault.
     bool isSuspect(Fingerprint request) const { return m_suspects.crashCount(request) > 0; }
+    // Whether upstreams have ended under the request one after the other.
+    bool isProven(Fingerprint request) const { return m_suspects.isProven(request); }
+    // See CrashSuspects::nextTrialAt().
+    std::optional<Instant> nextTrialAt(Fingerprint request) const { return m_suspects.nextTrialAt(request); }
 
     void requestBroken(BrokenRequest const&);
-    // The end of its connection ended the answer to a request that was sent at the given time. The answer is
-    // complete if the upstream's process lives on.
-    void answerEndedWithConnection(BrokenRequest const&, Instant sentAt);
+    // The end of its connection ended the answer to a request. The answer is complete if the upstream's process
+    // lives on.
+    void answerEndedWithConnection(BrokenRequest const&);
     // The request was answered completely.
     void requestAnswered(Fingerprint);
     // A request with these parts, which was sent at the given time, was answered completely.
@@ -69,7 +77,10 @@
 
     // The requests that an upstream broke off, until it is known whether its process has ended.
     struct PendingCheck {
-        std::set<Fingerprint> requests;
+        void add(Fingerprint request, Instant sentAt, std::span<Fingerprint const> parts);
+
+        // With the time at which they were sent, or the first of several copies was.
+        std::map<Fingerprint, Instant> requests;
         std::set<Fingerprint> promptParts;
         std::vector<UnconfirmedAnswer> unconfirmedAnswers;
         std::string instance;
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -39,7 +39,7 @@
     , m_serviceShares(m_options.clients)
     , m_fingerprintKey(std::to_string(m_random()))
     , m_suspects(VMId::fromName(m_options.name))
-    , m_partSuspects(VMId::fromName(m_options.name), {}, [this](Fingerprint fingerprint) { return m_peers.triesParts(fingerprint); })
+    , m_partSuspects(VMId::fromName(m_options.name), {}, [this](Fingerprint fingerprint) { return m_peers.crashEvidence().triesParts(fingerprint); })
     , m_serviceTable(
           { m_options.hall, m_options.placement, m_options.retries, [this](Instant) { return m_peers.usableShare(); } }, m_random, [this](Endpoint const& upstream) { m_server.dropIdleConnections(upstream); }, loop.now())
     , m_directory(m_options.directory, { [this](UpstreamChange const& change) { applyUpstream(change); }, [this] { m_serviceTable.restartVersionHistory(m_loop.now()); }, [this](UpstreamRecord const& record, bool mayServe) { m_serviceTable.notePassedOver(record, mayServe, m_loop.now()); } })
@@ -128,8 +128,8 @@
     CrashDetector::Hooks hooks;
     hooks.probe = [this](Endpoint const& endpoint, PortProbe::Callback callback) { m_portProbe.probe(endpoint, portTimeout, std::move(callback)); };
     hooks.linksSince = [this](Instant time) { return m_links.stateSince(time); };
-    hooks.evidenceChanged = [this](Fingerprint request) { m_peers.shareCrashEvidence(request, m_loop.now()); };
-    hooks.partEvidenceChanged = [this](Fingerprint part) { m_peers.sharePartEvidence(part, m_loop.now()); };
+    hooks.evidenceChanged = [this](Fingerprint request) { m_peers.crashEvidence().shareRequest(request); };
+    hooks.partEvidenceChanged = [this](Fingerprint part) { m_peers.crashEvidence().sharePart(part); };
     return hooks;
 }
 
@@ -570,9 +570,7 @@
     m_metrics.setGauge("stagepost_open_requests", static_cast<double>(m_server.openExchanges()));
     m_metrics.setGauge("stagepost_detoured_open", static_cast<double>(m_detourServer.load()));
     m_metrics.setGauge("stagepost_upstreams", static_cast<double>(m_serviceTable.upstreamCount()));
-    m_metrics.setGauge("stagepost_suspect_requests", static_cast<double>(m_suspects.suspects().size()));
-    m_metrics.setGauge("stagepost_suspect_prompt_parts", static_cast<double>(m_partSuspects.evidence().suspects().size()));
-    m_metrics.setGauge("stagepost_poison_prompt_parts", static_cast<double>(m_partSuspects.poisonCount(m_loop.now())));
+    setCrashGauges(m_suspects, m_partSuspects, m_loop.now(), m_metrics);
     m_metrics.setGauge("stagepost_retry_slack_share", m_peers.usableShare());
     m_metrics.setGauge("stagepost_control_bytes_sent", static_cast<double>(m_peers.bytesSent()));
     m_metrics.setGauge("stagepost_peer_unreadable_counts", static_cast<double>(m_peers.unreadableCounts()));
--- a/Services/stagepostd/GatewayGauges.cpp
+++ b/Services/stagepostd/GatewayGauges.cpp
@@ -17,4 +17,11 @@
     }
 }
 
+void setCrashGauges(CrashSuspects const& requests, PromptPartSuspects const& parts, Instant now, Metrics& metrics)
+{
+    metrics.setGauge("stagepost_suspect_requests", static_cast<double>(requests.suspects().size()));
+    metrics.setGauge("stagepost_suspect_prompt_parts", static_cast<double>(parts.evidence().suspects().size()));
+    metrics.setGauge("stagepost_poison_prompt_parts", static_cast<double>(parts.poisonCount(now)));
+}
+
 }
--- a/Services/stagepostd/GatewayPeers.cpp
+++ b/Services/stagepostd/GatewayPeers.cpp
@@ -4,7 +4,6 @@
 #include <LibBase/Log.h>
 #include <stagepostd/DetourServer.h>
 #include <stagepostd/GatewayServerOptions.h>
-#include <stagepostd/PartEvidenceLog.h>
 #include <stagepostd/StateRequest.h>
 
 namespace Stagepost {
@@ -15,15 +14,6 @@
     // The state of 4,000 upstreams has 400 KB. Sending it to seven daemons takes a relay with a link
     // of 10 Mbit/s 2.3 s.
     constexpr Milliseconds fetchTimeout { 3000 };
-    // Parts that have been answered before are usually answered again within this time.
-    constexpr Milliseconds answeredPartDelay { 500 };
-    // Three messages on the way to a daemon take less time than verdicts on such parts wait.
-    constexpr Milliseconds answeredPartInterval { 300 };
-    // The evidence about a few parts to the relays of a large fleet; it is sent only while upstreams crash.
-    constexpr double partBytesPerSecond { 3000 };
-    constexpr double maxPartBurstBytes { 16000 };
-    // Another daemon answers within milliseconds after this one has joined.
-    constexpr Milliseconds maxPartWait { 400 };
     // Short compared with the interval at which daemons ask for state.
     constexpr Milliseconds tickInterval { 50 };
     constexpr unsigned statusForbidden = 403;
@@ -50,8 +40,6 @@
     , m_metrics(metrics)
     , m_limits(limits)
     , m_bounds(bounds)
-    , m_suspects(suspects)
-    , m_partSuspects(partSuspects)
     , m_random(std::move(random))
     , m_hooks(std::move(hooks))
     , m_client(loop)
@@ -59,9 +47,8 @@
           loop, peerServerOptions({}, limits), [this](std::shared_ptr<Exchange> const& exchange) { handleRequest(exchange); }, plainRefusal, std::move(clientMemory), [this](HttpRequest const& head) { return checkHead(head); })
     , m_socket(loop, [this](Endpoint const& source, std::string_view datagram) { handleDatagram(source, datagram); })
     , m_fleetShare(std::move(share))
+    , m_crashEvidence(loop, suspects, partSuspects, crashEvidenceHooks())
     , m_streamOrigins(loop, metrics, streamOriginHooks())
-    , m_startedAt(loop.now())
-    , m_waitingForPartsTimer(loop)
     , m_ticker(loop)
     , m_responseTimer(loop)
 {
@@ -93,15 +80,7 @@
     m_channel = std::make_unique<PeerChannel>(m_socket, *m_datagramAuthenticator, m_metrics, [this](PeerMessageKind kind, VMId from, Endpoint const& source, std::string_view body) { handleMessage(kind, from, source, body); });
     FleetPeer const peer { self.id(), HallId::fromName(self.hall) };
     m_stateExchange = std::make_unique<StateExchange>(peer, m_random(), m_bounds, stateHooks());
-    m_crashExchange = std::make_unique<CrashExchange>(peer, m_suspects, CrashExchange::Bounds {}, crashHooks(PeerMessageKind::Crashes));
-    CrashExchange::Bounds partBounds;
-    // Most prompts share parts that are answered all the time.
-    partBounds.areAnswersFleetWide = false;
-    partBounds.answersWithoutSuspects = true;
-    partBounds.answeredInterval = answeredPartInterval;
-    partBounds.bytesPerSecond = partBytesPerSecond;
-    partBounds.maxBurstBytes = maxPartBurstBytes;
-    m_partCrashExchange = std::make_unique<CrashExchange>(peer, m_partSuspects.evidence(), partBounds, crashHooks(PeerMessageKind::PartCrashes));
+    m_crashEvidence.join(peer);
     // Kept when the daemon joins again with another key, since requests may wait for answers.
     if (!m_permitExchange) {
         m_permitExchange = std::make_unique<PermitExchange>(peer, PermitExchange::Bounds {}, permitHooks());
@@ -116,8 +95,7 @@
         if (m_roster.expire(m_loop.now()))
             applyRoster();
         m_stateExchange->tick(m_loop.now());
-        m_crashExchange->tick(m_loop.now());
-        m_partCrashExchange->tick(m_loop.now());
+        m_crashEvidence.tick();
         m_permitExchange->tick(m_loop.now());
         m_holderExchange->tick(m_loop.now());
         m_detourExchange->tick(m_loop.now());
@@ -138,12 +116,14 @@
     return hooks;
 }
 
-CrashExchange::Hooks GatewayPeers::crashHooks(PeerMessageKind kind)
+CrashEvidenceSharing::Hooks GatewayPeers::crashEvidenceHooks()
 {
-    CrashExchange::Hooks hooks;
-    hooks.send = [this, kind](VMId to, std::string const& body) { send(to, kind, body); };
+    CrashEvidenceSharing::Hooks hooks;
+    hooks.send = [this](VMId to, PeerMessageKind kind, std::string const& body) { send(to, kind, body); };
     hooks.relays = [this] { return m_stateExchange->relays(); };
     hooks.subscribers = [this] { return m_stateExchange->recentRequesters(); };
+    hooks.nameOf = [this](VMId id) { return nameOfPeer(id); };
+    hooks.random = m_random;
     return hooks;
 }
 
@@ -273,8 +253,7 @@
     if (!m_stateExchange)
         return;
     m_stateExchange->setPeers(list);
-    m_crashExchange->setPeers(list, m_loop.now());
-    m_partCrashExchange->setPeers(list, m_loop.now());
+    m_crashEvidence.setPeers(list);
     m_holderExchange->setPeers(list, m_stateExchange->relays());
     m_detourExchange->setPeers(list);
     m_streamOrigins.setPeers(list);
@@ -338,86 +317,12 @@
         m_stateExchange->localStateChanged(now);
 }
 
-void GatewayPeers::shareCrashEvidence(Fingerprint request, Instant now)
-{
-    if (m_crashExchange)
-        m_crashExchange->announce(request, now);
-}
-
-void GatewayPeers::sharePartEvidence(Fingerprint part, Instant now)
-{
-    if (!m_partCrashExchange)
-        return;
-    auto const* suspect = m_partSuspects.evidence().find(part);
-    if (suspect && suspect->clearedAt && !suspect->crashes.empty())
-        m_partCrashExchange->announceUnlessCleared(part, answeredPartDelay, now);
-    else
-        m_partCrashExchange->announce(part, now);
-}
-
-bool GatewayPeers::arePartsKnown() const
-{
-    return (m_partCrashExchange && m_partCrashExchange->hasHeard()) || m_loop.now() - m_startedAt >= maxPartWait;
-}
-
-void GatewayPeers::whenPartsAreKnown(std::function<void()> callback)
-{
-    if (arePartsKnown())
-        return callback();
-    m_waitingForParts.push_back(std::move(callback));
-    if (m_waitingForParts.size() == 1)
-        m_waitingForPartsTimer.once(maxPartWait, [this] { resumeWaitingForParts(); });
-}
-
-void GatewayPeers::resumeWaitingForParts()
-{
-    m_waitingForPartsTimer.cancel();
-    for (auto const& resume : std::exchange(m_waitingForParts, {}))
-        resume();
-}
-
-bool GatewayPeers::triesParts(Fingerprint fingerprint) const
-{
-    return m_partCrashExchange && m_partCrashExchange->isFirstHome(fingerprint);
-}
-
 std::string_view GatewayPeers::nameOfPeer(VMId id) const
 {
     auto const peer = m_peers.find(id);
     return peer == m_peers.end() ? std::string_view() : peer->second.name;
 }
 
-bool GatewayPeers::handleCrashMessage(VMId from, std::string_view body)
-{
-    if (!m_crashExchange)
-        return true;
-    auto const changedRequests = m_crashExchange->receive(from, body, m_loop.now());
-    if (!changedRequests)
-        return false;
-    for (auto const request : *changedRequests)
-        logEvent(LogLevel::Info, "crash-evidence", { { "request", toHex(request.value()) }, { "source", "told" }, { "peer", nameOfPeer(from) }, { "ends", m_suspects.crashCount(request) }, { "guilty", m_suspects.isPoison(request) ? 1 : 0 } });
-    return true;
-}
-
-// This daemon may know of answers that the sender does not.
-bool GatewayPeers::handlePartCrashMessage(VMId from, std::string_view body)
-{
-    if (!m_partCrashExchange)
-        return true;
-    auto const now = m_loop.now();
-    auto const changedParts = m_partCrashExchange->receive(from, body, now);
-    if (!changedParts)
-        return false;
-    for (auto const part : *changedParts) {
-        if (m_partSuspects.applyOwnAnswer(part))
-            sharePartEvidence(part, now);
-        logPartEvidence(m_partSuspects, part, "told", nameOfPeer(from), now);
-    }
-    if (arePartsKnown())
-        resumeWaitingForParts();
-    return true;
-}
-
 void GatewayPeers::sendRolloutMessage(VMId to, std::string const& body)
 {
     if (m_channel)
@@ -455,9 +360,9 @@
         case PeerMessageKind::State:
             return m_stateExchange && m_stateExchange->receive(from, body, m_loop.now());
         case PeerMessageKind::Crashes:
-            return handleCrashMessage(from, body);
         case PeerMessageKind::PartCrashes:
-            return handlePartCrashMessage(from, body);
+        case PeerMessageKind::Trials:
+            return m_crashEvidence.receive(kind, from, body);
         case PeerMessageKind::Permits:
             return m_permitExchange && m_permitExchange->receive(from, body, m_loop.now());
         case PeerMessageKind::Holders:
--- a/Services/stagepostd/GatewayPeers.h
+++ b/Services/stagepostd/GatewayPeers.h
@@ -7,13 +7,12 @@
 #include <LibProxy/HttpClient.h>
 #include <LibProxy/HttpServer.h>
 #include <LibProxy/Timer.h>
-#include <LibRouting/CrashExchange.h>
 #include <LibRouting/DetourExchange.h>
 #include <LibRouting/HolderExchange.h>
 #include <LibRouting/PermitExchange.h>
-#include <LibRouting/PromptPartSuspects.h>
 #include <LibSettings/RouteTable.h>
 #include <memory>
+#include <stagepostd/CrashEvidenceSharing.h>
 #include <stagepostd/DetourTerms.h>
 #include <stagepostd/EarlierRequests.h>
 #include <stagepostd/GatewayState.h>
@@ -109,15 +108,7 @@
     // This daemon's latest read of the store has succeeded or failed.
     void recordStoreRead(bool hasSucceeded);
     void stateChanged(Instant now);
-    // Sends this daemon's crash evidence about the request to others.
-    void shareCrashEvidence(Fingerprint, Instant now);
-    // The same about a part of prompts.
-    void sharePartEvidence(Fingerprint, Instant now);
-    // Calls back once another daemon has told which parts of prompts crash upstreams, at once if one has, and
-    // after some tenths of a second from the start in any case.
-    void whenPartsAreKnown(std::function<void()>);
-    // Whether this daemon tries parts of prompts that crash upstreams; see PromptPartSuspects.
-    bool triesParts(Fingerprint) const;
+    CrashEvidenceSharing& crashEvidence() { return m_crashEvidence; }
 
     // Does nothing before this daemon has joined, or if the other one is unknown.
     void sendRolloutMessage(VMId to, std::string const& body);
@@ -154,7 +145,7 @@
 
 private:
     StateExchange::Hooks stateHooks();
-    CrashExchange::Hooks crashHooks(PeerMessageKind);
+    CrashEvidenceSharing::Hooks crashEvidenceHooks();
     PermitExchange::Hooks permitHooks();
     DetourExchange::Hooks detourHooks();
     void scheduleResponseTimeout();
@@ -162,10 +153,6 @@
     void updateRoster(std::function<void()> const& change);
     void applyRoster();
     StreamOriginFinder::Hooks streamOriginHooks();
-    bool arePartsKnown() const;
-    void resumeWaitingForParts();
-    bool handleCrashMessage(VMId from, std::string_view body);
-    bool handlePartCrashMessage(VMId from, std::string_view body);
     std::string_view nameOfPeer(VMId) const;
     void handleDatagram(Endpoint const& source, std::string_view datagram);
     void handleMessage(PeerMessageKind, VMId from, Endpoint const& source, std::string_view body);
@@ -180,8 +167,6 @@
     Metrics& m_metrics;
     ClientLimits m_limits;
     StateExchange::Bounds m_bounds;
-    CrashSuspects& m_suspects;
-    PromptPartSuspects& m_partSuspects;
     RandomHook m_random;
     Hooks m_hooks;
     HttpClient m_client;
@@ -199,16 +184,12 @@
     std::optional<Authenticator> m_detourAuthenticator;
     std::unique_ptr<PeerChannel> m_channel;
     std::unique_ptr<StateExchange> m_stateExchange;
-    std::unique_ptr<CrashExchange> m_crashExchange;
-    std::unique_ptr<CrashExchange> m_partCrashExchange;
+    CrashEvidenceSharing m_crashEvidence;
     std::unique_ptr<PermitExchange> m_permitExchange;
     EarlierRequests m_earlierRequests;
     std::unique_ptr<HolderExchange> m_holderExchange;
     std::unique_ptr<DetourExchange> m_detourExchange;
     StreamOriginFinder m_streamOrigins;
-    Instant m_startedAt;
-    std::vector<std::function<void()>> m_waitingForParts;
-    Timer m_waitingForPartsTimer;
     Timer m_ticker;
     // Expires at the earliest deadline of the pending permit requests and context lookups.
     Timer m_responseTimer;
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -58,10 +58,7 @@
         refuse({ RefusalReason::QueueFull, NotRunProof::nothingSent(), "the service has fewer places than requests", m_service.gate.retryDelay(occupancy) });
         return;
     }
-    if (m_request.call.prompt.sharedParts().empty())
-        return admitAndPlace();
-    // A daemon that has just started does not know yet which parts crash upstreams.
-    m_services.peers.whenPartsAreKnown([self = shared_from_this()] {
+    m_evidence.prepare([self = shared_from_this()] {
         if (!self->endedWhileWaiting())
             self->admitAndPlace();
     });
@@ -506,8 +503,7 @@
         log("answered", result, "none", m_attempts.verdict());
         return;
     }
-    if (result.failure == RefusalReason::UpstreamBroken && result.verdict == Verdict::mayHaveRun)
-        m_evidence.answerBroke(upstream);
+    m_evidence.sendFailed(upstream, result, m_sentAt);
     FailedAttempt attempt;
     attempt.verdict = result.verdict;
     attempt.isUnconnected = result.isUnconnected();
--- a/Services/stagepostd/PeerChannel.h
+++ b/Services/stagepostd/PeerChannel.h
@@ -13,8 +13,10 @@
     Membership = 'm',
     Routing = 'r',
     State = 's',
-    Crashes = 'c',
-    PartCrashes = 'p',
+    // Daemons of earlier versions send crashes as 'c' and 'p', without the times for which requests were in flight.
+    Crashes = 'C',
+    PartCrashes = 'P',
+    Trials = 't',
     Permits = 'l',
     Holders = 'h',
     Rollouts = 'v',
--- a/Services/stagepostd/RequestEvidence.cpp
+++ b/Services/stagepostd/RequestEvidence.cpp
@@ -4,6 +4,13 @@
 
 namespace Stagepost {
 
+namespace {
+
+    // Most trials are answered within this time.
+    constexpr Milliseconds minTrialPause { 250 };
+
+}
+
 RequestEvidence::RequestEvidence(GatewayServices const& services, HttpRequest const& call, RoutedRequest const& request, ServicePlacement const& placement)
     : m_services(services)
     , m_call(call)
@@ -12,18 +19,53 @@
 {
 }
 
-// A caller's retry has a new id, so only the fingerprint shows that the same request has crashed
-// upstreams before. Without this check it would crash another one.
+void RequestEvidence::prepare(std::function<void()> const& callback)
+{
+    if (m_request.call.prompt.sharedParts().empty())
+        return tryIfDue(callback);
+    // A daemon that has just started does not know yet which parts crash upstreams.
+    m_services.peers.crashEvidence().whenPartsAreKnown([this, callback] { tryIfDue(callback); });
+}
+
+void RequestEvidence::tryIfDue(std::function<void()> const& callback)
+{
+    auto const trialAt = isPoison() ? m_services.crashDetector.nextTrialAt(fingerprint()) : std::nullopt;
+    if (!trialAt || m_services.loop.now() < *trialAt)
+        return callback();
+    m_services.peers.crashEvidence().requestTrial(fingerprint(), [this, callback](std::unique_ptr<CrashTrial> trial) {
+        m_trial = std::move(trial);
+        callback();
+    });
+}
+
+bool RequestEvidence::isPoison() const
+{
+    return m_services.crashDetector.hasSuspects() && m_services.crashDetector.isPoison(fingerprint());
+}
+
 std::optional<Refusal> RequestEvidence::refusal(Verdict verdict)
 {
-    if (m_services.crashDetector.hasSuspects() && m_services.crashDetector.isPoison(fingerprint()))
-        return Refusal { RefusalReason::EndsUpstreams, Verdict::mayHaveRun, "upstreams have ended under this request: it goes to none any more", {} };
+    if (auto refusal = requestRefusal(verdict))
+        return refusal;
     if (!hasPoisonPart())
         return {};
     auto const pause = std::chrono::duration_cast<Milliseconds>(m_services.partSuspects.timeToTrial(sharedParts(), m_services.loop.now()));
     return Refusal { RefusalReason::EndsUpstreams, verdict, "upstreams have ended under requests with a part of this prompt: they go to none any more", pause };
 }
 
+// A caller's retry has a new id, so only the fingerprint shows that the same request has crashed
+// upstreams before. Without this check it would crash another one.
+std::optional<Refusal> RequestEvidence::requestRefusal(Verdict verdict) const
+{
+    if (m_trial || !isPoison())
+        return {};
+    if (m_services.crashDetector.isProven(fingerprint()))
+        return Refusal { RefusalReason::EndsUpstreams, Verdict::mayHaveRun, "upstreams have ended under this request: it goes to none any more", {} };
+    auto const now = m_services.loop.now();
+    auto const pause = std::max(minTrialPause, std::chrono::duration_cast<Milliseconds>(m_services.crashDetector.nextTrialAt(fingerprint()).value_or(now) - now));
+    return Refusal { RefusalReason::EndsUpstreams, verdict, "upstreams have ended together under this request: it is tried before more of it are sent", pause };
+}
+
 bool RequestEvidence::hasPoisonPart()
 {
     if (m_isPartTrial || m_services.partSuspects.evidence().isEmpty())
@@ -35,7 +77,7 @@
 
 bool RequestEvidence::mayCrashUpstreams() const
 {
-    return m_isPartTrial || m_services.partSuspects.mayCrashAgain(sharedParts());
+    return m_trial || m_isPartTrial || m_services.partSuspects.mayCrashAgain(sharedParts());
 }
 
 bool RequestEvidence::isSuspect() const
@@ -46,17 +88,21 @@
 }
 
 // None if the upstream is gone or may have crashed under its load.
-std::optional<CrashDetector::BrokenRequest> RequestEvidence::brokenRequest(UpstreamId upstream) const
+std::optional<CrashDetector::BrokenRequest> RequestEvidence::brokenRequest(UpstreamId upstream, Instant sentAt) const
 {
     auto const* target = m_services.serviceTable.target(upstream);
     if (!target || m_placement.mayHaveCrashedUnderLoad(upstream, m_services.loop.now()))
         return {};
-    return CrashDetector::BrokenRequest { fingerprint(), upstream, target->instance, target->endpoint, sharedParts() };
+    return CrashDetector::BrokenRequest { fingerprint(), upstream, target->instance, target->endpoint, sentAt, sharedParts() };
 }
 
-void RequestEvidence::answerBroke(UpstreamId upstream)
+void RequestEvidence::sendFailed(UpstreamId upstream, ForwardResult const& result, Instant sentAt)
 {
-    if (auto const request = brokenRequest(upstream))
+    if (m_trial && !result.verdict.isNotRun())
+        m_trial->sent();
+    if (result.failure != RefusalReason::UpstreamBroken || result.verdict != Verdict::mayHaveRun)
+        return;
+    if (auto const request = brokenRequest(upstream, sentAt))
         m_services.crashDetector.requestBroken(*request);
 }
 
@@ -64,12 +110,14 @@
 {
     constexpr unsigned firstRedirect = 300;
     constexpr unsigned firstServerError = 500;
+    if (m_trial)
+        m_trial->sent();
     if (result.status >= firstServerError)
         return;
     if (result.endedWithConnection) {
-        auto const request = isStream ? brokenRequest(upstream) : std::nullopt;
+        auto const request = isStream ? brokenRequest(upstream, sentAt) : std::nullopt;
         if (request)
-            m_services.crashDetector.answerEndedWithConnection(*request, sentAt);
+            m_services.crashDetector.answerEndedWithConnection(*request);
         return;
     }
     if (m_services.crashDetector.hasSuspects())
--- a/Services/stagepostd/RequestEvidence.h
+++ b/Services/stagepostd/RequestEvidence.h
@@ -14,16 +14,19 @@
     // All references must outlive this object.
     RequestEvidence(GatewayServices const&, HttpRequest const&, RoutedRequest const&, ServicePlacement const&);
 
-    // Why the request must go to no upstream any more; none if it may. To be asked before each send, since
-    // other requests may have given evidence in the meantime.
+    // Calls back once it is known whether the request may be sent: at once, unless a trial is due or this daemon has
+    // just started. The callback must keep this object alive.
+    void prepare(std::function<void()> const& callback);
+    // Why the request must go to no upstream now; none if it may. To be asked before each send, since other
+    // requests may have given evidence in the meantime.
     std::optional<Refusal> refusal(Verdict);
     // Whether upstreams have crashed under a part of its prompt, and no request with it was answered since.
     bool mayCrashUpstreams() const;
     // Whether it may be at fault for an answer that broke off.
     bool isSuspect() const;
 
-    // The upstream has broken its answer off.
-    void answerBroke(UpstreamId);
+    // The upstream has not answered the request, which was sent at the given time.
+    void sendFailed(UpstreamId, ForwardResult const&, Instant sentAt);
     // The upstream has sent a whole answer to a request that was sent at the given time.
     void answerCompleted(UpstreamId, ForwardResult const&, bool isStream, Instant sentAt);
 
@@ -32,15 +35,21 @@
     std::string formatSharedParts() const;
 
 private:
+    void tryIfDue(std::function<void()> const& callback);
+    // Why the request as a whole must go to no upstream now.
+    std::optional<Refusal> requestRefusal(Verdict) const;
+    bool isPoison() const;
     bool hasPoisonPart();
     std::vector<Fingerprint> const& sharedParts() const;
-    std::optional<CrashDetector::BrokenRequest> brokenRequest(UpstreamId) const;
+    std::optional<CrashDetector::BrokenRequest> brokenRequest(UpstreamId, Instant sentAt) const;
 
     GatewayServices const& m_services;
     HttpRequest const& m_call;
     RoutedRequest const& m_request;
     ServicePlacement const& m_placement;
-    // Whether the request is sent to find out whether a part of its prompt still crashes upstreams.
+    // Null unless the request is sent to find out whether it crashes upstreams.
+    std::unique_ptr<CrashTrial> m_trial;
+    // Whether it is sent to find out whether a part of its prompt still crashes upstreams.
     bool m_isPartTrial { false };
     // Computed when first needed, since few requests fail.
     mutable std::optional<Fingerprint> m_fingerprint;
--- a/Tests/LibRouting/TestCrashSuspects.cpp
+++ b/Tests/LibRouting/TestCrashSuspects.cpp
@@ -91,6 +91,80 @@
     BOOST_TEST(suspects.isEmpty());
 }
 
+// Guards against taking a sound request for proven, whose upstreams have crashed together.
+BOOST_AUTO_TEST_CASE(CrashesOfUpstreamsThatHadTheRequestTogetherAreOneSeparateCrash)
+{
+    CrashSuspects suspects(self);
+    suspects.recordCrash(request, UpstreamId(10), start, Milliseconds(90));
+    suspects.recordCrash(request, UpstreamId(11), start + Milliseconds(60), Milliseconds(80));
+    BOOST_TEST(!suspects.nextTrialAt(Fingerprint(78)));
+    // Another daemon observes the same moment later, and another copy of the request.
+    suspects.merge({ request, { { UpstreamId(12), other, start + Milliseconds(200), Milliseconds(150) }, { UpstreamId(12), third, start + Milliseconds(250), Milliseconds(300) } }, {} }, start + Seconds(1));
+    BOOST_TEST(suspects.isPoison(request));
+    BOOST_TEST(!suspects.isProven(request));
+    BOOST_TEST(suspects.separateCrashCount(request) == 1u);
+    BOOST_TEST((suspects.nextTrialAt(request) == start + Milliseconds(750)));
+}
+
+BOOST_AUTO_TEST_CASE(CrashesAfterARetryEachAreSeparate)
+{
+    CrashSuspects suspects(self);
+    for (unsigned crash = 0; crash < 3; ++crash) {
+        BOOST_TEST(!suspects.isProven(request));
+        suspects.recordCrash(request, UpstreamId(10 + crash), start + crash * Milliseconds(31), Milliseconds(30));
+    }
+    BOOST_TEST(suspects.isProven(request));
+    BOOST_TEST((suspects.nextTrialAt(request) == start + Milliseconds(62) + Seconds(30)));
+}
+
+// Upstreams that crash within milliseconds of each other get the same request by retries.
+BOOST_AUTO_TEST_CASE(RetriesBetweenCrashesOfACommonCauseAreNotSeparate)
+{
+    CrashSuspects suspects(self);
+    for (unsigned crash = 0; crash < 3; ++crash)
+        suspects.recordCrash(request, UpstreamId(10 + crash), start + crash * Milliseconds(5), Milliseconds(4));
+    BOOST_TEST(suspects.separateCrashCount(request) == 1u);
+}
+
+// Guards against trials without end: the crash of a trial must count, also where many daemons have seen the first ones.
+BOOST_AUTO_TEST_CASE(TrialsThatCrashUpstreamsComeMoreRarelyAndThenNoMore)
+{
+    CrashSuspects suspects(self);
+    for (uint64_t upstream = 10; upstream < 15; ++upstream) {
+        for (uint64_t daemon = 1; daemon < 8; ++daemon)
+            suspects.merge({ request, { { UpstreamId(upstream), VMId(daemon), start + Milliseconds(daemon), Milliseconds(100) } }, {} }, start + Seconds(1));
+    }
+    auto trialAt = start;
+    size_t trials = 0;
+    for (; suspects.nextTrialAt(request); ++trials) {
+        trialAt = *suspects.nextTrialAt(request);
+        suspects.recordCrash(request, UpstreamId(20 + trials), trialAt + Milliseconds(30), Milliseconds(30));
+        BOOST_TEST(suspects.isPoison(request));
+    }
+    BOOST_TEST(trials == 4u);
+    BOOST_TEST(suspects.isProven(request));
+    // The first one comes within 3 s of the third crash, so that three are left.
+    BOOST_TEST((trialAt - start > Seconds(300)));
+    suspects.recordSuccess(request, trialAt + Seconds(1));
+    BOOST_TEST(!suspects.isPoison(request));
+}
+
+// Two full records must become the same, or daemons would tell each other of them for ever.
+BOOST_AUTO_TEST_CASE(FullRecordsDoNotChangeEachOtherForEver)
+{
+    CrashSuspects one(self);
+    CrashSuspects two(other);
+    for (uint64_t upstream = 10; upstream < 20; ++upstream) {
+        one.recordCrash(request, UpstreamId(upstream), start + upstream * Milliseconds(100), Milliseconds(30));
+        two.recordCrash(request, UpstreamId(100 - upstream), start + upstream * Milliseconds(100) + Milliseconds(50), Milliseconds(30));
+    }
+    auto const now = start + Seconds(10);
+    size_t rounds = 0;
+    while (rounds < 10 && (static_cast<unsigned>(one.merge(*two.find(request), now)) | static_cast<unsigned>(two.merge(*one.find(request), now))))
+        ++rounds;
+    BOOST_TEST(rounds < 4u);
+}
+
 // A caller must not be able to evict a poison request by sending thousands of others.
 BOOST_AUTO_TEST_CASE(SuspectsWithTheFewestCrashesAreEvictedFirst)
 {
--- a/Tests/platform/TestCrashDetector.cpp
+++ b/Tests/platform/TestCrashDetector.cpp
@@ -22,7 +22,7 @@
     CrashDetector detector { loop, metrics, suspects, partSuspects,
         { [this](Endpoint const&, PortProbe::Callback callback) { probes.push_back(std::move(callback)); }, [this](Fingerprint fingerprint) { seen.push_back(fingerprint); }, [this](Fingerprint part) { seenParts.push_back(part); }, [this](Instant) { return links; } } };
 
-    void breakOff(Fingerprint fingerprint) { detector.requestBroken({ fingerprint, upstream, "book-1", { "127.0.0.1", 1 } }); }
+    void breakOff(Fingerprint fingerprint, Microseconds inFlight = {}) { detector.requestBroken({ fingerprint, upstream, "book-1", { "127.0.0.1", 1 }, loop.now() - inFlight }); }
     void answerProbe(PortState state) { std::exchange(probes, {}).front()(state); }
 };
 
@@ -43,6 +43,20 @@
     BOOST_TEST(world.seen.size() == 2u);
 }
 
+// Whether crashes are separate depends on when the first copy of the request was sent, not on when a crash is confirmed.
+BOOST_AUTO_TEST_CASE(ACrashIsRecordedWithTheTimesOfTheRequest)
+{
+    World world;
+    auto const brokenAt = world.loop.now();
+    world.breakOff(request, Milliseconds(10));
+    world.breakOff(request, Milliseconds(300));
+    world.loop.runFor(Milliseconds(30));
+    world.answerProbe(PortState::Closed);
+    auto const& crash = world.suspects.find(request)->crashes.front();
+    BOOST_TEST((crash.observedAt - brokenAt < Milliseconds(30)));
+    BOOST_TEST((crash.inFlight >= Milliseconds(290) && crash.inFlight <= Milliseconds(300)));
+}
+
 BOOST_AUTO_TEST_CASE(OpenOrSilentPortRecordsNoCrash)
 {
     for (auto const state : { PortState::Open, PortState::NoResponse }) {
@@ -57,11 +71,11 @@
 BOOST_AUTO_TEST_CASE(AnswerThatEndedWithItsConnectionClearsOnlyIfTheProcessLives)
 {
     Fingerprint const part { 5 };
-    CrashDetector::BrokenRequest const answered { request, upstream, "chat-1", { "127.0.0.1", 1 }, { part } };
+    auto const answered = [part](Instant sentAt) { return CrashDetector::BrokenRequest { request, upstream, "chat-1", { "127.0.0.1", 1 }, sentAt, { part } }; };
     {
         World world;
         world.partSuspects.recordCrash(part, UpstreamId(9), world.loop.now());
-        world.detector.answerEndedWithConnection(answered, world.loop.now());
+        world.detector.answerEndedWithConnection(answered(world.loop.now()));
         world.answerProbe(PortState::Open);
         BOOST_TEST(world.partSuspects.evidence().crashCount(part) == 1u);
         std::this_thread::sleep_for(Milliseconds(60));
@@ -70,7 +84,7 @@
         BOOST_TEST(world.partSuspects.evidence().crashCount(part) == 0u);
     }
     World world;
-    world.detector.answerEndedWithConnection(answered, world.loop.now());
+    world.detector.answerEndedWithConnection(answered(world.loop.now()));
     world.answerProbe(PortState::Closed);
     BOOST_TEST(world.partSuspects.evidence().crashCount(part) == 1u);
     BOOST_TEST(world.seenParts.size() == 1u);
