LibProxy, stagepostd: Serve streams whose ids rise without counting the events

Cause: EventReader took the ids of a stream for a count of its events, and a number that was left out for a foreign event.

Change: each daemon learns from whole streams how each version of a service numbers its events. Before, an event that leaves numbers out is held back until two more have come, or the end: a lower id shows by then that it was foreign.

--- a/Libraries/LibProxy/Detail/Forwarder.h
+++ b/Libraries/LibProxy/Detail/Forwarder.h
@@ -59,6 +59,7 @@
     Net::awaitable<void> relayResponse();
     Net::awaitable<bool> readBodyChunk(std::string_view& bytes);
     Net::awaitable<bool> forwardBodyChunk(std::string_view bytes);
+    Net::awaitable<bool> forwardEvents(std::string events);
     Net::awaitable<bool> writeBody(std::string_view);
     Net::awaitable<bool> writeHeader(std::optional<uint64_t> length);
     Net::awaitable<bool> writeBodyChunk(std::string_view);
--- a/Libraries/LibProxy/Detail/HeldResponse.cpp
+++ b/Libraries/LibProxy/Detail/HeldResponse.cpp
@@ -4,6 +4,16 @@
 
 namespace Stagepost {
 
+void HeldResponse::recordHeader(unsigned status, HttpFields headers)
+{
+    if (!m_plan.maxRecordedBytes)
+        return;
+    m_record.status = status;
+    m_record.headers = std::move(headers);
+    m_record.headers.removeHopByHop(m_plan.endToEndFields);
+    m_record.headers.remove("Content-Length");
+}
+
 void HeldResponse::record(std::string_view body)
 {
     if (!isRecordingComplete())
--- a/Libraries/LibProxy/Detail/HeldResponse.h
+++ b/Libraries/LibProxy/Detail/HeldResponse.h
@@ -19,6 +19,8 @@
     {
     }
 
+    // Begins the record, if there is one.
+    void recordHeader(unsigned status, HttpFields headers);
     // Adds bytes of the body to the record, unless it has already exceeded its limit.
     void record(std::string_view);
     bool isRecordingComplete() const { return m_plan.maxRecordedBytes && m_record.body.size() <= m_plan.maxRecordedBytes; }
--- a/Libraries/LibProxy/EventFormat.h
+++ b/Libraries/LibProxy/EventFormat.h
@@ -12,8 +12,15 @@
     None,
     // The ids count the events of the stream, from 1 on.
     Consecutive,
+    // The ids rise, and leave numbers out.
+    Rising,
+    // The ids rise. Whether they count the events is not known.
+    Unknown,
 };
 
+// The name in logs, for example "consecutive".
+std::string_view nameOf(EventNumbering);
+
 // The form of the events that the upstreams of a route send. Bytes of another form belong to no event.
 struct EventFormat {
     EventNumbering numbering { EventNumbering::None };
@@ -37,7 +44,7 @@
     SecondId,
     // The id is not above that of the event before.
     IdNotRising,
-    // An event was left out.
+    // An event was left out, or does not belong to the stream.
     MissingEvent,
     MissingData,
     TooLong,
--- a/Libraries/LibProxy/EventProgress.h
+++ b/Libraries/LibProxy/EventProgress.h
@@ -14,6 +14,9 @@
     bool isClientKeptAlive { false };
     // The number of events that were forwarded.
     uint64_t eventCount { 0 };
+    // How many of them had the next number, and how many left numbers out.
+    uint64_t nextNumbers { 0 };
+    uint64_t gaps { 0 };
     // The highest event id that the client has.
     std::optional<uint64_t> lastForwardedId;
     // The id of the last event that the client says to have, also if the stream must not be resumed.
--- a/Libraries/LibProxy/EventReader.cpp
+++ b/Libraries/LibProxy/EventReader.cpp
@@ -155,17 +155,26 @@
     return EventFault::UnknownField;
 }
 
-// An upstream may begin a resumed stream with events that the client has. One whose stream must not be resumed begins at its first event, or
-// after the last one that the client says to have.
 std::optional<EventFault> EventReader::checkId(uint64_t id) const
 {
     if (m_lastId && id <= *m_lastId)
-        return EventFault::IdNotRising;
+        return m_heldCount ? EventFault::MissingEvent : EventFault::IdNotRising;
+    if (m_format.numbering != EventNumbering::Consecutive)
+        return {};
     if (!id)
         return EventFault::InvalidId;
+    return leavesOutNumbers(id) ? std::optional(EventFault::MissingEvent) : std::nullopt;
+}
+
+// An upstream may begin a resumed stream with events that the client has. One whose stream must not be resumed begins at its first event, or
+// after the last one that the client says to have.
+bool EventReader::leavesOutNumbers(uint64_t id) const
+{
+    if (!id)
+        return true;
     auto const last = m_lastId.value_or(m_progress.lastForwardedId.value_or(0));
     bool const isAfterClientsLast = !m_lastId && m_progress.lastIdOfClient && id - 1 == *m_progress.lastIdOfClient;
-    return id - 1 > last && !isAfterClientsLast ? std::optional(EventFault::MissingEvent) : std::nullopt;
+    return id - 1 > last && !isAfterClientsLast;
 }
 
 std::optional<EventFault> EventReader::finishEvent(std::string_view event, std::string& newEvents)
@@ -183,34 +192,101 @@
     // A foreign comment could not be told from the upstream's, so none is passed on.
     if (m_part == Part::None || m_part == Part::Aside)
         return {};
+    return finishNumberedEvent(event, newEvents);
+}
+
+std::optional<EventFault> EventReader::finishNumberedEvent(std::string_view event, std::string& newEvents)
+{
     if (!m_id)
         return EventFault::MissingId;
     if (auto const fault = checkId(*m_id))
         return fault;
     if (m_part != Part::Data)
         return EventFault::MissingData;
+    bool const isNext = !leavesOutNumbers(*m_id);
     m_lastId = m_id;
     m_hasEvents = true;
     if (m_progress.lastForwardedId && *m_id <= *m_progress.lastForwardedId)
         return {};
-    m_progress.lastForwardedId = m_id;
+    // A stream that has left numbers out before may do so again.
+    bool const isDoubtful = m_format.numbering == EventNumbering::Unknown && !m_progress.gaps;
+    if (!isDoubtful || (isNext && !m_heldCount)) {
+        passOn(event, isNext, newEvents);
+        return {};
+    }
+    m_heldEvents += event;
+    ++m_heldCount;
+    m_heldGaps += isNext ? 0 : 1;
+    if (m_heldCount >= maxHeldEvents)
+        passOnHeldEvents(newEvents);
+    return {};
+}
+
+void EventReader::passOn(std::string_view event, bool isNext, std::string& newEvents)
+{
+    m_progress.lastForwardedId = m_lastId;
     ++m_progress.eventCount;
+    ++(isNext ? m_progress.nextNumbers : m_progress.gaps);
     newEvents += event;
-    return {};
+}
+
+void EventReader::passOnHeldEvents(std::string& newEvents)
+{
+    if (!m_heldCount)
+        return;
+    m_progress.lastForwardedId = m_lastId;
+    m_progress.eventCount += m_heldCount;
+    m_progress.gaps += m_heldGaps;
+    m_progress.nextNumbers += m_heldCount - m_heldGaps;
+    newEvents += std::exchange(m_heldEvents, {});
+    m_heldCount = 0;
+    m_heldGaps = 0;
+}
+
+std::string EventReader::finish()
+{
+    std::string newEvents;
+    passOnHeldEvents(newEvents);
+    return newEvents;
+}
+
+std::string_view EventReader::describeEarlyEnd() const
+{
+    if (hasIncompleteEvent())
+        return "the stream ended inside an event";
+    return isBehindClient() ? "the stream ended before the last event that the client has" : std::string_view();
 }
 
 std::string EventReader::describeFault() const
 {
     if (!m_fault)
         return {};
-    auto const after = m_lastId ? "event " + std::to_string(*m_lastId) : std::string("the head");
+    auto const last = areHeldEventsForeign() ? m_progress.lastForwardedId : m_lastId;
+    auto const after = last ? "event " + std::to_string(*last) : std::string("the head");
     return "foreign bytes in the stream: " + std::string(nameOf(*m_fault)) + " after " + after;
 }
 
 std::string_view EventReader::foreignBytes() const
 {
     constexpr size_t maxShownBytes = 40;
-    return m_fault ? std::string_view(m_bytes).substr(m_faultAt, maxShownBytes) : std::string_view();
+    if (!m_fault)
+        return {};
+    return areHeldEventsForeign() ? std::string_view(m_heldEvents).substr(0, maxShownBytes) : std::string_view(m_bytes).substr(m_faultAt, maxShownBytes);
+}
+
+std::string_view nameOf(EventNumbering numbering)
+{
+    switch (numbering) {
+    case EventNumbering::None:
+        return "none";
+    case EventNumbering::Consecutive:
+        return "consecutive";
+    case EventNumbering::Rising:
+        return "rising";
+    case EventNumbering::Unknown:
+        break;
+    }
+    return "unknown";
 }
 
 std::string_view nameOf(EventFault fault)
--- a/Services/stagepostd/GatewayRequestHandler.cpp
+++ b/Services/stagepostd/GatewayRequestHandler.cpp
@@ -6,6 +6,7 @@
 #include <stagepostd/AnswerCheck.h>
 #include <stagepostd/ConnectionMetrics.h>
 #include <stagepostd/DetourServer.h>
+#include <stagepostd/EventNumberingLog.h>
 #include <stagepostd/GatewayReply.h>
 #include <stagepostd/IdleConnectionLimit.h>
 #include <stagepostd/VersionGate.h>
@@ -344,7 +345,7 @@
     plan.maxIdleConnections = std::min(plan.maxIdleConnections, idleConnectionLimit(service, m_services.share()));
     plan.maxBufferedBytes = maxHeldAnswerBytes;
     plan.progress = m_progress;
-    plan.eventFormat = m_services.dialect.eventFormat;
+    plan.eventFormat = m_services.serviceTable.eventNumberings().formatFor({ m_request.service, target.version }, m_services.dialect.eventFormat);
     plan.relayGate = needsVersion() ? versionGate(m_services, choice.upstream, target) : RelayGate();
     plan.sendErrorEvent = false;
     plan.deadline = m_attempts.deadline();
@@ -482,6 +483,8 @@
     m_place.release();
     m_services.serviceTable.silence().ended(upstream, now);
     m_sampler.finishSend(upstream, result, m_sentAt, eventCount());
+    if (m_progress)
+        learnNumbering(m_services.serviceTable.eventNumberings(), { m_request.service, m_version }, upstream, result, *m_progress);
 }
 
 void GatewayRequestHandler::handleForwardResult(UpstreamId upstream, ForwardResult const& result)
--- a/Services/stagepostd/ServiceTable.h
+++ b/Services/stagepostd/ServiceTable.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <stagepostd/EventNumberings.h>
 #include <string>
 #include <vector>
 
@@ -147,6 +148,7 @@
     std::optional<UpstreamId> currentId(std::string const& instance) const;
     // Tracks which upstreams and halls no longer answer.
     SilenceDetector& silence() { return m_silence; }
+    EventNumberings& eventNumberings() { return m_eventNumberings; }
     std::map<std::string, std::unique_ptr<Entry>> const& services() const { return m_services; }
     std::vector<UpstreamId> upstreamIds() const;
     size_t upstreamCount() const { return m_targets.size(); }
@@ -174,6 +176,7 @@
     RandomHook m_random;
     UpstreamRemovedCallback m_upstreamRemoved;
     SilenceDetector m_silence;
+    EventNumberings m_eventNumberings;
     std::map<std::string, std::unique_ptr<Entry>> m_services;
     std::map<UpstreamId, Target> m_targets;
     // By service. Without an entry, all upstreams of the service are Serving.
--- a/Tests/LibProxy/TestEventReader.cpp
+++ b/Tests/LibProxy/TestEventReader.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::array extraFields { std::string_view("x-version") };
 constexpr EventFormat counted { EventNumbering::Consecutive, extraFields };
+constexpr EventFormat rising { EventNumbering::Rising, extraFields };
+constexpr EventFormat unknown { EventNumbering::Unknown, extraFields };
 
 std::string makeEvent(uint64_t id)
 {
@@ -40,6 +42,8 @@
     }
     outcome.fault = reader.fault();
     outcome.isCut = outcome.fault || reader.hasIncompleteEvent();
+    if (!outcome.isCut)
+        outcome.events += reader.finish();
     return outcome;
 }
 
@@ -338,4 +342,83 @@
     }
 }
 
+namespace {
+
+std::string makeEventsWithIds(std::vector<uint64_t> const& ids)
+{
+    std::string events;
+    for (auto const id : ids)
+        events += makeEvent(id);
+    return events;
+}
+
+constexpr uint64_t largest = UINT64_MAX;
+
+}
+
+// Guards against streams that are refused or cut, since their ids rise without counting the events.
+BOOST_AUTO_TEST_CASE(RisingIdsArePassedOn)
+{
+    std::vector<std::vector<uint64_t>> const streams { { 7, 14, 21, 28 }, { 0, 1, 2, 3 }, { 0 }, { 5 }, { 1, 2, 9, 10, 11 }, { 1, 2, 3, 9 }, { largest - 9, largest - 1, largest } };
+    for (auto const& ids : streams) {
+        for (auto const format : { unknown, rising }) {
+            for (size_t const readSize : { size_t(1), std::string::npos }) {
+                auto const outcome = read(makeEventsWithIds(ids), format, readSize);
+                BOOST_TEST(outcome.events == makeEventsWithIds(ids));
+                BOOST_TEST(!outcome.isCut);
+            }
+        }
+    }
+}
+
+// A stream that is broken off after any of its events goes on at an upstream that may repeat some.
+BOOST_AUTO_TEST_CASE(RisingStreamsAreResumed)
+{
+    std::vector<uint64_t> const ids { 0, 7, 8, 9, 30, 31, 50, largest };
+    for (size_t begun = 0; begun <= ids.size(); ++begun) {
+        for (size_t repeated = 0; repeated < 3; ++repeated) {
+            EventProgress progress;
+            EventReader first(progress, unknown);
+            auto forwarded = first.append(makeEventsWithIds({ ids.begin(), ids.begin() + static_cast<ptrdiff_t>(begun) }));
+            auto next = static_cast<size_t>(std::count_if(ids.begin(), ids.end(), [&](auto id) { return progress.lastForwardedId && id <= *progress.lastForwardedId; }));
+            next -= std::min(next, repeated);
+            forwarded += read(makeEventsWithIds({ ids.begin() + static_cast<ptrdiff_t>(next), ids.end() }), unknown, progress).events;
+            BOOST_TEST(forwarded == makeEventsWithIds(ids));
+            BOOST_TEST(progress.eventCount == ids.size());
+        }
+    }
+}
+
+// Guards against foreign events in streams whose ids count, before that is known.
+BOOST_AUTO_TEST_CASE(AForeignEventIsHeldBackUntilALowerIdComes)
+{
+    for (auto const& foreign : std::vector<std::vector<uint64_t>> { { 4 }, { 77 }, { 77, 78 }, { largest } }) {
+        for (size_t const after : { 0, 1, 2 }) {
+            EventProgress progress;
+            EventReader reader(progress, unknown);
+            auto events = reader.append(makeEvents(1, after) + makeEventsWithIds(foreign));
+            BOOST_TEST(reader.hasEvents());
+            BOOST_TEST(!reader.fault());
+            events += reader.append(makeEvents(after + 1, 6));
+            BOOST_TEST(events == makeEvents(1, after));
+            BOOST_TEST((reader.fault() == EventFault::MissingEvent));
+            BOOST_TEST(reader.foreignBytes().starts_with("id: " + std::to_string(foreign.front())));
+            BOOST_TEST(reader.describeFault() == "foreign bytes in the stream: missing-event after " + (after ? "event " + std::to_string(after) : "the head"));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AStreamThatHasLeftOutNumbersIsNotHeldBackAgain)
+{
+    EventProgress progress;
+    EventReader reader(progress, unknown);
+    BOOST_TEST(reader.append(makeEventsWithIds({ 7, 14 })) == "");
+    BOOST_TEST(reader.heldBytes() >= makeEventsWithIds({ 7, 14 }).size());
+    BOOST_TEST(reader.append(makeEvent(21)) == makeEventsWithIds({ 7, 14, 21 }));
+    BOOST_TEST(reader.append(makeEvent(28)) == makeEvent(28));
+    BOOST_TEST(progress.gaps == 4u);
+    EventReader next(progress, unknown);
+    BOOST_TEST(next.append(makeEvent(35)) == makeEvent(35));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
