LibRouting, stagepostd: Try parts of prompts where callers are

What callers saw: all upstreams of a service crash together before the first stream has ended.

Cause: one daemon alone tried such a part, chosen by a hash of a crashed upstream's id. It may have no callers, or be gone.

Change: TrialExchange gives the trial to a daemon that has a caller, as for whole requests. No other trial begins for 5 s after one that broke off, of a part or a request, since an upstream that restarts at once is known to have crashed only then. The unit tests of PromptPartSuspects leave the trial to the test's daemon where the hook did so before.

--- a/Libraries/LibRouting/CrashExchange.cpp
+++ b/Libraries/LibRouting/CrashExchange.cpp
@@ -92,11 +92,6 @@
     return (m_bounds.areAnswersFleetWide && suspect.clearedAt) || m_suspects.crashCount(suspect.subject) >= m_bounds.fleetWideThreshold;
 }
 
-bool CrashExchange::isFirstHome(Fingerprint fingerprint) const
-{
-    return homesOf(fingerprint).front() == m_self.id;
-}
-
 std::vector<VMId> CrashExchange::recipientsOf(CrashSuspect const& suspect, Announcement const& announcement) const
 {
     std::vector<VMId> recipients;
--- a/Libraries/LibRouting/CrashExchange.h
+++ b/Libraries/LibRouting/CrashExchange.h
@@ -76,8 +76,6 @@
     void tick(Instant now);
     // Whether any other daemon has told what it knows since this one started.
     bool hasHeard() const { return m_hasHeard; }
-    // Whether this daemon is the first home of the fingerprint. Usually one daemon of the fleet is.
-    bool isFirstHome(Fingerprint) const;
 
 private:
     // The repetition schedule of one suspect.
--- a/Libraries/LibRouting/PromptPartSuspects.cpp
+++ b/Libraries/LibRouting/PromptPartSuspects.cpp
@@ -45,9 +45,8 @@
 
 }
 
-PromptPartSuspects::PromptPartSuspects(VMId self, Bounds bounds, TrialHook triesHere)
+PromptPartSuspects::PromptPartSuspects(VMId self, Bounds bounds)
     : m_bounds(bounds)
-    , m_triesHere(std::move(triesHere))
     , m_evidence(self, evidenceBounds(bounds))
 {
 }
@@ -138,18 +137,35 @@
     return static_cast<size_t>(std::count_if(suspects.begin(), suspects.end(), [&](auto const& entry) { return isPoison(entry.first, now); }));
 }
 
-PromptPartSuspects::Admission PromptPartSuspects::admit(std::span<Fingerprint const> parts, Instant now)
+std::vector<Fingerprint> PromptPartSuspects::poisonAmong(std::span<Fingerprint const> parts, Instant now) const
 {
     std::vector<Fingerprint> poison;
     std::copy_if(parts.begin(), parts.end(), std::back_inserter(poison), [&](auto part) { return isPoison(part, now); });
+    return poison;
+}
+
+PromptPartSuspects::Admission PromptPartSuspects::admit(std::span<Fingerprint const> parts, Instant now) const
+{
+    auto const poison = poisonAmong(parts, now);
     if (poison.empty())
         return Admission::Granted;
-    if (!std::all_of(poison.begin(), poison.end(), [&](auto part) { return mayTry(*m_evidence.find(part), parts, now); }))
-        return Admission::Denied;
+    bool const isDue = std::all_of(poison.begin(), poison.end(), [&](auto part) { return mayTry(*m_evidence.find(part), parts, now); });
+    return isDue ? Admission::Trial : Admission::Denied;
+}
+
+std::vector<Fingerprint> PromptPartSuspects::trialSubjects(std::span<Fingerprint const> parts, Instant now) const
+{
+    std::set<Fingerprint> subjects;
+    for (auto const part : poisonAmong(parts, now))
+        subjects.insert(trialKeyOf(*m_evidence.find(part)));
+    return { subjects.begin(), subjects.end() };
+}
+
+void PromptPartSuspects::recordTrial(std::span<Fingerprint const> parts, Instant now)
+{
     std::erase_if(m_lastTrials, [this](auto const& trial) { return !m_evidence.find(trial.first); });
-    for (auto const part : poison)
+    for (auto const part : poisonAmong(parts, now))
         m_lastTrials[part] = now;
-    return Admission::Trial;
 }
 
 bool PromptPartSuspects::mayTry(CrashSuspect const& suspect, std::span<Fingerprint const> parts, Instant now) const
@@ -157,7 +173,7 @@
     auto const interval = isAmbiguous(suspect, parts) ? m_bounds.ambiguousTrialInterval : trialIntervalFor(suspect);
     auto const trial = m_lastTrials.find(suspect.subject);
     auto const last = std::max(lastCrashOf(suspect), trial == m_lastTrials.end() ? Instant {} : trial->second);
-    return now - last >= interval && m_triesHere(trialKeyOf(suspect));
+    return now - last >= interval;
 }
 
 // The crashes show whether a trial has failed, also to a daemon that has started since.
--- a/Libraries/LibRouting/PromptPartSuspects.h
+++ b/Libraries/LibRouting/PromptPartSuspects.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <LibRouting/CrashSuspects.h>
-#include <functional>
 #include <map>
 #include <span>
 
@@ -15,7 +14,7 @@
 // have ever been answered need more evidence, are judged later, and are not blamed for crashes that a
 // part without any answer explains. So the verdict waits until answers to sound requests had time to arrive.
 //
-// A poison part is refused by all daemons, but for trials by a single one of them.
+// A poison part is refused by all daemons, but for trials by one of them at a time.
 class PromptPartSuspects {
 public:
     struct Bounds {
@@ -38,10 +37,7 @@
         Microseconds ambiguousTrialInterval { 1000000 };
     };
 
-    // Returns whether this daemon is the one of the fleet that tries parts with the given fingerprint.
-    using TrialHook = std::function<bool(Fingerprint)>;
-
-    PromptPartSuspects(VMId self, Bounds, TrialHook);
+    PromptPartSuspects(VMId self, Bounds);
 
     // Records a crash while a request with the part was in flight. Returns whether it was new.
     bool recordCrash(Fingerprint part, UpstreamId, Instant now);
@@ -54,13 +50,17 @@
 
     enum class Admission {
         Granted,
-        // The request is to be sent, to find out whether its parts still crash upstreams.
+        // The request may be sent, to find out whether its parts still crash upstreams, by one daemon of the fleet.
         Trial,
         Denied,
     };
 
     // Decides whether a request may be sent to an upstream.
-    Admission admit(std::span<Fingerprint const> parts, Instant now);
+    Admission admit(std::span<Fingerprint const> parts, Instant now) const;
+    // The subjects of the trial that a request is: the same one for all poison parts of the same crashes.
+    std::vector<Fingerprint> trialSubjects(std::span<Fingerprint const> parts, Instant now) const;
+    // A request has been sent as a trial. The crashes show whether it has failed, also to other daemons.
+    void recordTrial(std::span<Fingerprint const> parts, Instant now);
     bool isPoison(Fingerprint part, Instant now) const;
     size_t poisonCount(Instant now) const;
     // Whether a request that was in flight at a crashed upstream may crash the next one as well. It is not to
@@ -82,11 +82,11 @@
     bool mayTry(CrashSuspect const&, std::span<Fingerprint const> parts, Instant now) const;
     // Whether another part, which the request does not have, was in flight at the same crashes.
     bool isAmbiguous(CrashSuspect const&, std::span<Fingerprint const> parts) const;
+    std::vector<Fingerprint> poisonAmong(std::span<Fingerprint const> parts, Instant now) const;
     std::optional<Instant> lastAnswer(Fingerprint part) const;
     void rememberAnswer(Fingerprint part, Instant sentAt);
 
     Bounds m_bounds;
-    TrialHook m_triesHere;
     CrashSuspects m_evidence;
     // When the latest answered request with a part was sent. Parts that are in the recent table only are
     // moved to the older one, in place of what is there, once the recent table is full.
--- a/Libraries/LibRouting/TrialExchange.cpp
+++ b/Libraries/LibRouting/TrialExchange.cpp
@@ -90,7 +90,7 @@
     if (*decision)
         return callback(number);
     recordDenial(trial.subject, now);
-    release(number, trial, false, now);
+    release(number, trial, TrialOutcome::NotSent, now);
     m_trials.erase(found);
     callback({});
 }
@@ -100,19 +100,19 @@
     m_deniedUntil[subject] = now + std::max<Microseconds>(m_bounds.denialPause, m_fleet.size() * m_bounds.denialPausePerDaemon);
 }
 
-void TrialExchange::end(uint64_t number, bool wasSent, Instant now)
+void TrialExchange::end(uint64_t number, TrialOutcome outcome, Instant now)
 {
     auto const trial = m_trials.extract(number);
     if (!trial.empty())
-        release(number, trial.mapped(), wasSent, now);
+        release(number, trial.mapped(), outcome, now);
 }
 
-void TrialExchange::release(uint64_t number, Trial const& trial, bool wasSent, Instant now)
+void TrialExchange::release(uint64_t number, Trial const& trial, TrialOutcome outcome, Instant now)
 {
-    m_leases.release(trial.subject, { m_self.id, number }, wasSent, now);
+    m_leases.release(trial.subject, { m_self.id, number }, outcome, now);
     for (auto const arbiter : trial.arbiters) {
         if (arbiter != m_self.id)
-            m_hooks.send(arbiter, encodeTrialMessage(TrialEnd { number, trial.subject, wasSent }));
+            m_hooks.send(arbiter, encodeTrialMessage(TrialEnd { number, trial.subject, outcome }));
     }
 }
 
@@ -122,7 +122,7 @@
     if (auto const* query = std::get_if<TrialQuery>(&message)) {
         m_hooks.send(from, encodeTrialMessage(TrialResponse { query->trial, m_leases.acquire(query->subject, { from, query->trial }, now) }));
     } else if (auto const* end = std::get_if<TrialEnd>(&message)) {
-        m_leases.release(end->subject, { from, end->trial }, end->wasSent, now);
+        m_leases.release(end->subject, { from, end->trial }, end->outcome, now);
     } else {
         auto const& response = std::get<TrialResponse>(message);
         auto const found = m_trials.find(response.trial);
--- a/Libraries/LibRouting/TrialExchange.h
+++ b/Libraries/LibRouting/TrialExchange.h
@@ -52,7 +52,7 @@
     // Asks for a trial of the subject. Invokes the callback synchronously if this daemon can decide.
     void request(Fingerprint subject, Callback, Instant now);
     // Ends a trial of this daemon's.
-    void end(uint64_t trial, bool wasSent, Instant now);
+    void end(uint64_t trial, TrialOutcome, Instant now);
 
     // Error: Malformed.
     Result<void> receive(VMId from, std::string_view bytes, Instant now);
@@ -80,7 +80,7 @@
     // Calls back if it is decided.
     void finishIfDecided(uint64_t number, Instant now);
     void recordDenial(Fingerprint, Instant now);
-    void release(uint64_t number, Trial const&, bool wasSent, Instant now);
+    void release(uint64_t number, Trial const&, TrialOutcome, Instant now);
 
     FleetPeer m_self;
     Bounds m_bounds;
--- a/Libraries/LibRouting/TrialLeases.cpp
+++ b/Libraries/LibRouting/TrialLeases.cpp
@@ -18,7 +18,7 @@
         return false;
     // The holder may have sent the request before it went silent.
     if (!isHeld && known.heldUntil > known.nextAt)
-        pauseAfterSend(known, known.heldUntil);
+        pauseAfterSend(known, {}, known.heldUntil);
     if (!isHeld && now < known.nextAt)
         return false;
     known.holder = holder;
@@ -26,21 +26,21 @@
     return true;
 }
 
-void TrialLeases::release(Fingerprint subject, Holder holder, bool wasSent, Instant now)
+void TrialLeases::release(Fingerprint subject, Holder holder, TrialOutcome outcome, Instant now)
 {
     auto const found = m_subjects.find(subject);
     if (found == m_subjects.end() || found->second.holder != holder || found->second.heldUntil <= now)
         return;
     found->second.heldUntil = now;
-    if (wasSent)
-        pauseAfterSend(found->second, now);
-    else
+    if (outcome == TrialOutcome::NotSent)
         found->second.nextAt = now;
+    else
+        pauseAfterSend(found->second, outcome == TrialOutcome::Broken ? m_bounds.brokenPause : Microseconds(0), now);
 }
 
-void TrialLeases::pauseAfterSend(Subject& subject, Instant sentUntil) const
+void TrialLeases::pauseAfterSend(Subject& subject, Microseconds leastPause, Instant sentUntil) const
 {
-    subject.nextAt = sentUntil + subject.pause;
+    subject.nextAt = sentUntil + std::max(subject.pause, leastPause);
     subject.pause = std::min(2 * subject.pause, m_bounds.maxPause);
 }
 
--- a/Libraries/LibRouting/TrialLeases.h
+++ b/Libraries/LibRouting/TrialLeases.h
@@ -2,10 +2,20 @@
 
 #include <LibBase/Ids.h>
 #include <LibBase/Time.h>
+#include <cstdint>
 #include <map>
 
 namespace Stagepost {
 
+// How a trial has ended.
+enum class TrialOutcome : uint8_t {
+    NotSent,
+    // The request was sent, and its answer did not break off.
+    Sent,
+    // The answer broke off. Whether the upstream has crashed is known some seconds later at most.
+    Broken,
+};
+
 // The trials that this daemon grants as an arbiter: one at a time for each subject, with a growing pause after
 // trials that have brought no answer.
 class TrialLeases {
@@ -16,6 +26,8 @@
         // The pause after a trial that was sent. It doubles with each further one.
         Microseconds initialPause { 250000 };
         Microseconds maxPause { 30000000 };
+        // The pause after a trial that broke off is at least this long.
+        Microseconds brokenPause { 5000000 };
         // How long a subject that nobody asks for is remembered, and how many are.
         Microseconds retention { 60000000 };
         size_t capacity { 1024 };
@@ -37,7 +49,7 @@
     // Grants the trial, or renews its lease. Returns whether the daemon holds it.
     bool acquire(Fingerprint subject, Holder, Instant now);
     // Ends the lease, if the daemon holds it.
-    void release(Fingerprint subject, Holder, bool wasSent, Instant now);
+    void release(Fingerprint subject, Holder, TrialOutcome, Instant now);
     void prune(Instant now);
     size_t size() const { return m_subjects.size(); }
 
@@ -50,7 +62,7 @@
         Microseconds pause { 0 };
     };
 
-    void pauseAfterSend(Subject&, Instant sentUntil) const;
+    void pauseAfterSend(Subject&, Microseconds leastPause, Instant sentUntil) const;
 
     Bounds m_bounds;
     std::map<Fingerprint, Subject> m_subjects;
--- a/Libraries/LibRouting/TrialMessage.cpp
+++ b/Libraries/LibRouting/TrialMessage.cpp
@@ -32,7 +32,7 @@
     {
         writer.number(end.trial);
         writer.id(end.subject);
-        writer.number(end.wasSent ? 1 : 0);
+        writer.number(static_cast<uint64_t>(end.outcome));
     }
 
     TrialQuery readQuery(MessageReader& reader)
@@ -56,7 +56,11 @@
         TrialEnd end;
         end.trial = reader.number();
         end.subject = reader.id<Fingerprint>();
-        end.wasSent = reader.number() != 0;
+        auto const outcome = reader.number();
+        if (outcome > static_cast<uint64_t>(TrialOutcome::Broken))
+            reader.fail();
+        else
+            end.outcome = static_cast<TrialOutcome>(outcome);
         return end;
     }
 
--- a/Libraries/LibRouting/TrialMessage.h
+++ b/Libraries/LibRouting/TrialMessage.h
@@ -2,7 +2,7 @@
 
 #include <LibBase/Ids.h>
 #include <LibBase/Result.h>
-#include <LibBase/Time.h>
+#include <LibRouting/TrialLeases.h>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -26,8 +26,7 @@
 struct TrialEnd {
     uint64_t trial { 0 };
     Fingerprint subject;
-    // Whether the request was sent to an upstream.
-    bool wasSent { false };
+    TrialOutcome outcome { TrialOutcome::NotSent };
 };
 
 using TrialMessage = std::variant<TrialQuery, TrialResponse, TrialEnd>;
--- a/Services/stagepostd/CrashEvidenceSharing.cpp
+++ b/Services/stagepostd/CrashEvidenceSharing.cpp
@@ -154,11 +154,6 @@
         resume();
 }
 
-bool CrashEvidenceSharing::triesParts(Fingerprint fingerprint) const
-{
-    return m_partExchange && m_partExchange->isFirstHome(fingerprint);
-}
-
 void CrashEvidenceSharing::requestTrial(Fingerprint subject, TrialCallback callback)
 {
     if (!m_trials)
@@ -168,9 +163,9 @@
         if (!number)
             return callback(nullptr);
         // Requests may end after this object.
-        auto end = [trials = std::weak_ptr(m_trials), &loop = m_loop, number = *number](bool wasSent) {
+        auto end = [trials = std::weak_ptr(m_trials), &loop = m_loop, number = *number](TrialOutcome outcome) {
             if (auto const exchange = trials.lock())
-                exchange->end(number, wasSent, loop.now());
+                exchange->end(number, outcome, loop.now());
         };
         callback(std::make_unique<CrashTrial>(std::move(end)));
     };
--- a/Services/stagepostd/CrashEvidenceSharing.h
+++ b/Services/stagepostd/CrashEvidenceSharing.h
@@ -19,22 +19,22 @@
 // same subject as long as this object exists.
 class CrashTrial {
 public:
-    using EndHook = std::function<void(bool wasSent)>;
+    using EndHook = std::function<void(TrialOutcome)>;
 
     explicit CrashTrial(EndHook hook)
         : m_end(std::move(hook))
     {
     }
-    ~CrashTrial() { m_end(m_wasSent); }
+    ~CrashTrial() { m_end(m_outcome); }
     CrashTrial(CrashTrial const&) = delete;
     CrashTrial& operator=(CrashTrial const&) = delete;
 
-    // The request has been sent to an upstream, which may have run it.
-    void sent() { m_wasSent = true; }
+    // What has become of the request so far.
+    void setOutcome(TrialOutcome outcome) { m_outcome = outcome; }
 
 private:
     EndHook m_end;
-    bool m_wasSent { false };
+    TrialOutcome m_outcome { TrialOutcome::NotSent };
 };
 
 // What the daemons of a fleet tell each other about upstreams that crashed under requests, and about trials of these.
@@ -70,8 +70,6 @@
     // Calls back once another daemon has told which parts of prompts crash upstreams, at once if one has, and
     // after some tenths of a second from the start in any case.
     void whenPartsAreKnown(std::function<void()>);
-    // Whether this daemon tries parts of prompts that crash upstreams; see PromptPartSuspects.
-    bool triesParts(Fingerprint) const;
 
     // Receives null if another daemon has the trial, or has had it a moment ago.
     using TrialCallback = std::function<void(std::unique_ptr<CrashTrial>)>;
--- a/Services/stagepostd/Gateway.cpp
+++ b/Services/stagepostd/Gateway.cpp
@@ -39,7 +39,7 @@
     , m_serviceShares(m_options.clients)
     , m_fingerprintKey(std::to_string(m_random()))
     , m_suspects(VMId::fromName(m_options.name))
-    , m_partSuspects(VMId::fromName(m_options.name), {}, [this](Fingerprint fingerprint) { return m_peers.crashEvidence().triesParts(fingerprint); })
+    , m_partSuspects(VMId::fromName(m_options.name), {})
     , m_serviceTable(
           { m_options.hall, m_options.placement, m_options.retries, [this](Instant) { return m_peers.usableShare(); } }, m_random, [this](Endpoint const& upstream) { m_server.dropIdleConnections(upstream); }, loop.now())
     , m_directory(m_options.directory, { [this](UpstreamChange const& change) { applyUpstream(change); }, [this] { m_serviceTable.restartVersionHistory(m_loop.now()); }, [this](UpstreamRecord const& record, bool mayServe) { m_serviceTable.notePassedOver(record, mayServe, m_loop.now()); } })
--- a/Services/stagepostd/RequestEvidence.cpp
+++ b/Services/stagepostd/RequestEvidence.cpp
@@ -1,6 +1,7 @@
 #include <stagepostd/RequestEvidence.h>
 
 #include <LibBase/Hex.h>
+#include <algorithm>
 
 namespace Stagepost {
 
@@ -29,35 +30,60 @@
 
 void RequestEvidence::tryIfDue(std::function<void()> const& callback)
 {
-    auto const trialAt = isPoison() ? m_services.crashDetector.nextTrialAt(fingerprint()) : std::nullopt;
-    if (!trialAt || m_services.loop.now() < *trialAt)
+    auto const due = dueTrials();
+    auto const next = std::find_if(due.begin(), due.end(), [this](auto subject) { return !m_trials.contains(subject); });
+    if (next == due.end())
         return callback();
-    m_services.peers.crashEvidence().requestTrial(fingerprint(), [this, callback](std::unique_ptr<CrashTrial> trial) {
-        m_trial = std::move(trial);
-        callback();
+    m_services.peers.crashEvidence().requestTrial(*next, [this, callback, subject = *next](std::unique_ptr<CrashTrial> trial) {
+        if (!trial)
+            return callback();
+        m_trials.emplace(subject, std::move(trial));
+        tryIfDue(callback);
     });
 }
 
+std::vector<Fingerprint> RequestEvidence::dueTrials() const
+{
+    std::vector<Fingerprint> subjects;
+    auto const now = m_services.loop.now();
+    if (!m_services.partSuspects.evidence().isEmpty() && m_services.partSuspects.admit(sharedParts(), now) == PromptPartSuspects::Admission::Trial)
+        subjects = m_services.partSuspects.trialSubjects(sharedParts(), now);
+    auto const trialAt = isPoison() ? m_services.crashDetector.nextTrialAt(fingerprint()) : std::nullopt;
+    if (trialAt && now >= *trialAt)
+        subjects.push_back(fingerprint());
+    return subjects;
+}
+
+bool RequestEvidence::hasTrials(std::vector<Fingerprint> const& subjects) const
+{
+    return std::all_of(subjects.begin(), subjects.end(), [this](auto subject) { return m_trials.contains(subject); });
+}
+
+void RequestEvidence::setTrialOutcome(TrialOutcome outcome)
+{
+    if (m_trials.empty())
+        return;
+    m_services.partSuspects.recordTrial(sharedParts(), m_services.loop.now());
+    for (auto const& [subject, trial] : m_trials)
+        trial->setOutcome(outcome);
+}
+
 bool RequestEvidence::isPoison() const
 {
     return m_services.crashDetector.hasSuspects() && m_services.crashDetector.isPoison(fingerprint());
 }
 
-std::optional<Refusal> RequestEvidence::refusal(Verdict verdict)
+std::optional<Refusal> RequestEvidence::refusal(Verdict verdict) const
 {
-    if (auto refusal = requestRefusal(verdict))
-        return refusal;
-    if (!hasPoisonPart())
-        return {};
-    auto const pause = std::chrono::duration_cast<Milliseconds>(m_services.partSuspects.timeToTrial(sharedParts(), m_services.loop.now()));
-    return Refusal { RefusalReason::EndsUpstreams, verdict, "upstreams have ended under requests with a part of this prompt: they go to none any more", pause };
+    auto refusal = requestRefusal(verdict);
+    return refusal ? refusal : partRefusal(verdict);
 }
 
 // A caller's retry has a new id, so only the fingerprint shows that the same request has crashed
 // upstreams before. Without this check it would crash another one.
 std::optional<Refusal> RequestEvidence::requestRefusal(Verdict verdict) const
 {
-    if (m_trial || !isPoison())
+    if (!isPoison() || m_trials.contains(fingerprint()))
         return {};
     if (m_services.crashDetector.isProven(fingerprint()))
         return Refusal { RefusalReason::EndsUpstreams, Verdict::mayHaveRun, "upstreams have ended under this request: it goes to none any more", {} };
@@ -66,18 +92,19 @@
     return Refusal { RefusalReason::EndsUpstreams, verdict, "upstreams have ended together under this request: it is tried before more of it are sent", pause };
 }
 
-bool RequestEvidence::hasPoisonPart()
+std::optional<Refusal> RequestEvidence::partRefusal(Verdict verdict) const
 {
-    if (m_isPartTrial || m_services.partSuspects.evidence().isEmpty())
-        return false;
-    auto const admission = m_services.partSuspects.admit(sharedParts(), m_services.loop.now());
-    m_isPartTrial = admission == PromptPartSuspects::Admission::Trial;
-    return admission == PromptPartSuspects::Admission::Denied;
+    auto const& suspects = m_services.partSuspects;
+    auto const now = m_services.loop.now();
+    if (suspects.evidence().isEmpty() || suspects.admit(sharedParts(), now) == PromptPartSuspects::Admission::Granted || hasTrials(suspects.trialSubjects(sharedParts(), now)))
+        return {};
+    auto const pause = std::chrono::duration_cast<Milliseconds>(suspects.timeToTrial(sharedParts(), now));
+    return Refusal { RefusalReason::EndsUpstreams, verdict, "upstreams have ended under requests with a part of this prompt: they go to none any more", pause };
 }
 
 bool RequestEvidence::mayCrashUpstreams() const
 {
-    return m_trial || m_isPartTrial || m_services.partSuspects.mayCrashAgain(sharedParts());
+    return !m_trials.empty() || m_services.partSuspects.mayCrashAgain(sharedParts());
 }
 
 bool RequestEvidence::isSuspect() const
@@ -98,9 +125,10 @@
 
 void RequestEvidence::sendFailed(UpstreamId upstream, ForwardResult const& result, Instant sentAt)
 {
-    if (m_trial && !result.verdict.isNotRun())
-        m_trial->sent();
-    if (result.failure != RefusalReason::UpstreamBroken || result.verdict != Verdict::mayHaveRun)
+    bool const isBroken = result.failure == RefusalReason::UpstreamBroken && result.verdict == Verdict::mayHaveRun;
+    if (!result.verdict.isNotRun())
+        setTrialOutcome(isBroken ? TrialOutcome::Broken : TrialOutcome::Sent);
+    if (!isBroken)
         return;
     if (auto const request = brokenRequest(upstream, sentAt))
         m_services.crashDetector.requestBroken(*request);
@@ -110,8 +138,7 @@
 {
     constexpr unsigned firstRedirect = 300;
     constexpr unsigned firstServerError = 500;
-    if (m_trial)
-        m_trial->sent();
+    setTrialOutcome(TrialOutcome::Sent);
     if (result.status >= firstServerError)
         return;
     if (result.endedWithConnection) {
--- a/Services/stagepostd/RequestEvidence.h
+++ b/Services/stagepostd/RequestEvidence.h
@@ -19,7 +19,7 @@
     void prepare(std::function<void()> const& callback);
     // Why the request must go to no upstream now; none if it may. To be asked before each send, since other
     // requests may have given evidence in the meantime.
-    std::optional<Refusal> refusal(Verdict);
+    std::optional<Refusal> refusal(Verdict) const;
     // Whether upstreams have crashed under a part of its prompt, and no request with it was answered since.
     bool mayCrashUpstreams() const;
     // Whether it may be at fault for an answer that broke off.
@@ -38,8 +38,13 @@
     void tryIfDue(std::function<void()> const& callback);
     // Why the request as a whole must go to no upstream now.
     std::optional<Refusal> requestRefusal(Verdict) const;
+    // The same for the parts of its prompt.
+    std::optional<Refusal> partRefusal(Verdict) const;
     bool isPoison() const;
-    bool hasPoisonPart();
+    // What has to be tried before the request may be sent, and may be tried now.
+    std::vector<Fingerprint> dueTrials() const;
+    bool hasTrials(std::vector<Fingerprint> const& subjects) const;
+    void setTrialOutcome(TrialOutcome);
     std::vector<Fingerprint> const& sharedParts() const;
     std::optional<CrashDetector::BrokenRequest> brokenRequest(UpstreamId, Instant sentAt) const;
 
@@ -47,10 +52,8 @@
     HttpRequest const& m_call;
     RoutedRequest const& m_request;
     ServicePlacement const& m_placement;
-    // Null unless the request is sent to find out whether it crashes upstreams.
-    std::unique_ptr<CrashTrial> m_trial;
-    // Whether it is sent to find out whether a part of its prompt still crashes upstreams.
-    bool m_isPartTrial { false };
+    // By subject; empty unless the request is sent to find out whether it, or a part of its prompt, crashes upstreams.
+    std::map<Fingerprint, std::unique_ptr<CrashTrial>> m_trials;
     // Computed when first needed, since few requests fail.
     mutable std::optional<Fingerprint> m_fingerprint;
     mutable std::optional<std::vector<Fingerprint>> m_sharedParts;
--- a/Tests/LibRouting/TestPromptPartSuspects.cpp
+++ b/Tests/LibRouting/TestPromptPartSuspects.cpp
@@ -17,8 +17,9 @@
 
 // A daemon that sees all crashes and answers.
 struct Daemon {
+    // Whether the fleet leaves trials to this daemon.
     bool triesHere { false };
-    PromptPartSuspects suspects { VMId(1), bounds, [this](Fingerprint) { return triesHere; } };
+    PromptPartSuspects suspects { VMId(1), bounds };
     Instant now { start };
     uint64_t upstreams { 0 };
 
@@ -35,7 +36,14 @@
             crash(prompt);
     }
     std::vector<Fingerprint> answer(std::vector<Fingerprint> const& prompt) { return suspects.recordAnswer(prompt, now); }
-    bool admits(std::vector<Fingerprint> const& prompt) { return suspects.admit(prompt, now) != PromptPartSuspects::Admission::Denied; }
+    bool admits(std::vector<Fingerprint> const& prompt)
+    {
+        auto const admission = suspects.admit(prompt, now);
+        bool const isTrial = admission == PromptPartSuspects::Admission::Trial && triesHere;
+        if (isTrial)
+            suspects.recordTrial(prompt, now);
+        return isTrial || admission == PromptPartSuspects::Admission::Granted;
+    }
     bool isPoison(Fingerprint part) const { return suspects.isPoison(part, now); }
 };
 
--- a/Tests/LibRouting/TestTrialExchange.cpp
+++ b/Tests/LibRouting/TestTrialExchange.cpp
@@ -90,7 +90,7 @@
     };
 
     std::vector<Begun> const& begun() const { return m_begun; }
-    void end(Begun const& trial, bool wasSent) { m_daemons[trial.daemon].exchange->end(trial.trial, wasSent, m_now); }
+    void end(Begun const& trial, TrialOutcome outcome) { m_daemons[trial.daemon].exchange->end(trial.trial, outcome, m_now); }
     Milliseconds longestWait() const { return m_longestWait; }
     size_t mostBytes() const
     {
@@ -172,7 +172,7 @@
     fleet.ask(3);
     fleet.run(Milliseconds(100));
     BOOST_REQUIRE(fleet.begun().size() == 1u);
-    fleet.end(fleet.begun().front(), false);
+    fleet.end(fleet.begun().front(), TrialOutcome::NotSent);
     fleet.run(Milliseconds(50));
     fleet.ask(4);
     fleet.run(Milliseconds(100));
@@ -189,7 +189,7 @@
         fleet.askEverywhere();
         for (; known < fleet.begun().size(); ++known) {
             times.push_back(fleet.begun()[known].at);
-            fleet.end(fleet.begun()[known], true);
+            fleet.end(fleet.begun()[known], TrialOutcome::Sent);
         }
     }
     BOOST_REQUIRE(times.size() > 5);
@@ -198,6 +198,25 @@
     BOOST_TEST(times.size() < 14u);
 }
 
+// An upstream that restarts at once is known to have crashed seconds later. Until then nobody knows that the trial has failed.
+BOOST_AUTO_TEST_CASE(ATrialThatBrokeOffIsNotFollowedByAnotherOneAtOnce)
+{
+    Fleet fleet(7);
+    fleet.ask(3);
+    fleet.run(Milliseconds(100));
+    BOOST_REQUIRE(fleet.begun().size() == 1u);
+    fleet.end(fleet.begun().front(), TrialOutcome::Broken);
+    for (unsigned half = 0; half < 9; ++half) {
+        fleet.askEverywhere();
+        fleet.run(Milliseconds(500));
+    }
+    BOOST_TEST(fleet.begun().size() == 1u);
+    fleet.run(Seconds(1));
+    fleet.askEverywhere();
+    fleet.run(Milliseconds(100));
+    BOOST_TEST(fleet.begun().size() == 2u);
+}
+
 // Guards against a trial that is left to a daemon without callers, or to one that is gone.
 BOOST_AUTO_TEST_CASE(ADaemonWithCallersGetsTheTrialWithoutItsArbiters)
 {
--- a/Tests/Processes/test_common_crashes.py
+++ b/Tests/Processes/test_common_crashes.py
@@ -1,7 +1,8 @@
-"""Sound requests that are in flight at all upstreams of a service when these crash together.
+"""Sound requests, and parts of prompts, that are in flight at all upstreams of a service when these crash together.
 
 Guards against a request that is refused for ten minutes, although its upstreams are back after seconds: three crashes at
 one moment counted as three crashes that the request had caused, and a request that goes nowhere can't be answered. Also
+guards against a part of prompts that is refused likewise, since the one daemon that may try it has no callers. And it
 guards the other side: a request that crashes several upstreams at one moment, because many callers send it, must not
 crash more of them than its trials allow.
 """
@@ -50,7 +51,8 @@
     def setUp(self):
         self.store = Store()
         self.addCleanup(self.store.stop)
-        routes = [route("lookup", "/lookup/", "safe", "book", maxAttempts=2), route("confirm", "/confirm/", "unsafe", "book", maxAttempts=1), route("open", "/open/", "safe", "chat")]
+        routes = [route("lookup", "/lookup/", "safe", "book", maxAttempts=2), route("confirm", "/confirm/", "unsafe", "book", maxAttempts=1), route("open", "/open/", "safe", "chat"),
+                  route("draft", "/stream/once/", "streaming", "book", sticky=True)]
         self.store.put("keyed.op", "config", manifest(3, routes=routes))
         self.lock = threading.Lock()
         self.attempts = 0
@@ -79,7 +81,10 @@
         with self.lock:
             self.attempts += 1
             attempt = self.attempts
-        fields = {"Host": HOST, "X-Attempt-Id": f"attempt-{attempt}", "X-Deadline-Ms": "1000", "X-Api-Key": KEY}
+        fields = {"Host": HOST, "X-Attempt-Id": f"attempt-{attempt}", "X-Deadline-Ms": "2000", "X-Api-Key": KEY}
+        if path.startswith("/stream/"):
+            # A part for all prompts, and one of this prompt.
+            fields["X-Prompt-Prefix"] = f"5c1e07a2:512,{attempt:08x}:40"
         try:
             return request(entry.endpoint, "POST", path, body, fields)
         except OSError:
@@ -176,6 +181,17 @@
         time.sleep(recovered_at + 3 - time.monotonic())
         self.assertGreater(self.share("hot", recovered_at, recovered_at + 2), 0.9, self.statuses("hot", recovered_at))
 
+    def test_a_part_of_all_prompts(self):
+        self.start(daemons=7)
+        for book in self.books:
+            book.events, book.event_pause, book.slots = 12, 0.1, 64
+        self.keep_calling("other", "/open/x", None, 6, 0.2)
+        time.sleep(0.5)
+        # No stream ends before the crash. The daemon that all callers are at is seldom the one that a hash would choose.
+        self.keep_calling("hot", "/stream/once/x", None, 12, 0.3, self.entries[-1:])
+        time.sleep(0.6)
+        self.check_recovery(self.crash(self.books))
+
     def test_copies_that_crash_several_upstreams_at_one_moment(self):
         self.start(upstreams=9)
         self.keep_calling("other", "/open/x", None, 3, 0.2)
--- a/Tests/platform/TestCrashDetector.cpp
+++ b/Tests/platform/TestCrashDetector.cpp
@@ -18,7 +18,7 @@
     std::vector<Fingerprint> seen;
     std::vector<Fingerprint> seenParts;
     LinkState links { LinkState::Up };
-    PromptPartSuspects partSuspects { VMId(1), {}, [](Fingerprint) { return true; } };
+    PromptPartSuspects partSuspects { VMId(1), {} };
     CrashDetector detector { loop, metrics, suspects, partSuspects,
         { [this](Endpoint const&, PortProbe::Callback callback) { probes.push_back(std::move(callback)); }, [this](Fingerprint fingerprint) { seen.push_back(fingerprint); }, [this](Fingerprint part) { seenParts.push_back(part); }, [this](Instant) { return links; } } };
 
