CrashDetector: Record no crash from before the request was sent

A request that was sent to an upstream after another one's answer had broken off there got a negative time in flight. Found on reading the change. Also names and comments of CrashSuspects, and two string concatenations that clang-tidy rejects in tests.

--- a/Libraries/LibRouting/CrashSuspects.cpp
+++ b/Libraries/LibRouting/CrashSuspects.cpp
@@ -24,7 +24,7 @@
     }
 
     // An observation that another one of the same upstream confirms, or else the one that came soonest after another.
-    std::vector<UpstreamCrash>::iterator leastTelling(std::vector<UpstreamCrash>& crashes)
+    std::vector<UpstreamCrash>::iterator mostRedundant(std::vector<UpstreamCrash>& crashes)
     {
         std::sort(crashes.begin(), crashes.end(), isObservedBefore);
         std::set<UpstreamId> seen;
@@ -76,7 +76,7 @@
         return true;
     if (m_bounds.keepsTwoObservers && crash.sentAt() < lastCrashOf(suspect))
         return false;
-    auto const victim = m_bounds.keepsTwoObservers ? leastTelling(suspect.crashes) : std::min_element(suspect.crashes.begin(), suspect.crashes.end(), isObservedBefore);
+    auto const victim = m_bounds.keepsTwoObservers ? mostRedundant(suspect.crashes) : std::min_element(suspect.crashes.begin(), suspect.crashes.end(), isObservedBefore);
     if (crash.observedAt <= victim->observedAt)
         return false;
     suspect.crashes.erase(victim);
--- a/Libraries/LibRouting/CrashSuspects.h
+++ b/Libraries/LibRouting/CrashSuspects.h
@@ -50,7 +50,7 @@
         size_t maxCrashesPerRemoteObserver { 2 };
         // Sufficient for crashes of a few upstreams with 64 requests each; an entry takes 160 bytes.
         size_t capacity { 1024 };
-        // Further crashes do not change the result.
+        // Enough for three crashes with two observers each. Further ones take the place of those that tell least.
         size_t maxCrashesPerSuspect { 6 };
         // Whether two observations of a crash are kept, which confirm each other. If not, only the first one is, and
         // the latest crashes replace the oldest.
--- a/Services/stagepostd/CrashDetector.cpp
+++ b/Services/stagepostd/CrashDetector.cpp
@@ -2,6 +2,7 @@
 
 #include <LibBase/Hex.h>
 #include <LibBase/Log.h>
+#include <algorithm>
 #include <stagepostd/PartEvidenceLog.h>
 #include <utility>
 
@@ -126,7 +127,9 @@
 void CrashDetector::recordCrash(UpstreamId upstream, PendingCheck const& check)
 {
     for (auto const& [request, sentAt] : check.requests) {
-        if (!m_suspects.recordCrash(request, upstream, check.since, check.since - sentAt))
+        // Requests that were sent after the first answer broke off are accused as well.
+        auto const brokenAt = std::max(check.since, sentAt);
+        if (!m_suspects.recordCrash(request, upstream, brokenAt, brokenAt - sentAt))
             continue;
         logEvent(LogLevel::Info, "crash-evidence", { { "request", toHex(request.value()) }, { "source", "seen" }, { "instance", check.instance }, { "ends", m_suspects.crashCount(request) }, { "separate", m_suspects.separateCrashCount(request) }, { "guilty", m_suspects.isPoison(request) ? 1 : 0 } });
         m_hooks.evidenceChanged(request);
--- a/Tests/LibProxy/TestForeignHeads.cpp
+++ b/Tests/LibProxy/TestForeignHeads.cpp
@@ -68,7 +68,9 @@
     for (std::string const status : { "000", "001", "050", "099", "600", "601", "999" }) {
         for (auto const& body : bodies) {
             for (auto const& plan : { planWithId(), planForEvents() }) {
-                ForwardedAnswer const answer("HTTP/1.1 " + status + " X\r\nX-Request-Id: this\r\n" + body, plan);
+                auto bytes = "HTTP/1.1 " + status;
+                bytes += " X\r\nX-Request-Id: this\r\n" + body;
+                ForwardedAnswer const answer(bytes, plan);
                 answer.checkIsForeign();
                 BOOST_TEST(answer.isConnectionClosed);
             }
--- a/Tests/LibProxy/TestHttpClient.cpp
+++ b/Tests/LibProxy/TestHttpClient.cpp
@@ -138,9 +138,11 @@
 {
     for (std::string const status : { "000", "050", "099", "600", "999" }) {
         for (std::string const body : { "Content-Length: 2\r\n\r\nok", "\r\n", "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" }) {
-            Server const server([&](int connection) {
+            auto bytes = "HTTP/1.1 " + status;
+            bytes += " X\r\n" + body;
+            Server const server([&bytes](int connection) {
                 std::array<char, 64> rest {};
-                if (Server::sendAll(connection, "HTTP/1.1 " + status + " X\r\n" + body))
+                if (Server::sendAll(connection, bytes))
                     ::recv(connection, rest.data(), rest.size(), 0);
             });
             auto const outcome = fetchFrom(server.endpoint, Seconds(5));
