LibProxy: Refuse requests whose head doesn't tell where the body ends

Cause: Session relied on the parser's view of the head, which takes such a coding for no framing, and a request without framing for one without a body.

Change: checkRequestFraming decides by RFC 9112, sections 6.1 to 6.3, before the body is read: one field that says chunked alone, in HTTP/1.1, without a length; one length in digits; or neither. The parser must be about to read the same. Anything else gets 400 and the connection ends, at all servers of a process.

--- a/Libraries/LibProxy/Detail/Session.cpp
+++ b/Libraries/LibProxy/Detail/Session.cpp
@@ -2,6 +2,7 @@
 
 #include <LibProxy/Detail/Forwarder.h>
 #include <LibProxy/Detail/MessageFields.h>
+#include <LibProxy/Detail/RequestFraming.h>
 #include <array>
 #include <sys/socket.h>
 
@@ -251,7 +252,7 @@
     }
     m_headMemory = memoryOfHead(parser.get());
     chargeConnection();
-    co_return NetError();
+    co_return checkRequestFraming(parser);
 }
 
 // A client that asks whether to send its body, or announces a large one, learns at once that its request is refused.
