--- a/Tests/LibProxy/TestRequestFraming.cpp
+++ b/Tests/LibProxy/TestRequestFraming.cpp
@@ -15,16 +15,21 @@
 
     std::string text(bool codingsFirst, std::string const& codingName, std::string const& lengthName) const
     {
-        std::string codingFields;
-        std::string lengthFields;
-        for (auto const& value : codings)
-            codingFields += codingName + ":" + value + "\r\n";
-        for (auto const& value : lengths)
-            lengthFields += lengthName + ":" + value + "\r\n";
+        auto const codingFields = fields(codingName, codings);
+        auto const lengthFields = fields(lengthName, lengths);
         auto head = "POST /outer HTTP/1." + std::to_string(minorVersion);
         head += "\r\nHost: a\r\n" + (codingsFirst ? codingFields + lengthFields : lengthFields + codingFields) + "\r\n";
         return head;
     }
+
+private:
+    static std::string fields(std::string const& name, std::vector<std::string> const& values)
+    {
+        std::string text;
+        for (auto const& value : values)
+            text.append(name).append(":").append(value).append("\r\n");
+        return text;
+    }
 };
 
 // What RFC 9112, sections 6.1 to 6.3, says of a request, where whatever can be read in two ways is refused.
@@ -35,7 +40,7 @@
     Refused,
 };
 
-std::string trimmed(std::string text)
+std::string trimmed(std::string const& text)
 {
     auto const first = text.find_first_not_of(" \t");
     return first == std::string::npos ? std::string() : text.substr(first, text.find_last_not_of(" \t") - first + 1);
