--- a/Libraries/LibProxy/Detail/Forwarder.cpp
+++ b/Libraries/LibProxy/Detail/Forwarder.cpp
@@ -295,7 +295,8 @@
     bool const mayRelay = co_await passRelayGate();
     if (!mayRelay)
         co_return;
-    m_held.recordHeader(m_result.status, toHttpFields(m_parser->get()));
+    if (m_plan.maxRecordedBytes)
+        m_held.recordHeader(m_result.status, toHttpFields(m_parser->get()));
     startReadingEvents();
     m_watchdog->restart(m_plan.idleTimeout);
     bool canContinue = true;
--- a/Libraries/LibProxy/Detail/Forwarder.h
+++ b/Libraries/LibProxy/Detail/Forwarder.h
@@ -51,7 +51,6 @@
     bool acceptResponse();
     // Whether the response repeats this request's id, and no other.
     bool repeatsRequestId() const;
-    // Whether the bytes of the body have to be decoded before they can be read as events.
     Net::awaitable<void> drainRejectedBody();
     Net::awaitable<bool> passRelayGate();
     void startReadingEvents();
--- a/Libraries/LibProxy/Detail/HeldResponse.cpp
+++ b/Libraries/LibProxy/Detail/HeldResponse.cpp
@@ -6,8 +6,6 @@
 
 void HeldResponse::recordHeader(unsigned status, HttpFields headers)
 {
-    if (!m_plan.maxRecordedBytes)
-        return;
     m_record.status = status;
     m_record.headers = std::move(headers);
     m_record.headers.removeHopByHop(m_plan.endToEndFields);
--- a/Libraries/LibProxy/Detail/HeldResponse.h
+++ b/Libraries/LibProxy/Detail/HeldResponse.h
@@ -19,7 +19,7 @@
     {
     }
 
-    // Begins the record, if there is one.
+    // Begins the record. Only to be called if the plan asks for one.
     void recordHeader(unsigned status, HttpFields headers);
     // Adds bytes of the body to the record, unless it has already exceeded its limit.
     void record(std::string_view);
--- a/Libraries/LibProxy/Detail/ResponseRules.h
+++ b/Libraries/LibProxy/Detail/ResponseRules.h
@@ -29,6 +29,7 @@
     return Beast::iequals(mediaType, "text/event-stream");
 }
 
+// Whether the bytes of the body have to be decoded before they can be read.
 inline bool isBodyEncoded(Http::fields const& header)
 {
     auto const [first, last] = header.equal_range(Http::field::content_encoding);
