CrashEvidenceSharing: Log trials, not each request that gets none

While a request is held back, many callers a second may send it, and each of them had a line of its own that no trial was granted, beside the line of its refusal. Found on reading the change.

--- a/Services/stagepostd/CrashEvidenceSharing.cpp
+++ b/Services/stagepostd/CrashEvidenceSharing.cpp
@@ -159,9 +159,9 @@
     if (!m_trials)
         return callback(nullptr);
     auto const begin = [this, callback = std::move(callback), subject](std::optional<uint64_t> number) {
-        logEvent(LogLevel::Info, "crash-trial", { { "subject", toHex(subject.value()) }, { "granted", number ? 1 : 0 } });
         if (!number)
             return callback(nullptr);
+        logEvent(LogLevel::Info, "crash-trial", { { "subject", toHex(subject.value()) } });
         // Requests may end after this object.
         auto end = [trials = std::weak_ptr(m_trials), &loop = m_loop, number = *number](TrialOutcome outcome) {
             if (auto const exchange = trials.lock())
