EventNumberings: Forget a proof by gaps after many streams without one

Three streams that foreign events had ended, of two upstreams, proved for good that a version's ids leave numbers out, so that foreign events were let through until a restart. Found on reading the change. After 256 whole streams without a gap the proof is forgotten now. ManyStreamsWithoutGapsRefuteThatIdsLeaveNumbersOut failed before.

--- a/Services/stagepostd/EventNumberings.cpp
+++ b/Services/stagepostd/EventNumberings.cpp
@@ -54,9 +54,10 @@
     record.incompleteUpstreams.clear();
     ++record.countingStreams;
     record.countedEvents += nextNumbers;
-    if (record.countingStreams >= m_bounds.forgettingStreams) {
+    if (record.streamsWithGaps && record.countingStreams >= m_bounds.forgettingStreams) {
         record.streamsWithGaps = 0;
         record.upstreamsWithGaps.clear();
+        record.numbering = EventNumbering::Unknown;
     }
     bool const isProven = !record.streamsWithGaps && record.countingStreams >= m_bounds.countingStreams && record.countedEvents >= m_bounds.countedEvents;
     if (record.numbering == EventNumbering::Unknown && isProven)
--- a/Services/stagepostd/EventNumberings.h
+++ b/Services/stagepostd/EventNumberings.h
@@ -23,7 +23,8 @@
         size_t streamsWithGaps { 3 };
         // What refutes that they count: this many streams that missed events at two upstreams, with no whole stream between.
         size_t incompleteStreams { 3 };
-        // A gap is forgotten after this many streams without one, since an upstream may have sent a foreign event.
+        // Gaps, and what they proved, are forgotten after this many whole streams without one, since upstreams may have
+        // sent foreign events.
         size_t forgettingStreams { 256 };
         // Services with their versions.
         size_t capacity { 512 };
--- a/Tests/platform/TestEventNumberings.cpp
+++ b/Tests/platform/TestEventNumberings.cpp
@@ -61,6 +61,19 @@
     BOOST_TEST((numberings.numberingOf(chat) == EventNumbering::Consecutive));
 }
 
+// Guards against foreign events that have once ended streams of two upstreams, and are let through ever after.
+BOOST_AUTO_TEST_CASE(ManyStreamsWithoutGapsRefuteThatIdsLeaveNumbersOut)
+{
+    EventNumberings numberings;
+    for (unsigned stream = 0; stream < bounds.streamsWithGaps; ++stream)
+        numberings.streamCompleted(chat, stream ? one : other, 5, 1);
+    BOOST_TEST((numberings.numberingOf(chat) == EventNumbering::Rising));
+    completeStreams(numberings, bounds.forgettingStreams - 1, 10);
+    BOOST_TEST((numberings.numberingOf(chat) == EventNumbering::Rising));
+    completeStreams(numberings, 1, 10);
+    BOOST_TEST((numberings.numberingOf(chat) == EventNumbering::Consecutive));
+}
+
 BOOST_AUTO_TEST_CASE(StreamsThatAllMissEventsRefuteThatIdsCount)
 {
     EventNumberings numberings;
